--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# README.md names the two commands: make demo and make test.
+GOLANGCI = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+SHELL = /bin/bash
+BIN = bin
+
+.PHONY: fmt build demo test format lint vet race clean
+
+build:
+	go build -o $(BIN)/ ./cmd/... ./bench/cmd/...
+
+demo: build
+	$(BIN)/wpdemo --bin $(BIN)
+
+fmt:
+	@for module in . bench; do (cd $$module && $(GOLANGCI) fmt ./...) || exit 1; done
+
+test: format lint vet race
+
+format:
+	@echo "== formatter"
+	@for module in . bench; do (cd $$module && $(GOLANGCI) fmt --diff ./...) || exit 1; done
+
+lint:
+	@echo "== linter"
+	@for module in . bench; do (cd $$module && $(GOLANGCI) run ./...) || exit 1; done
+
+vet:
+	@echo "== vet"
+	go vet work
+
+race:
+	@echo "== race tests"
+	go run ./bench/cmd/wpci
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/connection/link/handshake.go
@@ -0,0 +1,188 @@
+package link
+
+import (
+	"context"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+// Path is where a process accepts links.
+const Path = "/v1/link"
+
+// KeyHeader carries the join key.
+const KeyHeader = "Waxwingpost-Join-Key"
+
+const handshakeTimeout = 5 * time.Second
+
+// Authenticator decides who may join. Without a key only peers on a loopback
+// address are accepted.
+type Authenticator struct {
+	// Key is the join key from the settings; it may be empty.
+	Key string
+}
+
+// Check returns an Unauthenticated error unless the request may join.
+func (a Authenticator) Check(r *http.Request) error {
+	if a.Key == "" {
+		return requireLoopback(r.RemoteAddr)
+	}
+	got := []byte(r.Header.Get(KeyHeader))
+	if subtle.ConstantTimeCompare(got, []byte(a.Key)) != 1 {
+		return result.New(result.Unauthenticated, "peer %s showed a wrong join key", r.RemoteAddr)
+	}
+	return nil
+}
+
+func requireLoopback(remote string) error {
+	host, _, err := net.SplitHostPort(remote)
+	if err == nil && net.ParseIP(host).IsLoopback() {
+		return nil
+	}
+	return result.New(result.Unauthenticated, "no join key is set and peer %s is not on loopback", remote)
+}
+
+// Sign adds the join key to a request to a peer.
+func (a Authenticator) Sign(r *http.Request) {
+	if a.Key != "" {
+		r.Header.Set(KeyHeader, a.Key)
+	}
+}
+
+// Acceptor serves links at Path.
+type Acceptor struct {
+	Auth Authenticator
+	// Self returns what this process says of itself.
+	Self func() wire.Hello
+	// Open is called with each new link once the peer said hello. An error
+	// refuses the link and reaches the peer with its code. The returned
+	// function, if any, is called after the link is lost.
+	Open func(c *Conn) (closed func(), err error)
+	// Handler serves the messages of every accepted link.
+	Handler Handler
+}
+
+// ServeHTTP upgrades the request and serves the link until it is lost.
+func (a *Acceptor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if err := a.Auth.Check(r); err != nil {
+		http.Error(w, err.Error(), http.StatusForbidden)
+		return
+	}
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	ws.SetReadLimit(maxMessageBytes)
+	a.serve(r.Context(), ws)
+}
+
+func (a *Acceptor) serve(ctx context.Context, ws *websocket.Conn) {
+	defer func() { _ = ws.CloseNow() }()
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	peer, err := readHello(ctx, ws)
+	if err != nil {
+		return
+	}
+	c := newConn(ws, peer, a.Handler)
+	closed, err := a.Open(c)
+	if sendErr := writeHello(ctx, ws, a.Self(), err); err != nil || sendErr != nil {
+		c.Close()
+		runHook(closed)
+		return
+	}
+	c.run()
+	runHook(closed)
+}
+
+func runHook(f func()) {
+	if f != nil {
+		f()
+	}
+}
+
+// Dialer opens links to other processes.
+type Dialer struct {
+	Auth Authenticator
+	Self func() wire.Hello
+	// Handler serves the messages of the other side.
+	Handler Handler
+	// Client may be nil for the default transport.
+	Client *http.Client
+}
+
+// Dial opens a link to an address "IP:port". The caller must Close it.
+func (d *Dialer) Dial(ctx context.Context, address string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	header := http.Header{}
+	if d.Auth.Key != "" {
+		header.Set(KeyHeader, d.Auth.Key)
+	}
+	opts := &websocket.DialOptions{HTTPHeader: header, HTTPClient: d.Client}
+	//nolint:bodyclose // the library closes the body itself
+	ws, resp, err := websocket.Dial(ctx, "ws://"+address+Path, opts)
+	if err != nil {
+		return nil, dialError(address, resp, err)
+	}
+	ws.SetReadLimit(maxMessageBytes)
+	return d.greet(ctx, ws, address)
+}
+
+func dialError(address string, resp *http.Response, err error) error {
+	if resp != nil && resp.StatusCode == http.StatusForbidden {
+		return result.New(result.Unauthenticated, "%s refused the join key", address)
+	}
+	return result.New(result.LinkLost, "dial %s: %v", address, err)
+}
+
+func (d *Dialer) greet(ctx context.Context, ws *websocket.Conn, address string) (*Conn, error) {
+	if err := writeHello(ctx, ws, d.Self(), nil); err != nil {
+		_ = ws.CloseNow()
+		return nil, result.New(result.LinkLost, "greet %s: %v", address, err)
+	}
+	peer, err := readHello(ctx, ws)
+	if err != nil {
+		_ = ws.CloseNow()
+		return nil, err
+	}
+	c := newConn(ws, peer, d.Handler)
+	go c.run()
+	return c, nil
+}
+
+func writeHello(ctx context.Context, ws *websocket.Conn, self wire.Hello, refusal error) error {
+	self.Protocol = wire.Version
+	env := replyTo(wire.Envelope{Kind: wire.KindHello}, self, refusal)
+	data, err := cbor.Marshal(env)
+	if err != nil {
+		return err
+	}
+	return ws.Write(ctx, websocket.MessageBinary, data)
+}
+
+func readHello(ctx context.Context, ws *websocket.Conn) (wire.Hello, error) {
+	var hello wire.Hello
+	_, data, err := ws.Read(ctx)
+	if err != nil {
+		return hello, result.New(result.LinkLost, "no hello: %v", err)
+	}
+	var env wire.Envelope
+	if err := cbor.Unmarshal(data, &env); err != nil {
+		return hello, result.New(result.BadMessage, "hello: %v", err)
+	}
+	if err := decodeReply(env, &hello); err != nil {
+		return hello, err
+	}
+	if hello.Protocol != wire.Version {
+		return hello, result.New(result.ProtocolVersion, "peer speaks %d, this process %d", hello.Protocol, wire.Version)
+	}
+	return hello, nil
+}
--- /dev/null
+++ b/connection/wire/headers.go
@@ -0,0 +1,63 @@
+package wire
+
+// Headers between callers and entries.
+const (
+	HeaderAccount    = "Waxwingpost-Account"
+	HeaderPriority   = "Waxwingpost-Priority"
+	HeaderDeadlineMs = "Waxwingpost-Deadline-Ms"
+	HeaderKey        = "Idempotency-Key"
+	HeaderRequestID  = "Waxwingpost-Request-Id"
+	HeaderCode       = "Waxwingpost-Code"
+	HeaderRan        = "Waxwingpost-Ran"
+	HeaderVersion    = "Waxwingpost-Version"
+	HeaderBackend    = "Waxwingpost-Backend"
+	HeaderRetryAfter = "Retry-After"
+)
+
+// Headers between entries, agents and backend servers, besides those above.
+const (
+	HeaderToken       = "Waxwingpost-Token"
+	HeaderIncarnation = "Waxwingpost-Incarnation"
+	HeaderAttempt     = "Waxwingpost-Attempt"
+	HeaderEntry       = "Waxwingpost-Entry"
+	// HeaderResumeOffset is the index of the first server-sent event that is
+	// still wanted of a stream; events count from 0.
+	HeaderResumeOffset = "Waxwingpost-Resume-Offset"
+)
+
+// Paths of an agent's HTTP server.
+const (
+	// PathDispatch prefixes the caller's path in a dispatched request.
+	PathDispatch = "/v1/dispatch"
+	// PathAttempt takes lookups of and tombstones for attempts.
+	PathAttempt = "/v1/attempt"
+	// PathChunks prefixes the digest of a chunk.
+	PathChunks = "/v1/chunks/"
+	// PathHave tells which chunks of a manifest the agent holds.
+	PathHave = "/v1/have"
+)
+
+// Paths that every process serves to its peers and operators.
+const (
+	PathState   = "/v1/state"
+	PathExplain = "/v1/explain"
+	PathMetrics = "/metrics"
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+)
+
+// Paths of a backend server's engine interface.
+const (
+	PathEngineReport = "/engine/report"
+	PathEngineLoad   = "/engine/load"
+	PathEngineUnload = "/engine/unload"
+	PathEngineDrain  = "/engine/drain"
+	PathEngineCancel = "/engine/cancel"
+	PathChat         = "/v1/chat/completions"
+)
+
+// Names of the files that a weight source serves below a version's path.
+const (
+	SourceManifest = "manifest.json"
+	SourceContent  = "content"
+)
--- /dev/null
+++ b/process/control/types.go
@@ -0,0 +1,165 @@
+// Package control defines the replicated control state as the rest of the
+// system sees it: commands, their results and the Store interface.
+//
+// Sub-packages hold its parts: raft (consensus core without I/O or clocks),
+// wal (synced log and snapshots), state (the deterministic state machine) and
+// node (the replica that runs the core with disk and links).
+package control
+
+import (
+	"context"
+
+	"github.com/waxwingpost/waxwingpost/version/manifest"
+)
+
+// Fence orders all orders that are given to an agent. A higher Index wins;
+// Term is told for the record.
+type Fence struct {
+	Term  uint64 `cbor:"1,keyasint" json:"term"`
+	Index uint64 `cbor:"2,keyasint" json:"index"`
+}
+
+// Less reports whether f is older than g.
+func (f Fence) Less(g Fence) bool {
+	return f.Index < g.Index
+}
+
+// Command is one replicated change. Exactly one of the pointers is set.
+// ID makes a resend idempotent: a command whose ID was applied before has no
+// further effect and yields the recorded result.
+type Command struct {
+	ID       string           `cbor:"1,keyasint"`
+	Edit     *Edit            `cbor:"2,keyasint,omitempty"`
+	Register *RegisterVersion `cbor:"3,keyasint,omitempty"`
+	Order    *PlaceOrder      `cbor:"4,keyasint,omitempty"`
+	Reserve  *Reserve         `cbor:"5,keyasint,omitempty"`
+	Outcome  *RecordOutcome   `cbor:"6,keyasint,omitempty"`
+	// Time is set by the proposing replica in Unix milliseconds. It is used
+	// for the record and for dropping old records, never for authority.
+	Time int64 `cbor:"7,keyasint"`
+	// VM is the name of the VM that proposed the command.
+	VM string `cbor:"8,keyasint"`
+}
+
+// Edit is a compare-and-set on one file of the folder.
+type Edit struct {
+	File string `cbor:"1,keyasint"`
+	// Base is the digest of the accepted content that the edit was made upon;
+	// zero when the file was absent.
+	Base manifest.Digest `cbor:"2,keyasint"`
+	// Content is the new content; Remove is set for a removal.
+	Content []byte `cbor:"3,keyasint,omitempty"`
+	Remove  bool   `cbor:"4,keyasint,omitempty"`
+	Author  string `cbor:"5,keyasint,omitempty"`
+}
+
+// RegisterVersion commits the manifest of a version.
+type RegisterVersion struct {
+	Manifest manifest.Manifest `cbor:"1,keyasint"`
+}
+
+// PlaceOrder sets what one agent's engine is to serve. Its fence is the
+// term and index under which it is applied.
+type PlaceOrder struct {
+	Agent    string   `cbor:"1,keyasint"`
+	Service  string   `cbor:"2,keyasint"`
+	Version  string   `cbor:"3,keyasint"`
+	Adapters []string `cbor:"4,keyasint,omitempty"`
+	// Stage asks the agent to fetch and verify the version without loading it.
+	Stage bool `cbor:"5,keyasint,omitempty"`
+	// After is the fence index of the agent's order that this one replaces;
+	// another order in between makes the command a conflict.
+	After uint64 `cbor:"6,keyasint"`
+}
+
+// Reserve claims the one run of a call that may not be repeated.
+type Reserve struct {
+	Account     string          `cbor:"1,keyasint"`
+	Key         string          `cbor:"2,keyasint"`
+	BodyDigest  manifest.Digest `cbor:"3,keyasint"`
+	Service     string          `cbor:"4,keyasint"`
+	Agent       string          `cbor:"5,keyasint"`
+	Incarnation string          `cbor:"6,keyasint"`
+	// Attempt counts from 1. An attempt above 1 is accepted only when the one
+	// before was recorded as not run.
+	Attempt int `cbor:"7,keyasint"`
+	// Entry is the entry VM that dispatches the attempt.
+	Entry string `cbor:"8,keyasint"`
+}
+
+// Verdicts on an attempt.
+const (
+	AttemptReserved = "reserved"
+	AttemptNotRun   = "not-run"
+	AttemptRan      = "ran"
+	AttemptUnknown  = "unknown"
+)
+
+// RecordOutcome sets the verdict on a reserved attempt. A verdict of ran or
+// unknown is final; not-run permits the next attempt.
+type RecordOutcome struct {
+	Account string  `cbor:"1,keyasint"`
+	Key     string  `cbor:"2,keyasint"`
+	Attempt int     `cbor:"3,keyasint"`
+	Verdict string  `cbor:"4,keyasint"`
+	Answer  *Answer `cbor:"5,keyasint,omitempty"`
+}
+
+// Answer is the recorded answer of a call that may not be repeated.
+type Answer struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint,omitempty"`
+	// Body is the whole answer where it is small, else empty: then Digest
+	// and Size tell what it was and Holder which agent keeps it.
+	Body   []byte          `cbor:"3,keyasint,omitempty"`
+	Digest manifest.Digest `cbor:"4,keyasint"`
+	Size   int64           `cbor:"5,keyasint"`
+	Holder string          `cbor:"6,keyasint,omitempty"`
+}
+
+// Call is the record of a call that may not be repeated.
+type Call struct {
+	Reserve Reserve `cbor:"1,keyasint"`
+	Verdict string  `cbor:"2,keyasint"`
+	Answer  *Answer `cbor:"3,keyasint,omitempty"`
+	// Time is the Unix time in milliseconds of the last change.
+	Time int64 `cbor:"4,keyasint"`
+}
+
+// Order is an order in force.
+type Order struct {
+	PlaceOrder
+	Fence Fence `cbor:"101,keyasint"`
+}
+
+// Result is what a command yielded once applied. Code and Detail tell a
+// refusal; the other fields depend on the command.
+type Result struct {
+	Code   int    `cbor:"1,keyasint"`
+	Detail string `cbor:"2,keyasint,omitempty"`
+	// Index and Term are those of the log entry that decided the command.
+	Index uint64 `cbor:"3,keyasint"`
+	Term  uint64 `cbor:"4,keyasint"`
+	// Revision is the configuration's revision after an Edit.
+	Revision uint64 `cbor:"5,keyasint,omitempty"`
+	// Call is the record after a Reserve or RecordOutcome.
+	Call *Call `cbor:"6,keyasint,omitempty"`
+}
+
+// Store gives access to the control state. Safe for concurrent use.
+type Store interface {
+	// Propose replicates a command and returns its result once it is applied.
+	// It follows the leader and resends under the command's ID until ctx ends.
+	// An error with code NoQuorum promises nothing about the command unless
+	// its Ran is NotRun.
+	Propose(ctx context.Context, cmd Command) (Result, error)
+	// Barrier returns once the local state holds all that was committed
+	// before the call, proved by a quorum round.
+	Barrier(ctx context.Context) error
+	// InQuorum reports whether this process heard from a quorum's leader
+	// within the last election timeout.
+	InQuorum() bool
+	// IsLeader reports whether this replica believes that it leads. It is a
+	// hint: only commits carry authority.
+	IsLeader() bool
+}
--- /dev/null
+++ b/process/result/table.go
@@ -0,0 +1,89 @@
+package result
+
+// Entry describes one code for operators and callers.
+type Entry struct {
+	Code    Code
+	Name    string
+	Meaning string
+	Remedy  string
+}
+
+// Name returns the short name of the code, or "unknown".
+func (c Code) Name() string {
+	for i := range Table {
+		if Table[i].Code == c {
+			return Table[i].Name
+		}
+	}
+	return "unknown"
+}
+
+// Table lists every code in ascending order.
+var Table = []Entry{
+	{OK, "ok", "done", "none"},
+	{FileUnreadable, "file-unreadable", "a configuration file could not be read", "check its permissions and the disk"},
+	{FileNotRegular, "file-not-regular", "the folder holds a symlink, directory or device where a file is expected", "replace it by a regular file"},
+	{FileTooLarge, "file-too-large", "a configuration file exceeds the size limit", "split it"},
+	{FileNotUTF8, "file-not-utf8", "a configuration file is not UTF-8", "save it as UTF-8"},
+	{FileSyntax, "file-syntax", "a configuration file is not valid YAML", "mend the line named"},
+	{UnknownKey, "unknown-key", "a key is not known", "remove it or correct its spelling"},
+	{WrongType, "wrong-type", "a value has the wrong type", "give the type named"},
+	{BadValue, "bad-value", "a value is out of range or malformed", "give a value in the range named"},
+	{BrokenReference, "broken-reference", "a name refers to nothing in the merged configuration", "define it or correct the name"},
+	{TooManyFiles, "too-many-files", "the folder holds more files than the limit", "merge some files"},
+	{EditConflict, "edit-conflict", "the file changed since the content that this edit was made upon", "read the accepted file again and repeat the edit"},
+	{NotDecided, "not-decided", "no verdict on the change yet", "wait; it is sent again until it is decided"},
+	{FolderSuspicious, "folder-suspicious", "the folder is empty, missing or unmounted; this is never read as a removal", "mount the folder or restore its files"},
+	{BadSetting, "bad-setting", "a flag or environment variable is wrong", "correct the setting named"},
+	{NotFound, "not-found", "nothing is recorded under this name", "check the name; old records are dropped"},
+	{NoQuorum, "no-quorum", "no majority of the control replicas could be reached", "restore the network or the control VMs"},
+	{NotLeader, "not-leader", "this replica does not lead", "try again; the client follows the leader"},
+	{LogDamaged, "log-damaged", "a record before the end of the log fails its checksum", "move the data folder away and restart: the VM joins as a learner"},
+	{DiskFailed, "disk-failed", "a write or sync of the data folder failed", "replace the disk; the VM joins as a learner"},
+	{WrongCluster, "wrong-cluster", "the other process belongs to another cluster", "correct its addresses or data folder"},
+	{NotMember, "not-member", "the replica is not a member of the control set", "add it to control.voters"},
+	{ProposalLost, "proposal-lost", "the outcome of a proposal was not learned in time", "send the same proposal again; it is idempotent"},
+	{SnapshotDamaged, "snapshot-damaged", "a snapshot fails its checksum", "move the data folder away and restart: the VM joins as a learner"},
+	{VersionConflict, "version-conflict", "a version is already registered with another manifest", "give the new weights a new version name"},
+	{BadCommand, "bad-command", "a replicated command is malformed", "report it: this is a fault of the system"},
+	{BadRequest, "bad-request", "the request is malformed", "correct it"},
+	{UnknownAccount, "unknown-account", "no such client account", "add it to accounts or correct the header"},
+	{UnknownService, "unknown-service", "no service takes this model, method or path", "correct the request or the services"},
+	{QueueFull, "queue-full", "the request could not be served in time", "come back after Retry-After"},
+	{DeadlineTooShort, "deadline-too-short", "the deadline is shorter than the expected wait", "come back after Retry-After or allow more time"},
+	{DeadlineExceeded, "deadline-exceeded", "the deadline passed", "ask again with a longer deadline"},
+	{NoBackend, "no-backend", "no backend server serves this now", "come back after Retry-After"},
+	{BackendFailed, "backend-failed", "the backend server failed", "ask again"},
+	{AnswerCut, "answer-cut", "the answer broke off and could not be completed", "ask again"},
+	{OutcomeUnknown, "outcome-unknown", "the call may have run; it will not run again", "check with the service before filing anew"},
+	{KeyReused, "key-reused", "the Idempotency-Key was used with another body", "use a new key for a new call"},
+	{KeyExpired, "key-expired", "the Idempotency-Key is older than keys are kept", "check with the service before filing anew"},
+	{Draining, "draining", "the process is stopping and takes nothing new", "come back; another VM answers"},
+	{VersionMismatch, "version-mismatch", "the backend server does not serve the version that was routed for", "come back at once"},
+	{StaleLease, "stale-lease", "the dispatch carried a token past its lease", "come back at once"},
+	{AttemptTombstoned, "attempt-tombstoned", "the attempt was canceled before it arrived", "none"},
+	{CallerGone, "caller-gone", "the caller closed the connection", "none"},
+	{WrongIncarnation, "wrong-incarnation", "the agent restarted since the attempt was reserved", "come back; the outcome is looked up"},
+	{CutOff, "cut-off", "this entry is cut off from the control quorum", "come back after Retry-After; another VM may answer"},
+	{RateExceeded, "rate-exceeded", "the client account exceeds its rate", "come back after Retry-After"},
+	{InProgress, "in-progress", "a call under this Idempotency-Key is in progress", "come back after Retry-After with the same key"},
+	{AnswerNotKept, "answer-not-kept", "the call ran; its answer was too large to keep", "read the result from the service"},
+	{ChunkCorrupt, "chunk-corrupt", "a chunk failed its digest", "none: it is fetched again elsewhere"},
+	{ChunkMissing, "chunk-missing", "a peer does not hold the chunk", "none: it is fetched elsewhere"},
+	{SourceThrottled, "source-throttled", "the weight source answered that its rate is exceeded", "none: it is asked again later"},
+	{SourceFailed, "source-failed", "the weight source failed", "check the source"},
+	{ManifestInvalid, "manifest-invalid", "a manifest is malformed or fails its digest", "publish the version again"},
+	{SpoolFull, "spool-full", "the agent's spool has no room for the version", "enlarge the spool"},
+	{StaleFence, "stale-fence", "an order carried a fence below the one seen", "none: a newer order is in force"},
+	{EngineRefused, "engine-refused", "the engine refused an order", "check the engine"},
+	{EngineMismatch, "engine-mismatch", "the engine reports another version or digest than was ordered", "check the engine; it takes no requests meanwhile"},
+	{OrderSuperseded, "order-superseded", "a newer order replaced this one", "none"},
+	{FenceUnknown, "fence-unknown", "the agent has not yet learned the current fence from a quorum", "none: it asks again"},
+	{EngineUnreadable, "engine-unreadable", "the engine's report could not be read", "check the engine"},
+	{Unauthenticated, "unauthenticated", "the peer did not show the join key", "set the same join key on every VM"},
+	{NameTaken, "name-taken", "another process holds this name under a live lease", "give each process its own name"},
+	{LinkLost, "link-lost", "the link to the other process was lost", "none: it is opened again"},
+	{BadMessage, "bad-message", "a message between processes could not be read", "run the same release on every VM"},
+	{ProtocolVersion, "protocol-version", "the other process speaks another protocol version", "run the same release on every VM"},
+	{Internal, "internal", "an unexpected failure", "report it with the log line"},
+}
--- /dev/null
+++ b/process/result/table_test.go
@@ -0,0 +1,28 @@
+package result
+
+import "testing"
+
+func TestTableIsAscendingAndNamesAreUnique(t *testing.T) {
+	names := map[string]bool{}
+	for i, e := range Table {
+		if i > 0 && Table[i-1].Code >= e.Code {
+			t.Errorf("code %d does not follow %d", e.Code, Table[i-1].Code)
+		}
+		if names[e.Name] {
+			t.Errorf("name %q stands twice", e.Name)
+		}
+		names[e.Name] = true
+		if e.Meaning == "" || e.Remedy == "" {
+			t.Errorf("code %d lacks its meaning or remedy", e.Code)
+		}
+	}
+}
+
+func TestFromWrapsUnknownErrors(t *testing.T) {
+	if got := CodeOf(New(NoQuorum, "x")); got != NoQuorum {
+		t.Errorf("CodeOf = %d", got)
+	}
+	if CodeOf(nil) != OK {
+		t.Error("nil must be OK")
+	}
+}
