Control state: consensus core, synced log and replica

A first test starts three entries and a diskless one on an in-memory hub, commits 300 changes through all of them, restarts all and finds each change.

--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -196,6 +196,8 @@
 	To       string   `cbor:"1,keyasint"`
 	From     string   `cbor:"2,keyasint"`
 	Messages [][]byte `cbor:"3,keyasint"`
+	// Cluster is the sender's cluster; others refuse the batch.
+	Cluster string `cbor:"4,keyasint"`
 }
 
 // BarrierReply carries the commit index that a quorum confirmed.
--- /dev/null
+++ b/process/control/node/cluster_test.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+// register is a small state machine: the last file content wins, and commands
+// are idempotent by ID.
+type register struct {
+	mu     sync.Mutex
+	State  registerState
+	voters []string
+}
+
+type registerState struct {
+	Values  map[string][]byte
+	Results map[string]control.Result
+	Order   []string
+}
+
+func newRegister() *register {
+	return &register{State: registerState{Values: map[string][]byte{}, Results: map[string]control.Result{}}}
+}
+
+func (g *register) Apply(index, term uint64, cmd control.Command) control.Result {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if res, ok := g.State.Results[cmd.ID]; ok {
+		return res
+	}
+	res := control.Result{Index: index, Term: term}
+	if cmd.Edit != nil {
+		g.State.Values[cmd.Edit.File] = cmd.Edit.Content
+	}
+	g.State.Results[cmd.ID] = res
+	g.State.Order = append(g.State.Order, cmd.ID)
+	return res
+}
+
+func (g *register) Snapshot() ([]byte, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return cbor.Marshal(g.State)
+}
+
+func (g *register) Restore(data []byte) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var s registerState
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return err
+	}
+	g.State = s
+	return nil
+}
+
+func (g *register) Voters() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.voters
+}
+
+func (g *register) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.State.Order)
+}
+
+// hub links nodes within the process.
+type hub struct {
+	mu    sync.Mutex
+	nodes map[string]*Node
+}
+
+func (h *hub) get(name string) *Node {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.nodes[name]
+}
+
+// port is one node's Transport.
+type port struct {
+	hub  *hub
+	name string
+}
+
+func (p port) Notify(to string, kind wire.Kind, msg any) error {
+	n := p.hub.get(to)
+	body, err := cbor.Marshal(msg)
+	if err != nil || n == nil {
+		return result.New(result.LinkLost, "no link")
+	}
+	n.Notify(wire.Hello{Name: p.name}, kind, body)
+	return nil
+}
+
+func (p port) Call(ctx context.Context, to string, kind wire.Kind, req, resp any) error {
+	n := p.hub.get(to)
+	body, err := cbor.Marshal(req)
+	if err != nil || n == nil {
+		return result.New(result.LinkLost, "no link")
+	}
+	out, err := n.Call(ctx, wire.Hello{Name: p.name}, kind, body)
+	if err != nil || resp == nil {
+		return err
+	}
+	data, err := cbor.Marshal(out)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(data, resp)
+}
+
+// running is a node that a test started.
+type running struct {
+	node *Node
+	sm   *register
+	stop func()
+}
+
+func (h *hub) start(t *testing.T, cfg Config) *running {
+	t.Helper()
+	sm := newRegister()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	seed := uint64(len(cfg.Name)) + uint64(cfg.Name[len(cfg.Name)-1])
+	n, err := New(cfg, sm, port{h, cfg.Name}, clockwork.NewRealClock(), rand.New(rand.NewPCG(seed, 1)), log, tally.NoopScope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.mu.Lock()
+	h.nodes[cfg.Name] = n
+	h.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = n.Run(ctx)
+	}()
+	stop := sync.OnceFunc(func() {
+		h.mu.Lock()
+		delete(h.nodes, cfg.Name)
+		h.mu.Unlock()
+		cancel()
+		<-ended
+	})
+	t.Cleanup(stop)
+	return &running{node: n, sm: sm, stop: stop}
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func edit(id, content string) control.Command {
+	return control.Command{ID: id, Edit: &control.Edit{File: "f", Content: []byte(content)}}
+}
+
+func TestClusterFoundsReplicatesAndRestarts(t *testing.T) {
+	h := &hub{nodes: map[string]*Node{}}
+	names := []string{"e1", "e2", "e3"}
+	cfgs := map[string]Config{}
+	nodes := map[string]*running{}
+	for _, name := range names {
+		cfgs[name] = Config{Name: name, DataDir: t.TempDir(), Peers: names, Bootstrap: names, SnapshotEvery: 100}
+		nodes[name] = h.start(t, cfgs[name])
+	}
+	ctx := testContext(t)
+	for i := range 300 {
+		id := fmt.Sprint("c", i)
+		if _, err := nodes[names[i%3]].node.Propose(ctx, edit(id, id)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	diskless := h.start(t, Config{Name: "e4", Peers: append(names, "e4")})
+	if err := diskless.node.Barrier(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range nodes {
+		r.stop()
+	}
+	for _, name := range names {
+		nodes[name] = h.start(t, cfgs[name])
+	}
+	for name, r := range nodes {
+		if err := r.node.Barrier(ctx); err != nil {
+			t.Fatal(name, err)
+		}
+		if got := r.sm.count(); got != 300 {
+			t.Errorf("%s holds %d commands, want 300", name, got)
+		}
+	}
+	if got := diskless.sm.count(); got != 300 {
+		t.Errorf("the learner holds %d commands, want 300", got)
+	}
+}
--- /dev/null
+++ b/process/control/node/config.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/control/raft"
+	"github.com/waxwingpost/waxwingpost/process/control/wal"
+)
+
+// StateMachine is the deterministic state that the log drives. Apply, Snapshot
+// and Restore are called from one goroutine.
+type StateMachine interface {
+	// Apply carries out a command. A command whose ID was applied before has
+	// no further effect and yields the recorded result.
+	Apply(index, term uint64, cmd control.Command) control.Result
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+	// Voters returns the names of the VMs that are to hold voters; empty
+	// leaves them as they are.
+	Voters() []string
+}
+
+// Transport sends to the other entries, which it knows by the VM's name.
+// Notify must not block.
+type Transport interface {
+	Notify(to string, kind wire.Kind, msg any) error
+	Call(ctx context.Context, to string, kind wire.Kind, req, resp any) error
+}
+
+// Config holds a replica's settings. Zero values are replaced by defaults.
+type Config struct {
+	// Name is the VM's name.
+	Name string
+	// DataDir is the data folder. Without one the replica is a learner in
+	// memory, with a new identity at each start, and never votes.
+	DataDir string
+	// Peers are the names of all entries in the settings.
+	Peers []string
+	// Bootstrap are the names of the VMs that found the cluster. It is used
+	// only while none of them belongs to a cluster.
+	Bootstrap []string
+
+	// Tick is the unit of the timeouts below that count ticks.
+	Tick           time.Duration
+	ElectionTicks  int
+	HeartbeatTicks int
+	// SnapshotEvery and SnapshotBytes bound what is replayed at start.
+	SnapshotEvery int
+	SnapshotBytes int64
+	// RetainEntries and RetainBytes bound the applied entries kept in memory
+	// for members that lag a little.
+	RetainEntries int
+	RetainBytes   int
+	// RetryAfter is the pause before a request is sent again.
+	RetryAfter time.Duration
+	// CallTimeout bounds one call to another entry.
+	CallTimeout time.Duration
+	// ForgetVolatile and ForgetReplica are how long a learner without and with
+	// a disk may be silent before it is removed.
+	ForgetVolatile time.Duration
+	ForgetReplica  time.Duration
+	// MaxMembers bounds the membership.
+	MaxMembers int
+	// FS is the file system of the data folder.
+	FS wal.FS
+}
+
+// Defaults of Config.
+const (
+	defaultTick           = 50 * time.Millisecond
+	defaultSnapshotEvery  = 1000
+	defaultSnapshotBytes  = 32 << 20
+	defaultRetainEntries  = 1000
+	defaultRetainBytes    = 16 << 20
+	defaultRetryAfter     = 100 * time.Millisecond
+	defaultCallTimeout    = 2 * time.Second
+	defaultForgetVolatile = 30 * time.Second
+	defaultForgetReplica  = 10 * time.Minute
+	defaultMaxMembers     = 64
+)
+
+func (c Config) withDefaults() Config {
+	core := raft.DefaultConfig()
+	setDefault(&c.Tick, defaultTick)
+	setDefault(&c.ElectionTicks, core.ElectionTicks)
+	setDefault(&c.HeartbeatTicks, core.HeartbeatTicks)
+	setDefault(&c.SnapshotEvery, defaultSnapshotEvery)
+	setDefault(&c.SnapshotBytes, defaultSnapshotBytes)
+	setDefault(&c.RetainEntries, defaultRetainEntries)
+	setDefault(&c.RetainBytes, defaultRetainBytes)
+	setDefault(&c.RetryAfter, defaultRetryAfter)
+	setDefault(&c.CallTimeout, defaultCallTimeout)
+	setDefault(&c.ForgetVolatile, defaultForgetVolatile)
+	setDefault(&c.ForgetReplica, defaultForgetReplica)
+	setDefault(&c.MaxMembers, defaultMaxMembers)
+	if c.FS == nil {
+		c.FS = wal.OS{}
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c Config) diskless() bool { return c.DataDir == "" }
+
+// electionTimeout is the shortest silence after which a leader is replaced.
+func (c Config) electionTimeout() time.Duration {
+	return time.Duration(c.ElectionTicks) * c.Tick
+}
+
+// ticks converts a duration, rounding up.
+func (c Config) ticks(d time.Duration) uint64 {
+	return uint64((d + c.Tick - 1) / c.Tick)
+}
+
+// core returns the settings of the consensus core.
+func (c Config) core(id string) raft.Config {
+	rc := raft.DefaultConfig()
+	rc.ID = id
+	rc.ElectionTicks = c.ElectionTicks
+	rc.HeartbeatTicks = c.HeartbeatTicks
+	rc.NeverVote = c.diskless()
+	return rc
+}
--- /dev/null
+++ b/process/control/wal/record.go
@@ -0,0 +1,115 @@
+package wal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	headerBytes = 12
+	sectorBytes = 512
+	// minZeroRun is the shortest run of zeros, up to the end of a sector or
+	// of the record, that counts as a sector which was never written.
+	minZeroRun = 16
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+var (
+	// errTorn marks a record that a crash kept from being written whole.
+	errTorn = errors.New("torn record")
+	// errDamaged marks a record that was whole once.
+	errDamaged = errors.New("damaged record")
+)
+
+// encodeRecord returns the record of a body and the checksum that seeds the
+// next one.
+func encodeRecord(prev uint32, body []byte) ([]byte, uint32) {
+	sum := crc32.Update(prev, castagnoli, body)
+	rec := make([]byte, headerBytes, headerBytes+len(body))
+	binary.LittleEndian.PutUint32(rec[0:], uint32(len(body)))
+	binary.LittleEndian.PutUint32(rec[4:], sum)
+	binary.LittleEndian.PutUint32(rec[8:], crc32.Checksum(rec[:8], castagnoli))
+	return append(rec, body...), sum
+}
+
+// header is a decoded record header.
+type header struct {
+	length int
+	sum    uint32
+}
+
+func decodeHeader(b []byte) (header, bool) {
+	if len(b) < headerBytes || crc32.Checksum(b[:8], castagnoli) != binary.LittleEndian.Uint32(b[8:]) {
+		return header{}, false
+	}
+	return header{
+		length: int(binary.LittleEndian.Uint32(b[0:])),
+		sum:    binary.LittleEndian.Uint32(b[4:]),
+	}, true
+}
+
+// decodeRecord reads the record at offset off of a segment. It returns the
+// body and the checksum, or errTorn or errDamaged.
+func decodeRecord(segment []byte, off int, prev uint32) ([]byte, uint32, error) {
+	rest := segment[off:]
+	if len(rest) < headerBytes {
+		return nil, 0, errTorn
+	}
+	h, ok := decodeHeader(rest)
+	if !ok {
+		if headerFollows(rest[1:]) {
+			return nil, 0, errDamaged
+		}
+		return nil, 0, judge(segment, off, len(segment))
+	}
+	end := headerBytes + h.length
+	if len(rest) < end {
+		return nil, 0, errTorn
+	}
+	body := rest[headerBytes:end]
+	if crc32.Update(prev, castagnoli, body) == h.sum {
+		return body, h.sum, nil
+	}
+	// A record is begun only once the one before is synced, so one that has a
+	// successor was whole.
+	if _, follows := decodeHeader(rest[end:]); follows {
+		return nil, 0, errDamaged
+	}
+	return nil, 0, judge(segment, off, off+end)
+}
+
+// headerFollows reports whether a record header stands anywhere in b.
+func headerFollows(b []byte) bool {
+	for len(b) >= headerBytes {
+		if _, ok := decodeHeader(b); ok {
+			return true
+		}
+		b = b[1:]
+	}
+	return false
+}
+
+// judge tells a torn record from a damaged one. Disks write whole sectors: a
+// torn record has one that is still zero.
+func judge(segment []byte, from, to int) error {
+	for at := from; at < to; {
+		end := min((at/sectorBytes+1)*sectorBytes, to)
+		if end-at >= minZeroRun && allZero(segment[at:end]) {
+			return errTorn
+		}
+		at = end
+	}
+	return errDamaged
+}
+
+func allZero(b []byte) bool {
+	for _, c := range b {
+		if c != 0 {
+			return false
+		}
+	}
+	return true
+}
