--- a/process/control/node/cluster_test.go
+++ b/process/control/node/cluster_test.go
@@ -45,6 +45,9 @@
 	}
 	res := control.Result{Index: index, Term: term}
 	if cmd.Edit != nil {
+		res.Code = resultOf(string(g.State.Values[cmd.Edit.File]), cmd.Edit)
+	}
+	if cmd.Edit != nil && res.Code == 0 {
 		g.State.Values[cmd.Edit.File] = cmd.Edit.Content
 	}
 	g.State.Results[cmd.ID] = res
--- a/process/control/node/enter.go
+++ b/process/control/node/enter.go
@@ -5,7 +5,6 @@
 	"sync"
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
-	"github.com/waxwingpost/waxwingpost/process/control/raft"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
@@ -142,7 +141,7 @@
 		return self, nil
 	}
 	admitted := make(chan error, 1)
-	err := n.submit(ctx, func(r *replica) { admitted <- n.admit(r, in) })
+	err := n.submit(ctx, func(r *replica) { admitted <- r.admit(in) })
 	if err != nil {
 		return self, err
 	}
@@ -155,20 +154,3 @@
 		return self, result.New(result.NoQuorum, "%v", ctx.Err())
 	}
 }
-
-func (n *Node) admit(r *replica, in introduction) error {
-	m := raft.Member{ID: in.Replica, Name: in.Name, Volatile: in.Volatile}
-	members := r.core.Members()
-	if _, known := members.Get(m.ID); known {
-		return nil
-	}
-	if r.core.Role() != raft.Leader || r.core.ChangePending() {
-		return result.New(result.NoQuorum, "a membership change is under way")
-	}
-	next, err := admit(members, lagByID(r.core.Peers()), m, n.cfg.MaxMembers)
-	if err != nil {
-		return err
-	}
-	n.log.Info("learner admitted", "replica", in.Replica, "name", in.Name, "volatile", in.Volatile)
-	return r.core.ProposeMembers(next)
-}
--- a/process/control/node/members.go
+++ b/process/control/node/members.go
@@ -208,3 +208,51 @@
 	}
 	return next.With(m), nil
 }
+
+// changeMembers proposes the next change of the membership that is due.
+func (r *replica) changeMembers() {
+	if r.core.Role() != raft.Leader || r.core.ChangePending() {
+		return
+	}
+	s := r.core.Status()
+	v := view{
+		self: s.ID, members: s.Members, peers: lagByID(s.Peers), committed: s.Committed,
+		wanted:         r.sm.Voters(),
+		forgetVolatile: r.cfg.ticks(r.cfg.ForgetVolatile),
+		forgetReplica:  r.cfg.ticks(r.cfg.ForgetReplica),
+	}
+	next, ok := v.nextChange()
+	if !ok {
+		return
+	}
+	r.log.Info("membership proposed", "from", s.Members.String(), "to", next.String())
+	if err := r.core.ProposeMembers(next); err != nil {
+		r.log.Warn("membership refused", "error", err)
+	}
+}
+
+// admit proposes the sender of an introduction as a learner.
+func (r *replica) admit(in introduction) error {
+	m := raft.Member{ID: in.Replica, Name: in.Name, Volatile: in.Volatile}
+	members := r.core.Members()
+	if _, known := members.Get(m.ID); known {
+		return nil
+	}
+	if r.core.Role() != raft.Leader || r.core.ChangePending() {
+		return result.New(result.NoQuorum, "a membership change is under way")
+	}
+	next, err := admit(members, lagByID(r.core.Peers()), m, r.cfg.MaxMembers)
+	if err != nil {
+		return err
+	}
+	r.log.Info("learner admitted", "replica", in.Replica, "name", in.Name, "volatile", in.Volatile)
+	return r.core.ProposeMembers(next)
+}
+
+func lagByID(peers []raft.PeerLag) map[string]raft.PeerLag {
+	byID := make(map[string]raft.PeerLag, len(peers))
+	for _, p := range peers {
+		byID[p.ID] = p
+	}
+	return byID
+}
--- a/process/control/node/node.go
+++ b/process/control/node/node.go
@@ -227,7 +227,7 @@
 	n.policyAt++
 	if n.policyAt >= n.cfg.ElectionTicks/2 {
 		n.policyAt = 0
-		n.changeMembers()
+		n.replica.changeMembers()
 		n.askToJoin(ctx)
 	}
 }
@@ -238,37 +238,6 @@
 	return n.turn(context.WithoutCancel(ctx))
 }
 
-// changeMembers makes the next change of the membership that is due.
-func (n *Node) changeMembers() {
-	core := n.replica.core
-	if core.Role() != raft.Leader || core.ChangePending() {
-		return
-	}
-	s := core.Status()
-	v := view{
-		self: s.ID, members: s.Members, peers: lagByID(s.Peers), committed: s.Committed,
-		wanted:         n.sm.Voters(),
-		forgetVolatile: n.cfg.ticks(n.cfg.ForgetVolatile),
-		forgetReplica:  n.cfg.ticks(n.cfg.ForgetReplica),
-	}
-	next, ok := v.nextChange()
-	if !ok {
-		return
-	}
-	n.log.Info("membership proposed", "from", s.Members.String(), "to", next.String())
-	if err := core.ProposeMembers(next); err != nil {
-		n.log.Warn("membership refused", "error", err)
-	}
-}
-
-func lagByID(peers []raft.PeerLag) map[string]raft.PeerLag {
-	byID := make(map[string]raft.PeerLag, len(peers))
-	for _, p := range peers {
-		byID[p.ID] = p
-	}
-	return byID
-}
-
 // publish makes the replica's state visible to other goroutines.
 func (n *Node) publish() {
 	core := n.replica.core
--- a/process/control/wal/doc.go
+++ b/process/control/wal/doc.go
@@ -11,12 +11,13 @@
 //
 // # Records
 //
-// A segment is a series of records. A record is a header of 12 bytes, and a
-// body in CBOR:
+// A segment is a series of records. A record is a header of 16 bytes, little
+// endian, a body in CBOR and a byte that marks the end:
 //
-//	bytes 0-3   length of the body, little endian
-//	bytes 4-7   CRC-32C of the body, seeded with that of the record before
-//	bytes 8-11  CRC-32C of bytes 0-7
+//	bytes 0-3    a fixed mark
+//	bytes 4-7    length of the body
+//	bytes 8-11   CRC-32C of the body, seeded with that of the record before
+//	bytes 12-15  CRC-32C of bytes 0-11
 //
 // The chain of checksums runs through a segment, and segments are numbered
 // without gaps, so that a record which is missing or stands in the wrong place
--- a/process/control/wal/open.go
+++ b/process/control/wal/open.go
@@ -116,6 +116,7 @@
 
 // resume makes the log ready for appending after a replay.
 func (l *Log) resume(r *replay, stored raft.Stored) error {
+	l.last = lastOf(stored)
 	// Entries that do not follow the snapshot were left out; the file that
 	// holds them must not be continued.
 	if r.last() != lastOf(stored) {
@@ -132,7 +133,7 @@
 // replay rebuilds the log from its records.
 type replay struct {
 	log *Log
-	// base is the position before entries[0] after a reset.
+	// base is the position that the log had reached before entries[0].
 	base    position
 	entries []raft.Entry
 }
@@ -171,7 +172,7 @@
 			return result.New(result.LogDamaged, "%s at byte %d: %v", s.name(), off, err)
 		}
 		l.chain = sum
-		off += headerBytes + len(body)
+		off += recordBytes(body)
 	}
 	l.bytes = int64(len(data))
 	if len(data) == 0 {
@@ -211,6 +212,10 @@
 	if rec.Begin != nil && (rec.Begin.Format != formatVersion || rec.Begin.Number != s.number) {
 		return errors.Newf("segment %d of format %d", rec.Begin.Number, rec.Begin.Format)
 	}
+	if rec.Begin != nil && len(r.entries) == 0 {
+		// What came before was removed: only a snapshot may stand in for it.
+		r.base.Index = rec.Begin.Last
+	}
 	if rec.Reset != nil {
 		r.base, r.entries = *rec.Reset, nil
 	}
@@ -247,10 +252,13 @@
 // from the leader and replaces the log, although the crash came before the new
 // segment could say so.
 func (r *replay) after(s raft.Snapshot) ([]raft.Entry, error) {
-	if len(r.entries) == 0 || r.last() < s.Index {
+	if r.last() < s.Index {
 		return nil, nil
 	}
-	first := r.entries[0].Index
+	first := r.last() + 1
+	if len(r.entries) > 0 {
+		first = r.entries[0].Index
+	}
 	if first > s.Index+1 {
 		return nil, result.New(result.LogDamaged, "entries %d to %d are missing", s.Index+1, first-1)
 	}
--- a/process/control/wal/record.go
+++ b/process/control/wal/record.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	headerBytes = 12
+	headerBytes = 16
 	sectorBytes = 512
-	// minZeroRun is the shortest run of zeros, up to the end of a sector or
-	// of the record, that counts as a sector which was never written.
-	minZeroRun = 16
+	// magic and endMark are not zero, so that no part of a record at either
+	// end is zero unless it was never written.
+	magic   = 0x4c575857
+	endMark = 0xa5
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -28,13 +29,18 @@
 // next one.
 func encodeRecord(prev uint32, body []byte) ([]byte, uint32) {
 	sum := crc32.Update(prev, castagnoli, body)
-	rec := make([]byte, headerBytes, headerBytes+len(body))
-	binary.LittleEndian.PutUint32(rec[0:], uint32(len(body)))
-	binary.LittleEndian.PutUint32(rec[4:], sum)
-	binary.LittleEndian.PutUint32(rec[8:], crc32.Checksum(rec[:8], castagnoli))
-	return append(rec, body...), sum
+	rec := make([]byte, headerBytes, recordBytes(body))
+	binary.LittleEndian.PutUint32(rec[0:], magic)
+	binary.LittleEndian.PutUint32(rec[4:], uint32(len(body)))
+	binary.LittleEndian.PutUint32(rec[8:], sum)
+	binary.LittleEndian.PutUint32(rec[12:], crc32.Checksum(rec[:12], castagnoli))
+	rec = append(rec, body...)
+	return append(rec, endMark), sum
 }
 
+// recordBytes returns the size of the record of a body.
+func recordBytes(body []byte) int { return headerBytes + len(body) + 1 }
+
 // header is a decoded record header.
 type header struct {
 	length int
@@ -42,12 +48,13 @@
 }
 
 func decodeHeader(b []byte) (header, bool) {
-	if len(b) < headerBytes || crc32.Checksum(b[:8], castagnoli) != binary.LittleEndian.Uint32(b[8:]) {
+	if len(b) < headerBytes || binary.LittleEndian.Uint32(b) != magic ||
+		crc32.Checksum(b[:12], castagnoli) != binary.LittleEndian.Uint32(b[12:]) {
 		return header{}, false
 	}
 	return header{
-		length: int(binary.LittleEndian.Uint32(b[0:])),
-		sum:    binary.LittleEndian.Uint32(b[4:]),
+		length: int(binary.LittleEndian.Uint32(b[4:])),
+		sum:    binary.LittleEndian.Uint32(b[8:]),
 	}, true
 }
 
@@ -65,12 +72,12 @@
 		}
 		return nil, 0, judge(segment, off, len(segment))
 	}
-	end := headerBytes + h.length
+	end := headerBytes + h.length + 1
 	if len(rest) < end {
 		return nil, 0, errTorn
 	}
-	body := rest[headerBytes:end]
-	if crc32.Update(prev, castagnoli, body) == h.sum {
+	body := rest[headerBytes : end-1]
+	if crc32.Update(prev, castagnoli, body) == h.sum && rest[end-1] == endMark {
 		return body, h.sum, nil
 	}
 	// A record is begun only once the one before is synced, so one that has a
@@ -97,7 +104,7 @@
 func judge(segment []byte, from, to int) error {
 	for at := from; at < to; {
 		end := min((at/sectorBytes+1)*sectorBytes, to)
-		if end-at >= minZeroRun && allZero(segment[at:end]) {
+		if allZero(segment[at:end]) {
 			return errTorn
 		}
 		at = end
--- a/process/control/wal/wal.go
+++ b/process/control/wal/wal.go
@@ -38,6 +38,8 @@
 type begin struct {
 	Format int    `cbor:"1,keyasint"`
 	Number uint64 `cbor:"2,keyasint"`
+	// Last is the index that the log had reached.
+	Last uint64 `cbor:"3,keyasint"`
 }
 
 // position is an entry's place in the log.
@@ -65,6 +67,8 @@
 	// chain is the checksum of the last record.
 	chain uint32
 	hard  raft.HardState
+	// last is the index of the last entry.
+	last uint64
 	// bytes counts what was written since the last snapshot.
 	bytes int64
 	err   error
@@ -93,7 +97,8 @@
 	}
 	if n := len(entries); n > 0 {
 		s := &l.segments[len(l.segments)-1]
-		s.last = max(s.last, entries[n-1].Index)
+		l.last = entries[n-1].Index
+		s.last = max(s.last, l.last)
 	}
 	return nil
 }
@@ -169,8 +174,15 @@
 	if n := len(l.segments); n > 0 {
 		next.number = l.segments[n-1].number + 1
 	}
+	if reset != nil {
+		l.last = reset.Index
+	}
 	hs := l.hard
-	first := record{Begin: &begin{Format: formatVersion, Number: next.number}, Reset: reset, Hard: &hs}
+	first := record{
+		Begin: &begin{Format: formatVersion, Number: next.number, Last: l.last},
+		Reset: reset,
+		Hard:  &hs,
+	}
 	data, sum, err := l.encode(first, 0)
 	if err != nil {
 		return err
