--- a/process/control/internal/faultdisk/disk.go
+++ b/process/control/internal/faultdisk/disk.go
@@ -55,6 +55,9 @@
 // CrashAfter plans a crash in the operation that follows n more ones.
 func (d *Disk) CrashAfter(n int) { d.left = n }
 
+// Recover ends a planned crash as if the disk had failed for a moment only.
+func (d *Disk) Recover() { d.left, d.crashed = -1, false }
+
 // Crashed reports whether the planned crash came.
 func (d *Disk) Crashed() bool { return d.crashed }
 
--- a/process/control/wal/wal_test.go
+++ b/process/control/wal/wal_test.go
@@ -289,6 +289,6 @@
 		if err := l.Save(nil, entry); result.CodeOf(err) != result.DiskFailed {
 			t.Fatalf("got %v, want code %d", err, result.DiskFailed)
 		}
-		d.CrashAfter(-1)
+		d.Recover()
 	}
 }
