--- /dev/null
+++ b/process/config/merge.go
@@ -0,0 +1,163 @@
+package config
+
+import (
+	"cmp"
+	"path"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+// Limits on what the folder may hold.
+const (
+	MaxFiles      = 256
+	MaxFileBytes  = 256 << 10
+	MaxTotalBytes = 2 << 20
+	maxNameBytes  = 128
+	maxDepth      = 16
+	maxIndent     = 64
+	maxBrackets   = 64
+	maxProblems   = 200
+)
+
+// File is one configuration file of the folder.
+type File struct {
+	// Name is the file's name without a folder.
+	Name    string
+	Content []byte
+}
+
+// Merged is a valid configuration with the place that each value came from.
+type Merged struct {
+	Config *Config
+	// Origins maps the dotted path of each value that a file gives to
+	// "file:line". A value that is missing here is a default.
+	Origins map[string]string
+}
+
+// Merge merges files in the byte order of their names and validates the
+// whole. It returns every problem found, in the order of file and line, and a
+// nil Merged when there is one. Equal files give an equal result on every VM.
+func Merge(files []File) (*Merged, []*result.Error) {
+	files = slices.Clone(files)
+	slices.SortFunc(files, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
+	if problems := checkSet(files); len(problems) > 0 {
+		return nil, sortProblems(problems)
+	}
+	root := &node{kind: mapNode}
+	var problems []*result.Error
+	for _, f := range files {
+		tree, bad := parseFile(f)
+		if len(bad) == 0 {
+			bad = checkSchema(tree)
+		}
+		problems = append(problems, bad...)
+		if len(bad) == 0 {
+			root = mergeNodes(root, tree)
+		}
+	}
+	if len(problems) > 0 {
+		return nil, sortProblems(problems)
+	}
+	return finish(root)
+}
+
+// finish decodes and validates a merged tree.
+func finish(root *node) (*Merged, []*result.Error) {
+	m := &Merged{Config: newConfig(), Origins: map[string]string{}}
+	var d decoder
+	d.decode(root, "", reflect.ValueOf(m.Config).Elem())
+	m.Config.setServiceDefaults()
+	gatherOrigins(root, "", m.Origins)
+	v := validator{config: m.Config, root: root}
+	v.validate()
+	if problems := append(d.problems, v.problems...); len(problems) > 0 {
+		return nil, sortProblems(problems)
+	}
+	return m, nil
+}
+
+// checkSchema refuses unknown keys and wrong types in one file, also where a
+// later file replaces the value.
+func checkSchema(tree *node) []*result.Error {
+	var d decoder
+	d.decode(tree, "", reflect.ValueOf(&Config{}).Elem())
+	return d.problems
+}
+
+// checkSet refuses a set of files by its names and sizes.
+func checkSet(files []File) []*result.Error {
+	if len(files) > MaxFiles {
+		e := result.New(result.TooManyFiles, "%d files; the limit is %d", len(files), MaxFiles)
+		e.Remedy = "merge some files"
+		return []*result.Error{e}
+	}
+	var problems []*result.Error
+	total := 0
+	for i, f := range files {
+		total += len(f.Content)
+		if why := nameProblem(f.Name); why != "" {
+			problems = append(problems, place{file: f.Name}.refuse(result.BadValue, "", "rename the file", "%s", why))
+		}
+		if i > 0 && files[i-1].Name == f.Name {
+			problems = append(problems, place{file: f.Name}.refuse(result.BadValue, "", "keep one of them", "the file stands twice"))
+		}
+	}
+	if total > MaxTotalBytes {
+		e := result.New(result.FileTooLarge, "all files together have %d bytes; the limit is %d", total, MaxTotalBytes)
+		e.Remedy = "remove what is no longer needed"
+		problems = append(problems, e)
+	}
+	return problems
+}
+
+func nameProblem(name string) string {
+	switch {
+	case name == "" || name != path.Base(name) || strings.ContainsAny(name, "\\\x00\n\r"):
+		return "the name is no plain file name"
+	case len(name) > maxNameBytes:
+		return "the name has more than " + strconv.Itoa(maxNameBytes) + " bytes"
+	case !IsConfigName(name):
+		return "the name does not end in .yaml or .yml, or marks a hidden file"
+	}
+	return ""
+}
+
+// IsConfigName reports whether a file of this name belongs to the
+// configuration. Hidden files (leading dot) and names that do not end in
+// .yaml or .yml, such as editors' backups, do not.
+func IsConfigName(name string) bool {
+	if strings.HasPrefix(name, ".") || strings.HasPrefix(name, "#") {
+		return false
+	}
+	return strings.HasSuffix(name, ".yaml") || strings.HasSuffix(name, ".yml")
+}
+
+// gatherOrigins notes the place of each scalar and list.
+func gatherOrigins(n *node, path string, origins map[string]string) {
+	if n.kind != mapNode || (len(n.keys) == 0 && path != "") {
+		origins[path] = n.file + ":" + strconv.Itoa(n.line)
+		return
+	}
+	for _, key := range n.keys {
+		if child := n.fields[key]; child != nil {
+			gatherOrigins(child, join(path, key), origins)
+		}
+	}
+}
+
+func sortProblems(problems []*result.Error) []*result.Error {
+	slices.SortStableFunc(problems, func(a, b *result.Error) int {
+		return cmp.Or(
+			cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column),
+			cmp.Compare(a.Code, b.Code), cmp.Compare(a.Detail, b.Detail))
+	})
+	if len(problems) > maxProblems {
+		more := result.New(result.FileSyntax, "%d further problems are not listed", len(problems)-maxProblems)
+		problems = append(problems[:maxProblems:maxProblems], more)
+	}
+	return problems
+}
--- /dev/null
+++ b/process/control/state/read.go
@@ -0,0 +1,274 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/config"
+	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/version/manifest"
+)
+
+// Config returns the configuration in force and its revision. The value must
+// not be changed.
+func (m *Machine) Config() (*config.Config, uint64) {
+	v := m.view.Load()
+	return v.config, v.revision
+}
+
+func (m *Machine) retention() time.Duration {
+	return m.view.Load().config.Requests.KeyRetention
+}
+
+// Voters returns the voting entry VMs that the configuration names.
+func (m *Machine) Voters() []string {
+	return slices.Clone(m.view.Load().config.Control.Voters)
+}
+
+// Files returns the accepted files by name. Their content must not be changed.
+func (m *Machine) Files() []File {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.sortedFiles()
+}
+
+func (m *Machine) sortedFiles() []File {
+	files := make([]File, 0, len(m.files))
+	for _, f := range m.files {
+		files = append(files, f)
+	}
+	slices.SortFunc(files, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
+	return files
+}
+
+// Accepted returns the accepted files and the revision that they make, read
+// together.
+func (m *Machine) Accepted() ([]File, uint64) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.sortedFiles(), m.view.Load().revision
+}
+
+// Order returns the order in force for an agent.
+func (m *Machine) Order(agent string) (control.Order, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	o, ok := m.orders[agent]
+	return o, ok
+}
+
+// Orders returns every order in force by the agents' names.
+func (m *Machine) Orders() []control.Order {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.sortedOrders()
+}
+
+func (m *Machine) sortedOrders() []control.Order {
+	orders := make([]control.Order, 0, len(m.orders))
+	for _, o := range m.orders {
+		orders = append(orders, o)
+	}
+	slices.SortFunc(orders, func(a, b control.Order) int { return strings.Compare(a.Agent, b.Agent) })
+	return orders
+}
+
+// Manifest returns the manifest that a version is registered with. It must
+// not be changed.
+func (m *Machine) Manifest(version string) (*manifest.Manifest, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	r, ok := m.manifests[version]
+	if !ok {
+		return nil, false
+	}
+	return &r.Manifest, true
+}
+
+// Call returns the record of a call that may not be repeated.
+func (m *Machine) Call(account, key string) (control.Call, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	r, ok := m.calls.get(keyOf(account, key))
+	if !ok {
+		return control.Call{}, false
+	}
+	return *r.call(), true
+}
+
+// Index returns the index of the last log entry that was applied.
+func (m *Machine) Index() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.index
+}
+
+// Changed returns a channel that is closed at the next change. Take it before
+// reading, so that no change falls in between.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changed
+}
+
+// VersionRecord explains a version.
+type VersionRecord struct {
+	Version    string          `json:"version"`
+	Config     *config.Version `json:"config,omitempty"`
+	Digest     manifest.Digest `json:"digest"`
+	Bytes      int64           `json:"bytes"`
+	Chunks     int             `json:"chunks"`
+	Index      uint64          `json:"registered_at_index"`
+	Time       int64           `json:"registered_at_unix_ms"`
+	VM         string          `json:"registered_by_vm"`
+	Registered bool            `json:"registered"`
+	Orders     []control.Order `json:"orders"`
+}
+
+// FileRecord explains a file.
+type FileRecord struct {
+	File     string          `json:"file"`
+	Accepted bool            `json:"accepted"`
+	Digest   manifest.Digest `json:"digest"`
+	Revision uint64          `json:"revision"`
+	Content  string          `json:"content,omitempty"`
+	Changes  []Change        `json:"changes"`
+}
+
+// RevisionRecord explains a revision.
+type RevisionRecord struct {
+	Revision uint64   `json:"revision"`
+	InForce  uint64   `json:"revision_in_force"`
+	Changes  []Change `json:"changes"`
+}
+
+// Explain answers "revision:N", "version:NAME", "order:AGENT", "file:NAME"
+// and "call:ACCOUNT/KEY" with a value that JSON can encode.
+func (m *Machine) Explain(query string) (any, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	kind, name, _ := strings.Cut(query, ":")
+	switch kind {
+	case "revision":
+		return m.explainRevision(name)
+	case "version":
+		return m.explainVersion(name)
+	case "order":
+		if o, ok := m.orders[name]; ok {
+			return o, nil
+		}
+	case "file":
+		return m.explainFile(name)
+	case "call":
+		account, key, _ := strings.Cut(name, "/")
+		return m.explainCall(account, key)
+	default:
+		return nil, result.New(result.BadRequest, "%q: ask for revision:N, version:NAME, order:AGENT, file:NAME or call:ACCOUNT/KEY", query)
+	}
+	return nil, notFound(query)
+}
+
+func notFound(query string) error {
+	return result.New(result.NotFound, "%s", query)
+}
+
+func (m *Machine) explainRevision(name string) (any, error) {
+	revision, err := strconv.ParseUint(name, 10, 64)
+	if err != nil {
+		return nil, result.New(result.BadRequest, "%q is not a revision", name)
+	}
+	changes := m.history.find(func(c Change) bool { return c.Revision == revision && c.Code == 0 })
+	if len(changes) == 0 {
+		return nil, notFound("revision:" + name)
+	}
+	return RevisionRecord{Revision: revision, InForce: m.view.Load().revision, Changes: changes}, nil
+}
+
+func (m *Machine) explainVersion(name string) (any, error) {
+	rec := VersionRecord{Version: name, Orders: []control.Order{}}
+	if v, ok := m.view.Load().config.Versions[name]; ok {
+		rec.Config = &v
+	}
+	if r, ok := m.manifests[name]; ok {
+		rec.Registered = true
+		rec.Digest, rec.Bytes, rec.Chunks = r.digest, r.Manifest.Size(), len(r.Manifest.Chunks)
+		rec.Index, rec.Time, rec.VM = r.Index, r.Time, r.VM
+	}
+	if rec.Config == nil && !rec.Registered {
+		return nil, notFound("version:" + name)
+	}
+	for _, o := range m.sortedOrders() {
+		if o.Version == name || slices.Contains(o.Adapters, name) {
+			rec.Orders = append(rec.Orders, o)
+		}
+	}
+	return rec, nil
+}
+
+func (m *Machine) explainFile(name string) (any, error) {
+	rec := FileRecord{File: name, Changes: m.history.find(func(c Change) bool { return c.File == name })}
+	if f, ok := m.files[name]; ok {
+		rec.Accepted, rec.Digest, rec.Revision, rec.Content = true, f.Digest, f.Revision, string(f.Content)
+	}
+	if !rec.Accepted && len(rec.Changes) == 0 {
+		return nil, notFound("file:" + name)
+	}
+	return rec, nil
+}
+
+func (m *Machine) explainCall(account, key string) (any, error) {
+	hash := keyOf(account, key)
+	if r, ok := m.calls.get(hash); ok {
+		return *r.call(), nil
+	}
+	if m.calls.wasForgotten(hash) {
+		return nil, result.New(result.KeyExpired, "the call ran or may have run; its record was dropped")
+	}
+	return nil, notFound("call:" + account + "/" + key)
+}
+
+// Dump returns the machine's state in short for the dump of a process.
+func (m *Machine) Dump() any {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	type fileDump struct {
+		Name     string          `json:"name"`
+		Digest   manifest.Digest `json:"digest"`
+		Revision uint64          `json:"revision"`
+	}
+	files := []fileDump{}
+	for _, f := range m.sortedFiles() {
+		files = append(files, fileDump{f.Name, f.Digest, f.Revision})
+	}
+	return struct {
+		Index     uint64          `json:"index"`
+		Term      uint64          `json:"term"`
+		Revision  uint64          `json:"revision"`
+		Files     []fileDump      `json:"files"`
+		Versions  []string        `json:"versions_registered"`
+		Orders    []control.Order `json:"orders"`
+		Calls     int             `json:"calls"`
+		Forgotten int             `json:"calls_forgotten"`
+		Changes   int             `json:"changes_kept"`
+		Dropped   uint64          `json:"changes_dropped"`
+		Refusals  int             `json:"refusals_kept"`
+		Time      int64           `json:"time_unix_ms"`
+	}{
+		m.index, m.term, m.view.Load().revision, files, sortedKeys(m.manifests), m.sortedOrders(),
+		len(m.calls.records), m.calls.forgotten.len(), len(m.history.accepted), m.history.dropped,
+		len(m.history.refused), m.clock.now,
+	}
+}
+
+func sortedKeys[K cmp.Ordered, V any](table map[K]V) []K {
+	keys := make([]K, 0, len(table))
+	for key := range table {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/process/control/types.go
+++ b/process/control/types.go
@@ -51,6 +51,9 @@
 	Content []byte `cbor:"3,keyasint,omitempty"`
 	Remove  bool   `cbor:"4,keyasint,omitempty"`
 	Author  string `cbor:"5,keyasint,omitempty"`
+	// With holds edits of further files that belong to the same change: all
+	// are accepted under one revision or none. Their own With is not read.
+	With []Edit `cbor:"6,keyasint,omitempty"`
 }
 
 // RegisterVersion commits the manifest of a version.
@@ -142,7 +145,12 @@
 	Term  uint64 `cbor:"4,keyasint"`
 	// Revision is the configuration's revision after an Edit.
 	Revision uint64 `cbor:"5,keyasint,omitempty"`
-	// Call is the record after a Reserve or RecordOutcome.
+	// Call is the record after a Reserve or RecordOutcome. Only a Reserve with
+	// Code 0 and Call.Verdict AttemptReserved permits a dispatch: then this
+	// command, or an earlier sending of it under the same ID, made the
+	// reservation. Code 0 with AttemptRan is the recorded outcome; InProgress,
+	// OutcomeUnknown and AttemptTombstoned (reserve Call.Reserve.Attempt+1)
+	// carry the record of another command.
 	Call *Call `cbor:"6,keyasint,omitempty"`
 }
 
--- a/process/result/code.go
+++ b/process/result/code.go
@@ -66,6 +66,7 @@
 	RateExceeded      Code = 3020
 	InProgress        Code = 3021
 	AnswerNotKept     Code = 3022
+	RecordsFull       Code = 3023
 )
 
 // Codes of weights, versions and orders (4xxx).
--- a/process/result/table.go
+++ b/process/result/table.go
@@ -68,6 +68,7 @@
 	{RateExceeded, "rate-exceeded", "the client account exceeds its rate", "come back after Retry-After"},
 	{InProgress, "in-progress", "a call under this Idempotency-Key is in progress", "come back after Retry-After with the same key"},
 	{AnswerNotKept, "answer-not-kept", "the call ran; its answer was too large to keep", "read the result from the service"},
+	{RecordsFull, "records-full", "no room for another record of a call that may not be repeated", "come back after Retry-After; lower requests.key_retention if it lasts"},
 	{ChunkCorrupt, "chunk-corrupt", "a chunk failed its digest", "none: it is fetched again elsewhere"},
 	{ChunkMissing, "chunk-missing", "a peer does not hold the chunk", "none: it is fetched elsewhere"},
 	{SourceThrottled, "source-throttled", "the weight source answered that its rate is exceeded", "none: it is asked again later"},
