--- a/process/control/state/edit.go
+++ b/process/control/state/edit.go
@@ -20,8 +20,7 @@
 		return m.alreadyAccepted(edits)
 	}
 	if res, ok := m.checkBases(pending); !ok {
-		m.history.refuse(m, cmd, pending, res)
-		return res
+		return m.refuseEdit(cmd, pending, res)
 	}
 	files := m.filesAfter(pending)
 	merged, problems := config.Merge(files)
@@ -29,13 +28,18 @@
 		problems = m.checkDigests(merged.Config)
 	}
 	if len(problems) > 0 {
-		res := refusal(problems[0].Code, describe(problems))
-		m.history.refuse(m, cmd, pending, res)
-		return res
+		return m.refuseEdit(cmd, pending, refusal(problems[0].Code, describe(problems)))
 	}
 	return m.accept(cmd, pending, merged.Config)
 }
 
+// refuseEdit records a refusal; its result tells the revision in force.
+func (m *Machine) refuseEdit(cmd control.Command, edits []control.Edit, res control.Result) control.Result {
+	res.Revision = m.view.Load().revision
+	m.history.refuse(m, cmd, edits, res)
+	return res
+}
+
 // pendingEdits leaves out the edits whose outcome is in force already.
 func (m *Machine) pendingEdits(edits []control.Edit) []control.Edit {
 	var pending []control.Edit
@@ -55,7 +59,7 @@
 	for _, e := range edits {
 		f, ok := m.files[e.File]
 		if !ok {
-			revision = max(revision, m.history.lastRemoval(e.File))
+			revision = max(revision, m.removed[e.File])
 			continue
 		}
 		revision = max(revision, f.Revision)
@@ -66,10 +70,13 @@
 // checkBases refuses the change where a file moved on since it was made.
 func (m *Machine) checkBases(edits []control.Edit) (control.Result, bool) {
 	for i, e := range edits {
-		f := m.files[e.File]
-		if f.Digest != e.Base {
-			return refusal(result.EditConflict, fmt.Sprintf("%s: made upon %s, but %s is accepted at revision %d",
-				e.File, describeDigest(e.Base), describeDigest(f.Digest), f.Revision)), false
+		f, ok := m.files[e.File]
+		if !ok {
+			f.Revision = m.removed[e.File]
+		}
+		if f.Digest != e.Base || (e.Revision > 0 && f.Revision > e.Revision) {
+			return refusal(result.EditConflict, fmt.Sprintf("%s: made upon %s at revision %d, but %s is accepted at revision %d",
+				e.File, describeDigest(e.Base), e.Revision, describeDigest(f.Digest), f.Revision)), false
 		}
 		if slices.ContainsFunc(edits[:i], func(o control.Edit) bool { return o.File == e.File }) {
 			return refusal(result.BadCommand, e.File+" stands twice in one change"), false
@@ -115,8 +122,10 @@
 		var after manifest.Digest
 		if e.Remove {
 			delete(m.files, e.File)
+			m.noteRemoval(e.File, revision)
 		} else {
 			after = manifest.Sum(e.Content)
+			delete(m.removed, e.File)
 			m.files[e.File] = File{Name: e.File, Content: slices.Clone(e.Content), Digest: after, Revision: revision}
 		}
 		m.history.accept(m.changeOf(cmd, e, before, after, revision))
@@ -124,3 +133,22 @@
 	m.view.Store(&view{config: c, revision: revision})
 	return control.Result{Revision: revision}
 }
+
+// maxRemoved bounds the remembered removals of files.
+const maxRemoved = 4096
+
+// noteRemoval remembers under which revision a file was removed, so that a
+// folder which missed the removal can't bring the file back.
+func (m *Machine) noteRemoval(file string, revision uint64) {
+	m.removed[file] = revision
+	if len(m.removed) <= maxRemoved {
+		return
+	}
+	oldest := file
+	for _, name := range sortedKeys(m.removed) {
+		if m.removed[name] < m.removed[oldest] {
+			oldest = name
+		}
+	}
+	delete(m.removed, oldest)
+}
--- a/process/control/state/history.go
+++ b/process/control/state/history.go
@@ -90,16 +90,6 @@
 	return s[:min(len(s), limit)]
 }
 
-// lastRemoval returns the revision that removed a file last, or 0.
-func (h *history) lastRemoval(file string) uint64 {
-	for _, c := range slices.Backward(h.accepted) {
-		if c.File == file && c.After.IsZero() {
-			return c.Revision
-		}
-	}
-	return 0
-}
-
 func (h *history) find(match func(Change) bool) []Change {
 	found := []Change{}
 	for _, list := range [][]Change{h.accepted, h.refused} {
--- a/process/control/state/machine.go
+++ b/process/control/state/machine.go
@@ -82,6 +82,7 @@
 	index     uint64
 	term      uint64
 	files     map[string]File
+	removed   map[string]uint64
 	manifests map[string]*registered
 	orders    map[string]control.Order
 	calls     *callTable
@@ -103,6 +104,7 @@
 func (m *Machine) reset() {
 	m.index, m.term = 0, 0
 	m.files = make(map[string]File)
+	m.removed = make(map[string]uint64)
 	m.manifests = make(map[string]*registered)
 	m.orders = make(map[string]control.Order)
 	m.calls = newCallTable(m.opts)
--- a/process/control/state/read.go
+++ b/process/control/state/read.go
@@ -272,3 +272,11 @@
 	slices.Sort(keys)
 	return keys
 }
+
+// Removed returns the revision under which a file was removed last, unless it
+// exists again.
+func (m *Machine) Removed(file string) uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.removed[file]
+}
--- a/process/control/state/snapshot.go
+++ b/process/control/state/snapshot.go
@@ -53,6 +53,8 @@
 	Newest    []uint64        `cbor:"15,keyasint"`
 	Now       int64           `cbor:"16,keyasint"`
 	VMs       []vmTime        `cbor:"17,keyasint"`
+	// Removed is written in the order of its keys, as all maps are.
+	Removed map[string]uint64 `cbor:"18,keyasint"`
 }
 
 type appliedEntry struct {
@@ -88,7 +90,7 @@
 		Accepted: m.history.accepted, Refused: m.history.refused, Dropped: m.history.dropped,
 		Oldest: m.calls.oldest, Sealed: m.calls.forgotten.sealed, Newest: m.calls.forgotten.newest,
 		Now: m.clock.now, VMs: m.clock.vms,
-		Calls: m.callEntries(),
+		Calls: m.callEntries(), Removed: m.removed,
 	}
 	for _, version := range sortedKeys(m.manifests) {
 		s.Manifests = append(s.Manifests, m.manifests[version])
@@ -151,6 +153,9 @@
 	for _, o := range s.Orders {
 		m.orders[o.Agent] = o
 	}
+	for name, revision := range s.Removed {
+		m.removed[name] = revision
+	}
 	m.history.accepted, m.history.refused, m.history.dropped = s.Accepted, s.Refused, s.Dropped
 	for _, a := range s.Applied {
 		m.applied.put(a.ID, a.Result)
--- a/process/control/types.go
+++ b/process/control/types.go
@@ -54,8 +54,17 @@
 	// With holds edits of further files that belong to the same change: all
 	// are accepted under one revision or none. Their own With is not read.
 	With []Edit `cbor:"6,keyasint,omitempty"`
+	// Revision is the configuration's revision that the folder was last in
+	// step with when the edit was made. A file that was changed or removed
+	// under a later revision makes the edit a conflict, also where its content
+	// equals Base again. Zero means that this is not checked; FirstRevision
+	// stands for a folder that was never in step.
+	Revision uint64 `cbor:"7,keyasint,omitempty"`
 }
 
+// FirstRevision is the revision of the first accepted change.
+const FirstRevision uint64 = 1
+
 // RegisterVersion commits the manifest of a version.
 type RegisterVersion struct {
 	Manifest manifest.Manifest `cbor:"1,keyasint"`
@@ -143,7 +152,8 @@
 	// Index and Term are those of the log entry that decided the command.
 	Index uint64 `cbor:"3,keyasint"`
 	Term  uint64 `cbor:"4,keyasint"`
-	// Revision is the configuration's revision after an Edit.
+	// Revision is the revision that an Edit made, or the one in force where
+	// it was refused.
 	Revision uint64 `cbor:"5,keyasint,omitempty"`
 	// Call is the record after a Reserve or RecordOutcome. Only a Reserve with
 	// Code 0 and Call.Verdict AttemptReserved permits a dispatch: then this
