Reserve answers OK only to the command that may dispatch

The entry reads OK as leave to dispatch. A record that ran was returned with OK as well, so a resend could have run twice; it now has its own code, already-ran. Reservations without a command ID are refused, because the ID tells a resend from a second reservation.

--- a/process/control/state/call.go
+++ b/process/control/state/call.go
@@ -71,12 +71,12 @@
 	}
 }
 
-// applyReserve claims the one run of a call. Only the command that made the
-// reservation gets OK with the verdict reserved, also when it is resent; any
-// other command learns what is recorded and must not dispatch.
+// applyReserve claims the one run of a call. OK permits the dispatch, and only
+// the command that made the reservation gets it, also when it is resent. Any
+// other command learns what is recorded.
 func (m *Machine) applyReserve(cmd control.Command) control.Result {
 	r, tag := cmd.Reserve, tagOf(cmd.ID)
-	if problem := checkReserve(r); problem != "" {
+	if problem := checkReserve(cmd.ID, r); problem != "" {
 		return refusal(result.BadCommand, problem)
 	}
 	key := keyOf(r.Account, r.Key)
@@ -100,8 +100,10 @@
 
 const maxKeyBytes = 256
 
-func checkReserve(r *control.Reserve) string {
+func checkReserve(id string, r *control.Reserve) string {
 	switch {
+	case id == "":
+		return "a reservation needs a command ID"
 	case r.Key == "" || r.Account == "" || r.Agent == "":
 		return "a reservation names an account, a key and an agent"
 	case len(r.Key) > maxKeyBytes:
@@ -123,6 +125,8 @@
 	res := control.Result{Call: have.call()}
 	mine := have.reservedBy == tag && int(have.attempt) == r.Attempt
 	switch {
+	case have.verdict == control.AttemptRan:
+		res.Code = int(result.AlreadyRan)
 	case have.verdict == control.AttemptUnknown:
 		res.Code = int(result.OutcomeUnknown)
 	case have.verdict == control.AttemptNotRun:
--- a/process/control/types.go
+++ b/process/control/types.go
@@ -155,12 +155,11 @@
 	// Revision is the revision that an Edit made, or the one in force where
 	// it was refused.
 	Revision uint64 `cbor:"5,keyasint,omitempty"`
-	// Call is the record after a Reserve or RecordOutcome. Only a Reserve with
-	// Code 0 and Call.Verdict AttemptReserved permits a dispatch: then this
-	// command, or an earlier sending of it under the same ID, made the
-	// reservation. Code 0 with AttemptRan is the recorded outcome; InProgress,
-	// OutcomeUnknown and AttemptTombstoned (reserve Call.Reserve.Attempt+1)
-	// carry the record of another command.
+	// Call is the record after a Reserve or RecordOutcome. Code 0 of a Reserve
+	// permits the dispatch: this command, or an earlier sending of it under
+	// the same ID, holds the reservation. AlreadyRan, InProgress,
+	// OutcomeUnknown and AttemptTombstoned (reserve Call.Reserve.Attempt+1
+	// instead) carry the record that stands in the way.
 	Call *Call `cbor:"6,keyasint,omitempty"`
 }
 
--- a/process/result/code.go
+++ b/process/result/code.go
@@ -67,6 +67,7 @@
 	InProgress        Code = 3021
 	AnswerNotKept     Code = 3022
 	RecordsFull       Code = 3023
+	AlreadyRan        Code = 3024
 )
 
 // Codes of weights, versions and orders (4xxx).
