--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -24,6 +24,9 @@
 	maxCalls = 512
 	// sendQueue is how many outgoing messages may wait for the socket.
 	sendQueue = 1024
+	// pingInterval and pingTimeout bound how long a dead link stays open.
+	pingInterval = time.Second
+	pingTimeout  = 2 * time.Second
 )
 
 // Handler serves the other side's messages. Notifications are passed in order
@@ -39,6 +42,7 @@
 	ws      *websocket.Conn
 	peer    wire.Hello
 	handler Handler
+	stats   *Stats
 	out     chan []byte
 	calls   chan struct{}
 	ctx     context.Context
@@ -50,12 +54,16 @@
 	pending map[uint64]chan wire.Envelope
 }
 
-func newConn(ws *websocket.Conn, peer wire.Hello, h Handler) *Conn {
+func newConn(ws *websocket.Conn, peer wire.Hello, h Handler, stats *Stats) *Conn {
+	if stats == nil {
+		stats = &Stats{}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Conn{
 		ws:      ws,
 		peer:    peer,
 		handler: h,
+		stats:   stats,
 		out:     make(chan []byte, sendQueue),
 		calls:   make(chan struct{}, maxCalls),
 		ctx:     ctx,
@@ -158,9 +166,30 @@
 func (c *Conn) run() {
 	defer c.cancel()
 	go c.writeLoop()
+	go c.pingLoop()
 	c.readLoop()
 }
 
+// pingLoop closes the link when the other side's host no longer answers.
+func (c *Conn) pingLoop() {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, pingTimeout)
+		err := c.ws.Ping(ctx)
+		cancel()
+		if err != nil {
+			c.cancel()
+			return
+		}
+	}
+}
+
 func (c *Conn) writeLoop() {
 	defer func() { _ = c.ws.CloseNow() }()
 	for {
@@ -179,6 +208,7 @@
 func (c *Conn) write(data []byte) error {
 	ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
 	defer cancel()
+	c.stats.sent(len(data))
 	return c.ws.Write(ctx, websocket.MessageBinary, data)
 }
 
@@ -188,6 +218,7 @@
 		if err != nil {
 			return
 		}
+		c.stats.received(len(data))
 		var env wire.Envelope
 		if err := cbor.Unmarshal(data, &env); err != nil {
 			return
--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -67,6 +67,8 @@
 	Open func(c *Conn) (closed func(), err error)
 	// Handler serves the messages of every accepted link.
 	Handler Handler
+	// Stats counts the traffic of all links; it may be nil.
+	Stats *Stats
 }
 
 // ServeHTTP upgrades the request and serves the link until it is lost.
@@ -91,7 +93,7 @@
 	if err != nil {
 		return
 	}
-	c := newConn(ws, peer, a.Handler)
+	c := newConn(ws, peer, a.Handler, a.Stats)
 	closed, err := a.Open(c)
 	if sendErr := writeHello(ctx, ws, a.Self(), err); err != nil || sendErr != nil {
 		c.Close()
@@ -116,6 +118,8 @@
 	Handler Handler
 	// Client may be nil for the default transport.
 	Client *http.Client
+	// Stats counts the traffic of all links; it may be nil.
+	Stats *Stats
 }
 
 // Dial opens a link to an address "IP:port". The caller must Close it.
@@ -153,7 +157,7 @@
 		_ = ws.CloseNow()
 		return nil, err
 	}
-	c := newConn(ws, peer, d.Handler)
+	c := newConn(ws, peer, d.Handler, d.Stats)
 	go c.run()
 	return c, nil
 }
--- /dev/null
+++ b/connection/link/link_test.go
@@ -0,0 +1,184 @@
+package link
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+const testTimeout = 20 * time.Second
+
+// recorder answers calls with the query's agent and keeps notifications.
+type recorder struct {
+	mu   sync.Mutex
+	seqs []uint64
+	got  chan struct{}
+}
+
+func (r *recorder) Notify(_ *Conn, _ wire.Kind, body cbor.RawMessage) {
+	var hb wire.Heartbeat
+	if cbor.Unmarshal(body, &hb) != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seqs = append(r.seqs, hb.Seq)
+	r.got <- struct{}{}
+}
+
+func (r *recorder) Call(_ context.Context, _ *Conn, kind wire.Kind, body cbor.RawMessage) (any, error) {
+	if kind != wire.KindFence {
+		return nil, result.Refuse(result.BadMessage, 0, "kind %d", kind)
+	}
+	var q wire.FenceQuery
+	if err := cbor.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	return wire.FenceReply{Index: uint64(len(q.Agent))}, nil
+}
+
+func hello(name string) func() wire.Hello {
+	return func() wire.Hello { return wire.Hello{Name: name, Role: wire.RoleEntry} }
+}
+
+func listen(t *testing.T, auth Authenticator, open func(*Conn) (func(), error)) (string, *recorder) {
+	t.Helper()
+	rec := &recorder{got: make(chan struct{}, 1000)}
+	mux := http.NewServeMux()
+	mux.Handle(Path, &Acceptor{Auth: auth, Self: hello("server"), Open: open, Handler: rec})
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://"), rec
+}
+
+func accept(*Conn) (func(), error) { return nil, nil }
+
+func dial(t *testing.T, address, key string) (*Conn, error) {
+	t.Helper()
+	d := &Dialer{Auth: Authenticator{Key: key}, Self: hello("client"), Handler: &recorder{got: make(chan struct{}, 1)}}
+	c, err := d.Dial(context.Background(), address)
+	if err == nil {
+		t.Cleanup(c.Close)
+	}
+	return c, err
+}
+
+func TestCallsReturnTheirOwnAnswers(t *testing.T) {
+	address, _ := listen(t, Authenticator{}, accept)
+	c, err := dial(t, address, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	for n := range 100 {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			var reply wire.FenceReply
+			q := wire.FenceQuery{Agent: strings.Repeat("a", n)}
+			if err := c.Call(ctx, wire.KindFence, q, &reply); err != nil || reply.Index != uint64(n) {
+				t.Errorf("call %d: got %d, %v", n, reply.Index, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func TestNotificationsArriveInOrder(t *testing.T) {
+	address, rec := listen(t, Authenticator{}, accept)
+	c, err := dial(t, address, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const count = 500
+	for seq := uint64(1); seq <= count; seq++ {
+		if err := c.Notify(wire.KindHeartbeat, wire.Heartbeat{Seq: seq}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range count {
+		<-rec.got
+	}
+	for i, seq := range rec.seqs {
+		if seq != uint64(i+1) {
+			t.Fatalf("position %d holds %d", i, seq)
+		}
+	}
+}
+
+func TestRefusalKeepsItsCodeAndPromise(t *testing.T) {
+	address, _ := listen(t, Authenticator{}, accept)
+	c, err := dial(t, address, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	got := result.From(c.Call(ctx, wire.KindBarrier, wire.Empty{}, nil))
+	if got.Code != result.BadMessage || got.Ran != result.NotRun {
+		t.Errorf("got %v, ran %v", got, got.Ran)
+	}
+}
+
+func TestWrongJoinKeyIsRefused(t *testing.T) {
+	address, _ := listen(t, Authenticator{Key: "right"}, accept)
+	for _, key := range []string{"", "wrong"} {
+		if _, err := dial(t, address, key); result.CodeOf(err) != result.Unauthenticated {
+			t.Errorf("key %q: %v", key, err)
+		}
+	}
+	if _, err := dial(t, address, "right"); err != nil {
+		t.Errorf("right key: %v", err)
+	}
+}
+
+func TestWithoutKeyOnlyLoopbackIsAccepted(t *testing.T) {
+	for remote, want := range map[string]result.Code{
+		"127.0.0.1:5":    result.OK,
+		"[::1]:5":        result.OK,
+		"192.0.2.1:5":    result.Unauthenticated,
+		"not-an-address": result.Unauthenticated,
+	} {
+		err := Authenticator{}.Check(&http.Request{RemoteAddr: remote})
+		if result.CodeOf(err) != want {
+			t.Errorf("%s: %v", remote, err)
+		}
+	}
+}
+
+func TestRefusedOpenReachesTheDialer(t *testing.T) {
+	address, _ := listen(t, Authenticator{}, func(*Conn) (func(), error) {
+		return nil, result.New(result.NameTaken, "taken")
+	})
+	if _, err := dial(t, address, ""); result.CodeOf(err) != result.NameTaken {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestLostLinkFailsPendingCallsAndRunsTheHook(t *testing.T) {
+	closed := make(chan struct{})
+	conns := make(chan *Conn, 1)
+	address, _ := listen(t, Authenticator{}, func(c *Conn) (func(), error) {
+		conns <- c
+		return func() { close(closed) }, nil
+	})
+	c, err := dial(t, address, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	(<-conns).Close()
+	<-closed
+	<-c.Done()
+	if err := c.Notify(wire.KindLeave, wire.Leave{}); result.CodeOf(err) != result.LinkLost {
+		t.Errorf("got %v", err)
+	}
+}
