--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -190,3 +190,14 @@
 	}
 	return hello, nil
 }
+
+// Require serves only requests that Check accepts.
+func (a Authenticator) Require(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := a.Check(r); err != nil {
+			http.Error(w, err.Error(), http.StatusForbidden)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/connection/mesh/mesh_test.go
@@ -0,0 +1,102 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/waxwingpost/waxwingpost/connection/link"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+const testTimeout = 20 * time.Second
+
+type silent struct{}
+
+func (silent) Notify(*link.Conn, wire.Kind, cbor.RawMessage) {}
+
+func (silent) Call(context.Context, *link.Conn, wire.Kind, cbor.RawMessage) (any, error) {
+	return wire.Empty{}, nil
+}
+
+func hello(name string) func() wire.Hello {
+	return func() wire.Hello { return wire.Hello{Name: name, Role: wire.RoleEntry} }
+}
+
+// serve accepts links under a name until the returned function is called.
+func serve(t *testing.T, name, address string) (string, func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := make(chan *link.Conn, 100)
+	acceptor := &link.Acceptor{Self: hello(name), Handler: silent{}, Open: func(c *link.Conn) (func(), error) {
+		conns <- c
+		return nil, nil
+	}}
+	srv := &http.Server{Handler: acceptor}
+	go func() { _ = srv.Serve(l) }()
+	return l.Addr().String(), func() {
+		_ = srv.Close()
+		for len(conns) > 0 {
+			(<-conns).Close()
+		}
+	}
+}
+
+func start(t *testing.T, targets map[string]string) (*Mesh, chan *link.Conn) {
+	t.Helper()
+	opened := make(chan *link.Conn, 100)
+	dialer := &link.Dialer{Self: hello("client"), Handler: silent{}}
+	cfg := Config{Targets: targets, Opened: func(c *link.Conn) { opened <- c }}
+	m := New(cfg, dialer, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { m.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return m, opened
+}
+
+func await(t *testing.T, opened chan *link.Conn) *link.Conn {
+	t.Helper()
+	select {
+	case c := <-opened:
+		return c
+	case <-time.After(testTimeout):
+		t.Fatal("no link was opened")
+		return nil
+	}
+}
+
+func TestLostLinkIsDialedAgain(t *testing.T) {
+	address, stop := serve(t, "server", "127.0.0.1:0")
+	m, opened := start(t, map[string]string{"server": address})
+	first := await(t, opened)
+	stop()
+	<-first.Done()
+	_, stopAgain := serve(t, "server", address)
+	defer stopAgain()
+	await(t, opened)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	if err := m.Call(ctx, "server", wire.KindBarrier, wire.Empty{}, nil); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestPeerUnderAnotherNameIsNotUsed(t *testing.T) {
+	address, stop := serve(t, "impostor", "127.0.0.1:0")
+	defer stop()
+	m, _ := start(t, map[string]string{"server": address})
+	if err := m.Notify("server", wire.KindRaft, wire.RaftBatch{}); result.CodeOf(err) != result.LinkLost {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/process/obs/http.go
@@ -0,0 +1,49 @@
+package obs
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+// QueryParameter carries the query of an explain request.
+const QueryParameter = "q"
+
+// AddHealth serves liveness, and readiness as the check tells it: 200 when it
+// returns nil, else 503 with the reason.
+func AddHealth(mux *http.ServeMux, check func() error) {
+	mux.HandleFunc(wire.PathHealth, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc(wire.PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		if err := check(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+}
+
+// ExplainHandler answers explain requests as JSON.
+func ExplainHandler(explain func(query string) (any, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		record, err := explain(r.URL.Query().Get(QueryParameter))
+		if err != nil {
+			http.Error(w, err.Error(), explainStatus(err))
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		_ = enc.Encode(record)
+	})
+}
+
+func explainStatus(err error) int {
+	if result.CodeOf(err) == result.NotFound {
+		return http.StatusNotFound
+	}
+	return http.StatusBadRequest
+}
--- a/process/result/table.go
+++ b/process/result/table.go
@@ -1,5 +1,10 @@
 package result
 
+import (
+	"fmt"
+	"strings"
+)
+
 // Entry describes one code for operators and callers.
 type Entry struct {
 	Code    Code
@@ -87,3 +92,17 @@
 	{ProtocolVersion, "protocol-version", "the other process speaks another protocol version", "run the same release on every VM"},
 	{Internal, "internal", "an unexpected failure", "report it with the log line"},
 }
+
+// Markdown returns the table as docs/result-codes.md shows it.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Result codes\n\n")
+	b.WriteString("Printed by `waxwingpost codes`. Callers find the code in the header `Waxwingpost-Code`,\n")
+	b.WriteString("whether the request ran in `Waxwingpost-Ran`, operators find it in logs and status files as `code`.\n\n")
+	b.WriteString("1xxx configuration, 2xxx control state, 3xxx requests, 4xxx weights and orders, 5xxx links.\n\n")
+	b.WriteString("| code | name | meaning | remedy |\n|---|---|---|---|\n")
+	for _, e := range Table {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e.Code, e.Name, e.Meaning, e.Remedy)
+	}
+	return b.String()
+}
--- a/process/result/table_test.go
+++ b/process/result/table_test.go
@@ -1,6 +1,19 @@
 package result
 
-import "testing"
+import (
+	"os"
+	"testing"
+)
+
+func TestPageHoldsTheTable(t *testing.T) {
+	page, err := os.ReadFile("../../docs/result-codes.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != Markdown() {
+		t.Error("docs/result-codes.md differs from the table; write the output of waxwingpost codes to it")
+	}
+}
 
 func TestTableIsAscendingAndNamesAreUnique(t *testing.T) {
 	names := map[string]bool{}
