--- /dev/null
+++ b/process/config/fuzz_test.go
@@ -0,0 +1,62 @@
+package config
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// FuzzMerge checks that any content is accepted or refused in bounded time,
+// and that what is accepted prints as an equal configuration.
+func FuzzMerge(f *testing.F) {
+	paths, _ := filepath.Glob(filepath.Join("..", "..", "examples", "*", "*.yaml"))
+	for _, path := range paths {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(content)
+	}
+	f.Add([]byte("links: &a {}\nzones: *a\n"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		start := time.Now()
+		m, problems := Merge([]File{{Name: "a.yaml", Content: content}})
+		if took := time.Since(start); took > 5*time.Second {
+			t.Errorf("took %s", took)
+		}
+		if (m == nil) != (len(problems) > 0) {
+			t.Fatalf("merged %v with problems %v", m, problems)
+		}
+		if m == nil {
+			return
+		}
+		var out bytes.Buffer
+		if err := m.Print(&out); err != nil {
+			t.Fatal(err)
+		}
+		if _, problems := Merge([]File{{Name: "b.yaml", Content: out.Bytes()}}); len(problems) > 0 {
+			t.Errorf("%v in what is printed:\n%s", problems, out.String())
+		}
+	})
+}
+
+// TestHostileFilesAreJudgedInTime repeats each pattern up to the size limit.
+func TestHostileFilesAreJudgedInTime(t *testing.T) {
+	patterns := []string{
+		"!a ", "&a ", "*a ", "? ", "- ", "a: ", "|\n", "'", "\"", "\\", "#", "[", "{", "[]", "{},", ",", "%a\n", "---\n", "...\n",
+		"a\n", "a: b\n", "- a\n", "\t", "\r", "\r\n", ": ", "<<: ", "{a: ", "[a, ", "'a' ", "\"\\u0041\" ", "@", "`", "|", ">", "\n ", "\n  ", "é",
+	}
+	for _, p := range patterns {
+		for _, prefix := range []string{"", "zones: ", "zones:\n  a: "} {
+			content := prefix + strings.Repeat(p, (MaxFileBytes-len(prefix))/len(p))
+			start := time.Now()
+			Merge([]File{file("a.yaml", content)})
+			if took := time.Since(start); took > 2*time.Second {
+				t.Errorf("%q after %q took %s", p, prefix, took)
+			}
+		}
+	}
+}
--- a/process/config/print.go
+++ b/process/config/print.go
@@ -14,8 +14,9 @@
 
 // Print writes the effective configuration as YAML. A comment on each value
 // names the file and line that it came from, or says that it is a default.
+// Texts, lists and maps that are not set are left out.
 func (m *Merged) Print(w io.Writer) error {
-	p := printer{origins: m.Origins}
+	p := printer{origins: m.Origins, out: &strings.Builder{}}
 	p.fields(reflect.ValueOf(m.Config).Elem(), "", 0)
 	_, err := io.WriteString(w, p.out.String())
 	return err
@@ -23,7 +24,7 @@
 
 type printer struct {
 	origins map[string]string
-	out     strings.Builder
+	out     *strings.Builder
 }
 
 func (p *printer) fields(v reflect.Value, path string, depth int) {
@@ -35,20 +36,44 @@
 }
 
 func (p *printer) value(key string, v reflect.Value, path string, depth int) {
+	if p.unset(v, path) {
+		return
+	}
 	indent := strings.Repeat("  ", depth)
 	_, isText := v.Interface().(encoding.TextMarshaler)
 	switch {
 	case v.Kind() == reflect.Struct && !isText:
-		p.out.WriteString(indent + key + ":\n")
-		p.fields(v, path, depth+1)
+		p.section(indent+key, v, path, depth)
 	case v.Kind() == reflect.Map && v.Len() > 0:
 		p.out.WriteString(indent + key + ":\n")
 		for _, name := range mapKeys(v) {
 			p.value(name, v.MapIndex(reflect.ValueOf(name)), join(path, name), depth+1)
 		}
 	default:
-		fmt.Fprintf(&p.out, "%s%s: %s # %s\n", indent, key, inline(v), p.origin(path))
+		fmt.Fprintf(p.out, "%s%s: %s # %s\n", indent, key, inline(v), p.origin(path))
+	}
+}
+
+// section writes a struct's fields under its key.
+func (p *printer) section(key string, v reflect.Value, path string, depth int) {
+	outer := p.out
+	p.out = &strings.Builder{}
+	p.fields(v, path, depth+1)
+	body := p.out.String()
+	p.out = outer
+	if body == "" {
+		fmt.Fprintf(p.out, "%s: {} # %s\n", key, p.origin(path))
+		return
 	}
+	p.out.WriteString(key + ":\n" + body)
+}
+
+func (p *printer) unset(v reflect.Value, path string) bool {
+	switch v.Kind() {
+	case reflect.String, reflect.Slice, reflect.Map, reflect.Array:
+		return v.IsZero() && p.origins[path] == ""
+	}
+	return false
 }
 
 func (p *printer) origin(path string) string {
@@ -71,9 +96,6 @@
 	if d, ok := v.Interface().(time.Duration); ok {
 		return d.String()
 	}
-	if v.IsZero() && v.Kind() == reflect.Array {
-		return `""`
-	}
 	if text, ok := v.Interface().(encoding.TextMarshaler); ok {
 		b, _ := text.MarshalText()
 		return strconv.Quote(string(b))
--- a/process/config/tree.go
+++ b/process/config/tree.go
@@ -58,7 +58,7 @@
 	if err := checkContent(f); err != nil {
 		return nil, []*result.Error{err}
 	}
-	file, err := parser.ParseBytes(f.Content, 0)
+	file, err := parseYAML(f.Content)
 	if err != nil {
 		return nil, []*result.Error{syntaxError(f.Name, err)}
 	}
@@ -70,6 +70,17 @@
 	return root, nil
 }
 
+// parseYAML turns a panic of the parser into an error: a file must never stop
+// the replicas that judge it.
+func parseYAML(content []byte) (file *ast.File, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			file, err = nil, errors.Newf("the YAML parser failed: %v", p)
+		}
+	}()
+	return parser.ParseBytes(content, 0)
+}
+
 // checkContent refuses what must not reach the YAML parser.
 func checkContent(f File) *result.Error {
 	at := place{file: f.Name}
@@ -141,7 +152,16 @@
 	problems []*result.Error
 }
 
+// at returns the place of a value; that of a map is its first key's.
 func (b *treeBuilder) at(n ast.Node) place {
+	switch v := n.(type) {
+	case *ast.MappingNode:
+		if len(v.Values) > 0 {
+			return b.at(v.Values[0].Key)
+		}
+	case *ast.MappingValueNode:
+		return b.at(v.Key)
+	}
 	p := place{file: b.file}
 	if tok := n.GetToken(); tok != nil && tok.Position != nil {
 		p.line, p.col = tok.Position.Line, tok.Position.Column
@@ -204,15 +224,12 @@
 	built.kind = mapNode
 	built.fields = make(map[string]*node, len(values))
 	built.places = make(map[string]place, len(values))
-	for i, pair := range values {
+	for _, pair := range values {
 		key, ok := b.key(pair.Key)
 		if !ok {
 			continue
 		}
 		at := b.at(pair.Key)
-		if i == 0 {
-			built.line, built.col = at.line, at.col
-		}
 		if first, twice := built.places[key]; twice {
 			b.refuse(pair.Key, "keep one of them", "the key %q stands twice, first on line %d", key, first.line)
 			continue
