--- a/process/config/merge.go
+++ b/process/config/merge.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/version/manifest"
 )
 
 // Limits on what the folder may hold.
@@ -42,21 +43,47 @@
 // whole. It returns every problem found, in the order of file and line, and a
 // nil Merged when there is one. Equal files give an equal result on every VM.
 func Merge(files []File) (*Merged, []*result.Error) {
+	return new(Merger).Merge(files)
+}
+
+// Merger merges as Merge does and keeps the parsed files of the last call, so
+// that a change of one file costs the parsing of that file only. It is not
+// safe for concurrent use.
+type Merger struct {
+	parsed map[parsedKey]parsedFile
+}
+
+type parsedKey struct {
+	name   string
+	digest manifest.Digest
+}
+
+type parsedFile struct {
+	tree     *node
+	problems []*result.Error
+}
+
+// Merge merges and validates files; see the function Merge.
+func (m *Merger) Merge(files []File) (*Merged, []*result.Error) {
 	files = slices.Clone(files)
 	slices.SortFunc(files, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
 	if problems := checkSet(files); len(problems) > 0 {
 		return nil, sortProblems(problems)
 	}
-	root := &node{kind: mapNode}
+	before := m.parsed
+	m.parsed = make(map[parsedKey]parsedFile, len(files))
+	root := &node{kind: mapNode, merged: true, fields: make(map[string]*node), places: make(map[string]place)}
 	var problems []*result.Error
 	for _, f := range files {
-		tree, bad := parseFile(f)
-		if len(bad) == 0 {
-			bad = checkSchema(tree)
+		key := parsedKey{name: f.Name, digest: manifest.Sum(f.Content)}
+		parsed, ok := before[key]
+		if !ok {
+			parsed = readTree(f)
 		}
-		problems = append(problems, bad...)
-		if len(bad) == 0 {
-			root = mergeNodes(root, tree)
+		m.parsed[key] = parsed
+		problems = append(problems, parsed.problems...)
+		if len(parsed.problems) == 0 {
+			root = mergeNodes(root, parsed.tree)
 		}
 	}
 	if len(problems) > 0 {
@@ -65,6 +92,15 @@
 	return finish(root)
 }
 
+// readTree parses one file and checks it against the schema.
+func readTree(f File) parsedFile {
+	tree, problems := parseFile(f)
+	if len(problems) == 0 {
+		problems = checkSchema(tree)
+	}
+	return parsedFile{tree: tree, problems: problems}
+}
+
 // finish decodes and validates a merged tree.
 func finish(root *node) (*Merged, []*result.Error) {
 	m := &Merged{Config: newConfig(), Origins: map[string]string{}}
--- a/process/config/tree.go
+++ b/process/config/tree.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"maps"
+	"slices"
 	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
@@ -20,8 +22,8 @@
 	listNode
 )
 
-// node is a YAML value with the place that it was read from. Nodes are shared
-// between merged trees and never changed after parsing.
+// node is a YAML value with the place that it was read from. Parsed nodes are
+// shared between merged trees and never changed.
 type node struct {
 	kind nodeKind
 	file string
@@ -34,6 +36,8 @@
 	// places holds where each key of a map stands.
 	places map[string]place
 	items  []*node
+	// merged is set on a map that mergeNodes made.
+	merged bool
 }
 
 type place struct {
@@ -305,20 +309,13 @@
 }
 
 // mergeNodes lays over upon under: maps merge key by key, anything else of
-// over replaces what stood there.
+// over replaces what stood there. Parsed nodes are left as they are; a map
+// that an earlier call made is extended.
 func mergeNodes(under, over *node) *node {
 	if under == nil || under.kind != mapNode || over.kind != mapNode {
 		return over
 	}
-	merged := &node{
-		kind: mapNode, file: under.file, line: under.line, col: under.col,
-		keys:   append([]string(nil), under.keys...),
-		fields: make(map[string]*node, len(under.fields)+len(over.fields)),
-		places: make(map[string]place, len(under.fields)+len(over.fields)),
-	}
-	for _, key := range under.keys {
-		merged.fields[key], merged.places[key] = under.fields[key], under.places[key]
-	}
+	merged := under.own()
 	for _, key := range over.keys {
 		before, ok := merged.fields[key]
 		if !ok {
@@ -328,3 +325,15 @@
 	}
 	return merged
 }
+
+// own returns a map node that may be extended: a copy of a parsed one.
+func (n *node) own() *node {
+	if n.merged {
+		return n
+	}
+	own := *n
+	own.merged = true
+	own.keys = slices.Clone(n.keys)
+	own.fields, own.places = maps.Clone(n.fields), maps.Clone(n.places)
+	return &own
+}
--- a/process/control/state/call.go
+++ b/process/control/state/call.go
@@ -28,8 +28,9 @@
 	return commandTag(sum[:8])
 }
 
-// record is one call that may not be repeated. Names that recur are interned,
-// because hundreds of records arrive a second.
+// record is one call that may not be repeated. It is never changed but
+// replaced, so that a snapshot can be encoded beside Apply. Names that recur
+// are interned, because hundreds of records arrive a second.
 type record struct {
 	account     unique.Handle[string]
 	service     unique.Handle[string]
@@ -82,7 +83,7 @@
 	key := keyOf(r.Account, r.Key)
 	have, ok := m.calls.get(key)
 	if ok {
-		return m.reserveAgain(have, r, tag)
+		return m.reserveAgain(key, have, r, tag)
 	}
 	if m.calls.wasForgotten(key) || m.calls.tooOld(r.Key) {
 		return refusal(result.KeyExpired, "the record of this key was dropped after requests.key_retention")
@@ -114,13 +115,14 @@
 	return ""
 }
 
-func (m *Machine) reserveAgain(have *record, r *control.Reserve, tag commandTag) control.Result {
+func (m *Machine) reserveAgain(key callKey, have *record, r *control.Reserve, tag commandTag) control.Result {
 	if have.body != r.BodyDigest {
 		return refusal(result.KeyReused, "the key was used with another body")
 	}
 	if have.verdict == control.AttemptNotRun && r.Attempt == int(have.attempt)+1 {
-		*have = *newRecord(r, tag, m.clock.now)
-		return control.Result{Call: have.call()}
+		next := newRecord(r, tag, m.clock.now)
+		m.calls.replace(key, next)
+		return control.Result{Call: next.call()}
 	}
 	res := control.Result{Call: have.call()}
 	mine := have.reservedBy == tag && int(have.attempt) == r.Attempt
@@ -144,7 +146,8 @@
 	if !knownVerdict(o.Verdict) {
 		return refusal(result.BadCommand, fmt.Sprintf("%q is no verdict", o.Verdict))
 	}
-	have, ok := m.calls.get(keyOf(o.Account, o.Key))
+	key := keyOf(o.Account, o.Key)
+	have, ok := m.calls.get(key)
 	if !ok {
 		return refusal(result.NotFound, "no reservation under this key")
 	}
@@ -154,7 +157,10 @@
 		res.Call = have.call()
 		return res
 	case have.verdict == control.AttemptReserved:
-		have.verdict, have.answer, have.time = o.Verdict, o.Answer, m.clock.now
+		decided := *have
+		decided.verdict, decided.answer, decided.time = o.Verdict, o.Answer, m.clock.now
+		m.calls.replace(key, &decided)
+		return control.Result{Call: decided.call()}
 	case have.verdict != o.Verdict:
 		res := refusal(result.BadCommand, fmt.Sprintf("the verdict is %s and stays", have.verdict))
 		res.Call = have.call()
--- a/process/control/state/calls.go
+++ b/process/control/state/calls.go
@@ -51,6 +51,11 @@
 	t.queue = append(t.queue, expiry{key: key, time: r.time})
 }
 
+// replace changes a record that is queued already.
+func (t *callTable) replace(key callKey, r *record) {
+	t.records[key] = r
+}
+
 // maxExpired bounds the records that one command may drop, so that a shorter
 // retention doesn't stall the log.
 const maxExpired = 1024
@@ -121,8 +126,9 @@
 	if len(f.newest) < generationSize {
 		return
 	}
-	slices.Sort(f.newest)
-	f.sealed = append(f.sealed, f.newest)
+	generation := slices.Clone(f.newest)
+	slices.Sort(generation)
+	f.sealed = append(f.sealed, generation)
 	f.newest, f.index = nil, make(map[uint64]struct{})
 	if len(f.sealed) > max(1, f.limit/generationSize) {
 		f.sealed = f.sealed[1:]
--- a/process/control/state/edit.go
+++ b/process/control/state/edit.go
@@ -23,7 +23,7 @@
 		return m.refuseEdit(cmd, pending, res)
 	}
 	files := m.filesAfter(pending)
-	merged, problems := config.Merge(files)
+	merged, problems := m.merger.Merge(files)
 	if len(problems) == 0 {
 		problems = m.checkDigests(merged.Config)
 	}
--- a/process/control/state/machine.go
+++ b/process/control/state/machine.go
@@ -46,7 +46,7 @@
 
 // Defaults of Options.
 const (
-	DefaultMaxCalls     = 200_000
+	DefaultMaxCalls     = 100_000
 	DefaultMaxForgotten = 1_000_000
 	DefaultMaxChanges   = 8192
 	DefaultMaxRefusals  = 2048
@@ -77,6 +77,8 @@
 type Machine struct {
 	opts Options
 	view atomic.Pointer[view]
+	// merger is used by Apply and Restore alone.
+	merger config.Merger
 
 	mu        sync.RWMutex
 	index     uint64
--- a/process/control/state/snapshot.go
+++ b/process/control/state/snapshot.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"maps"
 	"slices"
 	"unique"
 
@@ -82,15 +83,22 @@
 
 // Snapshot returns the machine's whole state in deterministic CBOR.
 func (m *Machine) Snapshot() ([]byte, error) {
+	return m.Capture()()
+}
+
+// Capture takes the state as it is now and returns a function that encodes it
+// as Snapshot does. The function may run in another goroutine beside Apply:
+// what it reads is never changed. Capturing copies no more than pointers for
+// each record of a call.
+func (m *Machine) Capture() func() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := snapshot{
+	s := &snapshot{
 		Format: snapshotFormat, Index: m.index, Term: m.term, Revision: m.view.Load().revision,
 		Files: m.sortedFiles(), Orders: m.sortedOrders(),
 		Accepted: m.history.accepted, Refused: m.history.refused, Dropped: m.history.dropped,
 		Oldest: m.calls.oldest, Sealed: m.calls.forgotten.sealed, Newest: m.calls.forgotten.newest,
-		Now: m.clock.now, VMs: m.clock.vms,
-		Calls: m.callEntries(), Removed: m.removed,
+		Now: m.clock.now, VMs: slices.Clone(m.clock.vms), Removed: maps.Clone(m.removed),
 	}
 	for _, version := range sortedKeys(m.manifests) {
 		s.Manifests = append(s.Manifests, m.manifests[version])
@@ -98,18 +106,25 @@
 	for _, id := range m.applied.order {
 		s.Applied = append(s.Applied, appliedEntry{ID: id, Result: m.applied.results[id]})
 	}
-	return encoder.Marshal(&s)
+	queue := m.calls.queue
+	records := make([]*record, len(queue))
+	for i, q := range queue {
+		records[i] = m.calls.records[q.key]
+	}
+	return func() ([]byte, error) {
+		s.Calls = callEntries(queue, records)
+		return encoder.Marshal(s)
+	}
 }
 
-func (m *Machine) callEntries() []callEntry {
-	entries := make([]callEntry, 0, len(m.calls.queue))
-	for _, q := range m.calls.queue {
-		r := m.calls.records[q.key]
-		entries = append(entries, callEntry{
-			Queued: q.time, Account: r.account.Value(), Service: r.service.Value(), Agent: r.agent.Value(),
+func callEntries(queue []expiry, records []*record) []callEntry {
+	entries := make([]callEntry, len(queue))
+	for i, r := range records {
+		entries[i] = callEntry{
+			Queued: queue[i].time, Account: r.account.Value(), Service: r.service.Value(), Agent: r.agent.Value(),
 			Incarnation: r.incarnation.Value(), Entry: r.entry.Value(), Key: r.key, Body: r.body, Answer: r.answer,
 			Time: r.time, Attempt: r.attempt, ReservedBy: r.reservedBy, Verdict: r.verdict,
-		})
+		}
 	}
 	return entries
 }
@@ -128,7 +143,7 @@
 	for i, f := range s.Files {
 		files[i] = config.File{Name: f.Name, Content: f.Content}
 	}
-	merged, problems := config.Merge(files)
+	merged, problems := m.merger.Merge(files)
 	if len(problems) > 0 {
 		return result.New(result.SnapshotDamaged, "the accepted files do not merge: %s", problems[0].Error())
 	}
