--- a/process/result/code.go
+++ b/process/result/code.go
@@ -66,6 +66,8 @@
 	RateExceeded      Code = 3020
 	InProgress        Code = 3021
 	AnswerNotKept     Code = 3022
+	RecordsFull       Code = 3023
+	AlreadyRan        Code = 3024
 )
 
 // Codes of weights, versions and orders (4xxx).
