Requests: sessions, admission, routing, at-most-once, entry and agent handlers

First whole path from a caller to a backend server and back: session table and leases, weighted fair admission, routing by corrected load, prefix and zone, retries under a budget, stream resume, at-most-once calls through the control state and the agent's table of attempts, drain and explain.

--- /dev/null
+++ b/request/api/api.go
@@ -0,0 +1,284 @@
+// Package api serves callers on an entry: it takes chat completions and the
+// calls of plain services, admits them, chooses a backend server, dispatches
+// to the agent beside it and streams the answer back.
+//
+// Requests that may be repeated are retried within a budget; calls that may
+// not be repeated go through package once. Every answer is whole or ends with
+// an explicit error.
+//
+// Lock order: API.mu is a leaf; nothing blocks under it.
+package api
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/connection/link"
+	"github.com/waxwingpost/waxwingpost/connection/session"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/config"
+	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/request/admission"
+	"github.com/waxwingpost/waxwingpost/request/once"
+	"github.com/waxwingpost/waxwingpost/request/reqlog"
+	"github.com/waxwingpost/waxwingpost/request/routing"
+	"github.com/waxwingpost/waxwingpost/request/stream"
+)
+
+// Defaults of Config.
+const (
+	DefaultDeadline      = 30 * time.Second
+	DefaultHeadBytes     = 64 << 10
+	DefaultMaxBodyBytes  = 1 << 20
+	DefaultMaxAnswer     = 4 << 20
+	DefaultMaxAttempts   = 3
+	DefaultWholeAnswer   = 64 << 10
+	DefaultAffinityBytes = 256
+	// drainRetryAfter is told to callers that reach a draining entry.
+	drainRetryAfter = time.Second
+)
+
+// Config tunes the API. Zero fields take the defaults.
+type Config struct {
+	// HeadBytes is how much of a body is held for routing and for a retry.
+	HeadBytes int
+	// MaxBodyBytes bounds the body of a call that may not be repeated.
+	MaxBodyBytes int64
+	// MaxAnswerBytes bounds the answer of such a call that is held.
+	MaxAnswerBytes int64
+	// WholeAnswerBytes is the size up to which an answer that is not a stream
+	// is read whole before it is passed on, so that a cut can be retried.
+	WholeAnswerBytes int64
+	// MaxAttempts bounds the attempts at a request that may be repeated.
+	MaxAttempts int
+	// AffinityBytes is how much of a prompt's first message makes its prefix.
+	AffinityBytes int
+	// LogSize is the number of recent requests kept for Explain.
+	LogSize   int
+	Admission admission.Config
+	Routing   routing.Config
+	Once      once.Config
+}
+
+func (c Config) withDefaults() Config {
+	setInt(&c.HeadBytes, DefaultHeadBytes)
+	setInt(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	setInt(&c.MaxAnswerBytes, DefaultMaxAnswer)
+	setInt(&c.WholeAnswerBytes, DefaultWholeAnswer)
+	setInt(&c.MaxAttempts, DefaultMaxAttempts)
+	setInt(&c.AffinityBytes, DefaultAffinityBytes)
+	setInt(&c.LogSize, reqlog.DefaultSize)
+	return c
+}
+
+func setInt[T int | int64](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+// Deps are what the API works with.
+type Deps struct {
+	Settings Config
+	// Config returns the configuration in force and its revision.
+	Config   func() (*config.Config, uint64)
+	Sessions *session.Table
+	Store    control.Store
+	// Calls reads the local copy of the control state.
+	Calls func(account, key string) (control.Call, bool)
+	Self  wire.Hello
+	Auth  link.Authenticator
+	// Transport reaches the agents; nil takes a default one.
+	Transport http.RoundTripper
+	Clock     clockwork.Clock
+	Rand      *rand.Rand
+	Log       *slog.Logger
+	Scope     tally.Scope
+}
+
+// API is the callers' http.Handler of an entry. Safe for concurrent use.
+type API struct {
+	cfg      Config
+	d        Deps
+	routes   atomic.Pointer[routeTable]
+	limits   *admission.Limits
+	requests *reqlog.Log
+	once     *once.Coordinator
+	server   http.Handler
+	send     endpoint.Endpoint
+	counters counters
+	ids      atomic.Uint64
+	idPrefix string
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	targets  map[string]*target
+	draining bool
+	inFlight int
+	idle     chan struct{}
+}
+
+type counters struct {
+	requests, refused, retried, resumed, cut, gone tally.Counter
+	duration                                       tally.Timer
+}
+
+// New returns the API of an entry.
+func New(d Deps) *API {
+	fillDeps(&d)
+	a := &API{
+		cfg: d.Settings.withDefaults(), d: d, limits: admission.NewLimits(d.Clock),
+		targets: make(map[string]*target), counters: newCounters(d.Scope),
+		idPrefix: d.Self.Name + "-" + shortened(d.Self.Incarnation) + "-",
+	}
+	a.cfg.Routing.Entry, a.cfg.Routing.Zone, a.cfg.Routing.Region = d.Self.Name, d.Self.Zone, d.Self.Region
+	a.requests = reqlog.New(a.cfg.LogSize, d.Clock)
+	a.once = once.NewCoordinator(once.Deps{
+		Config: a.cfg.Once, Store: d.Store, Calls: d.Calls, Lookup: d.Sessions.Lookup, Ask: a.askEndpoint(),
+		Entry: d.Self.Name + "/" + d.Self.Incarnation, VM: d.Self.Name,
+		Clock: d.Clock, Log: d.Log, Scope: d.Scope,
+	})
+	a.send = kithttp.NewExplicitClient(
+		a.createDispatch, decodeDispatched,
+		kithttp.SetClient(stream.Client{Transport: d.Transport}), kithttp.BufferedStream(true),
+	).Endpoint()
+	a.server = kithttp.NewServer(a.serve, a.decode, a.encode, kithttp.ServerErrorEncoder(a.encodeError))
+	return a
+}
+
+func fillDeps(d *Deps) {
+	if d.Transport == nil {
+		d.Transport = stream.NewTransport()
+	}
+	if d.Scope == nil {
+		d.Scope = tally.NoopScope
+	}
+	if d.Clock == nil {
+		d.Clock = clockwork.NewRealClock()
+	}
+	if d.Log == nil {
+		d.Log = slog.New(slog.DiscardHandler)
+	}
+}
+
+func newCounters(root tally.Scope) counters {
+	scope := root.SubScope("requests")
+	return counters{
+		requests: scope.Counter("requests"), refused: scope.Counter("refused"), retried: scope.Counter("retried"),
+		resumed: scope.Counter("resumed"), cut: scope.Counter("cut"), gone: scope.Counter("caller_gone"),
+		duration: scope.Timer("duration"),
+	}
+}
+
+const shortIncarnation = 8
+
+func shortened(incarnation string) string {
+	return incarnation[:min(len(incarnation), shortIncarnation)]
+}
+
+// ServeHTTP serves callers.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a.counters.requests.Inc(1)
+	if err := a.enter(); err != nil {
+		a.encodeError(r.Context(), err, w)
+		return
+	}
+	defer a.exit()
+	a.server.ServeHTTP(w, r)
+}
+
+func (a *API) enter() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining {
+		return result.Refuse(result.Draining, drainRetryAfter, "entry %s is stopping", a.d.Self.Name)
+	}
+	a.inFlight++
+	return nil
+}
+
+func (a *API) exit() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.inFlight--
+	if a.inFlight == 0 && a.idle != nil {
+		close(a.idle)
+		a.idle = nil
+	}
+}
+
+// Drain refuses everything new and waits for the requests in progress and for
+// the records that are still to be written.
+func (a *API) Drain(ctx context.Context) error {
+	if err := a.drainRequests(ctx); err != nil {
+		return err
+	}
+	return a.once.Drain(ctx)
+}
+
+func (a *API) drainRequests(ctx context.Context) error {
+	a.mu.Lock()
+	a.draining = true
+	if a.inFlight == 0 {
+		a.mu.Unlock()
+		return nil
+	}
+	if a.idle == nil {
+		a.idle = make(chan struct{})
+	}
+	idle := a.idle
+	a.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "requests still in progress")
+	}
+}
+
+// Explain returns every decision about a recent request.
+func (a *API) Explain(requestID string) (any, bool) {
+	return a.requests.Find(requestID)
+}
+
+// Dump is the API as the state dump shows it.
+type Dump struct {
+	Draining bool                  `json:"draining"`
+	InFlight int                   `json:"in_flight"`
+	Pending  int                   `json:"calls_and_records_pending"`
+	Services map[string]TargetDump `json:"services"`
+}
+
+// TargetDump is one service as the state dump shows it.
+type TargetDump struct {
+	Admission admission.Dump       `json:"admission"`
+	Backends  []routing.ServerDump `json:"backends"`
+}
+
+// Dump returns the API's state.
+func (a *API) Dump() any {
+	a.mu.Lock()
+	d := Dump{Draining: a.draining, InFlight: a.inFlight, Services: make(map[string]TargetDump)}
+	targets := make([]*target, 0, len(a.targets))
+	for _, t := range a.targets {
+		targets = append(targets, t)
+	}
+	a.mu.Unlock()
+	d.Pending = a.once.Pending()
+	for _, t := range targets {
+		d.Services[t.name] = TargetDump{Admission: t.control.Dump(), Backends: t.group.Dump()}
+	}
+	return d
+}
