--- a/connection/wire/headers.go
+++ b/connection/wire/headers.go
@@ -20,6 +20,8 @@
 	HeaderIncarnation = "Waxwingpost-Incarnation"
 	HeaderAttempt     = "Waxwingpost-Attempt"
 	HeaderEntry       = "Waxwingpost-Entry"
+	// HeaderAgent names the agent that asks another for a chunk.
+	HeaderAgent = "Waxwingpost-Agent"
 	// HeaderResumeOffset is the index of the first server-sent event that is
 	// still wanted of a stream; events count from 0.
 	HeaderResumeOffset = "Waxwingpost-Resume-Offset"
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -129,6 +129,7 @@
 	FromPeers   int64  `cbor:"5,keyasint" json:"from_peers_bytes"`
 	CrossRegion int64  `cbor:"6,keyasint" json:"cross_region_bytes"`
 	Corrupt     int64  `cbor:"7,keyasint" json:"corrupt_chunks"`
+	FromStore   int64  `cbor:"8,keyasint" json:"from_store_bytes"`
 }
 
 // AgentView is all that an agent needs of the fleet: the order in force for
--- /dev/null
+++ b/version/planner/enter.go
@@ -0,0 +1,233 @@
+package planner
+
+import (
+	"slices"
+	"time"
+)
+
+// maxFailures is how often a holder may fail in a row before its copy of a
+// chunk no longer counts as being in the region.
+const maxFailures = 3
+
+// minBacklog is how many chunks a fetcher that is heard and makes progress may
+// have yet to begin without others taking from them: it may be about to.
+const minBacklog = 4
+
+// enter plans the requests that bring chunks into the region. A fetcher takes
+// the chunks that it owns in ascending order. Once none of its own are left it
+// takes over the last ones of others, so that two rarely pick the same.
+func (p *pass) enter() {
+	p.enterRange(true)
+	p.enterRange(false)
+}
+
+func (p *pass) enterRange(own bool) {
+	for i := range p.t.chunks {
+		c := i
+		if !own {
+			c = p.t.chunks - 1 - i
+		}
+		if !p.need.Has(c) || p.inRegion(c) || !p.inCharge(c, own) {
+			continue
+		}
+		if r, ok := p.entry(c); ok {
+			p.add(r)
+		}
+	}
+}
+
+// inRegion reports whether a near neighbor holds the chunk or is bringing it
+// in. A claim that made no progress for long doesn't count.
+func (p *pass) inRegion(c int) bool {
+	return slices.ContainsFunc(p.t.neighbors, func(n *neighbor) bool {
+		if n.far || p.suspected(n) {
+			return false
+		}
+		return n.have.Has(c) && n.failures < maxFailures || n.claims.Has(c) && !p.idle(n)
+	})
+}
+
+func (p *pass) idle(n *neighbor) bool {
+	return p.suspected(n) || p.now-n.progress > p.t.set.StealAfter
+}
+
+// inCharge reports whether self is to bring the chunk in: as the first of its
+// owners that isn't suspected, or in place of one that is late or has a long
+// backlog.
+func (p *pass) inCharge(c int, own bool) bool {
+	for _, name := range p.t.owners[c] {
+		if name == p.t.self.Name {
+			return true
+		}
+		n := p.t.byName[name]
+		if n == nil || p.suspected(n) {
+			continue
+		}
+		if own || !p.idle(n) && !(p.next(c, name) && p.backlog(name) > minBacklog) {
+			return false
+		}
+	}
+	return false
+}
+
+// backlog counts the chunks that a fetcher has yet to begin.
+func (p *pass) backlog(name string) int {
+	if n, ok := p.backlogs[name]; ok {
+		return n
+	}
+	n := 0
+	for c := range p.t.chunks {
+		if p.t.owners[c][0] == name && p.need.Has(c) && !p.inRegion(c) {
+			n++
+		}
+	}
+	p.backlogs[name] = n
+	return n
+}
+
+// next reports whether self follows name among the owners of the chunk.
+func (p *pass) next(c int, name string) bool {
+	owners := p.t.owners[c]
+	i := slices.Index(owners, name)
+	return i+1 < len(owners) && owners[i+1] == p.t.self.Name
+}
+
+// entry returns the way by which a chunk enters the region now, if any.
+func (p *pass) entry(c int) (Request, bool) {
+	homes := p.t.homes[c]
+	if homes == nil || homes[0] == p.t.self.Region {
+		return p.fromSource(c)
+	}
+	if r, ok := p.fromFar(c, homes); ok {
+		return r, true
+	}
+	if p.homeLost(c, homes) {
+		return p.fromSource(c)
+	}
+	return Request{}, false
+}
+
+// fromFar asks another region for a chunk, its home first.
+func (p *pass) fromFar(c int, homes []string) (Request, bool) {
+	for _, region := range homes {
+		if region == p.t.self.Region || p.farLoad(region) >= p.t.set.FarInFlight {
+			continue
+		}
+		if n := p.farHolder(c, region); n != nil {
+			return Request{Chunk: c, From: n.name, Far: true}, true
+		}
+	}
+	return Request{}, false
+}
+
+func (p *pass) farLoad(region string) int {
+	load := 0
+	for _, n := range p.t.neighbors {
+		if n.far && n.region == region {
+			load += p.load[n]
+		}
+	}
+	return load
+}
+
+func (p *pass) farHolder(c int, region string) *neighbor {
+	var best *neighbor
+	for _, n := range p.t.neighbors {
+		if !n.far || n.region != region || !n.have.Has(c) || p.suspected(n) || p.demoted(n) {
+			continue
+		}
+		if best == nil || p.compare(n, best) < 0 {
+			best = n
+		}
+	}
+	return best
+}
+
+// homeLost reports whether self's region is next in charge of a relayed chunk:
+// no region before it in the order shows a fetcher that is heard and makes
+// progress, and no region is known to hold or fetch the chunk.
+func (p *pass) homeLost(c int, homes []string) bool {
+	for _, n := range p.t.neighbors {
+		if n.far && !p.suspected(n) && (n.have.Has(c) && !p.demoted(n) || n.claims.Has(c) && p.moving(n)) {
+			return false
+		}
+	}
+	for _, region := range homes {
+		if region == p.t.self.Region {
+			return true
+		}
+		if p.regionMoving(region) {
+			return false
+		}
+	}
+	return false
+}
+
+func (p *pass) regionMoving(region string) bool {
+	return slices.ContainsFunc(p.t.neighbors, func(n *neighbor) bool {
+		return n.far && n.region == region && !p.suspected(n) && p.moving(n)
+	})
+}
+
+func (p *pass) moving(n *neighbor) bool {
+	return p.now-n.progress <= p.t.set.HomeTimeout
+}
+
+// fromSource picks a source that is ready: one that isn't the origin before
+// the origin, then the least asked for its rate.
+func (p *pass) fromSource(c int) (Request, bool) {
+	best, planned := -1, p.sourceLoad()
+	if planned >= p.t.set.SourceInFlight {
+		return Request{}, false
+	}
+	for i := range p.t.sources {
+		if p.t.sources[i].until > p.now {
+			continue
+		}
+		if best < 0 || p.betterSource(i, best) {
+			best = i
+		}
+	}
+	return Request{Chunk: c, Source: best}, best >= 0
+}
+
+func (p *pass) betterSource(i, j int) bool {
+	a, b := &p.t.sources[i], &p.t.sources[j]
+	if a.Origin != b.Origin {
+		return !a.Origin
+	}
+	if a.Near != b.Near {
+		return a.Near
+	}
+	return a.inFlight < b.inFlight
+}
+
+func (p *pass) sourceLoad() int {
+	load := 0
+	for i := range p.t.sources {
+		load += p.t.sources[i].inFlight
+	}
+	for _, r := range p.out {
+		if r.FromSource() {
+			load++
+		}
+	}
+	return load
+}
+
+// Wake returns how long after now a driver should call Plan again even if
+// nothing was heard: timeouts pass without an event.
+func (t *Table) Wake(now time.Duration) time.Duration {
+	wake := t.set.SuspectAfter
+	for i := range t.sources {
+		if until := t.sources[i].until; until > now {
+			wake = min(wake, until-now)
+		}
+	}
+	for _, n := range t.neighbors {
+		if n.demoted > now {
+			wake = min(wake, n.demoted-now)
+		}
+	}
+	return wake
+}
--- /dev/null
+++ b/version/transfer/config.go
@@ -0,0 +1,51 @@
+package transfer
+
+import (
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/version/planner"
+)
+
+// Config holds the settings of a Manager. Zero values take the defaults.
+type Config struct {
+	// Self is this agent. Its Address and Version are not used.
+	Self wire.Peer
+	// Planner bounds what is in flight and sets the timeouts of takeover.
+	Planner planner.Settings
+	// UploadSlots bounds the chunks that are sent to the agent's own region at
+	// once, FarSlots those to other regions.
+	UploadSlots int
+	FarSlots    int
+	// QueueWait is how long a request waits for a slot before the answer 503.
+	QueueWait time.Duration
+	// StallTimeout ends a read that makes no progress.
+	StallTimeout time.Duration
+	// HaveHold is how long a question after news is held open.
+	HaveHold time.Duration
+	// HaveInterval is the least time between two questions to one peer.
+	HaveInterval time.Duration
+	// KeepVersions is how many assembled versions besides those in the view
+	// stay in the spool.
+	KeepVersions int
+}
+
+func (c Config) withDefaults() Config {
+	if c.Planner == (planner.Settings{}) {
+		c.Planner = planner.DefaultSettings()
+	}
+	setDefault(&c.UploadSlots, 3)
+	setDefault(&c.FarSlots, 32)
+	setDefault(&c.QueueWait, 2*time.Second)
+	setDefault(&c.StallTimeout, 10*time.Second)
+	setDefault(&c.HaveHold, 2*time.Second)
+	setDefault(&c.HaveInterval, 100*time.Millisecond)
+	setDefault(&c.KeepVersions, 1)
+	return c
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/version/transfer/handler.go
@@ -0,0 +1,146 @@
+package transfer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/version/manifest"
+)
+
+// Names of the query parameters of a question after chunks held.
+const (
+	queryManifest = "manifest"
+	queryAfter    = "after"
+)
+
+// busyRetryAfter is the Retry-After, in seconds, of an agent without a slot.
+const busyRetryAfter = "1"
+
+// Handler serves chunks and news of them to authenticated peers.
+func (m *Manager) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+wire.PathChunks+"{digest}", m.checked(m.serveChunk))
+	mux.HandleFunc("GET "+wire.PathHave, m.checked(m.serveHave))
+	return mux
+}
+
+func (m *Manager) checked(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := m.auth.Check(r); err != nil {
+			writeError(w, http.StatusForbidden, err)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func writeError(w http.ResponseWriter, status int, err error) {
+	w.Header().Set(wire.HeaderCode, strconv.Itoa(int(result.CodeOf(err))))
+	http.Error(w, err.Error(), status)
+}
+
+func (m *Manager) serveHave(w http.ResponseWriter, r *http.Request) {
+	d, err := manifest.ParseDigest(r.URL.Query().Get(queryManifest))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	seq, err := strconv.ParseUint(r.URL.Query().Get(queryAfter), 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, result.New(result.BadMessage, "%s: %v", queryAfter, err))
+		return
+	}
+	m.mu.Lock()
+	p := m.known[d]
+	m.mu.Unlock()
+	if p == nil {
+		writeError(w, http.StatusNotFound, result.New(result.NotFound, "manifest %s is not known", d))
+		return
+	}
+	body, err := cbor.Marshal(p.after(r.Context(), m.clock, seq, m.cfg.HaveHold))
+	if err != nil {
+		writeError(w, http.StatusInternalServerError, err)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (m *Manager) serveChunk(w http.ResponseWriter, r *http.Request) {
+	d, err := manifest.ParseDigest(r.PathValue("digest"))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	size, ok := m.store.Size(d)
+	if !ok {
+		writeError(w, http.StatusNotFound, result.New(result.ChunkMissing, "chunk %s is not held", d))
+		return
+	}
+	release, ok := m.slot(r)
+	if !ok {
+		w.Header().Set(wire.HeaderRetryAfter, busyRetryAfter)
+		writeError(w, http.StatusServiceUnavailable, result.New(result.ChunkMissing, "all upload slots are taken"))
+		return
+	}
+	defer release()
+	m.sendChunk(w, r, manifest.Chunk{Digest: d, Size: size})
+}
+
+func (m *Manager) sendChunk(w http.ResponseWriter, r *http.Request, c manifest.Chunk) {
+	body, err := m.store.Read(c)
+	if err != nil {
+		writeError(w, http.StatusNotFound, err)
+		return
+	}
+	defer func() { _ = body.Close() }()
+	w.Header().Set("Content-Length", strconv.FormatInt(c.Size, 10))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	sent := m.scope.Counter("bytes_sent")
+	paced := &pacedReader{ctx: r.Context(), r: body, buckets: []*bucket{m.up}, progress: func(n int) { sent.Inc(int64(n)) }}
+	_, _ = io.Copy(w, paced)
+}
+
+// slot waits for an upload slot. Other regions have slots of their own: their
+// links are thin and would hold up the agent's own region.
+func (m *Manager) slot(r *http.Request) (release func(), ok bool) {
+	slots := m.near
+	if m.isFar(r.Header.Get(wire.HeaderAgent)) {
+		slots = m.far
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	timer := m.clock.NewTimer(m.cfg.QueueWait)
+	defer timer.Stop()
+	select {
+	case slots <- struct{}{}:
+		return func() { <-slots }, true
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+	return nil, false
+}
+
+func (m *Manager) isFar(agent string) bool {
+	v, _ := m.currentView()
+	if v == nil {
+		return false
+	}
+	for _, p := range v.Peers {
+		if p.Name == agent {
+			return p.Region != m.cfg.Self.Region
+		}
+	}
+	return false
+}
+
+// chunkPath is the path of a chunk on a peer.
+func chunkPath(d manifest.Digest) string {
+	return wire.PathChunks + strings.TrimSpace(d.String())
+}
--- /dev/null
+++ b/version/transfer/manager.go
@@ -0,0 +1,366 @@
+// Package transfer moves the chunks of versions between the sources and the
+// agents, verifies them and assembles whole versions in the spool.
+//
+// Each version being fetched is a task: one goroutine owns the planner's table
+// and starts the requests that it plans; one goroutine for each neighbor waits
+// for that neighbor's news. Chunks are verified when they arrive and again
+// when the version is assembled.
+//
+// Lock order: Manager.mu before publication.mu; the store's mutex is taken
+// under neither.
+package transfer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/connection/link"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/config"
+	"github.com/waxwingpost/waxwingpost/version/manifest"
+	"github.com/waxwingpost/waxwingpost/version/planner"
+	"github.com/waxwingpost/waxwingpost/version/store"
+)
+
+// Manager runs the transfers of one agent. All methods are safe for
+// concurrent use.
+type Manager struct {
+	cfg    Config
+	store  *store.Store
+	client *http.Client
+	auth   link.Authenticator
+	clock  clockwork.Clock
+	log    *slog.Logger
+	scope  tally.Scope
+	// up and down pace this VM's link.
+	up, down *bucket
+	near     chan struct{}
+	far      chan struct{}
+	seqBase  uint64
+
+	mu    sync.Mutex
+	view  *wire.AgentView
+	live  int
+	pairs map[string]*bucket
+	tasks map[manifest.Digest]*task
+	// known holds the manifests whose chunks this agent serves, by digest.
+	known map[manifest.Digest]*publication
+	// staged lists assembled versions, the last used at the end.
+	staged []*manifest.Manifest
+	last   *task
+	// viewChanged is closed and replaced when a view arrives.
+	viewChanged chan struct{}
+}
+
+// New returns a manager over a store. Requests go through rt.
+func New(cfg Config, st *store.Store, rt http.RoundTripper, auth link.Authenticator,
+	clock clockwork.Clock, rnd *rand.Rand, log *slog.Logger, scope tally.Scope,
+) *Manager {
+	cfg = cfg.withDefaults()
+	return &Manager{
+		cfg:         cfg,
+		store:       st,
+		client:      &http.Client{Transport: rt},
+		auth:        auth,
+		clock:       clock,
+		log:         log,
+		scope:       scope.SubScope("transfer"),
+		up:          newBucket(clock, 0),
+		down:        newBucket(clock, 0),
+		near:        make(chan struct{}, cfg.UploadSlots),
+		far:         make(chan struct{}, cfg.FarSlots),
+		seqBase:     rnd.Uint64() >> 1,
+		pairs:       make(map[string]*bucket),
+		tasks:       make(map[manifest.Digest]*task),
+		known:       make(map[manifest.Digest]*publication),
+		viewChanged: make(chan struct{}),
+	}
+}
+
+// SetView takes the newest view. A view with a lower revision or fence than
+// the one before is ignored.
+func (m *Manager) SetView(v wire.AgentView) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.view != nil && older(v, *m.view) {
+		return
+	}
+	m.view = &v
+	m.paceLocked()
+	for i := range v.Manifests {
+		m.publishLocked(&v.Manifests[i])
+	}
+	close(m.viewChanged)
+	m.viewChanged = make(chan struct{})
+}
+
+func older(v, w wire.AgentView) bool {
+	return v.Revision < w.Revision || fenceOf(v) < fenceOf(w)
+}
+
+func fenceOf(v wire.AgentView) uint64 {
+	if v.Order == nil {
+		return 0
+	}
+	return v.Order.Fence.Index
+}
+
+// currentView returns the view, which may be nil, and a channel that is closed
+// when the next one arrives. The view must not be changed.
+func (m *Manager) currentView() (*wire.AgentView, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view, m.viewChanged
+}
+
+// SetLiveRequests tells how many live requests are running or waiting on this
+// agent; transfers take a smaller share of the links while there are any.
+func (m *Manager) SetLiveRequests(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changed := (n > 0) != (m.live > 0)
+	m.live = n
+	if changed {
+		m.paceLocked()
+	}
+}
+
+// paceLocked sets the rates of all buckets. Pairs of regions always keep the
+// live share free: requests of other VMs use them too.
+func (m *Manager) paceLocked() {
+	if m.view == nil {
+		return
+	}
+	rest := 1 - min(max(m.view.LiveShare, 0), 1)
+	vmRate := float64(m.view.VMBytesPerSecond)
+	if m.live > 0 {
+		vmRate *= rest
+	}
+	m.up.setRate(vmRate)
+	m.down.setRate(vmRate)
+	for _, b := range m.pairs {
+		b.setRate(m.pairRateLocked())
+	}
+}
+
+// pairRateLocked is this agent's part of a pair of regions: only the fetchers
+// of a region cross it, each with an equal part.
+func (m *Manager) pairRateLocked() float64 {
+	rest := 1 - min(max(m.view.LiveShare, 0), 1)
+	members := 1
+	for _, p := range m.view.Peers {
+		if p.Region == m.cfg.Self.Region && p.Name != m.cfg.Self.Name {
+			members++
+		}
+	}
+	fetchers := min(members, m.cfg.Planner.Fetchers)
+	return float64(m.view.RegionPairBytesPerSecond) * rest / float64(fetchers)
+}
+
+// pair returns the bucket for what comes from another region.
+func (m *Manager) pair(region string) *bucket {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := m.pairs[region]
+	if b == nil {
+		b = newBucket(m.clock, 0)
+		m.pairs[region] = b
+		if m.view != nil {
+			b.setRate(m.pairRateLocked())
+		}
+	}
+	return b
+}
+
+// Staged lists the versions that are whole and verified in the spool.
+func (m *Manager) Staged() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := make([]string, 0, len(m.staged))
+	for _, s := range m.staged {
+		names = append(names, s.Version)
+	}
+	return names
+}
+
+// Progress tells how far the latest transfer is.
+func (m *Manager) Progress() wire.Transfer {
+	m.mu.Lock()
+	t := m.last
+	m.mu.Unlock()
+	if t == nil {
+		return wire.Transfer{}
+	}
+	return t.progress()
+}
+
+// Fetch returns the path of a file that holds the whole version, verified. It
+// fetches what is missing and returns when the file is there or ctx ends.
+// Concurrent calls for one version share the work, which stops when the last
+// of them has given up.
+func (m *Manager) Fetch(ctx context.Context, man *manifest.Manifest) (string, error) {
+	if err := man.Validate(); err != nil {
+		return "", err
+	}
+	if path, ok := m.store.Whole(man); ok {
+		m.noteStaged(man)
+		return path, nil
+	}
+	t := m.join(man)
+	defer m.leave(t)
+	select {
+	case <-t.done:
+		return t.path, t.err
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// join returns the task of a manifest, starting it if there is none.
+func (m *Manager) join(man *manifest.Manifest) *task {
+	d := man.Digest()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.tasks[d]
+	if t == nil {
+		t = newTask(m, man, m.publishLocked(man))
+		m.tasks[d] = t
+		go t.run()
+	}
+	t.users++
+	m.last = t
+	return t
+}
+
+// leave stops the task when nobody waits for it any more.
+func (m *Manager) leave(t *task) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t.users--
+	if t.users > 0 {
+		return
+	}
+	t.cancel()
+	if d := t.man.Digest(); m.tasks[d] == t {
+		delete(m.tasks, d)
+	}
+}
+
+// publishLocked returns the publication of a manifest, creating it if needed.
+func (m *Manager) publishLocked(man *manifest.Manifest) *publication {
+	d := man.Digest()
+	p := m.known[d]
+	if p == nil {
+		p = newPublication(man, m.seqBase)
+		m.known[d] = p
+	}
+	return p
+}
+
+// noteStaged records an assembled version and lets peers see all its chunks.
+func (m *Manager) noteStaged(man *manifest.Manifest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := man.Digest()
+	m.staged = slices.DeleteFunc(m.staged, func(s *manifest.Manifest) bool { return s.Digest() == d })
+	m.staged = append(m.staged, man)
+	m.publishLocked(man).complete()
+}
+
+// collect drops what neither the view, a task nor the latest staged versions
+// need. Chunks in common with a kept version stay.
+func (m *Manager) collect() {
+	m.mu.Lock()
+	var keep []*manifest.Manifest
+	if m.view != nil {
+		for i := range m.view.Manifests {
+			keep = append(keep, &m.view.Manifests[i])
+		}
+	}
+	for _, t := range m.tasks {
+		keep = append(keep, t.man)
+	}
+	m.staged = m.staged[max(0, len(m.staged)-m.cfg.KeepVersions):]
+	keep = append(keep, m.staged...)
+	kept := make(map[manifest.Digest]bool, len(keep))
+	for _, man := range keep {
+		kept[man.Digest()] = true
+	}
+	for d := range m.known {
+		if !kept[d] {
+			delete(m.known, d)
+		}
+	}
+	m.mu.Unlock()
+	m.store.Keep(keep...)
+}
+
+// members returns the agents that take part in a transfer: those that are
+// ordered to hold the same version, or all for one that no order names.
+func (m *Manager) members(v *wire.AgentView, version string) map[string]wire.Peer {
+	self := m.cfg.Self
+	members := map[string]wire.Peer{self.Name: self}
+	ordered := v.Order != nil && v.Order.Version == version
+	for _, p := range v.Peers {
+		if p.Name != self.Name && (!ordered || p.Version == version) {
+			members[p.Name] = p
+		}
+	}
+	return members
+}
+
+// estimate returns how a version enters the regions under a view.
+func estimate(v *wire.AgentView, members map[string]wire.Peer, size int64) planner.Estimate {
+	regions := make(map[string]bool)
+	for _, p := range members {
+		regions[p.Region] = true
+	}
+	l := planner.Links{
+		RegionPair: int64(float64(v.RegionPairBytesPerSecond) * (1 - v.LiveShare)),
+		VM:         v.VMBytesPerSecond,
+		Regions:    len(regions),
+	}
+	for _, s := range v.Sources {
+		l.Sources += s.BytesPerSecond
+		l.SourceInside = l.SourceInside || regions[s.Region]
+	}
+	if v.Objective == config.ObjectiveOriginBytes {
+		return planner.FewestBytes(l, size)
+	}
+	return planner.Fastest(l, size)
+}
+
+// Dump returns the state for operators.
+func (m *Manager) Dump() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := dump{SpoolBytes: m.store.Used(), LiveRequests: m.live, Staged: make([]string, 0, len(m.staged))}
+	for _, s := range m.staged {
+		d.Staged = append(d.Staged, s.Version)
+	}
+	for _, t := range m.tasks {
+		d.Tasks = append(d.Tasks, t.dump())
+	}
+	return d
+}
+
+type dump struct {
+	SpoolBytes   int64      `json:"spool_bytes"`
+	LiveRequests int        `json:"live_requests"`
+	Staged       []string   `json:"staged"`
+	Tasks        []taskDump `json:"tasks"`
+}
+
+type taskDump struct {
+	Transfer wire.Transfer    `json:"transfer"`
+	Estimate planner.Estimate `json:"estimate"`
+	Fetcher  bool             `json:"fetcher"`
+	Peers    []string         `json:"peers"`
+}
--- /dev/null
+++ b/version/transfer/publication.go
@@ -0,0 +1,98 @@
+package transfer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingpost/waxwingpost/version/manifest"
+	"github.com/waxwingpost/waxwingpost/version/planner"
+)
+
+// publication is what this agent tells its peers of a manifest's chunks.
+type publication struct {
+	man    *manifest.Manifest
+	chunks map[manifest.Digest]manifest.Chunk
+
+	mu  sync.Mutex
+	seq uint64
+	// active is set once a task has looked at what the spool holds.
+	active  bool
+	have    planner.Bits
+	claims  planner.Bits
+	changed chan struct{}
+}
+
+func newPublication(man *manifest.Manifest, seqBase uint64) *publication {
+	p := &publication{
+		man:     man,
+		chunks:  make(map[manifest.Digest]manifest.Chunk, len(man.Chunks)),
+		seq:     seqBase,
+		have:    planner.NewBits(len(man.Chunks)),
+		claims:  planner.NewBits(len(man.Chunks)),
+		changed: make(chan struct{}),
+	}
+	for _, c := range man.Chunks {
+		p.chunks[c.Digest] = c
+	}
+	return p
+}
+
+func (p *publication) set(have, claims planner.Bits) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active = true
+	p.have, p.claims = have.Clone(), claims.Clone()
+	p.bumpLocked()
+}
+
+func (p *publication) complete() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active = true
+	for i := range p.man.Chunks {
+		p.have.Set(i)
+	}
+	p.claims = planner.NewBits(len(p.man.Chunks))
+	p.bumpLocked()
+}
+
+func (p *publication) bumpLocked() {
+	p.seq++
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// haveReply answers a question after what an agent holds.
+type haveReply struct {
+	Seq uint64 `cbor:"1,keyasint"`
+	// Active is unset while the agent isn't fetching the version.
+	Active bool   `cbor:"2,keyasint"`
+	Have   []byte `cbor:"3,keyasint,omitempty"`
+	Claims []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// after waits until there is news since seq, hold passes or ctx ends.
+func (p *publication) after(ctx context.Context, clock clockwork.Clock, seq uint64, hold time.Duration) haveReply {
+	reply, changed := p.reply()
+	if reply.Seq != seq {
+		return reply
+	}
+	timer := clock.NewTimer(hold)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+	reply, _ = p.reply()
+	return reply
+}
+
+func (p *publication) reply() (haveReply, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return haveReply{Seq: p.seq, Active: p.active, Have: p.have.Bytes(), Claims: p.claims.Bytes()}, p.changed
+}
