Transfer: pause before taking over others' chunks

Cause: a fetcher without chunks of its own took over chunks whose owners had begun them, since news of claims is older than a chunk is long on loopback. Also, peers that had not begun were asked once a second and so were suspected.

--- a/version/planner/enter.go
+++ b/version/planner/enter.go
@@ -15,10 +15,13 @@
 
 // enter plans the requests that bring chunks into the region. A fetcher takes
 // the chunks that it owns in ascending order. Once none of its own are left it
-// takes over the last ones of others, so that two rarely pick the same.
+// takes over the last ones of others, so that two rarely pick the same, after
+// a pause in which news of what others began can arrive.
 func (p *pass) enter() {
 	p.enterRange(true)
-	p.enterRange(false)
+	if p.now-p.t.entered >= p.t.set.StealPause {
+		p.enterRange(false)
+	}
 }
 
 func (p *pass) enterRange(own bool) {
@@ -63,7 +66,8 @@
 		if n == nil || p.suspected(n) {
 			continue
 		}
-		if own || !p.idle(n) && !(p.next(c, name) && p.backlog(name) > minBacklog) {
+		late := p.idle(n) || p.next(c, name) && p.backlog(name) > minBacklog
+		if own || !late {
 			return false
 		}
 	}
--- a/version/planner/settings.go
+++ b/version/planner/settings.go
@@ -34,6 +34,9 @@
 	BusyPause time.Duration
 	// SuspectAfter is the silence after which a neighbor is passed over.
 	SuspectAfter time.Duration
+	// StealPause is how long a fetcher without chunks of its own waits before
+	// it takes over others'.
+	StealPause time.Duration
 	// StealAfter is the lack of progress after which a fetcher's chunks may be
 	// taken over by any other fetcher of the region.
 	StealAfter time.Duration
@@ -59,6 +62,7 @@
 		MaxDemotion:    time.Minute,
 		BusyPause:      time.Second,
 		SuspectAfter:   6 * time.Second,
+		StealPause:     500 * time.Millisecond,
 		StealAfter:     10 * time.Second,
 		HomeTimeout:    20 * time.Second,
 		HedgeAfter:     10 * time.Second,
--- a/version/planner/table.go
+++ b/version/planner/table.go
@@ -96,6 +96,8 @@
 	byName    map[string]*neighbor
 	sources   []source
 	flights   []flight
+	// entered is when self's last request that brought in a chunk ended.
+	entered time.Duration
 	// counts holds, for each chunk, how many near neighbors hold it; pending
 	// how many requests for it are in flight.
 	counts  []int
@@ -282,6 +284,9 @@
 	t.flights = slices.Delete(t.flights, i, i+1)
 	t.pending[r.Chunk]--
 	t.countFlight(r, -1)
+	if r.entering() {
+		t.entered = now
+	}
 	switch out {
 	case Received:
 		t.Hold(r.Chunk)
--- a/version/transfer/fetch.go
+++ b/version/transfer/fetch.go
@@ -27,9 +27,6 @@
 // haveGrace is added to the time that a peer may hold a question open.
 const haveGrace = 3 * time.Second
 
-// watchPause is the wait after a peer could not be asked.
-const watchPause = time.Second
-
 // job is one request for a chunk.
 type job struct {
 	t       *task
@@ -163,12 +160,12 @@
 	for ctx.Err() == nil {
 		pause := t.m.cfg.HaveInterval
 		reply, err := t.m.askHave(ctx, peer, t.man.Digest(), seq)
-		if err == nil && reply.Active {
+		if err != nil {
+			pause = max(pause, t.m.cfg.Planner.SuspectAfter/4)
+		} else if reply.Active {
 			news := reply.Seq != seq
 			t.post(func() { t.heard(peer.Name, reply, news) })
 			seq = reply.Seq
-		} else {
-			pause = max(pause, watchPause)
 		}
 		select {
 		case <-t.m.clock.After(pause):
--- a/version/transfer/publication.go
+++ b/version/transfer/publication.go
@@ -74,10 +74,10 @@
 	Claims []byte `cbor:"4,keyasint,omitempty"`
 }
 
-// after waits until there is news since seq, hold passes or ctx ends.
+// after waits until a task is active and there is news since seq, hold passes or ctx ends.
 func (p *publication) after(ctx context.Context, clock clockwork.Clock, seq uint64, hold time.Duration) haveReply {
 	reply, changed := p.reply()
-	if reply.Seq != seq {
+	if reply.Seq != seq && reply.Active {
 		return reply
 	}
 	timer := clock.NewTimer(hold)
