--- /dev/null
+++ b/bench/cmd/wpbench/main.go
@@ -0,0 +1,103 @@
+// Command wpbench measures the system: "wpbench NAME" prints one line for
+// each figure. It exits with 0 whether or not targets are met, with 1 when a
+// run fails and with 2 when it was called wrongly.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"sort"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+// runTimeout ends an experiment that hangs.
+const runTimeout = 3 * time.Minute
+
+// options are what every experiment is given.
+type options struct {
+	// Seed makes a run repeatable.
+	Seed uint64
+	// Bin is the folder with the built binaries.
+	Bin string
+	// Out takes the figures; Log takes everything else.
+	Out io.Writer
+	Log io.Writer
+}
+
+// experiment is one subcommand. Its file registers it from init.
+type experiment struct {
+	Name string
+	Help string
+	Run  func(ctx context.Context, opts options) error
+}
+
+var experiments = map[string]experiment{}
+
+// register adds an experiment. It panics on a name that is taken.
+func register(e experiment) {
+	if _, taken := experiments[e.Name]; taken {
+		panic("experiment registered twice: " + e.Name)
+	}
+	experiments[e.Name] = e
+}
+
+type cli struct {
+	Name string `arg:"" help:"Experiment to run: ${names}."`
+	Seed uint64 `default:"1" help:"Seed of the run."`
+	Bin  string `default:"bin" help:"Folder with the built binaries (make build)."`
+}
+
+func main() {
+	var args cli
+	kong.Parse(&args,
+		kong.Name("wpbench"),
+		kong.Description("Measures the system and prints one line for each figure.\n\n"+describe()),
+		kong.Vars{"names": strings.Join(names(), ", ")})
+	e, ok := experiments[args.Name]
+	if !ok {
+		fmt.Fprintf(os.Stderr, "wpbench: unknown experiment %q; known: %s\n", args.Name, strings.Join(names(), ", "))
+		os.Exit(2)
+	}
+	os.Exit(run(e, args))
+}
+
+func run(e experiment, args cli) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, runTimeout)
+	defer cancel()
+	fmt.Fprintf(os.Stderr, "wpbench %s --seed %d\n", e.Name, args.Seed)
+	opts := options{Seed: args.Seed, Bin: args.Bin, Out: os.Stdout, Log: os.Stderr}
+	start := time.Now()
+	err := e.Run(ctx, opts)
+	fmt.Fprintf(os.Stderr, "wpbench %s took %.1f s\n", e.Name, time.Since(start).Seconds())
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "wpbench %s --seed %d failed: %v\n", e.Name, args.Seed, err)
+		return 1
+	}
+	return 0
+}
+
+func names() []string {
+	list := make([]string, 0, len(experiments))
+	for name := range experiments {
+		list = append(list, name)
+	}
+	sort.Strings(list)
+	return list
+}
+
+func describe() string {
+	var b strings.Builder
+	for _, name := range names() {
+		fmt.Fprintf(&b, "%s: %s\n", name, experiments[name].Help)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/connection/engine/http.go
@@ -0,0 +1,167 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+// Paths of the interface. They equal those of package wire, which depends on
+// this package.
+const (
+	pathReport = "/engine/report"
+	pathLoad   = "/engine/load"
+	pathUnload = "/engine/unload"
+	pathDrain  = "/engine/drain"
+	pathCancel = "/engine/cancel"
+)
+
+const (
+	// maxReportBytes bounds a report.
+	maxReportBytes = 1 << 20
+	// maxErrorBytes is how much of a refusal's text is kept.
+	maxErrorBytes = 512
+)
+
+// HTTPDriver is the Driver for engines that speak the interface of
+// docs/interfaces.md themselves. Safe for concurrent use.
+type HTTPDriver struct {
+	base    string
+	client  *http.Client
+	timeout time.Duration
+}
+
+var _ Driver = (*HTTPDriver)(nil)
+
+// NewHTTP returns a driver for the engine at an "IP:port". The timeout bounds
+// each call; rt may be nil for the default transport.
+func NewHTTP(address string, rt http.RoundTripper, timeout time.Duration) *HTTPDriver {
+	return &HTTPDriver{
+		base:    "http://" + address,
+		client:  &http.Client{Transport: rt, CheckRedirect: refuseRedirect},
+		timeout: timeout,
+	}
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// fencedOrder is the body of unload and drain.
+type fencedOrder struct {
+	Fence   control.Fence `json:"fence"`
+	Version string        `json:"version,omitempty"`
+}
+
+type cancelOrder struct {
+	RequestID string `json:"request_id"`
+}
+
+// Report implements Driver.
+func (d *HTTPDriver) Report(ctx context.Context) (Report, error) {
+	var report Report
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+pathReport, nil)
+	if err != nil {
+		return report, result.New(result.EngineUnreadable, "report: %v", err)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return report, result.New(result.EngineUnreadable, "report: %v", err)
+	}
+	defer closeBody(resp)
+	if resp.StatusCode != http.StatusOK {
+		return report, result.New(result.EngineUnreadable, "report: status %d: %s", resp.StatusCode, errorText(resp))
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report); err != nil {
+		return Report{}, result.New(result.EngineUnreadable, "report: %v", err)
+	}
+	if !knownState(report.State) {
+		return Report{}, result.New(result.EngineUnreadable, "report: unknown state %q", report.State)
+	}
+	return report, nil
+}
+
+func knownState(state string) bool {
+	switch state {
+	case StateEmpty, StateLoading, StateReady, StateDrained:
+		return true
+	default:
+		return false
+	}
+}
+
+// Load implements Driver.
+func (d *HTTPDriver) Load(ctx context.Context, order LoadOrder) error {
+	return d.order(ctx, pathLoad, order)
+}
+
+// Unload implements Driver.
+func (d *HTTPDriver) Unload(ctx context.Context, fence control.Fence, version string) error {
+	return d.order(ctx, pathUnload, fencedOrder{Fence: fence, Version: version})
+}
+
+// Drain implements Driver.
+func (d *HTTPDriver) Drain(ctx context.Context, fence control.Fence) error {
+	return d.order(ctx, pathDrain, fencedOrder{Fence: fence})
+}
+
+// Cancel implements Driver.
+func (d *HTTPDriver) Cancel(ctx context.Context, requestID string) error {
+	return d.order(ctx, pathCancel, cancelOrder{RequestID: requestID})
+}
+
+// order posts body. EngineUnreadable means that nobody knows whether the
+// engine took the order; EngineRefused and StaleFence mean that it did not.
+func (d *HTTPDriver) order(ctx context.Context, path string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return result.New(result.EngineRefused, "%s: %v", path, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.base+path, bytes.NewReader(data))
+	if err != nil {
+		return result.New(result.EngineRefused, "%s: %v", path, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return result.New(result.EngineUnreadable, "%s: %v", path, err)
+	}
+	defer closeBody(resp)
+	return orderError(path, resp)
+}
+
+func orderError(path string, resp *http.Response) error {
+	switch {
+	case resp.StatusCode >= 200 && resp.StatusCode < 300:
+		return nil
+	case resp.StatusCode == http.StatusConflict:
+		return result.New(result.StaleFence, "%s: %s", path, errorText(resp))
+	case resp.StatusCode >= 500:
+		return result.New(result.EngineUnreadable, "%s: status %d: %s", path, resp.StatusCode, errorText(resp))
+	default:
+		return result.New(result.EngineRefused, "%s: status %d: %s", path, resp.StatusCode, errorText(resp))
+	}
+}
+
+func errorText(resp *http.Response) string {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	return strings.TrimSpace(string(text))
+}
+
+// closeBody reads what is left of a small answer so that the connection can
+// be used again.
+func closeBody(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxErrorBytes)
+	_ = resp.Body.Close()
+}
--- a/process/control/types.go
+++ b/process/control/types.go
@@ -70,6 +70,10 @@
 	// After is the fence index of the agent's order that this one replaces;
 	// another order in between makes the command a conflict.
 	After uint64 `cbor:"6,keyasint"`
+	// Keep and KeepAdapters are set with Stage: what the agent's engine goes
+	// on serving meanwhile.
+	Keep         string   `cbor:"7,keyasint,omitempty"`
+	KeepAdapters []string `cbor:"8,keyasint,omitempty"`
 }
 
 // Reserve claims the one run of a call that may not be repeated.
