--- a/version/rollout/runner.go
+++ b/version/rollout/runner.go
@@ -19,8 +19,8 @@
 	"github.com/waxwingpost/waxwingpost/version/manifest"
 )
 
-// RunnerConfig sets a Runner up. Zero values take the defaults.
-type RunnerConfig struct {
+// Config sets a Runner up. Zero values take the defaults.
+type Config struct {
 	// Interval is the time between two plans.
 	Interval time.Duration
 	// ProposeTimeout bounds one order or registration.
@@ -38,7 +38,7 @@
 	MaxProposals int
 }
 
-func (c *RunnerConfig) setDefaults() {
+func (c *Config) setDefaults() {
 	setDuration(&c.Interval, 200*time.Millisecond)
 	setDuration(&c.ProposeTimeout, 5*time.Second)
 	setDuration(&c.StuckAfter, time.Minute)
@@ -78,7 +78,7 @@
 // commits carry authority: a Runner that wrongly believes that it leads gets
 // no order accepted.
 type Runner struct {
-	cfg   RunnerConfig
+	cfg   Config
 	store control.Store
 	state Machine
 	fleet Fleet
@@ -115,7 +115,7 @@
 }
 
 // New returns a Runner.
-func New(cfg RunnerConfig, store control.Store, state Machine, fleet Fleet, read ReadManifest, clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *Runner {
+func New(cfg Config, store control.Store, state Machine, fleet Fleet, read ReadManifest, clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *Runner {
 	cfg.setDefaults()
 	return &Runner{
 		cfg:      cfg,
