--- a/bench/fakes/answer.go
+++ b/bench/fakes/answer.go
@@ -15,7 +15,7 @@
 
 var (
 	englishWords = strings.Fields("the member states that wages for the month were withheld without notice and " +
-		"asks the labour officer to order their payment with interest within fifteen days of this letter")
+		"asks the officer to order their payment with interest within fifteen days of this letter")
 	malayalamWords = strings.Fields("അംഗത്തിന്റെ വേതനം അറിയിപ്പില്ലാതെ തടഞ്ഞുവെച്ചു അത് പലിശ സഹിതം " +
 		"പതിനഞ്ച് ദിവസത്തിനകം നൽകാൻ തൊഴിൽ ഓഫീസർ ഉത്തരവിടണമെന്ന് അപേക്ഷിക്കുന്നു")
 )
