--- /dev/null
+++ b/bench/cluster/call.go
@@ -0,0 +1,210 @@
+package cluster
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/bench/fakes"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+)
+
+const (
+	maxAnswerBytes = 16 << 20
+	maxEventBytes  = 1 << 20
+	eventDone      = "[DONE]"
+)
+
+// ChatCall is a caller's request for a chat completion.
+type ChatCall struct {
+	Account   string
+	Model     string
+	Prompt    string
+	System    string
+	Stream    bool
+	MaxTokens int
+	RequestID string
+	Priority  string
+	Deadline  time.Duration
+}
+
+// PlainCall is a caller's call of a plain service.
+type PlainCall struct {
+	Account string
+	Method  string
+	Path    string
+	Key     string
+	Body    []byte
+}
+
+// Outcome is what a caller learned.
+type Outcome struct {
+	Status  int
+	Code    int
+	Ran     string
+	Version string
+	Backend string
+	// RetryAfter is in seconds.
+	RetryAfter int
+	Body       []byte
+	// Text is the text of a chat completion.
+	Text      string
+	FirstByte time.Duration
+	Total     time.Duration
+	// Err is set when no whole answer or refusal was received.
+	Err error
+	// StreamError is the error that a stream ended with, if any.
+	StreamError string
+}
+
+// Refused reports whether the caller was told that its request was not run.
+func (o *Outcome) Refused() bool { return o.Ran == "not-run" }
+
+// Caller sends callers' requests. Safe for concurrent use.
+type Caller struct {
+	Client *http.Client
+}
+
+// NewCaller returns a Caller with connections of its own.
+func NewCaller() *Caller {
+	t := &http.Transport{MaxIdleConnsPerHost: 256, MaxConnsPerHost: 0}
+	return &Caller{Client: &http.Client{Transport: t}}
+}
+
+// Chat sends a chat completion to an entry's or engine's address.
+func (c *Caller) Chat(ctx context.Context, address string, call ChatCall) Outcome {
+	request := fakes.ChatRequest{Model: call.Model, Stream: call.Stream, MaxTokens: call.MaxTokens}
+	if call.System != "" {
+		request.Messages = append(request.Messages, fakes.Message{Role: "system", Content: call.System})
+	}
+	request.Messages = append(request.Messages, fakes.Message{Role: "user", Content: call.Prompt})
+	body, err := json.Marshal(request)
+	if err != nil {
+		return Outcome{Err: err}
+	}
+	header := http.Header{"Content-Type": {"application/json"}}
+	set(header, wire.HeaderAccount, call.Account)
+	set(header, wire.HeaderRequestID, call.RequestID)
+	set(header, wire.HeaderPriority, call.Priority)
+	if call.Deadline > 0 {
+		set(header, wire.HeaderDeadlineMs, strconv.FormatInt(call.Deadline.Milliseconds(), 10))
+	}
+	out := c.send(ctx, http.MethodPost, address+wire.PathChat, header, body, call.Stream)
+	if out.Err == nil && out.Status == http.StatusOK && !call.Stream {
+		out.Text, out.Err = wholeText(out.Body)
+	}
+	return out
+}
+
+// Plain sends a call of a plain service to an entry's address.
+func (c *Caller) Plain(ctx context.Context, address string, call PlainCall) Outcome {
+	header := http.Header{}
+	set(header, wire.HeaderAccount, call.Account)
+	set(header, wire.HeaderKey, call.Key)
+	return c.send(ctx, call.Method, address+call.Path, header, call.Body, false)
+}
+
+func set(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+func (c *Caller) send(ctx context.Context, method, url string, header http.Header, body []byte, stream bool) Outcome {
+	var out Outcome
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+url, bytes.NewReader(body))
+	if err != nil {
+		out.Err = err
+		return out
+	}
+	req.Header = header
+	// Without GetBody the client never sends a request a second time by itself.
+	req.GetBody = nil
+	start := time.Now()
+	resp, err := c.Client.Do(req)
+	if err != nil {
+		out.Err, out.Total = err, time.Since(start)
+		return out
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out.readHeader(resp)
+	if stream && resp.StatusCode == http.StatusOK {
+		out.readStream(resp.Body, start)
+	} else {
+		out.FirstByte = time.Since(start)
+		out.Body, out.Err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	}
+	out.Total = time.Since(start)
+	return out
+}
+
+func (o *Outcome) readHeader(resp *http.Response) {
+	o.Status = resp.StatusCode
+	o.Ran = resp.Header.Get(wire.HeaderRan)
+	o.Version = resp.Header.Get(wire.HeaderVersion)
+	o.Backend = resp.Header.Get(wire.HeaderBackend)
+	o.Code, _ = strconv.Atoi(resp.Header.Get(wire.HeaderCode))
+	o.RetryAfter, _ = strconv.Atoi(resp.Header.Get(wire.HeaderRetryAfter))
+}
+
+type chatEvent struct {
+	Choices []struct {
+		Delta   fakes.Message `json:"delta"`
+		Message fakes.Message `json:"message"`
+	} `json:"choices"`
+	Error json.RawMessage `json:"error"`
+}
+
+// readStream reads server-sent events up to the last one. A stream without its
+// last event is not whole.
+func (o *Outcome) readStream(body io.Reader, start time.Time) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxEventBytes)
+	var text strings.Builder
+	defer func() { o.Text = text.String() }()
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data:")
+		if !ok {
+			continue
+		}
+		if o.FirstByte == 0 {
+			o.FirstByte = time.Since(start)
+		}
+		data = strings.TrimSpace(data)
+		if data == eventDone {
+			return
+		}
+		var event chatEvent
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			o.Err = errors.Wrapf(err, "event %q", data)
+			return
+		}
+		if len(event.Error) > 0 {
+			o.StreamError = data
+			return
+		}
+		for _, choice := range event.Choices {
+			text.WriteString(choice.Delta.Content)
+		}
+	}
+	o.Err = errors.Newf("the stream ended without its last event: %v", lines.Err())
+}
+
+func wholeText(body []byte) (string, error) {
+	var event chatEvent
+	if err := json.Unmarshal(body, &event); err != nil {
+		return "", err
+	}
+	if len(event.Choices) == 0 {
+		return "", errors.Newf("no choices in %q", body)
+	}
+	return event.Choices[0].Message.Content, nil
+}
