--- a/version/rollout/plan.go
+++ b/version/rollout/plan.go
@@ -103,30 +103,30 @@
 }
 
 // budget returns how many serving replicas may be taken down now.
+//
+// Replicas that are stuck do not hold the others back, but no more of them are
+// excused than may be down at once: a version that no engine can load stops
+// after its first waves. A service with two replicas or more never loses the
+// last one.
 func budget(in Input, service config.Service, replicas []replica, missing int) int {
-	up, healthy := 0, 0
+	up, stuck := 0, 0
 	for _, r := range replicas {
-		if r.up() {
+		switch {
+		case r.up():
 			up++
-		}
-		if !r.stuck {
-			healthy++
+		case r.stuck:
+			stuck++
 		}
 	}
-	total := healthy + missing
-	floor := min(service.MinServing, total-1)
+	total := len(replicas) + missing
 	allowed := max(1, int(float64(total)*in.MaxDownShare))
-	return min(up-floor, allowed-(healthy-upAndHealthy(replicas))-missing)
-}
-
-func upAndHealthy(replicas []replica) int {
-	n := 0
-	for _, r := range replicas {
-		if r.up() && !r.stuck {
-			n++
-		}
+	excused := min(stuck, allowed)
+	floor := min(service.MinServing, total-excused-1)
+	if total > 1 {
+		floor = max(floor, min(service.MinServing, 1))
 	}
-	return n
+	down := len(replicas) - up + missing
+	return min(up-floor, allowed+excused-down)
 }
 
 // goal is what every replica of a service is to serve.
@@ -152,9 +152,9 @@
 		switch {
 		case r.ordered(g):
 			continue
-		case !r.up(), r.status.Serving == g.version && r.serves(g):
+		case r.down(), r.status.Serving == g.version && r.serves(g):
 			plan = append(plan, r.place(g.load()))
-		case staged && r.holds(g) && free > 0:
+		case staged && r.holds(g) && r.up() && free > 0:
 			free--
 			plan = append(plan, r.place(g.load()))
 		case !r.staging(g):
@@ -182,11 +182,13 @@
 func (g goal) stage(r replica) control.PlaceOrder {
 	order := g.load()
 	order.Stage = true
-	order.Keep = r.status.Serving
-	if r.order != nil && r.order.Stage {
-		order.KeepAdapters = r.order.KeepAdapters
-	} else if r.order != nil {
-		order.KeepAdapters = r.order.Adapters
+	switch {
+	case r.order == nil:
+		order.Keep = r.status.Serving
+	case r.order.Stage:
+		order.Keep, order.KeepAdapters = r.order.Keep, r.order.KeepAdapters
+	default:
+		order.Keep, order.KeepAdapters = r.order.Version, r.order.Adapters
 	}
 	return order
 }
@@ -200,15 +202,22 @@
 	return order
 }
 
-// up reports whether the replica serves and is not about to stop.
+// up reports whether the replica certainly serves and is not about to stop:
+// its status is not older than its order.
 func (r replica) up() bool {
 	if r.status.Serving == "" {
 		return false
 	}
-	if r.order == nil || r.order.Stage {
+	if r.order == nil || r.stuck && r.order.Stage {
 		return true
 	}
-	return r.order.Version == r.status.Serving && r.status.FenceIndex >= r.order.Fence.Index
+	return r.status.FenceIndex >= r.order.Fence.Index && (r.order.Stage || r.order.Version == r.status.Serving)
+}
+
+// down reports whether the replica certainly serves nothing. One whose status
+// is older than its order may be about to serve: it is neither up nor down.
+func (r replica) down() bool {
+	return r.status.Serving == "" && (r.order == nil || r.status.FenceIndex >= r.order.Fence.Index)
 }
 
 // ordered reports whether the order in force is to load the goal.
--- a/version/rollout/progress.go
+++ b/version/rollout/progress.go
@@ -101,8 +101,8 @@
 	scope.Gauge("stuck").Update(float64(p.Stuck))
 }
 
-// state is the dump of a Runner.
-type state struct {
+// runnerState is the dump of a Runner.
+type runnerState struct {
 	Leading  bool                       `json:"leading"`
 	Services map[string]ServiceProgress `json:"services"`
 	// Unregistered tells why versions are not registered yet.
@@ -114,7 +114,7 @@
 func (r *Runner) Dump() any {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return state{
+	return runnerState{
 		Leading:      r.leading,
 		Services:     maps.Clone(r.logged),
 		Unregistered: maps.Clone(r.failures),
--- a/version/rollout/runner.go
+++ b/version/rollout/runner.go
@@ -97,13 +97,11 @@
 
 // progress is what a Runner remembers of an agent.
 type progress struct {
-	service string
-	seen    time.Time
+	seen time.Time
 	// fence is that of the order in force; moved is when the agent last
-	// showed progress on it.
+	// showed progress on it or had it carried out.
 	fence uint64
 	bytes int64
-	done  bool
 	moved time.Time
 }
 
@@ -192,7 +190,7 @@
 	clear(r.failures)
 	for i := range orders {
 		o := &orders[i]
-		r.agents[o.Agent] = &progress{service: o.Service, seen: now, fence: o.Fence.Index, moved: now}
+		r.agents[o.Agent] = &progress{seen: now, fence: o.Fence.Index, moved: now}
 	}
 	r.log.Info("rollout leads", "agents", len(orders))
 	return true
@@ -209,9 +207,9 @@
 		Stuck:        make(map[string]bool),
 		MaxDownShare: r.cfg.MaxDownShare,
 	}
-	fences := make(map[string]uint64, len(orders))
+	inForce := make(map[string]*control.Order, len(orders))
 	for i := range orders {
-		fences[orders[i].Agent] = orders[i].Fence.Index
+		inForce[orders[i].Agent] = &orders[i]
 	}
 	alive := make(map[string]bool, len(statuses))
 	r.mu.Lock()
@@ -219,8 +217,7 @@
 	for i := range statuses {
 		s := &statuses[i]
 		alive[s.Name] = true
-		r.noteAgent(s, fences[s.Name], now)
-		if p := r.agents[s.Name]; !p.done && p.fence != 0 && now.Sub(p.moved) >= r.cfg.StuckAfter {
+		if r.noteAgent(s, inForce[s.Name], now) {
 			in.Stuck[s.Name] = true
 		}
 	}
@@ -237,19 +234,28 @@
 	return in
 }
 
-// noteAgent is called with mu held.
-func (r *Runner) noteAgent(s *wire.AgentStatus, fence uint64, now time.Time) {
+// noteAgent notes what an agent reports and returns whether it is stuck. It is
+// called with mu held.
+func (r *Runner) noteAgent(s *wire.AgentStatus, order *control.Order, now time.Time) bool {
 	p := r.agents[s.Name]
 	if p == nil {
 		p = &progress{moved: now}
 		r.agents[s.Name] = p
 	}
-	p.service, p.seen = s.Service, now
-	if p.fence != fence || p.bytes != s.Transfer.Done {
+	p.seen = now
+	if order == nil || carriedOut(s, order) {
+		p.moved = now
+		return false
+	}
+	if p.fence != order.Fence.Index || p.bytes != s.Transfer.Done {
 		p.moved = now
 	}
-	p.fence, p.bytes = fence, s.Transfer.Done
-	p.done = s.FenceIndex >= fence
+	p.fence, p.bytes = order.Fence.Index, s.Transfer.Done
+	return now.Sub(p.moved) >= r.cfg.StuckAfter
+}
+
+func carriedOut(s *wire.AgentStatus, order *control.Order) bool {
+	return s.FenceIndex >= order.Fence.Index && (order.Stage || s.Serving == order.Version)
 }
 
 func (r *Runner) digests(cfg *config.Config) map[string]manifest.Digest {
--- /dev/null
+++ b/version/rollout/runner_test.go
@@ -0,0 +1,156 @@
+package rollout
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/config"
+	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/control/state"
+	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/version/manifest"
+)
+
+// localStore applies commands to one machine at once.
+type localStore struct {
+	machine *state.Machine
+	leader  bool
+	barrier error
+
+	mu    sync.Mutex
+	index uint64
+}
+
+func (s *localStore) Propose(_ context.Context, cmd control.Command) (control.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.index++
+	return s.machine.Apply(s.index, 1, cmd), nil
+}
+func (s *localStore) Barrier(context.Context) error { return s.barrier }
+func (s *localStore) InQuorum() bool                { return s.leader }
+func (s *localStore) IsLeader() bool                { return s.leader }
+
+type fixedFleet []wire.AgentStatus
+
+func (f *fixedFleet) Statuses() []wire.AgentStatus { return *f }
+
+const runnerFile = `
+zones: {z1: {region: r1}}
+sources: {origin: {kind: origin, address: "127.0.0.1:9", zone: z1}}
+versions:
+  v1: {model: m, path: /v1}
+  v2: {model: m, path: /v2}
+services:
+  drafting: {kind: engine, version: v1, fencing: enforced, min_serving: 1}
+`
+
+type runnerRig struct {
+	*Runner
+	store   *localStore
+	fleet   *fixedFleet
+	clock   *clockwork.FakeClock
+	readErr error
+}
+
+func newRunnerRig(t *testing.T) *runnerRig {
+	t.Helper()
+	rig := &runnerRig{
+		store: &localStore{machine: state.New(state.Options{}), leader: true},
+		fleet: &fixedFleet{{Name: "a1", Service: service}, {Name: "a2", Service: service}},
+		clock: clockwork.NewFakeClock(),
+	}
+	read := func(_ context.Context, v config.Version) (*manifest.Manifest, error) {
+		return manifest.Build("named by the source", []byte(v.Path), 2), rig.readErr
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	rig.Runner = New(Config{}, rig.store, rig.store.machine, rig.fleet, read, rig.clock, log, tally.NoopScope)
+	rig.edit(t, runnerFile)
+	return rig
+}
+
+func (r *runnerRig) edit(t *testing.T, content string) {
+	t.Helper()
+	var base manifest.Digest
+	for _, f := range r.store.machine.Files() {
+		base = f.Digest
+	}
+	res, _ := r.store.Propose(context.Background(), control.Command{
+		ID: content, Edit: &control.Edit{File: "a.yaml", Base: base, Content: []byte(content)},
+	})
+	if res.Code != 0 {
+		t.Fatalf("edit refused: %+v", res)
+	}
+}
+
+func TestRunnerRegistersAndOrders(t *testing.T) {
+	r := newRunnerRig(t)
+	r.readErr = result.New(result.SourceFailed, "down")
+	r.step(context.Background())
+	if _, ok := r.store.machine.Manifest("v1"); ok || r.failures["v1"].Code != int(result.SourceFailed) {
+		t.Fatalf("failures %+v", r.failures)
+	}
+	r.readErr = nil
+	r.step(context.Background())
+	if _, ok := r.store.machine.Manifest("v1"); ok {
+		t.Fatal("tried again before its time")
+	}
+	r.clock.Advance(2 * time.Second)
+	r.step(context.Background())
+	if _, ok := r.store.machine.Manifest("v2"); ok {
+		t.Error("a version that no service names was registered")
+	}
+	if orders := r.store.machine.Orders(); len(orders) != 2 || orders[0].Version != "v1" || orders[0].Stage {
+		t.Errorf("orders %+v", orders)
+	}
+	before := r.store.index
+	r.step(context.Background())
+	if r.store.index != before {
+		t.Error("orders were repeated")
+	}
+}
+
+func TestRunnerWaitsForItsBarrierAndOnlyLeads(t *testing.T) {
+	r := newRunnerRig(t)
+	before := r.store.index
+	r.store.barrier = result.New(result.NoQuorum, "cut off")
+	r.step(context.Background())
+	r.store.barrier, r.store.leader = nil, false
+	r.step(context.Background())
+	if r.store.index != before {
+		t.Error("ordered without leading or before the barrier")
+	}
+}
+
+func TestRunnerTellsStuckFromMissing(t *testing.T) {
+	r := newRunnerRig(t)
+	r.step(context.Background())
+	for i, o := range r.store.machine.Orders() {
+		(*r.fleet)[i].Serving, (*r.fleet)[i].FenceIndex = "v1", o.Fence.Index
+	}
+	r.step(context.Background())
+	(*r.fleet)[0].Serving = ""
+	cfg, _ := r.store.machine.Config()
+	r.clock.Advance(59 * time.Second)
+	(*r.fleet)[0].Transfer.Done = 7
+	if in := r.observe(cfg); in.Stuck["a1"] {
+		t.Error("an agent that makes progress is stuck")
+	}
+	*r.fleet = (*r.fleet)[:1]
+	r.clock.Advance(59 * time.Second)
+	if in := r.observe(cfg); len(in.Missing) != 1 || in.Missing[0] != "a2" {
+		t.Errorf("missing %v", in.Missing)
+	}
+	r.clock.Advance(time.Second)
+	if in := r.observe(cfg); !in.Stuck["a1"] || len(in.Missing) != 0 {
+		t.Errorf("stuck %v, missing %v", in.Stuck, in.Missing)
+	}
+}
