--- /dev/null
+++ b/process/agent/agent.go
@@ -0,0 +1,169 @@
+// Package agent assembles the waxwingpost-agent process in the slot beside a
+// backend server: it announces the server, carries out orders on it, passes
+// requests to it, and moves and verifies weights.
+//
+// Each part locks only its own tables; no part calls another while it holds a
+// lock.
+package agent
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/connection/engine"
+	"github.com/waxwingpost/waxwingpost/connection/link"
+	"github.com/waxwingpost/waxwingpost/connection/mesh"
+	"github.com/waxwingpost/waxwingpost/connection/session"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/obs"
+	"github.com/waxwingpost/waxwingpost/process/settings"
+	"github.com/waxwingpost/waxwingpost/request/runner"
+	"github.com/waxwingpost/waxwingpost/version/loader"
+	"github.com/waxwingpost/waxwingpost/version/store"
+	"github.com/waxwingpost/waxwingpost/version/transfer"
+)
+
+const (
+	// homeEntries is how many entries an agent keeps links to.
+	homeEntries = 3
+	// engineTimeout bounds one call of the engine's order interface.
+	engineTimeout = 5 * time.Second
+
+	idleConnsPerHost = 256
+	idleConnTimeout  = 90 * time.Second
+	dialTimeout      = 2 * time.Second
+)
+
+// Agent is one running agent process.
+type Agent struct {
+	set     settings.Agent
+	hello   wire.Hello
+	auth    link.Authenticator
+	clock   clockwork.Clock
+	log     *slog.Logger
+	scope   tally.Scope
+	metrics http.Handler
+	closer  io.Closer
+
+	stats    *link.Stats
+	mesh     *mesh.Mesh
+	leases   *session.Leases
+	views    *views
+	transfer *transfer.Manager
+	loader   *loader.Controller
+	runner   *runner.Runner
+	dump     obs.State
+	beat     beatState
+}
+
+// New assembles an agent from valid settings. Nothing runs until Run.
+func New(set settings.Agent, logOut io.Writer) (*Agent, error) {
+	log, err := obs.NewLogger(logOut, set.LogLevel, set.Name)
+	if err != nil {
+		return nil, err
+	}
+	scope, metrics, closer := obs.NewMetrics(set.Name)
+	a := &Agent{
+		set:     set,
+		auth:    link.Authenticator{Key: set.JoinKey},
+		clock:   clockwork.NewRealClock(),
+		log:     log,
+		scope:   scope,
+		metrics: metrics,
+		closer:  closer,
+		stats:   &link.Stats{},
+	}
+	a.hello = wire.Hello{
+		Role:        wire.RoleAgent,
+		Name:        set.Name,
+		Incarnation: uuid.New().String(),
+		Zone:        set.Zone,
+		Region:      set.Region,
+		Address:     set.Listen,
+		Service:     set.Service,
+	}
+	return a, a.assemble()
+}
+
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+func newTransport() *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConnsPerHost: idleConnsPerHost,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
+
+func (a *Agent) assemble() error {
+	targets, err := settings.ParseTargets(a.set.Entries)
+	if err != nil {
+		return err
+	}
+	a.leases = session.NewLeases(session.Config{}, a.clock, newRand())
+	a.views = newViews(a)
+	dialer := &link.Dialer{Auth: a.auth, Self: a.self, Handler: a.views, Stats: a.stats}
+	home := homeTargets(a.set.Name, targets, homeEntries)
+	a.mesh = mesh.New(mesh.Config{Targets: home}, dialer, a.log)
+	backend := newTransport()
+	driver := engine.NewHTTP(a.set.Backend, backend, engineTimeout)
+	if err := a.newLoader(driver); err != nil {
+		return err
+	}
+	a.runner = runner.New(runner.Config{Backend: a.set.Backend, Agent: a.hello}, runner.Deps{
+		Gate:      a.loader,
+		Leases:    a.leases,
+		Driver:    driver,
+		Transport: backend,
+		Clock:     a.clock,
+		Log:       a.log,
+		Scope:     a.scope,
+	})
+	a.registerDump()
+	return nil
+}
+
+func (a *Agent) newLoader(driver engine.Driver) error {
+	var fetcher loader.Fetcher
+	if !a.set.Plain {
+		spool, err := store.Open(store.Config{Dir: a.set.Spool, MaxBytes: a.set.SpoolBytes})
+		if err != nil {
+			return err
+		}
+		peer := wire.Peer{Name: a.set.Name, Address: a.set.Listen, Zone: a.set.Zone, Region: a.set.Region}
+		a.transfer = transfer.New(transfer.Config{Self: peer}, spool, newTransport(), a.auth, a.clock, newRand(), a.log, a.scope)
+		fetcher = a.transfer
+	}
+	cfg := loader.Config{Agent: a.set.Name, Service: a.set.Service, Plain: a.set.Plain}
+	a.loader = loader.New(cfg, driver, fetcher, a, a.clock, a.log, a.scope)
+	return nil
+}
+
+func (a *Agent) self() wire.Hello { return a.hello }
+
+// Fence implements loader.FenceSource: it asks the linked entries in turn for
+// this agent's order as a quorum holds it.
+func (a *Agent) Fence(ctx context.Context) (wire.FenceReply, error) {
+	var reply wire.FenceReply
+	err := errNoEntry()
+	for _, c := range a.mesh.Conns() {
+		err = c.Call(ctx, wire.KindFence, wire.FenceQuery{Agent: a.set.Name}, &reply)
+		if err == nil {
+			return reply, nil
+		}
+	}
+	return reply, err
+}
--- /dev/null
+++ b/process/entry/entry.go
@@ -0,0 +1,207 @@
+// Package entry assembles the waxwingpost process of an entry VM: callers'
+// requests, the replica of the control state, the configuration folder, the
+// sessions of agents and, while this replica leads, the rollout.
+//
+// Each part locks only its own tables; no part calls another while it holds a
+// lock, so that there is no order between them to keep.
+package entry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/connection/link"
+	"github.com/waxwingpost/waxwingpost/connection/mesh"
+	"github.com/waxwingpost/waxwingpost/connection/session"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/config"
+	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/control/node"
+	"github.com/waxwingpost/waxwingpost/process/control/state"
+	"github.com/waxwingpost/waxwingpost/process/fleet"
+	"github.com/waxwingpost/waxwingpost/process/folder"
+	"github.com/waxwingpost/waxwingpost/process/obs"
+	"github.com/waxwingpost/waxwingpost/process/settings"
+	"github.com/waxwingpost/waxwingpost/request/api"
+	"github.com/waxwingpost/waxwingpost/version/manifest"
+	"github.com/waxwingpost/waxwingpost/version/rollout"
+	"github.com/waxwingpost/waxwingpost/version/source"
+)
+
+// Limits of the connections to agents.
+const (
+	idleConnsPerAgent  = 256
+	idleConnTimeout    = 90 * time.Second
+	dialTimeout        = 2 * time.Second
+	sourceClientBudget = 30 * time.Second
+)
+
+// Entry is one running entry process.
+type Entry struct {
+	set     settings.Entry
+	hello   wire.Hello
+	auth    link.Authenticator
+	clock   clockwork.Clock
+	log     *slog.Logger
+	scope   tally.Scope
+	metrics http.Handler
+	closer  io.Closer
+
+	stats    *link.Stats
+	mesh     *mesh.Mesh
+	machine  *state.Machine
+	node     *node.Node
+	sessions *session.Table
+	fleet    *fleet.Fleet
+	api      *api.API
+	folder   *folder.Watcher
+	rollout  *rollout.Runner
+	views    *views
+	dump     obs.State
+	ready    readiness
+}
+
+// New assembles an entry from valid settings. Nothing runs until Run.
+func New(set settings.Entry, logOut io.Writer) (*Entry, error) {
+	log, err := obs.NewLogger(logOut, set.LogLevel, set.Name)
+	if err != nil {
+		return nil, err
+	}
+	scope, metrics, closer := obs.NewMetrics(set.Name)
+	e := &Entry{
+		set:     set,
+		auth:    link.Authenticator{Key: set.JoinKey},
+		clock:   clockwork.NewRealClock(),
+		log:     log,
+		scope:   scope,
+		metrics: metrics,
+		closer:  closer,
+		stats:   &link.Stats{},
+	}
+	e.hello = wire.Hello{
+		Role:        wire.RoleEntry,
+		Name:        set.Name,
+		Incarnation: uuid.New().String(),
+		Zone:        set.Zone,
+		Region:      set.Region,
+		Address:     set.PeerListen,
+	}
+	return e, e.assemble()
+}
+
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+func (e *Entry) assemble() error {
+	targets, err := settings.ParseTargets(e.set.Entries)
+	if err != nil {
+		return err
+	}
+	e.machine = state.New(state.Options{})
+	e.fleet = fleet.New(e.clock)
+	e.sessions = session.New(session.Config{}, e.clock, e.scope)
+	e.mesh = e.newMesh(targets)
+	if e.node, err = e.newNode(targets); err != nil {
+		return err
+	}
+	e.hello.Replica = e.node.Replica()
+	if err := e.newFolder(); err != nil {
+		return err
+	}
+	e.api = e.newAPI()
+	e.rollout = rollout.New(rollout.Config{}, e.node, e.machine, e.fleet, e.fetchManifest, e.clock, e.log, e.scope)
+	e.views = newViews(e)
+	e.registerDump()
+	return nil
+}
+
+// newMesh dials only the entries with a later name, so that each pair of
+// entries shares one link.
+func (e *Entry) newMesh(targets map[string]string) *mesh.Mesh {
+	later := make(map[string]string)
+	for name, address := range targets {
+		if name > e.set.Name {
+			later[name] = address
+		}
+	}
+	dialer := &link.Dialer{Auth: e.auth, Self: e.self, Handler: e, Stats: e.stats}
+	return mesh.New(mesh.Config{Targets: later}, dialer, e.log)
+}
+
+func (e *Entry) newNode(targets map[string]string) (*node.Node, error) {
+	cfg := node.Config{
+		Name:      e.set.Name,
+		DataDir:   e.set.Data,
+		Peers:     settings.Names(targets),
+		Bootstrap: settings.SplitList(e.set.Bootstrap),
+	}
+	return node.New(cfg, e.machine, e.mesh, e.clock, newRand(), e.log, e.scope)
+}
+
+func (e *Entry) newFolder() error {
+	if e.set.Folder == "" {
+		return nil
+	}
+	if err := os.MkdirAll(e.set.Folder, 0o755); err != nil {
+		return err
+	}
+	cfg := folder.Config{Path: e.set.Folder, DataDir: e.set.Data, VM: e.set.Name}
+	e.folder = folder.New(cfg, e.node, e.machine, e.clock, e.log, e.scope)
+	return nil
+}
+
+func (e *Entry) newAPI() *api.API {
+	return api.New(api.Deps{
+		Config:    e.machine.Config,
+		Sessions:  e.sessions,
+		Store:     e.node,
+		Calls:     e.machine.Call,
+		Self:      e.hello,
+		Auth:      e.auth,
+		Transport: newTransport(),
+		Clock:     e.clock,
+		Rand:      newRand(),
+		Log:       e.log,
+		Scope:     e.scope,
+	})
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         dialContext(dialTimeout),
+		MaxIdleConnsPerHost: idleConnsPerAgent,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
+
+func (e *Entry) self() wire.Hello { return e.hello }
+
+// fetchManifest reads the manifest of a version from the sources, the store
+// before the origin, until one has it.
+func (e *Entry) fetchManifest(ctx context.Context, v config.Version) (*manifest.Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, sourceClientBudget)
+	defer cancel()
+	cfg, _ := e.machine.Config()
+	var lastErr error
+	for _, src := range wireSources(cfg) {
+		m, err := source.Manifest(ctx, &http.Client{Transport: newTransport()}, src, v.Path)
+		if err == nil {
+			return m, nil
+		}
+		lastErr = err
+	}
+	return nil, lastErr
+}
+
+var _ control.Store = (*node.Node)(nil)
--- /dev/null
+++ b/process/entry/links.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/waxwingpost/waxwingpost/connection/link"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+// fenceTimeout bounds the quorum round that answers a fence query.
+const fenceTimeout = 3 * time.Second
+
+// open takes in a link that another process dialed.
+func (e *Entry) open(c *link.Conn) (func(), error) {
+	switch c.Peer().Role {
+	case wire.RoleEntry:
+		return e.mesh.Add(c), nil
+	case wire.RoleAgent:
+		return e.openAgent(c)
+	default:
+		return nil, result.New(result.BadMessage, "unknown role %q", c.Peer().Role)
+	}
+}
+
+func (e *Entry) openAgent(c *link.Conn) (func(), error) {
+	hello := c.Peer()
+	if err := e.sessions.Open(hello); err != nil {
+		e.log.Warn("agent refused", "agent", hello.Name, "incarnation", hello.Incarnation, "code", int(result.CodeOf(err)), "error", err)
+		return nil, err
+	}
+	e.log.Info("agent joined", "agent", hello.Name, "incarnation", hello.Incarnation, "service", hello.Service, "zone", hello.Zone)
+	e.views.add(c)
+	return func() {
+		e.views.remove(c)
+		e.sessions.Lost(hello.Name, hello.Incarnation)
+		e.log.Info("agent link lost", "agent", hello.Name, "incarnation", hello.Incarnation)
+	}, nil
+}
+
+// Notify implements link.Handler.
+func (e *Entry) Notify(c *link.Conn, kind wire.Kind, body cbor.RawMessage) {
+	switch kind {
+	case wire.KindLeave:
+		e.leave(c)
+	case wire.KindFleet:
+		e.fleetReport(body)
+	default:
+		e.notifyNode(c, kind, body)
+	}
+}
+
+// notifyNode passes control messages on, from entries only.
+func (e *Entry) notifyNode(c *link.Conn, kind wire.Kind, body cbor.RawMessage) {
+	if c.Peer().Role == wire.RoleEntry {
+		e.node.Notify(c.Peer(), kind, body)
+	}
+}
+
+func (e *Entry) leave(c *link.Conn) {
+	hello := c.Peer()
+	e.sessions.Leave(hello.Name, hello.Incarnation)
+	e.log.Info("agent leaves", "agent", hello.Name, "incarnation", hello.Incarnation)
+}
+
+func (e *Entry) fleetReport(body cbor.RawMessage) {
+	var report wire.FleetReport
+	if err := cbor.Unmarshal(body, &report); err != nil {
+		e.log.Warn("fleet report unreadable", "code", int(result.BadMessage), "error", err)
+		return
+	}
+	e.fleet.Report(report)
+}
+
+// Call implements link.Handler.
+func (e *Entry) Call(ctx context.Context, c *link.Conn, kind wire.Kind, body cbor.RawMessage) (any, error) {
+	switch {
+	case kind == wire.KindHeartbeat && c.Peer().Role == wire.RoleAgent:
+		return e.heartbeat(c, body)
+	case kind == wire.KindFence && c.Peer().Role == wire.RoleAgent:
+		return e.fence(ctx, body)
+	case c.Peer().Role == wire.RoleEntry:
+		return e.node.Call(ctx, c.Peer(), kind, body)
+	default:
+		return nil, result.New(result.BadMessage, "kind %d from role %s", kind, c.Peer().Role)
+	}
+}
+
+func (e *Entry) heartbeat(c *link.Conn, body cbor.RawMessage) (any, error) {
+	var hb wire.Heartbeat
+	if err := cbor.Unmarshal(body, &hb); err != nil {
+		return nil, result.New(result.BadMessage, "heartbeat: %v", err)
+	}
+	hello := c.Peer()
+	e.sessions.Heartbeat(hello.Name, hello.Incarnation, hb)
+	_, revision := e.machine.Config()
+	return wire.HeartbeatAck{Seq: hb.Seq, Revision: revision}, nil
+}
+
+// fence answers with the agent's order as it stands after a quorum round.
+func (e *Entry) fence(ctx context.Context, body cbor.RawMessage) (any, error) {
+	var q wire.FenceQuery
+	if err := cbor.Unmarshal(body, &q); err != nil {
+		return nil, result.New(result.BadMessage, "fence query: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+	defer cancel()
+	if err := e.node.Barrier(ctx); err != nil {
+		return nil, err
+	}
+	reply := wire.FenceReply{Index: e.machine.Index()}
+	if order, ok := e.machine.Order(q.Agent); ok {
+		reply.Order = &order
+	}
+	return reply, nil
+}
+
+// runReports tells the leader of the agents that are linked here, until ctx
+// ends. The leader reports to itself.
+func (e *Entry) runReports(ctx context.Context) {
+	ticker := e.clock.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for seq := uint64(1); ; seq++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			e.report(seq)
+		}
+	}
+}
+
+const reportInterval = 500 * time.Millisecond
+
+func (e *Entry) report(seq uint64) {
+	_, revision := e.machine.Config()
+	r := wire.FleetReport{Entry: e.set.Name, Seq: seq, Revision: revision, Agents: e.sessions.Statuses()}
+	leader := e.node.Leader()
+	switch leader {
+	case "":
+	case e.set.Name:
+		e.fleet.Report(r)
+	default:
+		_ = e.mesh.Notify(leader, wire.KindFleet, r)
+	}
+}
--- /dev/null
+++ b/process/entry/run.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/waxwingpost/waxwingpost/connection/link"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/obs"
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+const (
+	headerTimeout  = 10 * time.Second
+	shutdownBudget = 5 * time.Second
+	barrierTimeout = 2 * time.Second
+	barrierRetry   = 200 * time.Millisecond
+)
+
+// readiness tells the balancer whether to send callers here.
+type readiness struct {
+	synced   atomic.Bool
+	draining atomic.Bool
+}
+
+// check returns why the entry is not ready, or nil.
+func (e *Entry) check() error {
+	_, revision := e.machine.Config()
+	switch {
+	case e.ready.draining.Load():
+		return result.New(result.Draining, "stopping")
+	case !e.ready.synced.Load():
+		return result.New(result.NoQuorum, "the current revision was not yet read from a quorum")
+	case !e.node.InQuorum():
+		return result.New(result.CutOff, "no quorum was heard of")
+	case revision == 0:
+		return result.New(result.NotFound, "no configuration was accepted yet")
+	default:
+		return nil
+	}
+}
+
+func dialContext(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: timeout}
+	return d.DialContext
+}
+
+// Run serves until ctx ends, then stops gracefully: readiness fails at once,
+// new requests are taken for the grace period, and what is in progress ends.
+func (e *Entry) Run(ctx context.Context) error {
+	defer func() { _ = e.closer.Close() }()
+	callers, peers, err := e.listen()
+	if err != nil {
+		return err
+	}
+	e.log.Info("entry started", "listen", e.set.Listen, "peer_listen", e.set.PeerListen, "replica", e.hello.Replica, "incarnation", e.hello.Incarnation)
+	// The parts outlive ctx: they are needed until the requests have ended.
+	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	group, groupCtx := errgroup.WithContext(partsCtx)
+	callerSrv := newServer(e.callerMux())
+	peerSrv := newServer(e.peerMux())
+	group.Go(func() error { return serve(callerSrv, callers) })
+	group.Go(func() error { return serve(peerSrv, peers) })
+	e.startParts(groupCtx, group)
+	select {
+	case <-ctx.Done():
+		e.drain(callerSrv)
+	case <-groupCtx.Done():
+	}
+	stopParts()
+	_ = callerSrv.Close()
+	_ = peerSrv.Close()
+	err = group.Wait()
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	e.log.Info("entry stopped", "code", int(result.CodeOf(err)))
+	return err
+}
+
+func (e *Entry) listen() (callers, peers net.Listener, err error) {
+	if callers, err = net.Listen("tcp", e.set.Listen); err != nil {
+		return nil, nil, err
+	}
+	if peers, err = net.Listen("tcp", e.set.PeerListen); err != nil {
+		_ = callers.Close()
+		return nil, nil, err
+	}
+	return callers, peers, nil
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+}
+
+func serve(srv *http.Server, l net.Listener) error {
+	err := srv.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (e *Entry) startParts(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { e.mesh.Run(ctx); return nil })
+	group.Go(func() error { return e.node.Run(ctx) })
+	group.Go(func() error { e.views.run(ctx); return nil })
+	group.Go(func() error { e.runReports(ctx); return nil })
+	group.Go(func() error { return e.rollout.Run(ctx) })
+	group.Go(func() error { e.syncOnce(ctx); return nil })
+	if e.folder != nil {
+		group.Go(func() error { return e.folder.Run(ctx) })
+	}
+}
+
+// syncOnce reads the current state from a quorum before the entry is ready.
+func (e *Entry) syncOnce(ctx context.Context) {
+	for ctx.Err() == nil {
+		barrierCtx, cancel := context.WithTimeout(ctx, barrierTimeout)
+		err := e.node.Barrier(barrierCtx)
+		cancel()
+		if err == nil {
+			e.ready.synced.Store(true)
+			_, revision := e.machine.Config()
+			e.log.Info("entry synced", "revision", revision, "index", e.machine.Index())
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-e.clock.After(barrierRetry):
+		}
+	}
+}
+
+func (e *Entry) drain(callers *http.Server) {
+	e.ready.draining.Store(true)
+	e.log.Info("entry draining", "grace", e.set.DrainGrace)
+	<-e.clock.After(e.set.DrainGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), e.set.DrainLimit)
+	defer cancel()
+	if err := e.api.Drain(ctx); err != nil {
+		e.log.Error("drain limit reached", "code", int(result.CodeOf(err)), "error", err)
+	}
+	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), shutdownBudget)
+	defer cancelShutdown()
+	_ = callers.Shutdown(shutdownCtx)
+}
+
+func (e *Entry) callerMux() http.Handler {
+	mux := http.NewServeMux()
+	obs.AddHealth(mux, e.check)
+	mux.Handle("/", e.api)
+	return mux
+}
+
+func (e *Entry) peerMux() http.Handler {
+	mux := http.NewServeMux()
+	acceptor := &link.Acceptor{Auth: e.auth, Self: e.self, Open: e.open, Handler: e, Stats: e.stats}
+	mux.Handle(link.Path, acceptor)
+	obs.AddHealth(mux, e.check)
+	mux.Handle(wire.PathMetrics, e.auth.Require(e.metrics))
+	mux.Handle(wire.PathState, e.auth.Require(&e.dump))
+	mux.Handle(wire.PathExplain, e.auth.Require(obs.ExplainHandler(e.explain)))
+	return mux
+}
