--- a/process/obs/obs_test.go
+++ b/process/obs/obs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -19,7 +20,7 @@
 		t.Fatal(err)
 	}
 	w := httptest.NewRecorder()
-	handler.ServeHTTP(w, httptest.NewRequest("GET", wire.PathMetrics, nil))
+	handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, wire.PathMetrics, nil))
 	if body := w.Body.String(); !strings.Contains(body, `waxwingpost_api_requests{process="entry-1"} 3`) {
 		t.Errorf("counter is missing:\n%s", body)
 	}
@@ -43,7 +44,7 @@
 	s.Add("one", func() any { return 1 })
 	s.Add("two", func() any { return []string{"x"} })
 	w := httptest.NewRecorder()
-	s.ServeHTTP(w, httptest.NewRequest("GET", wire.PathState, nil))
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, wire.PathState, nil))
 	if body := w.Body.String(); !strings.Contains(body, `"one": 1`) || !strings.Contains(body, `"two"`) {
 		t.Errorf("got %s", body)
 	}
@@ -52,7 +53,7 @@
 func TestUnknownExplainQueryIsNotFound(t *testing.T) {
 	h := ExplainHandler(func(string) (any, error) { return nil, result.New(result.NotFound, "x") })
 	w := httptest.NewRecorder()
-	h.ServeHTTP(w, httptest.NewRequest("GET", wire.PathExplain+"?q=revision:9", nil))
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, wire.PathExplain+"?q=revision:9", nil))
 	if w.Code != 404 {
 		t.Errorf("status %d", w.Code)
 	}
