--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -33,8 +33,6 @@
 )
 
 const (
-	// homeEntries is how many entries an agent keeps links to.
-	homeEntries = 3
 	// engineTimeout bounds one call of the engine's order interface.
 	engineTimeout = 5 * time.Second
 
@@ -116,7 +114,7 @@
 	a.leases = session.NewLeases(session.Config{}, a.clock, newRand())
 	a.views = newViews(a)
 	dialer := &link.Dialer{Auth: a.auth, Self: a.self, Handler: a.views, Stats: a.stats}
-	home := homeTargets(a.set.Name, targets, homeEntries)
+	home := homeTargets(a.set.Name, targets, a.set.HomeEntries)
 	a.mesh = mesh.New(mesh.Config{Targets: home}, dialer, a.log)
 	backend := newTransport()
 	driver := engine.NewHTTP(a.set.Backend, backend, engineTimeout)
--- /dev/null
+++ b/process/agent/agent_test.go
@@ -0,0 +1,66 @@
+package agent
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/control"
+)
+
+func entries(count int) map[string]string {
+	targets := make(map[string]string)
+	for i := range count {
+		targets[fmt.Sprintf("entry-%d", i)] = fmt.Sprintf("127.0.0.1:%d", 7000+i)
+	}
+	return targets
+}
+
+func TestRemovedEntryMovesOnlyItsOwnAgents(t *testing.T) {
+	const agents, homes = 200, 3
+	before, after := entries(10), entries(9) // entry-9 is removed
+	for i := range agents {
+		name := fmt.Sprintf("agent-%d", i)
+		old, now := homeTargets(name, before, homes), homeTargets(name, after, homes)
+		if len(old) != homes || len(now) != homes {
+			t.Fatalf("%s has %d and %d homes", name, len(old), len(now))
+		}
+		for entry := range old {
+			if _, ok := now[entry]; !ok && entry != "entry-9" {
+				t.Errorf("%s left %s without need", name, entry)
+			}
+		}
+	}
+}
+
+func TestZeroHomesMeansAllEntries(t *testing.T) {
+	if got := homeTargets("a", entries(5), 0); len(got) != 5 {
+		t.Errorf("%d homes", len(got))
+	}
+}
+
+func view(revision, fence uint64) wire.AgentView {
+	v := wire.AgentView{Revision: revision}
+	if fence > 0 {
+		v.Order = &control.Order{Fence: control.Fence{Index: fence}}
+	}
+	return v
+}
+
+func TestViewsNeverGoBack(t *testing.T) {
+	for _, c := range []struct {
+		next, current wire.AgentView
+		newer         bool
+	}{
+		{view(2, 5), view(1, 5), true},
+		{view(1, 5), view(2, 5), false},
+		{view(2, 4), view(2, 5), false},
+		{view(2, 0), view(2, 5), false},
+		{view(2, 6), view(2, 5), true},
+		{view(2, 5), view(2, 5), true},
+	} {
+		if got := isNewer(c.next, c.current); got != c.newer {
+			t.Errorf("revision %d fence %d after revision %d fence %d: newer=%v", c.next.Revision, fenceIndex(c.next), c.current.Revision, fenceIndex(c.current), got)
+		}
+	}
+}
--- a/process/agent/home.go
+++ b/process/agent/home.go
@@ -9,8 +9,12 @@
 )
 
 // homeTargets picks the count entries with the highest rendezvous weight for
-// an agent, so that an entry that is added or removed moves few agents.
+// an agent, so that an entry that is added or removed moves few agents. A
+// count of 0 picks all.
 func homeTargets(agent string, targets map[string]string, count int) map[string]string {
+	if count == 0 {
+		return targets
+	}
 	names := settings.Names(targets)
 	slices.SortStableFunc(names, func(a, b string) int {
 		wa, wb := rendezvousWeight(agent, a), rendezvousWeight(agent, b)
--- a/process/entry/views.go
+++ b/process/entry/views.go
@@ -21,6 +21,8 @@
 	// peerRefresh is how often a change of the agents alone, without a change
 	// of the control state, reaches the agents.
 	peerRefresh = time.Second
+	// minViewInterval joins the changes that come close together into one pass.
+	minViewInterval = 50 * time.Millisecond
 )
 
 // views keeps every linked agent's AgentView current. A view is sent only when
@@ -68,6 +70,11 @@
 		case <-v.wake:
 		case <-ticker.Chan():
 		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-v.entry.clock.After(minViewInterval):
+		}
 	}
 }
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -45,13 +45,14 @@
 // Agent holds the settings of waxwingpost-agent run.
 type Agent struct {
 	Common
-	Listen     string        `help:"IP:PORT for entries, other agents and operators." env:"WAXWINGPOST_LISTEN"`
-	Service    string        `help:"Service that the backend server beside this agent runs." env:"WAXWINGPOST_SERVICE"`
-	Backend    string        `help:"IP:PORT of the backend server." env:"WAXWINGPOST_BACKEND"`
-	Plain      bool          `help:"The backend server is a plain service, not a model engine." env:"WAXWINGPOST_PLAIN"`
-	Spool      string        `help:"Folder for weights; needed unless --plain." env:"WAXWINGPOST_SPOOL"`
-	SpoolBytes int64         `help:"Limit of the spool in bytes; 0 is no limit." env:"WAXWINGPOST_SPOOL_BYTES" default:"0"`
-	DrainLimit time.Duration `help:"How long requests in progress may take to finish at a planned stop." env:"WAXWINGPOST_DRAIN_LIMIT" default:"10m"`
+	Listen      string        `help:"IP:PORT for entries, other agents and operators." env:"WAXWINGPOST_LISTEN"`
+	Service     string        `help:"Service that the backend server beside this agent runs." env:"WAXWINGPOST_SERVICE"`
+	Backend     string        `help:"IP:PORT of the backend server." env:"WAXWINGPOST_BACKEND"`
+	Plain       bool          `help:"The backend server is a plain service, not a model engine." env:"WAXWINGPOST_PLAIN"`
+	Spool       string        `help:"Folder for weights; needed unless --plain." env:"WAXWINGPOST_SPOOL"`
+	HomeEntries int           `help:"How many entries this agent links to. Set it to 0, all entries, for a service with few backend servers." env:"WAXWINGPOST_HOME_ENTRIES" default:"8"`
+	SpoolBytes  int64         `help:"Limit of the spool in bytes; 0 is no limit." env:"WAXWINGPOST_SPOOL_BYTES" default:"0"`
+	DrainLimit  time.Duration `help:"How long requests in progress may take to finish at a planned stop." env:"WAXWINGPOST_DRAIN_LIMIT" default:"10m"`
 }
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
@@ -156,6 +157,9 @@
 	if !a.Plain && a.Spool == "" {
 		p.add("spool", "give a folder for weights, or --plain", "no spool")
 	}
+	if a.HomeEntries < 0 {
+		p.add("home-entries", "give 0 or more", "%d is negative", a.HomeEntries)
+	}
 	if a.SpoolBytes < 0 {
 		p.add("spool-bytes", "give 0 or more", "%d is negative", a.SpoolBytes)
 	}
