--- a/connection/session/table.go
+++ b/connection/session/table.go
@@ -267,6 +267,22 @@
 	return s.backend, false
 }
 
+// SilentAfter is the time without a heartbeat that makes an agent silent.
+func (t *Table) SilentAfter() time.Duration { return t.cfg.SilentAfter() }
+
+// Silent reports whether an agent stopped sending heartbeats without having
+// announced a stop, or was replaced by another incarnation.
+func (t *Table) Silent(name, incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.sessions[name]
+	if s == nil || s.hello.Incarnation != incarnation {
+		return true
+	}
+	leaving := s.left || (s.backend != nil && s.backend.Status.Draining)
+	return !leaving && t.clock.Now().Sub(s.seenAt) >= t.cfg.SilentAfter()
+}
+
 // Statuses returns the newest status of every agent that is not silent.
 func (t *Table) Statuses() []wire.AgentStatus {
 	t.mu.Lock()
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -116,6 +116,7 @@
 	limits   *admission.Limits
 	requests *reqlog.Log
 	once     *once.Coordinator
+	watcher  *watcher
 	server   http.Handler
 	send     endpoint.Endpoint
 	counters counters
@@ -144,6 +145,7 @@
 		idPrefix: d.Self.Name + "-" + shortened(d.Self.Incarnation) + "-",
 	}
 	a.cfg.Routing.Entry, a.cfg.Routing.Zone, a.cfg.Routing.Region = d.Self.Name, d.Self.Zone, d.Self.Region
+	a.watcher = newWatcher(d.Sessions, d.Clock)
 	a.requests = reqlog.New(a.cfg.LogSize, d.Clock)
 	a.once = once.NewCoordinator(once.Deps{
 		Config: a.cfg.Once, Store: d.Store, Calls: d.Calls, Lookup: d.Sessions.Lookup, Ask: a.askEndpoint(),
--- a/request/api/decode.go
+++ b/request/api/decode.go
@@ -3,19 +3,21 @@
 import (
 	"bytes"
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/config"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/reqlog"
+	"github.com/waxwingpost/waxwingpost/request/routing"
+	"github.com/waxwingpost/waxwingpost/version/manifest"
 )
 
 // request is a caller's request.
@@ -221,15 +223,27 @@
 	return nil
 }
 
-// prefixHash hashes the start of the prompt, which requests of one kind share.
+// prefixHash names the start of the prompt, which requests of one kind share,
+// as engines name it in their cache events: by the first bytes of the digest
+// of the first message's start.
 func (a *API) prefixHash(chat *chatRequest) uint64 {
 	if len(chat.Messages) == 0 {
 		return 0
 	}
-	first := chat.Messages[0]
-	return xxhash.Sum64(first[:min(len(first), a.cfg.AffinityBytes)])
+	var first struct {
+		Content string `json:"content"`
+	}
+	start := string(chat.Messages[0])
+	if err := json.Unmarshal(chat.Messages[0], &first); err == nil {
+		start = first.Content
+	}
+	sum := manifest.Sum([]byte(start[:min(len(start), a.cfg.AffinityBytes)]))
+	return routing.PrefixHash(hex.EncodeToString(sum[:prefixNameBytes]))
 }
 
+// prefixNameBytes is how much of a digest names a prefix.
+const prefixNameBytes = 8
+
 func (a *API) readPriority(req *request, cfg *config.Config, preset string) error {
 	req.priority = req.http.Header.Get(wire.HeaderPriority)
 	if req.priority == "" {
--- a/request/api/dispatch.go
+++ b/request/api/dispatch.go
@@ -67,7 +67,7 @@
 	set(wire.HeaderIncarnation, d.backend.Incarnation)
 	set(wire.HeaderRequestID, d.req.id)
 	set(wire.HeaderAccount, d.req.account)
-	set(wire.HeaderPriority, d.req.priority)
+	set(wire.HeaderPriority, strconv.Itoa(d.req.rank))
 	set(wire.HeaderEntry, a.d.Self.Name)
 	set(wire.HeaderVersion, d.version)
 	left := d.req.deadline.Sub(a.d.Clock.Now())
@@ -119,11 +119,14 @@
 // exchange sends a dispatch and returns the agent's answer. Its errors tell
 // by their Ran whether the request may have run.
 func (a *API) exchange(ctx context.Context, d *dispatch) (*http.Response, *result.Error) {
-	got, err := a.send(ctx, d)
+	watched, watch := a.watcher.start(ctx, d.backend)
+	got, err := a.send(watched, d)
 	if err != nil {
+		a.watcher.stop(watch)
 		return nil, dispatchError(ctx, err, d.backend.Name)
 	}
 	resp := got.(*http.Response)
+	resp.Body = &watchedBody{ReadCloser: resp.Body, w: a.watcher, x: watch}
 	if problem := checkAnswer(resp, d); problem != "" {
 		_ = resp.Body.Close()
 		e := result.New(result.BackendFailed, "%s: %s", d.backend.Name, problem)
@@ -152,12 +155,13 @@
 }
 
 func dispatchError(ctx context.Context, err error, backend string) *result.Error {
-	var e *result.Error
-	if errors.As(err, &e) {
-		if e.Ran == result.RanUnstated {
-			e.Ran = result.RanUnknown
+	var known *result.Error
+	if errors.As(err, &known) {
+		copied := *known
+		if copied.Ran == result.RanUnstated {
+			copied.Ran = result.RanUnknown
 		}
-		return e
+		return &copied
 	}
 	code := result.BackendFailed
 	switch ctx.Err() {
@@ -166,7 +170,7 @@
 	case context.Canceled:
 		code = result.CallerGone
 	}
-	e = result.New(code, "%s: %v", backend, err)
+	e := result.New(code, "%s: %v", backend, err)
 	e.Ran = result.RanUnknown
 	if stream.NeverSent(err) {
 		e.Ran = result.NotRun
--- a/request/api/serve.go
+++ b/request/api/serve.go
@@ -116,7 +116,9 @@
 		}
 		an.finish(routing.Neutral, 0)
 		if an.maybeRan && fail.Ran == result.NotRun {
-			fail.Ran = result.RanUnknown
+			unsure := *fail
+			unsure.Ran = result.RanUnknown
+			return &unsure
 		}
 		return fail
 	}
