Planner: trust the claims of fetchers that are heard; virtual links

Cause: with 40 requests sharing the origin's link a chunk takes 47 s; claims were taken for dead after 10 s and regions for lost after 20 s without a whole chunk, so chunks were fetched twice. A fetcher drops a claim itself when its request stalls, so age says nothing.

--- a/version/planner/bits.go
+++ b/version/planner/bits.go
@@ -32,6 +32,15 @@
 	return n
 }
 
+func (b Bits) empty() bool {
+	for _, w := range b {
+		if w != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Clone returns a copy.
 func (b Bits) Clone() Bits {
 	return append(Bits(nil), b...)
--- a/version/planner/enter.go
+++ b/version/planner/enter.go
@@ -40,18 +40,20 @@
 }
 
 // inRegion reports whether a near neighbor holds the chunk or is bringing it
-// in. A claim that made no progress for long doesn't count.
+// in. The claim of a neighbor that is heard counts: it drops the claim itself
+// when its request stalls.
 func (p *pass) inRegion(c int) bool {
 	return slices.ContainsFunc(p.t.neighbors, func(n *neighbor) bool {
 		if n.far || p.suspected(n) {
 			return false
 		}
-		return n.have.Has(c) && n.failures < maxFailures || n.claims.Has(c) && !p.idle(n)
+		return n.have.Has(c) && n.failures < maxFailures || n.claims.Has(c)
 	})
 }
 
+// idle reports whether a fetcher brings nothing in and made no progress.
 func (p *pass) idle(n *neighbor) bool {
-	return p.suspected(n) || p.now-n.progress > p.t.set.StealAfter
+	return p.suspected(n) || n.claims.empty() && p.now-n.progress > p.t.set.StealAfter
 }
 
 // inCharge reports whether self is to bring the chunk in: as the first of its
@@ -80,10 +82,13 @@
 		return n
 	}
 	n := 0
-	for c := range p.t.chunks {
-		if p.t.owners[c][0] == name && p.need.Has(c) && !p.inRegion(c) {
+	p.need.each(func(c int) {
+		if p.t.owners[c][0] == name && !p.inRegion(c) {
 			n++
 		}
+	})
+	if p.backlogs == nil {
+		p.backlogs = make(map[string]int)
 	}
 	p.backlogs[name] = n
 	return n
@@ -128,7 +133,7 @@
 	load := 0
 	for _, n := range p.t.neighbors {
 		if n.far && n.region == region {
-			load += p.load[n]
+			load += p.load[n.index]
 		}
 	}
 	return load
@@ -152,7 +157,7 @@
 // progress, and no region is known to hold or fetch the chunk.
 func (p *pass) homeLost(c int, homes []string) bool {
 	for _, n := range p.t.neighbors {
-		if n.far && !p.suspected(n) && (n.have.Has(c) && !p.demoted(n) || n.claims.Has(c) && p.moving(n)) {
+		if n.far && !p.suspected(n) && (n.have.Has(c) && !p.demoted(n) || n.claims.Has(c)) {
 			return false
 		}
 	}
@@ -174,7 +179,7 @@
 }
 
 func (p *pass) moving(n *neighbor) bool {
-	return p.now-n.progress <= p.t.set.HomeTimeout
+	return !n.claims.empty() || p.now-n.progress <= p.t.set.HomeTimeout
 }
 
 // fromSource picks a source that is ready: one that isn't the origin before
--- a/version/planner/plan.go
+++ b/version/planner/plan.go
@@ -13,6 +13,9 @@
 		return nil
 	}
 	p := newPass(t, now)
+	if !t.fetcher && p.total >= t.set.InFlight {
+		return nil
+	}
 	if t.fetcher {
 		p.enter()
 	}
@@ -31,21 +34,16 @@
 	// need holds the chunks that are neither held nor asked for.
 	need Bits
 	// load counts requests in flight by neighbor, with those planned here.
-	load  map[*neighbor]int
+	load  []int
 	total int
 	// backlogs holds what backlog counted, by fetcher.
 	backlogs map[string]int
 }
 
 func newPass(t *Table, now time.Duration) *pass {
-	p := &pass{t: t, now: now, need: NewBits(t.chunks), load: make(map[*neighbor]int, len(t.neighbors)), backlogs: make(map[string]int)}
-	for c := range t.chunks {
-		if !t.have.Has(c) && t.pending[c] == 0 {
-			p.need.Set(c)
-		}
-	}
-	for _, n := range t.neighbors {
-		p.load[n] = n.inFlight
+	p := &pass{t: t, now: now, need: t.need.Clone(), load: make([]int, len(t.neighbors))}
+	for i, n := range t.neighbors {
+		p.load[i] = n.inFlight
 	}
 	for _, f := range t.flights {
 		if !f.entering() {
@@ -59,7 +57,7 @@
 	p.out = append(p.out, r)
 	p.need.Clear(r.Chunk)
 	if n := p.t.byName[r.From]; n != nil {
-		p.load[n]++
+		p.load[n.index]++
 	}
 	if !r.entering() {
 		p.total++
@@ -123,7 +121,7 @@
 }
 
 func (p *pass) available(n *neighbor, demoted bool) bool {
-	if n.far || p.load[n] >= p.t.set.PerNeighbor || n.busy > p.now || p.suspected(n) {
+	if n.far || p.load[n.index] >= p.t.set.PerNeighbor || n.busy > p.now || p.suspected(n) {
 		return false
 	}
 	return demoted || !p.demoted(n)
@@ -155,7 +153,7 @@
 func (p *pass) compare(a, b *neighbor) int {
 	return cmp.Or(
 		cmp.Compare(rank(p.demoted(a)), rank(p.demoted(b))),
-		cmp.Compare(p.load[a], p.load[b]),
+		cmp.Compare(p.load[a.index], p.load[b.index]),
 		cmp.Compare(rank(a.zone != p.t.self.Zone), rank(b.zone != p.t.self.Zone)),
 	)
 }
--- a/version/planner/table.go
+++ b/version/planner/table.go
@@ -60,6 +60,8 @@
 
 // neighbor is what is known of another agent.
 type neighbor struct {
+	// index is the place in Table.neighbors.
+	index   int
 	name    string
 	zone    string
 	region  string
@@ -88,7 +90,9 @@
 	self   Node
 	chunks int
 
-	have      Bits
+	have Bits
+	// need holds the chunks that are neither held nor asked for.
+	need      Bits
 	arr       *Arrangement
 	share     float64
 	fetcher   bool
@@ -122,7 +126,9 @@
 		pending: make([]int, n),
 		ties:    make([]uint64, n),
 	}
+	t.need = NewBits(n)
 	for c := range n {
+		t.need.Set(c)
 		t.ties[c] = hash(0, "tie", c, self.Name) >> 32
 	}
 	return t
@@ -174,6 +180,7 @@
 	n.zone, n.region = node.Zone, node.Region
 	n.far = node.Region != t.self.Region
 	n.fetcher = slices.Contains(t.arr.Fetchers(node.Region), node.Name)
+	n.index = len(t.neighbors)
 	t.neighbors = append(t.neighbors, n)
 	t.byName[n.name] = n
 }
@@ -199,10 +206,22 @@
 }
 
 // Hold notes that the agent holds a chunk, whole and verified.
-func (t *Table) Hold(chunk int) { t.have.Set(chunk) }
+func (t *Table) Hold(chunk int) {
+	t.have.Set(chunk)
+	t.need.Clear(chunk)
+}
 
 // Drop notes that a chunk was found bad and is no longer held.
-func (t *Table) Drop(chunk int) { t.have.Clear(chunk) }
+func (t *Table) Drop(chunk int) {
+	t.have.Clear(chunk)
+	t.wantAgain(chunk)
+}
+
+func (t *Table) wantAgain(chunk int) {
+	if !t.have.Has(chunk) && t.pending[chunk] == 0 {
+		t.need.Set(chunk)
+	}
+}
 
 // Have returns the chunks that are held. The caller must not change it.
 func (t *Table) Have() Bits { return t.have }
@@ -231,7 +250,7 @@
 }
 
 // Heard notes what a neighbor says that it holds and is bringing in. Others
-// than neighbors are ignored.
+// than neighbors are ignored. The caller must not change the sets afterwards.
 func (t *Table) Heard(name string, have, claims Bits, now time.Duration) {
 	n := t.byName[name]
 	if n == nil {
@@ -239,16 +258,24 @@
 	}
 	n.heard = now
 	n.claims = claims
-	if n.have.Count() != have.Count() {
+	for w := range n.have {
+		gained, lost := have[w]&^n.have[w], n.have[w]&^have[w]
+		if gained|lost == 0 {
+			continue
+		}
 		n.progress = now
-	}
-	if !n.far {
-		n.have.each(func(i int) { t.counts[i]-- })
-		have.each(func(i int) { t.counts[i]++ })
+		if !n.far {
+			t.count(w, gained, 1)
+			t.count(w, lost, -1)
+		}
 	}
 	n.have = have
 }
 
+func (t *Table) count(word int, set uint64, by int) {
+	Bits{set}.each(func(i int) { t.counts[word*wordBits+i] += by })
+}
+
 // Alive notes that a neighbor answered without news.
 func (t *Table) Alive(name string, now time.Duration) {
 	if n := t.byName[name]; n != nil {
@@ -260,6 +287,7 @@
 func (t *Table) Started(r Request, now time.Duration) {
 	t.flights = append(t.flights, flight{r, now})
 	t.pending[r.Chunk]++
+	t.need.Clear(r.Chunk)
 	t.countFlight(r, 1)
 }
 
@@ -299,6 +327,7 @@
 		t.paused(r, now)
 	case Canceled:
 	}
+	t.wantAgain(r.Chunk)
 }
 
 func (t *Table) succeeded(r Request, now time.Duration) {
@@ -338,6 +367,7 @@
 	if n == nil || !n.have.Has(r.Chunk) {
 		return
 	}
+	n.have = n.have.Clone()
 	n.have.Clear(r.Chunk)
 	if !n.far {
 		t.counts[r.Chunk]--
