Planner: hedge only when nothing else is left; cancel needless requests

Requests to agents that left the view, and second requests for a chunk that has arrived, are now canceled.

--- a/bench/virtual/faults.go
+++ b/bench/virtual/faults.go
@@ -1,6 +1,7 @@
 package virtual
 
 import (
+	"slices"
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/version/planner"
@@ -16,6 +17,7 @@
 	slow := int(faults.Slow * float64(len(f.vms)))
 	for _, i := range order[:slow] {
 		v := f.vms[i]
+		v.slow = true
 		v.up.setRate(f.p.vmRate() / faults.SlowFactor)
 		v.down.setRate(f.p.vmRate() / faults.SlowFactor)
 	}
@@ -41,10 +43,10 @@
 	f.left--
 	f.dead = append(f.dead, death{v, f.now})
 	f.cancel(v.wake)
-	for t := range v.outbound {
+	for _, t := range slices.Clone(v.outbound) {
 		f.stallFlow(t)
 	}
-	for t := range v.inbound {
+	for _, t := range slices.Clone(v.inbound) {
 		f.stallFlow(t)
 	}
 }
@@ -90,7 +92,7 @@
 		if v.alive {
 			continue
 		}
-		for t := range v.outbound {
+		for _, t := range slices.Clone(v.outbound) {
 			f.end(t, planner.Failed)
 		}
 	}
--- a/bench/virtual/run.go
+++ b/bench/virtual/run.go
@@ -14,6 +14,10 @@
 type Result struct {
 	// Duration is when the last survivor held the whole version.
 	Duration time.Duration
+	// Full is when the last survivor with a link of full rate held it, Median
+	// when half of them did.
+	Full   time.Duration
+	Median time.Duration
 	// Complete and Survivors count VMs.
 	Complete    int
 	Survivors   int
@@ -38,11 +42,12 @@
 	region    int
 	table     *planner.Table
 	alive     bool
+	slow      bool
 	up, down  *link
 	active    int
 	waiting   []*transfer
-	inbound   map[*transfer]bool
-	outbound  map[*transfer]bool
+	inbound   []*transfer
+	outbound  []*transfer
 	watchers  []*watch
 	have      planner.Bits
 	claims    planner.Bits
@@ -146,14 +151,12 @@
 		f.regions[node.Region] = region
 	}
 	v := &vm{
-		node:     node,
-		region:   region,
-		table:    planner.NewTable(node, f.p.Chunks, f.p.Planner),
-		alive:    true,
-		up:       &link{rate: f.p.vmRate()},
-		down:     &link{rate: f.p.vmRate()},
-		inbound:  make(map[*transfer]bool),
-		outbound: make(map[*transfer]bool),
+		node:   node,
+		region: region,
+		table:  planner.NewTable(node, f.p.Chunks, f.p.Planner),
+		alive:  true,
+		up:     &link{rate: f.p.vmRate()},
+		down:   &link{rate: f.p.vmRate()},
 	}
 	v.table.SetSources([]planner.SourceState{{BytesPerSecond: int64(f.p.originRate()), Origin: true}})
 	v.have, v.claims = v.table.Have().Clone(), v.table.Claims()
@@ -284,14 +287,14 @@
 
 func (f *fleet) send(v *vm, r planner.Request) {
 	t := &transfer{Request: r, to: v}
-	v.inbound[t] = true
+	v.inbound = append(v.inbound, t)
 	f.res.Messages += 2
 	if r.FromSource() {
 		f.after(f.p.RegionLatency, func() { f.startFlow(t) })
 		return
 	}
 	t.from = f.byName[r.From]
-	t.from.outbound[t] = true
+	t.from.outbound = append(t.from.outbound, t)
 	f.after(f.latency(t.from, v), func() { f.arrive(t) })
 }
 
@@ -373,12 +376,13 @@
 	if t.flow != nil {
 		t.flow.stop()
 	}
-	delete(t.to.inbound, t)
+	t.to.inbound = without(t.to.inbound, t)
 	f.release(t)
 	if !t.to.alive {
 		return
 	}
 	t.to.table.Ended(t.Request, out, f.now)
+	f.cancelNeedless(t)
 	if out == planner.Received || t.FromSource() || t.Far {
 		f.publish(t.to)
 	}
@@ -386,14 +390,26 @@
 	f.plan(t.to)
 }
 
+// cancelNeedless ends the other requests for a chunk that has arrived.
+func (f *fleet) cancelNeedless(t *transfer) {
+	if len(t.to.table.Needless()) == 0 {
+		return
+	}
+	for _, other := range slices.Clone(t.to.inbound) {
+		if other.Chunk == t.Chunk {
+			f.end(other, planner.Canceled)
+		}
+	}
+}
+
 func (f *fleet) release(t *transfer) {
 	s := t.from
 	if s == nil {
 		return
 	}
-	delete(s.outbound, t)
-	if i := slices.Index(s.waiting, t); i >= 0 {
-		s.waiting = slices.Delete(s.waiting, i, i+1)
+	s.outbound = without(s.outbound, t)
+	if slices.Contains(s.waiting, t) {
+		s.waiting = without(s.waiting, t)
 		return
 	}
 	if t.Far || !t.started {
@@ -408,6 +424,13 @@
 	}
 }
 
+func without(list []*transfer, t *transfer) []*transfer {
+	if i := slices.Index(list, t); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
 func (f *fleet) checkComplete(v *vm) {
 	if v.completed > 0 || !v.table.Complete() {
 		return
@@ -417,7 +440,7 @@
 	f.res.Complete++
 	f.res.Duration = max(f.res.Duration, f.now)
 	f.cancel(v.wake)
-	for t := range v.inbound {
+	for _, t := range slices.Clone(v.inbound) {
 		f.end(t, planner.Canceled)
 	}
 }
@@ -425,11 +448,20 @@
 func (f *fleet) result() Result {
 	r := f.res
 	r.Survivors = 0
+	var full []time.Duration
 	for _, v := range f.vms {
-		if v.alive {
-			r.Survivors++
+		if !v.alive {
+			continue
+		}
+		r.Survivors++
+		if !v.slow {
+			full = append(full, v.completed)
 		}
 	}
+	slices.Sort(full)
+	if len(full) > 0 {
+		r.Full, r.Median = full[len(full)-1], full[len(full)/2]
+	}
 	r.OriginBytes = int64(f.origin.bytes)
 	for i, row := range f.pairs {
 		for j, l := range row {
--- a/version/planner/plan.go
+++ b/version/planner/plan.go
@@ -13,16 +13,14 @@
 		return nil
 	}
 	p := newPass(t, now)
-	if !t.fetcher && p.total >= t.set.InFlight {
+	if !t.fetcher && (p.total >= t.set.InFlight || t.need.empty() && !p.hedging()) {
 		return nil
 	}
 	if t.fetcher {
 		p.enter()
 	}
 	p.exchange()
-	if len(p.out) == 0 {
-		p.hedge()
-	}
+	p.hedge()
 	return p.out
 }
 
@@ -165,17 +163,28 @@
 	return 0
 }
 
-// hedge asks another neighbor for the oldest chunk in flight when nothing
-// else is left to ask for.
+// hedging reports whether a request is old enough to be hedged.
+func (p *pass) hedging() bool {
+	return slices.ContainsFunc(p.t.flights, p.late)
+}
+
+func (p *pass) late(f flight) bool {
+	return !f.entering() && p.now-f.since >= p.t.set.HedgeAfter && p.t.pending[f.Chunk] == 1 && !p.t.have.Has(f.Chunk)
+}
+
+// hedge asks another neighbor for late chunks once every chunk is held or
+// asked for. Before that a second request would only take from the others.
 func (p *pass) hedge() {
+	if !p.need.empty() {
+		return
+	}
 	for _, f := range p.t.flights {
-		if p.now-f.since < p.t.set.HedgeAfter || p.t.pending[f.Chunk] > 1 || p.t.have.Has(f.Chunk) {
+		if p.total >= p.t.set.InFlight || !p.late(f) {
 			continue
 		}
 		n := p.holder(f.Chunk, false)
 		if n != nil && n.name != f.From {
 			p.add(Request{Chunk: f.Chunk, From: n.name})
-			return
 		}
 	}
 }
--- a/version/planner/table.go
+++ b/version/planner/table.go
@@ -381,6 +381,18 @@
 	}
 }
 
+// Needless returns the requests in flight for chunks that are held. The driver
+// should cancel them.
+func (t *Table) Needless() []Request {
+	var out []Request
+	for _, f := range t.flights {
+		if t.have.Has(f.Chunk) {
+			out = append(out, f.Request)
+		}
+	}
+	return out
+}
+
 // Throttled notes that a source asked to be left alone until a time.
 func (t *Table) Throttled(r Request, until time.Duration) {
 	if r.Source < len(t.sources) {
--- a/version/transfer/handler.go
+++ b/version/transfer/handler.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
@@ -104,7 +106,24 @@
 	w.Header().Set("Content-Type", "application/octet-stream")
 	sent := m.scope.Counter("bytes_sent")
 	paced := &pacedReader{ctx: r.Context(), r: body, buckets: []*bucket{m.up}, progress: func(n int) { sent.Inc(int64(n)) }}
-	_, _ = io.Copy(w, paced)
+	_, _ = io.Copy(&guardedWriter{w: w, rc: http.NewResponseController(w), timeout: m.cfg.StallTimeout}, paced)
+}
+
+// guardedWriter fails when a single write stalls, so that a receiver that
+// died doesn't keep its slot. Write deadlines are the kernel's, so this alone
+// uses the system's clock.
+type guardedWriter struct {
+	w       io.Writer
+	rc      *http.ResponseController
+	timeout time.Duration
+}
+
+// Write implements io.Writer.
+func (g *guardedWriter) Write(p []byte) (int, error) {
+	if err := g.rc.SetWriteDeadline(time.Now().Add(g.timeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return 0, err
+	}
+	return g.w.Write(p)
 }
 
 // slot waits for an upload slot. Other regions have slots of their own: their
--- a/version/transfer/task.go
+++ b/version/transfer/task.go
@@ -38,10 +38,12 @@
 	table   *planner.Table
 	offsets []int64
 	// copies maps a chunk's digest to all its indexes.
-	copies   map[manifest.Digest][]int
-	view     *wire.AgentView
-	peers    map[string]wire.Peer
-	watches  map[string]context.CancelFunc
+	copies  map[manifest.Digest][]int
+	view    *wire.AgentView
+	peers   map[string]wire.Peer
+	watches map[string]context.CancelFunc
+	// jobs holds the cancel function of every request in flight.
+	jobs     map[planner.Request]context.CancelFunc
 	failure  error
 	lastPlan atomic.Pointer[taskDump]
 
@@ -63,6 +65,7 @@
 		events:  make(chan func(), 64),
 		copies:  make(map[manifest.Digest][]int, len(man.Chunks)),
 		watches: make(map[string]context.CancelFunc),
+		jobs:    make(map[planner.Request]context.CancelFunc),
 		done:    make(chan struct{}),
 	}
 	self := planner.Node{Name: m.cfg.Self.Name, Zone: m.cfg.Self.Zone, Region: m.cfg.Self.Region}
@@ -203,6 +206,7 @@
 	arr := planner.Arrange(nodes, t.man.Digest(), t.m.cfg.Planner)
 	t.table.SetArrangement(arr, est.Share, t.node, t.now())
 	t.watchNeighbors()
+	t.dropVanished()
 	t.lastPlan.Store(&taskDump{
 		Estimate: est,
 		Fetcher:  slices.Contains(arr.Fetchers(t.m.cfg.Self.Region), t.m.cfg.Self.Name),
@@ -253,20 +257,39 @@
 		t.publish()
 	}
 	job := t.newJob(r)
+	ctx, cancel := context.WithCancel(t.ctx)
+	t.jobs[r] = cancel
 	go func() {
-		err := job.run(t.ctx)
+		err := job.run(ctx)
 		t.post(func() { t.ended(r, err) })
 	}()
 }
 
+// dropVanished cancels the requests to agents that left the view.
+func (t *task) dropVanished() {
+	for r, cancel := range t.jobs {
+		if _, ok := t.peers[r.From]; !ok && !r.FromSource() {
+			cancel()
+		}
+	}
+}
+
 func (t *task) ended(r planner.Request, err error) {
+	t.jobs[r]()
+	delete(t.jobs, r)
 	out := outcomeOf(err)
+	if t.table.Have().Has(r.Chunk) && err != nil {
+		out = planner.Canceled
+	}
 	t.table.Ended(r, out, t.now())
 	switch {
 	case out == planner.Received:
 		for _, i := range t.copies[t.man.Chunks[r.Chunk].Digest] {
 			t.table.Hold(i)
 		}
+		for _, other := range t.table.Needless() {
+			t.jobs[other]()
+		}
 		t.countDone()
 	case result.CodeOf(err) == result.SpoolFull:
 		t.failure = err
