--- a/process/result/table.go
+++ b/process/result/table.go
@@ -1,5 +1,10 @@
 package result
 
+import (
+	"fmt"
+	"strings"
+)
+
 // Entry describes one code for operators and callers.
 type Entry struct {
 	Code    Code
@@ -68,6 +73,8 @@
 	{RateExceeded, "rate-exceeded", "the client account exceeds its rate", "come back after Retry-After"},
 	{InProgress, "in-progress", "a call under this Idempotency-Key is in progress", "come back after Retry-After with the same key"},
 	{AnswerNotKept, "answer-not-kept", "the call ran; its answer was too large to keep", "read the result from the service"},
+	{RecordsFull, "records-full", "no room for another record of a call that may not be repeated", "come back after Retry-After; lower requests.key_retention if it lasts"},
+	{AlreadyRan, "already-ran", "a call under this Idempotency-Key ran; its recorded outcome is given", "none"},
 	{ChunkCorrupt, "chunk-corrupt", "a chunk failed its digest", "none: it is fetched again elsewhere"},
 	{ChunkMissing, "chunk-missing", "a peer does not hold the chunk", "none: it is fetched elsewhere"},
 	{SourceThrottled, "source-throttled", "the weight source answered that its rate is exceeded", "none: it is asked again later"},
@@ -87,3 +94,17 @@
 	{ProtocolVersion, "protocol-version", "the other process speaks another protocol version", "run the same release on every VM"},
 	{Internal, "internal", "an unexpected failure", "report it with the log line"},
 }
+
+// Markdown returns the table as docs/result-codes.md shows it.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Result codes\n\n")
+	b.WriteString("Printed by `waxwingpost codes`. Callers find the code in the header `Waxwingpost-Code`,\n")
+	b.WriteString("whether the request ran in `Waxwingpost-Ran`, operators find it in logs and status files as `code`.\n\n")
+	b.WriteString("1xxx configuration, 2xxx control state, 3xxx requests, 4xxx weights and orders, 5xxx links.\n\n")
+	b.WriteString("| code | name | meaning | remedy |\n|---|---|---|---|\n")
+	for _, e := range Table {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e.Code, e.Name, e.Meaning, e.Remedy)
+	}
+	return b.String()
+}
