--- a/version/planner/plan.go
+++ b/version/planner/plan.go
@@ -13,13 +13,14 @@
 		return nil
 	}
 	p := newPass(t, now)
+	if !t.fetcher && (p.total >= t.set.InFlight || t.need.empty() && !p.hedging()) {
+		return nil
+	}
 	if t.fetcher {
 		p.enter()
 	}
 	p.exchange()
-	if len(p.out) == 0 {
-		p.hedge()
-	}
+	p.hedge()
 	return p.out
 }
 
@@ -31,21 +32,16 @@
 	// need holds the chunks that are neither held nor asked for.
 	need Bits
 	// load counts requests in flight by neighbor, with those planned here.
-	load  map[*neighbor]int
+	load  []int
 	total int
 	// backlogs holds what backlog counted, by fetcher.
 	backlogs map[string]int
 }
 
 func newPass(t *Table, now time.Duration) *pass {
-	p := &pass{t: t, now: now, need: NewBits(t.chunks), load: make(map[*neighbor]int, len(t.neighbors)), backlogs: make(map[string]int)}
-	for c := range t.chunks {
-		if !t.have.Has(c) && t.pending[c] == 0 {
-			p.need.Set(c)
-		}
-	}
-	for _, n := range t.neighbors {
-		p.load[n] = n.inFlight
+	p := &pass{t: t, now: now, need: t.need.Clone(), load: make([]int, len(t.neighbors))}
+	for i, n := range t.neighbors {
+		p.load[i] = n.inFlight
 	}
 	for _, f := range t.flights {
 		if !f.entering() {
@@ -59,7 +55,7 @@
 	p.out = append(p.out, r)
 	p.need.Clear(r.Chunk)
 	if n := p.t.byName[r.From]; n != nil {
-		p.load[n]++
+		p.load[n.index]++
 	}
 	if !r.entering() {
 		p.total++
@@ -123,7 +119,7 @@
 }
 
 func (p *pass) available(n *neighbor, demoted bool) bool {
-	if n.far || p.load[n] >= p.t.set.PerNeighbor || n.busy > p.now || p.suspected(n) {
+	if n.far || p.load[n.index] >= p.t.set.PerNeighbor || n.busy > p.now || p.suspected(n) {
 		return false
 	}
 	return demoted || !p.demoted(n)
@@ -155,7 +151,7 @@
 func (p *pass) compare(a, b *neighbor) int {
 	return cmp.Or(
 		cmp.Compare(rank(p.demoted(a)), rank(p.demoted(b))),
-		cmp.Compare(p.load[a], p.load[b]),
+		cmp.Compare(p.load[a.index], p.load[b.index]),
 		cmp.Compare(rank(a.zone != p.t.self.Zone), rank(b.zone != p.t.self.Zone)),
 	)
 }
@@ -167,17 +163,28 @@
 	return 0
 }
 
-// hedge asks another neighbor for the oldest chunk in flight when nothing
-// else is left to ask for.
+// hedging reports whether a request is old enough to be hedged.
+func (p *pass) hedging() bool {
+	return slices.ContainsFunc(p.t.flights, p.late)
+}
+
+func (p *pass) late(f flight) bool {
+	return !f.entering() && p.now-f.since >= p.t.set.HedgeAfter && p.t.pending[f.Chunk] == 1 && !p.t.have.Has(f.Chunk)
+}
+
+// hedge asks another neighbor for late chunks once every chunk is held or
+// asked for. Before that a second request would only take from the others.
 func (p *pass) hedge() {
+	if !p.need.empty() {
+		return
+	}
 	for _, f := range p.t.flights {
-		if p.now-f.since < p.t.set.HedgeAfter || p.t.pending[f.Chunk] > 1 || p.t.have.Has(f.Chunk) {
+		if p.total >= p.t.set.InFlight || !p.late(f) {
 			continue
 		}
 		n := p.holder(f.Chunk, false)
 		if n != nil && n.name != f.From {
 			p.add(Request{Chunk: f.Chunk, From: n.name})
-			return
 		}
 	}
 }
