--- a/bench/cluster/query.go
+++ b/bench/cluster/query.go
@@ -61,6 +61,69 @@
 	return json.Unmarshal(data, into)
 }
 
+// Alive returns nil once the process answers at all.
+func (c *Cluster) Alive(ctx context.Context, p *Process) error {
+	return c.get(ctx, p.Peer, wire.PathHealth, nil)
+}
+
+// EntryState is the part of an entry's dump that tests read.
+type EntryState struct {
+	State struct {
+		Index    uint64 `json:"index"`
+		Revision uint64 `json:"revision"`
+	} `json:"state"`
+	Rollout struct {
+		Leading bool `json:"leading"`
+	} `json:"rollout"`
+}
+
+// Revision returns the revision in force on an entry.
+func (c *Cluster) Revision(ctx context.Context, entry *Process) (uint64, error) {
+	var s EntryState
+	err := c.State(ctx, entry, &s)
+	return s.State.Revision, err
+}
+
+// AgentStatus returns what an agent tells of itself.
+func (c *Cluster) AgentStatus(ctx context.Context, agent *Process) (wire.AgentStatus, error) {
+	var s struct {
+		Status wire.AgentStatus `json:"status"`
+	}
+	err := c.State(ctx, agent, &s)
+	return s.Status, err
+}
+
+// AwaitServing waits until every one of the agents serves the version.
+func (c *Cluster) AwaitServing(ctx context.Context, version string, agents ...*Process) error {
+	for _, p := range agents {
+		check := func(ctx context.Context) error {
+			s, err := c.AgentStatus(ctx, p)
+			if err != nil {
+				return err
+			}
+			if s.Serving != version {
+				return errors.Newf("%s serves %q, code %d %s", p.Name, s.Serving, s.Code, s.Detail)
+			}
+			return nil
+		}
+		if err := Await(ctx, p.Name+" serves "+version, check); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Leader returns the entry whose replica leads.
+func (c *Cluster) Leader(ctx context.Context) (*Process, error) {
+	for _, p := range c.Entries() {
+		var s EntryState
+		if p.Running() && c.State(ctx, p, &s) == nil && s.Rollout.Leading {
+			return p, nil
+		}
+	}
+	return nil, errors.New("no entry leads")
+}
+
 // Ready returns nil once the process reports that it is ready.
 func (c *Cluster) Ready(ctx context.Context, p *Process) error {
 	return c.get(ctx, p.Peer, wire.PathReady, nil)
--- /dev/null
+++ b/bench/cmd/wpdemo/demo.go
@@ -0,0 +1,274 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/bench/cluster"
+	"github.com/waxwingpost/waxwingpost/bench/fakes"
+)
+
+const (
+	draftingBytes = 8 << 20
+	casebookBytes = 2 << 20
+	chunkBytes    = 256 << 10
+	// originRate is four copies of the drafting model in two seconds.
+	originRate = 2 * draftingBytes
+	localFile  = "90-local.yaml"
+	visitor    = "95-visitor.yaml"
+)
+
+// demo is one run.
+type demo struct {
+	args  cli
+	dir   string
+	out   io.Writer
+	start time.Time
+
+	cluster  *cluster.Cluster
+	caller   *cluster.Caller
+	origin   *cluster.Process
+	desk     *cluster.Process
+	drafting []*cluster.Process
+	casebook []*cluster.Process
+	deskSide *cluster.Process
+	engines  []*cluster.Process
+	revision uint64
+}
+
+// step is one part of the demo.
+type step struct {
+	name string
+	run  func(context.Context) error
+}
+
+func (d *demo) run(ctx context.Context) error {
+	c, err := cluster.New(cluster.Options{
+		Bin: d.args.Bin, Dir: d.dir, JoinKey: "demo-key",
+		Entries: []cluster.EntrySpec{
+			{Name: "entry-1", Zone: "ernakulam-a", Region: "ernakulam"},
+			{Name: "entry-2", Zone: "thrissur-a", Region: "thrissur"},
+			{Name: "entry-3", Zone: "kozhikode-a", Region: "kozhikode"},
+		},
+	})
+	if err != nil {
+		return err
+	}
+	d.cluster, d.caller = c, cluster.NewCaller()
+	defer c.Close()
+	steps := []step{
+		{"start", d.startAll},
+		{"first push", d.firstPush},
+		{"requests", d.requests},
+		{"filings", d.filings},
+		{"rollout", d.rollout},
+		{"removal", d.removal},
+		{"planned stop", d.plannedStop},
+		{"check of the stand-ins", d.checkEngines},
+		{"stop of all", d.stopAll},
+	}
+	for _, s := range steps {
+		d.say("== %s", s.name)
+		if err := s.run(ctx); err != nil {
+			return errors.Wrap(err, s.name)
+		}
+	}
+	return nil
+}
+
+// startAll starts 3 entries, 6 engines, a plain service, their agents and the
+// weight origin: 18 processes.
+func (d *demo) startAll(ctx context.Context) error {
+	if err := d.cluster.StartEntries(); err != nil {
+		return err
+	}
+	var err error
+	d.origin, err = d.cluster.StartFake("origin", "origin",
+		"--version", fmt.Sprintf("/weights/drafting-1=%d", draftingBytes),
+		"--version", fmt.Sprintf("/weights/drafting-2=%d", draftingBytes),
+		"--version", fmt.Sprintf("/weights/casebook-1=%d", casebookBytes),
+		"--chunk-bytes", fmt.Sprint(chunkBytes), "--bytes-per-second", fmt.Sprint(originRate))
+	if err != nil {
+		return err
+	}
+	zones := [][2]string{
+		{"ernakulam-a", "ernakulam"}, {"ernakulam-b", "ernakulam"}, {"thrissur-a", "thrissur"},
+		{"kozhikode-a", "kozhikode"}, {"thrissur-b", "thrissur"}, {"kozhikode-b", "kozhikode"},
+	}
+	for i, zone := range zones {
+		if err := d.startEngine(i, zone[0], zone[1]); err != nil {
+			return err
+		}
+	}
+	if d.desk, err = d.cluster.StartFake("desk", "plain"); err != nil {
+		return err
+	}
+	d.deskSide, err = d.cluster.StartAgent(cluster.AgentSpec{
+		Name: "agent-desk", Zone: "ernakulam-b", Region: "ernakulam",
+		Service: "members-desk", Backend: d.desk.Address, Plain: true,
+	})
+	if err != nil {
+		return err
+	}
+	for _, p := range d.cluster.Processes() {
+		if err := cluster.Await(ctx, p.Name+" answers", func(ctx context.Context) error { return d.alive(ctx, p) }); err != nil {
+			return err
+		}
+	}
+	d.say("%d processes run: 3 entries in three regions, 7 agents, 6 engines, 1 plain service, 1 weight origin", len(d.cluster.Processes()))
+	return nil
+}
+
+func (d *demo) alive(ctx context.Context, p *cluster.Process) error {
+	if !p.Running() {
+		return errors.Newf("%s has ended:\n%s", p.Name, p.Log())
+	}
+	if isFake(p) {
+		var any map[string]any
+		return d.cluster.Stats(ctx, p, &any)
+	}
+	return d.cluster.Alive(ctx, p)
+}
+
+func isFake(p *cluster.Process) bool {
+	switch p.Name[:min(len(p.Name), 5)] {
+	case "entry", "agent":
+		return false
+	default:
+		return true
+	}
+}
+
+// startEngine starts an engine and its agent: four draft, two keep casebooks.
+func (d *demo) startEngine(i int, zone, region string) error {
+	service, args := "drafting", []string(nil)
+	if i >= 4 {
+		service, args = "casebook", []string{"--fencing-ignored"}
+	}
+	engine, err := d.cluster.StartFake(fmt.Sprintf("engine-%d", i+1), "engine", append(args, "--token-time", "4ms")...)
+	if err != nil {
+		return err
+	}
+	d.engines = append(d.engines, engine)
+	agent, err := d.cluster.StartAgent(cluster.AgentSpec{
+		Name: fmt.Sprintf("agent-%d", i+1), Zone: zone, Region: region, Service: service, Backend: engine.Address,
+	})
+	if err != nil {
+		return err
+	}
+	if i >= 4 {
+		d.casebook = append(d.casebook, agent)
+	} else {
+		d.drafting = append(d.drafting, agent)
+	}
+	return nil
+}
+
+// local returns the file that fits the example to this machine.
+func (d *demo) local(version string) []byte {
+	return fmt.Appendf(nil, `# Fits the example to the demo's processes.
+sources:
+  origin: {address: "%s", bytes_per_second: %d}
+  store: {address: "%s", bytes_per_second: %d}
+versions:
+  drafting-2: {model: drafting, path: /weights/drafting-2}
+services:
+  drafting: {version: %s, min_serving: 3}
+  casebook: {min_serving: 1}
+`, d.origin.Address, originRate, d.origin.Address, originRate, version)
+}
+
+// firstPush drops the operator's files and waits until every engine serves.
+func (d *demo) firstPush(ctx context.Context) error {
+	files, err := filepath.Glob(filepath.Join(d.args.Examples, "*.yaml"))
+	if err != nil || len(files) == 0 {
+		return errors.Newf("no files in %s: %v", d.args.Examples, err)
+	}
+	begin := time.Now()
+	if err := d.cluster.WriteFile("entry-1", localFile, d.local("drafting-1")); err != nil {
+		return err
+	}
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		if err := d.cluster.WriteFile("entry-1", filepath.Base(file), content); err != nil {
+			return err
+		}
+	}
+	if err := d.cluster.WriteFile("entry-1", visitor, []byte("accounts:\n  visitor: {share: 1}\n")); err != nil {
+		return err
+	}
+	d.say("the operator dropped %d files into the folder of entry-1", len(files)+2)
+	if err := d.awaitConfig(ctx, len(files)+2); err != nil {
+		return err
+	}
+	d.say("accepted: revision %d is in force on all entries", d.revision)
+	d.figure("files_in_force", time.Since(begin).Seconds(), "s", "<=13")
+	if err := d.cluster.AwaitServing(ctx, "drafting-1", d.drafting...); err != nil {
+		return err
+	}
+	if err := d.cluster.AwaitServing(ctx, "casebook-1", d.casebook...); err != nil {
+		return err
+	}
+	d.say("weights fetched, verified and loaded: 6 of 6 engines serve")
+	d.figure("time_to_6_replicas", time.Since(begin).Seconds(), "s", "<=20")
+	return d.tellOrigin(ctx, "origin_copies_first_push", 3*draftingBytes+2*casebookBytes)
+}
+
+// tellOrigin prints what left the origin so far and checks it against one copy
+// a region.
+func (d *demo) tellOrigin(ctx context.Context, name string, floor int64) error {
+	var stats fakes.OriginStats
+	if err := d.cluster.Stats(ctx, d.origin, &stats); err != nil {
+		return err
+	}
+	d.say("the origin has sent %d bytes; one copy a region is %d", stats.ContentBytes, floor)
+	d.figure("origin_bytes", float64(stats.ContentBytes), "B", "")
+	d.figure(name, float64(stats.ContentBytes)/float64(floor), "copies_per_region", "<=1.05")
+	return nil
+}
+
+// awaitConfig waits until all entries hold the same files and revision.
+func (d *demo) awaitConfig(ctx context.Context, files int) error {
+	return cluster.Await(ctx, "the change in force on all entries", func(ctx context.Context) error {
+		var first uint64
+		for i, p := range d.cluster.Entries() {
+			var s struct {
+				State struct {
+					Revision uint64 `json:"revision"`
+					Files    []struct {
+						Name string `json:"name"`
+					} `json:"files"`
+				} `json:"state"`
+			}
+			if err := d.cluster.State(ctx, p, &s); err != nil {
+				return err
+			}
+			if i == 0 {
+				first = s.State.Revision
+			}
+			if s.State.Revision != first || len(s.State.Files) != files || first <= d.revision {
+				return errors.Newf("%s has %d files at revision %d: %s", p.Name, len(s.State.Files), s.State.Revision, d.status(p))
+			}
+		}
+		d.revision = first
+		return nil
+	})
+}
+
+// status returns the status file beside an entry's folder.
+func (d *demo) status(p *cluster.Process) string {
+	text, err := os.ReadFile(d.cluster.Folder(p.Name) + ".status.yaml")
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
--- /dev/null
+++ b/bench/cmd/wpdemo/stop.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/bench/cluster"
+	"github.com/waxwingpost/waxwingpost/bench/fakes"
+)
+
+// plannedStop stops an agent and an entry's neighbor under load: requests in
+// progress end, and no request fails.
+func (d *demo) plannedStop(ctx context.Context) error {
+	l := d.startLoad(ctx)
+	stopped := d.drafting[0]
+	begin := time.Now()
+	err := cluster.Await(ctx, "requests run", func(context.Context) error {
+		if l.sent.Load() < 2*loadCallers {
+			return errors.New("not yet")
+		}
+		return nil
+	})
+	if err == nil {
+		err = stopped.Terminate()
+	}
+	if err == nil {
+		err = stopped.Wait(ctx)
+	}
+	took := time.Since(begin)
+	if loadErr := l.stop(); err == nil {
+		err = loadErr
+	}
+	d.say("%s was stopped as planned while %d requests ran, %d failed", stopped.Name, l.sent.Load(), l.failed.Load())
+	d.figure("planned_stop_seconds", took.Seconds(), "s", "")
+	d.figure("requests_failed_in_planned_stop", float64(l.failed.Load()), "count", "<=0")
+	return err
+}
+
+// checkEngines asks the stand-ins' own records whether anything went wrong
+// that no caller saw.
+func (d *demo) checkEngines(ctx context.Context) error {
+	var bad, whileLoading, cut, stale int
+	for _, p := range d.engines {
+		var s fakes.EngineStats
+		if err := d.cluster.Stats(ctx, p, &s); err != nil {
+			return err
+		}
+		bad += s.BadLoads
+		whileLoading += s.WhileNotReady
+		cut += s.CutByLoad
+		stale += s.StaleOrders
+	}
+	d.figure("loads_of_partial_or_mixed_weights", float64(bad), "count", "<=0")
+	d.figure("requests_while_loading", float64(whileLoading), "count", "<=0")
+	d.figure("requests_cut_by_a_load", float64(cut), "count", "<=0")
+	d.figure("orders_with_old_fences", float64(stale), "count", "<=0")
+	if bad+whileLoading+cut+stale > 0 {
+		return errors.New("an engine's own record shows what must not be")
+	}
+	return nil
+}
+
+// stopAll stops every agent, then every entry, as planned.
+func (d *demo) stopAll(ctx context.Context) error {
+	agents := append(append([]*cluster.Process{d.deskSide}, d.drafting[1:]...), d.casebook...)
+	for _, group := range [][]*cluster.Process{agents, d.cluster.Entries()} {
+		for _, p := range group {
+			if err := p.Terminate(); err != nil {
+				return err
+			}
+		}
+		for _, p := range group {
+			if err := p.Wait(ctx); err != nil {
+				return errors.Wrapf(err, "%s did not stop cleanly", p.Name)
+			}
+		}
+	}
+	d.say("every agent and entry stopped with status 0")
+	return nil
+}
--- a/process/entry/views.go
+++ b/process/entry/views.go
@@ -138,7 +138,9 @@
 func (v *views) manifests(cfg *config.Config, order control.Order) ([]manifest.Manifest, map[string]string) {
 	var manifests []manifest.Manifest
 	paths := make(map[string]string)
-	for _, name := range append([]string{order.Version}, order.Adapters...) {
+	names := slices.Concat([]string{order.Version, order.Keep}, order.Adapters, order.KeepAdapters)
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
 		if m, ok := v.entry.machine.Manifest(name); ok {
 			manifests = append(manifests, *m)
 			paths[name] = cfg.Versions[name].Path
