--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -129,6 +129,7 @@
 	FromPeers   int64  `cbor:"5,keyasint" json:"from_peers_bytes"`
 	CrossRegion int64  `cbor:"6,keyasint" json:"cross_region_bytes"`
 	Corrupt     int64  `cbor:"7,keyasint" json:"corrupt_chunks"`
+	FromStore   int64  `cbor:"8,keyasint" json:"from_store_bytes"`
 }
 
 // AgentView is all that an agent needs of the fleet: the order in force for
@@ -196,6 +197,8 @@
 	To       string   `cbor:"1,keyasint"`
 	From     string   `cbor:"2,keyasint"`
 	Messages [][]byte `cbor:"3,keyasint"`
+	// Cluster is the sender's cluster; others refuse the batch.
+	Cluster string `cbor:"4,keyasint"`
 }
 
 // BarrierReply carries the commit index that a quorum confirmed.
