--- a/request/api/encode.go
+++ b/request/api/encode.go
@@ -58,12 +58,15 @@
 	h := w.Header()
 	stream.CopyHeader(h, an.resp.Header)
 	setAnswerHeaders(h, an)
+	if an.events {
+		h.Del("Content-Length")
+	}
 	w.WriteHeader(an.resp.StatusCode)
 	switch {
 	case an.whole != nil:
 		_, err := w.Write(an.whole)
 		a.ended(an, int64(len(an.whole)), err)
-	case an.req.stream && an.resp.StatusCode == http.StatusOK && stream.IsEvents(an.resp.Header):
+	case an.events:
 		a.writeEvents(w, an)
 	default:
 		n, err := stream.Copy(w, an.resp.Body)
@@ -238,7 +241,7 @@
 		if err := a.attempt(an, out.next); err != nil {
 			continue
 		}
-		if an.resp.StatusCode == http.StatusOK && stream.IsEvents(an.resp.Header) {
+		if an.events {
 			a.counters.resumed.Inc(1)
 			return nil
 		}
--- a/request/api/harness_test.go
+++ b/request/api/harness_test.go
@@ -142,7 +142,9 @@
 	cfg    *config.Config
 	ledger *ledger
 	cut    atomic.Bool
-	dead   atomic.Bool
+	// stale makes the local copy of the control state know no calls.
+	stale atomic.Bool
+	dead  atomic.Bool
 	// hook is called at each step.
 	hook atomic.Pointer[func(step)]
 	rt   http.RoundTripper
@@ -177,6 +179,13 @@
 	return res, nil
 }
 
+func (e *testEntry) call(account, key string) (control.Call, bool) {
+	if e.stale.Load() {
+		return control.Call{}, false
+	}
+	return e.ledger.call(account, key)
+}
+
 func (e *testEntry) Barrier(context.Context) error { return nil }
 func (e *testEntry) InQuorum() bool                { return !e.cut.Load() }
 func (e *testEntry) IsLeader() bool                { return false }
@@ -281,6 +290,11 @@
 const beat = 10 * time.Millisecond
 
 func newFleet(t *testing.T, entries int) *fleet {
+	t.Helper()
+	return newFleetWith(t, entries, func(*fleet) {})
+}
+
+func newFleetWith(t *testing.T, entries int, set func(*fleet)) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, ledger: newLedger(), stop: make(chan struct{}),
@@ -290,6 +304,7 @@
 			ResendGrace: 20 * time.Millisecond, ResendWait: 500 * time.Millisecond,
 		},
 	}
+	set(f)
 	for i := range entries {
 		f.addEntry(fmt.Sprintf("entry-%d", i+1))
 	}
@@ -306,7 +321,7 @@
 	e.api = api.New(api.Deps{
 		Settings: api.Config{Once: f.once},
 		Config:   func() (*config.Config, uint64) { return e.cfg, 1 },
-		Sessions: e.table, Store: e, Calls: f.ledger.call, Transport: e, Clock: clock,
+		Sessions: e.table, Store: e, Calls: e.call, Transport: e, Clock: clock,
 		Self: wire.Hello{Name: name, Incarnation: name + "-inc", Zone: "z1", Region: "r1"},
 		Rand: rand.New(rand.NewPCG(1, 1)),
 	})
--- a/request/api/once_test.go
+++ b/request/api/once_test.go
@@ -234,3 +234,57 @@
 		}
 	}
 }
+
+func TestResendThroughAStaleEntryGetsTheRecordedAnswer(t *testing.T) {
+	f := newFleet(t, 2)
+	service := newFilings()
+	f.addAgent("a1", "desk", "", 8, service)
+	f.addAgent("a2", "desk", "", 8, service)
+	first := file(f.entries[0], "k1", "letter")
+	f.entries[1].stale.Store(true)
+	for range 4 {
+		if again := file(f.entries[1], "k1", "letter"); again.body != first.body || again.status != 200 {
+			t.Errorf("resend: %+v", again)
+		}
+	}
+	if n := service.count("letter"); n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
+
+// TestTombstoneStopsADispatchUnderWay holds a dispatch in the network while a
+// resend through another entry resolves the attempt. The dispatch arrives
+// within its lease and must not run.
+func TestTombstoneStopsADispatchUnderWay(t *testing.T) {
+	f := newFleetWith(t, 2, func(f *fleet) { f.session.LeaseTTL = time.Minute })
+	service := newFilings()
+	f.addAgent("a1", "desk", "", 8, service)
+	f.addAgent("a2", "desk", "", 8, service)
+	held, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	hook := func(at step) {
+		if at == beforeDispatch {
+			once.Do(func() { close(held); <-release })
+		}
+	}
+	f.entries[0].hook.Store(&hook)
+	first := make(chan reply, 1)
+	go func() { first <- file(f.entries[0], "k1", "letter") }()
+	<-held
+	call, _ := f.ledger.call("kochi", "k1")
+	for _, a := range f.agents {
+		// The second attempt shall go to the other agent.
+		a.leaveNow.Store(a.name == call.Reserve.Agent)
+	}
+	eventually(t, "the agent leaves", func() bool { return len(f.entries[1].table.Backends("desk")) == 1 })
+	if got := resend(t, f.entries[1], "k1", "letter"); got.status != 200 {
+		t.Errorf("resend: %+v", got)
+	}
+	close(release)
+	if got := <-first; got.notRun() {
+		t.Errorf("the first caller is told that a call which ran did not: %+v", got)
+	}
+	if n := service.count("letter"); n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
--- a/request/api/serve.go
+++ b/request/api/serve.go
@@ -10,6 +10,7 @@
 	"github.com/waxwingpost/waxwingpost/request/admission"
 	"github.com/waxwingpost/waxwingpost/request/reqlog"
 	"github.com/waxwingpost/waxwingpost/request/routing"
+	"github.com/waxwingpost/waxwingpost/request/stream"
 )
 
 // answer is an answer on its way to the caller, with all that has to be given
@@ -25,6 +26,8 @@
 	version string
 	// tried names the servers that were tried.
 	tried []string
+	// events is set on a stream of events, which is checked event by event.
+	events bool
 	// whole is the body where it was read before it is passed on.
 	whole []byte
 	// maybeRan is set once any attempt may have run.
@@ -157,7 +160,8 @@
 		e.Ran = result.DidRun
 		return e
 	}
-	if n := resp.ContentLength; n >= 0 && n <= a.cfg.WholeAnswerBytes {
+	an.events = an.req.stream && resp.StatusCode == http.StatusOK && stream.IsEvents(resp.Header)
+	if n := resp.ContentLength; n >= 0 && n <= a.cfg.WholeAnswerBytes && !an.events {
 		whole := make([]byte, n)
 		if _, err := io.ReadFull(resp.Body, whole); err != nil {
 			_ = resp.Body.Close()
--- /dev/null
+++ b/request/api/stream_test.go
@@ -0,0 +1,328 @@
+package api_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+// chatEngine streams numbered events. Its faults can be set for its first
+// answers.
+type chatEngine struct {
+	events int
+	delay  time.Duration
+	// cutAfter cuts the first cuts answers after that many events.
+	cutAfter int
+	cuts     atomic.Int64
+	// ignoreOffset makes it start from the first event when resumed.
+	ignoreOffset bool
+	// doubled sends each event twice; skip leaves that event out.
+	doubled bool
+	skip    int
+	noDone  bool
+	mu      sync.Mutex
+	started int
+	ended   int
+	offsets []int
+}
+
+func (e *chatEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	prompt := string(body)
+	offset, _ := strconv.Atoi(r.Header.Get(wire.HeaderResumeOffset))
+	e.mu.Lock()
+	e.started++
+	e.offsets = append(e.offsets, offset)
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		e.ended++
+		e.mu.Unlock()
+	}()
+	if e.ignoreOffset {
+		offset = 0
+	}
+	w.Header().Set(wire.HeaderVersion, r.Header.Get(wire.HeaderVersion))
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := w.(http.Flusher)
+	cut := e.cutAfter > 0 && e.cuts.Add(-1) >= 0
+	for i := offset; i < e.events; i++ {
+		if cut && i-offset >= e.cutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if e.skip > 0 && i == e.skip {
+			continue
+		}
+		for range 1 + btoi(e.doubled) {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: {\"n\":%d,\"for\":%d}\n\n", i, i, len(prompt)); err != nil {
+				return
+			}
+		}
+		flusher.Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(e.delay):
+		}
+	}
+	if !e.noDone {
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (e *chatEngine) counts() (started, ended int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.started, e.ended
+}
+
+// readStream returns the numbers of the events, whether the last event came,
+// and whether an error event came.
+func readStream(body string) (ids []int, done, failed bool) {
+	lines := bufio.NewScanner(strings.NewReader(body))
+	for lines.Scan() {
+		switch line := lines.Text(); {
+		case strings.HasPrefix(line, "id: "):
+			n, _ := strconv.Atoi(line[4:])
+			ids = append(ids, n)
+		case line == "data: [DONE]":
+			done = true
+		case line == "event: error":
+			failed = true
+		}
+	}
+	return ids, done, failed
+}
+
+func isWhole(ids []int, n int) bool {
+	for i, id := range ids {
+		if i != id {
+			return false
+		}
+	}
+	return len(ids) == n
+}
+
+func chat(e *testEntry, header ...string) reply {
+	return e.send(context.Background(), "POST", "/v1/chat/completions", chatBody("a letter", true), header...)
+}
+
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	f := newFleet(t, 1)
+	f.addAgent("a1", "drafting", "v1", 4, &chatEngine{events: 20})
+	got := chat(f.entries[0])
+	ids, done, failed := readStream(got.body)
+	if got.status != 200 || !isWhole(ids, 20) || !done || failed {
+		t.Errorf("%+v", got)
+	}
+	if got.header.Get(wire.HeaderVersion) != "v1" || got.header.Get(wire.HeaderBackend) != "a1" {
+		t.Errorf("headers %v", got.header)
+	}
+	record, ok := f.entries[0].api.Explain(got.header.Get(wire.HeaderRequestID))
+	if !ok {
+		t.Errorf("no explanation: %v", record)
+	}
+}
+
+func TestStreamResumesOnAnotherEngine(t *testing.T) {
+	f := newFleet(t, 1)
+	var engines []*chatEngine
+	for i := range 2 {
+		e := &chatEngine{events: 20, cutAfter: 7}
+		e.cuts.Store(1)
+		engines = append(engines, e)
+		f.addAgent(fmt.Sprintf("a%d", i), "drafting", "v1", 4, e)
+	}
+	engines[1].cuts.Store(0)
+	engines[1].cutAfter = 0
+	for range 4 {
+		got := chat(f.entries[0])
+		ids, done, failed := readStream(got.body)
+		if !isWhole(ids, 20) || !done || failed {
+			t.Errorf("%v done=%v failed=%v", ids, done, failed)
+		}
+	}
+	resumed := false
+	for _, e := range engines {
+		e.mu.Lock()
+		for _, o := range e.offsets {
+			resumed = resumed || o == 7
+		}
+		e.mu.Unlock()
+	}
+	if !resumed {
+		t.Error("no stream was resumed at its offset")
+	}
+}
+
+func TestStreamThatCannotBeCompletedEndsWithAnErrorEvent(t *testing.T) {
+	for name, engine := range map[string]*chatEngine{
+		"cut on the only engine": {events: 20, cutAfter: 5},
+		"ends without its last":  {events: 20, noDone: true},
+		"event left out":         {events: 20, skip: 9},
+		"resume ignored":         {events: 20, cutAfter: 5, ignoreOffset: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine.cuts.Store(1 << 30)
+			f := newFleet(t, 1)
+			f.addAgent("a1", "drafting", "v1", 4, engine)
+			if engine.ignoreOffset {
+				f.addAgent("a2", "drafting", "v1", 4, engine)
+			}
+			got := chat(f.entries[0])
+			ids, done, failed := readStream(got.body)
+			if done || !failed || !isWhole(ids, len(ids)) {
+				t.Errorf("%v done=%v failed=%v %+v", ids, done, failed, got)
+			}
+		})
+	}
+}
+
+func TestDoubledEventsOfAStreamArePassedOnOnce(t *testing.T) {
+	f := newFleet(t, 1)
+	f.addAgent("a1", "drafting", "v1", 4, &chatEngine{events: 20, doubled: true})
+	got := chat(f.entries[0])
+	if ids, done, _ := readStream(got.body); !isWhole(ids, 20) || !done {
+		t.Errorf("%v done=%v", ids, done)
+	}
+}
+
+func TestCallerGoneEndsTheRunAtTheEngine(t *testing.T) {
+	f := newFleet(t, 1)
+	engine := &chatEngine{events: 100000, delay: time.Millisecond}
+	a := f.addAgent("a1", "drafting", "v1", 4, engine)
+	driver := &cancels{}
+	f.startAgent(a, "2", driver)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan reply, 1)
+	go func() { done <- f.entries[0].send(ctx, "POST", "/v1/chat/completions", chatBody("x", true)) }()
+	eventually(t, "the run starts", func() bool { started, _ := engine.counts(); return started == 1 })
+	cancel()
+	<-done
+	eventually(t, "the run ends", func() bool { _, ended := engine.counts(); return ended == 1 })
+	eventually(t, "the engine is told", func() bool { return driver.count() == 1 })
+}
+
+func TestSlowReaderHoldsTheEngineBack(t *testing.T) {
+	f := newFleet(t, 1)
+	engine := &floodEngine{}
+	f.addAgent("a1", "drafting", "v1", 4, engine)
+	req, _ := http.NewRequest(http.MethodPost, f.entries[0].server.URL+"/v1/chat/completions", strings.NewReader(chatBody("x", true)))
+	req.Header.Set(wire.HeaderAccount, "kochi")
+	resp, err := callers.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var before int64
+	eventually(t, "the engine is held back", func() bool {
+		now := engine.sent.Load()
+		same := now > 0 && now == before
+		before = now
+		if !same {
+			time.Sleep(100 * time.Millisecond)
+		}
+		return same
+	})
+	if before > 64<<20 {
+		t.Errorf("%d bytes are held for a reader that reads nothing", before)
+	}
+}
+
+// floodEngine sends events as fast as they are taken.
+type floodEngine struct{ sent atomic.Int64 }
+
+func (e *floodEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	pad := strings.Repeat("x", 8000)
+	for i := 0; r.Context().Err() == nil; i++ {
+		n, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, pad)
+		if err != nil {
+			return
+		}
+		e.sent.Add(int64(n))
+	}
+}
+
+// answerWith is a plain service with one fixed raw answer.
+type answerWith string
+
+func (a answerWith) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, string(a))
+	_ = conn.Close()
+}
+
+func TestShortOrUndelimitedAnswersAreNeverPassedAsWhole(t *testing.T) {
+	long := strings.Repeat("x", 100<<10)
+	for name, raw := range map[string]string{
+		"shorter than its length":       "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+		"long, shorter than its length": "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + long,
+		"chunk cut":                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+		"chunks without an end":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"not delimited":                 "HTTP/1.1 200 OK\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.addAgent("a1", "desk", "", 4, answerWith(raw))
+			got := f.entries[0].send(context.Background(), "GET", "/status", "")
+			if got.err == nil && got.status == 200 {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+}
+
+func TestCutAnswerIsRetriedElsewhere(t *testing.T) {
+	f := newFleet(t, 1)
+	f.addAgent("a1", "desk", "", 4, answerWith("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"))
+	f.addAgent("a2", "desk", "", 4, newFilings())
+	for range 6 {
+		if got := f.entries[0].send(context.Background(), "GET", "/status?q", ""); got.status != 200 || !strings.HasPrefix(got.body, "receipt") {
+			t.Errorf("%+v", got)
+		}
+	}
+}
+
+// crossing answers with another request's ID, as a confused agent would.
+type crossing struct{ next http.RoundTripper }
+
+func (c crossing) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := c.next.RoundTrip(r)
+	if err == nil {
+		resp.Header.Set(wire.HeaderRequestID, "another")
+	}
+	return resp, err
+}
+
+func TestCrossedAnswerIsNotPassedOn(t *testing.T) {
+	f := newFleet(t, 1)
+	f.addAgent("a1", "desk", "", 4, newFilings())
+	f.entries[0].rt = crossing{f.entries[0].rt}
+	got := f.entries[0].send(context.Background(), "GET", "/status", "")
+	if got.status == 200 || got.code != result.BackendFailed || got.notRun() {
+		t.Errorf("%+v", got)
+	}
+}
--- a/request/once/flight.go
+++ b/request/once/flight.go
@@ -100,12 +100,20 @@
 	}
 	f.call.Note("failed", place.Backend.Name, err)
 	place.Done(false)
-	if result.From(err).Ran == result.NotRun {
+	if provesNotRun(err) {
 		return c.notRun(ctx, reserve, err)
 	}
 	return c.resolve(ctx, f, control.Call{Reserve: reserve, Verdict: control.AttemptReserved}, true)
 }
 
+// provesNotRun reports whether a failed dispatch can't have been run. An agent
+// of another incarnation speaks for itself only: a copy of the dispatch may
+// have reached the one before.
+func provesNotRun(err error) bool {
+	e := result.From(err)
+	return e.Ran == result.NotRun && e.Code != result.WrongIncarnation
+}
+
 func (c *Coordinator) reservation(f *flight, place *Place, n int) control.Reserve {
 	return control.Reserve{
 		Account: f.call.Account, Key: f.call.Key, BodyDigest: f.digest, Service: f.call.Service,
--- /dev/null
+++ b/request/stream/stream_test.go
@@ -0,0 +1,122 @@
+package stream
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+// dropper answers the first request on each connection and closes the
+// connection unanswered at the second. It counts what it read.
+func dropper(t *testing.T) (address string, runs *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	runs = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				for first := true; ; first = false {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					runs.Add(1)
+					if !first {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), runs
+}
+
+func TestSingleUseBodyIsNotSentAgainByTheTransport(t *testing.T) {
+	address, runs := dropper(t)
+	transport := NewTransport()
+	defer transport.CloseIdleConnections()
+	send := func() error {
+		req, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Body = SingleUse(nil)
+		resp, err := Client{Transport: transport}.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return err
+	}
+	if err := send(); err != nil {
+		t.Fatal(err)
+	}
+	if err := send(); err == nil {
+		t.Error("the dropped request was answered: it was sent again")
+	}
+	if n := runs.Load(); n != 2 {
+		t.Errorf("%d requests arrived for 2 sent", n)
+	}
+}
+
+func TestEventReaderTellsCutFromEnd(t *testing.T) {
+	r := NewEventReader(strings.NewReader("id: 0\ndata: {\"a\":1}\n\nid: 1\ndata: x\n\ndata: [DONE]\n\n"))
+	for i, want := range []Event{{ID: 0}, {ID: 1}, {ID: -1, Done: true}} {
+		ev, err := r.Next()
+		if err != nil || ev.ID != want.ID || ev.Done != want.Done {
+			t.Fatalf("event %d: %+v %v", i, ev, err)
+		}
+	}
+	if _, err := r.Next(); !errors.Is(err, io.EOF) {
+		t.Errorf("end: %v", err)
+	}
+	cut := NewEventReader(strings.NewReader("id: 0\ndata: {\"a\""))
+	if _, err := cut.Next(); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("cut: %v", err)
+	}
+}
+
+func TestCopyHeaderDropsWhatIsNotTheBackends(t *testing.T) {
+	src := http.Header{
+		"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Transfer-Encoding": {"chunked"},
+		"Waxwingpost-Token": {"forged"}, "X-Kept": {"a", "b"},
+	}
+	dst := http.Header{}
+	CopyHeader(dst, src)
+	if len(dst) != 1 || len(dst["X-Kept"]) != 2 {
+		t.Errorf("passed on: %v", dst)
+	}
+}
+
+func TestErrorsSurviveTheWire(t *testing.T) {
+	for _, code := range []result.Code{result.QueueFull, result.CutOff, result.OutcomeUnknown, result.Internal} {
+		w := httptest.NewRecorder()
+		WriteError(w, result.Refuse(code, 1500e6, "why"))
+		got := ReadErrorHeader(w.Result())
+		if got == nil || got.Code != code || got.Ran != result.NotRun {
+			t.Errorf("%d came back as %+v", code, got)
+		}
+		if w.Header().Get("Retry-After") != "2" {
+			t.Errorf("Retry-After %q", w.Header().Get("Retry-After"))
+		}
+	}
+}
