--- a/process/control/types.go
+++ b/process/control/types.go
@@ -51,8 +51,20 @@
 	Content []byte `cbor:"3,keyasint,omitempty"`
 	Remove  bool   `cbor:"4,keyasint,omitempty"`
 	Author  string `cbor:"5,keyasint,omitempty"`
+	// With holds edits of further files that belong to the same change: all
+	// are accepted under one revision or none. Their own With is not read.
+	With []Edit `cbor:"6,keyasint,omitempty"`
+	// Revision is the configuration's revision that the folder was last in
+	// step with when the edit was made. A file that was changed or removed
+	// under a later revision makes the edit a conflict, also where its content
+	// equals Base again. Zero means that this is not checked; FirstRevision
+	// stands for a folder that was never in step.
+	Revision uint64 `cbor:"7,keyasint,omitempty"`
 }
 
+// FirstRevision is the revision of the first accepted change.
+const FirstRevision uint64 = 1
+
 // RegisterVersion commits the manifest of a version.
 type RegisterVersion struct {
 	Manifest manifest.Manifest `cbor:"1,keyasint"`
@@ -70,6 +82,10 @@
 	// After is the fence index of the agent's order that this one replaces;
 	// another order in between makes the command a conflict.
 	After uint64 `cbor:"6,keyasint"`
+	// Keep and KeepAdapters are set with Stage: what the agent's engine goes
+	// on serving meanwhile.
+	Keep         string   `cbor:"7,keyasint,omitempty"`
+	KeepAdapters []string `cbor:"8,keyasint,omitempty"`
 }
 
 // Reserve claims the one run of a call that may not be repeated.
@@ -140,9 +156,14 @@
 	// Index and Term are those of the log entry that decided the command.
 	Index uint64 `cbor:"3,keyasint"`
 	Term  uint64 `cbor:"4,keyasint"`
-	// Revision is the configuration's revision after an Edit.
+	// Revision is the revision that an Edit made, or the one in force where
+	// it was refused.
 	Revision uint64 `cbor:"5,keyasint,omitempty"`
-	// Call is the record after a Reserve or RecordOutcome.
+	// Call is the record after a Reserve or RecordOutcome. Code 0 of a Reserve
+	// permits the dispatch: this command, or an earlier sending of it under
+	// the same ID, holds the reservation. AlreadyRan, InProgress,
+	// OutcomeUnknown and AttemptTombstoned (reserve Call.Reserve.Attempt+1
+	// instead) carry the record that stands in the way.
 	Call *Call `cbor:"6,keyasint,omitempty"`
 }
 
