--- a/bench/virtual/faults.go
+++ b/bench/virtual/faults.go
@@ -11,27 +11,27 @@
 const viewInterval = 5 * time.Second
 
 func (f *fleet) injectFaults() {
-	faults := f.p.Faults
-	bound := f.p.WayBound()
-	order := f.rnd.Perm(len(f.vms))
-	slow := int(faults.Slow * float64(len(f.vms)))
-	for _, i := range order[:slow] {
-		v := f.vms[i]
-		v.slow = true
-		v.up.setRate(f.p.vmRate() / faults.SlowFactor)
-		v.down.setRate(f.p.vmRate() / faults.SlowFactor)
+	f.slowDown()
+	deaths := f.deaths()
+	for _, d := range deaths {
+		f.after(d.at, func() { f.kill(d.vm) })
 	}
-	die := int(faults.Die * float64(len(f.vms)))
-	for _, i := range order[slow : slow+die] {
-		v := f.vms[i]
-		at := bound/10 + time.Duration(f.rnd.Int64N(int64(bound/2)))
-		f.after(at, func() { f.kill(v) })
-	}
-	if die > 0 {
+	if len(deaths) > 0 {
 		f.after(viewInterval, f.updateViews)
 	}
-	if faults.StallFor > 0 {
-		f.after(bound/5, f.stallLinks)
+	if f.p.Faults.StallFor > 0 {
+		f.after(f.p.WayBound()/5, f.stallLinks)
+	}
+}
+
+func (f *fleet) slowCount() int { return int(f.p.Faults.Slow * float64(len(f.vms))) }
+
+func (f *fleet) slowDown() {
+	for _, i := range f.order[:f.slowCount()] {
+		v := f.vms[i]
+		v.slow = true
+		v.up.setRate(f.p.vmRate() / f.p.Faults.SlowFactor)
+		v.down.setRate(f.p.vmRate() / f.p.Faults.SlowFactor)
 	}
 }
 
--- a/bench/virtual/run.go
+++ b/bench/virtual/run.go
@@ -74,11 +74,13 @@
 
 type fleet struct {
 	clock
-	p       Params
-	rnd     *rand.Rand
-	arr     *planner.Arrangement
-	est     planner.Estimate
-	vms     []*vm
+	p   Params
+	rnd *rand.Rand
+	arr *planner.Arrangement
+	est planner.Estimate
+	vms []*vm
+	// order is the random order in which faults befall the VMs.
+	order   []int
 	byName  map[string]*vm
 	regions map[string]int
 	origin  *link
@@ -125,6 +127,7 @@
 	for i := range p.VMs {
 		f.addVM(p.node(i))
 	}
+	f.order = f.rnd.Perm(len(f.vms))
 	for range f.regions {
 		f.toRegion = append(f.toRegion, &link{rate: math.Inf(1)})
 		row := make([]*link, len(f.regions))
