--- a/bench/virtual/links.go
+++ b/bench/virtual/links.go
@@ -13,9 +13,6 @@
 	bytes float64
 }
 
-// maxLinks is the most links that a flow passes.
-const maxLinks = 4
-
 // flow moves bytes over links at the least of its equal shares.
 type flow struct {
 	sim   *clock
