--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -245,8 +245,16 @@
 	group.Wait()
 }
 
-// Await polls check until it returns nil or ctx ends; then the last error is
-// returned with what was awaited.
+// ErrEnded marks the error of a process that has ended: waiting is in vain.
+var ErrEnded = errors.New("the process has ended")
+
+// ended returns an error with the end of the process's log, marked ErrEnded.
+func ended(p *Process) error {
+	return errors.Mark(errors.Newf("%s has ended: %s", p.Name, tail(p.Log())), ErrEnded)
+}
+
+// Await polls check until it returns nil or an error marked ErrEnded, or until
+// ctx ends; then the last error is returned with what was awaited.
 func Await(ctx context.Context, what string, check func(context.Context) error) error {
 	ticker := time.NewTicker(pollEvery)
 	defer ticker.Stop()
@@ -259,6 +267,9 @@
 		if ctx.Err() == nil || last == nil {
 			last = err
 		}
+		if errors.Is(err, ErrEnded) {
+			return errors.Wrap(err, what)
+		}
 		select {
 		case <-ctx.Done():
 			return errors.Wrapf(last, "awaited in vain: %s", what)
--- a/bench/cluster/query.go
+++ b/bench/cluster/query.go
@@ -63,6 +63,9 @@
 
 // Alive returns nil once the process answers at all.
 func (c *Cluster) Alive(ctx context.Context, p *Process) error {
+	if !p.Running() {
+		return ended(p)
+	}
 	return c.get(ctx, p.Peer, wire.PathHealth, nil)
 }
 
@@ -134,7 +137,7 @@
 	for _, p := range procs {
 		check := func(ctx context.Context) error {
 			if !p.Running() {
-				return errors.Newf("%s has ended: %s", p.Name, tail(p.Log()))
+				return ended(p)
 			}
 			return c.Ready(ctx, p)
 		}
@@ -162,6 +165,9 @@
 
 // Stats reads a stand-in's own record.
 func (c *Cluster) Stats(ctx context.Context, p *Process, into any) error {
+	if !p.Running() {
+		return ended(p)
+	}
 	return c.get(ctx, p.Address, fakeStats, into)
 }
 
--- a/bench/cmd/wpdemo/main.go
+++ b/bench/cmd/wpdemo/main.go
@@ -64,4 +64,3 @@
 func (d *demo) figure(name string, value float64, unit, target string) {
 	figure.Print(d.out, name, value, unit, target)
 }
-
--- a/bench/cmd/wpdemo/stop.go
+++ b/bench/cmd/wpdemo/stop.go
@@ -64,6 +64,7 @@
 
 // stopAll stops every agent, then every entry, as planned.
 func (d *demo) stopAll(ctx context.Context) error {
+	d.caller.Client.CloseIdleConnections()
 	agents := append(append([]*cluster.Process{d.deskSide}, d.drafting[1:]...), d.casebook...)
 	for _, group := range [][]*cluster.Process{agents, d.cluster.Entries()} {
 		for _, p := range group {
