Heartbeats and fleet reports carry changes only

Cause: every heartbeat carried the whole status, every entry sent the leader the whole status of all its agents twice a second, and each agent was reported by every entry that it links to. Ruled out: a slower heartbeat, which would lengthen the time until a silent agent gets nothing new. Now a beat is what changes all the time, the status follows when it differs, and each agent's primary entry alone reports it, changes only, with a small keepalive. A report that does not follow the one before is refused and sent whole.

--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -22,7 +22,7 @@
 // Kinds of messages. The comment gives the sender, the receiver and the types.
 const (
 	KindHello     Kind = 1  // both: Hello
-	KindHeartbeat Kind = 2  // agent to entry: Heartbeat, answered by HeartbeatAck
+	KindHeartbeat Kind = 2  // agent to entry: Beat, answered by HeartbeatAck
 	KindAgentView Kind = 3  // entry to agent: AgentView
 	KindFence     Kind = 4  // agent to entry: FenceQuery, answered by FenceReply
 	KindLeave     Kind = 5  // agent to entry: Leave
@@ -77,9 +77,24 @@
 // Heartbeat renews an agent's session with an entry. Token is good for
 // dispatches until the lease ends on the agent's own monotonic clock.
 type Heartbeat struct {
-	Seq    uint64      `cbor:"1,keyasint"`
-	Token  string      `cbor:"2,keyasint"`
-	Status AgentStatus `cbor:"3,keyasint"`
+	Seq    uint64
+	Token  string
+	Status AgentStatus
+}
+
+// Beat is a heartbeat as it crosses a link: what changes all the time, and
+// the rest only where it differs from the beat before on the same link.
+type Beat struct {
+	Seq   uint64 `cbor:"1,keyasint"`
+	Token string `cbor:"2,keyasint"`
+	// Running, Waiting and InFlight are as in the status.
+	Running  int `cbor:"3,keyasint,omitempty"`
+	Waiting  int `cbor:"4,keyasint,omitempty"`
+	InFlight int `cbor:"5,keyasint,omitempty"`
+	// Status is nil while it is unchanged but for the fields above.
+	Status *AgentStatus `cbor:"6,keyasint,omitempty"`
+	// Primary is set on one link of the agent: its entry tells the leader.
+	Primary bool `cbor:"7,keyasint,omitempty"`
 }
 
 // HeartbeatAck answers a heartbeat.
@@ -206,12 +221,17 @@
 	Index uint64 `cbor:"1,keyasint"`
 }
 
-// FleetReport tells the leader of the agents that are linked to an entry.
+// FleetReport tells the leader of the agents whose primary link is to the
+// entry: what changed since the report before on the same link, or everything
+// when First is set. A report without changes keeps the entry's agents alive.
 type FleetReport struct {
 	Entry    string        `cbor:"1,keyasint"`
 	Seq      uint64        `cbor:"2,keyasint"`
 	Revision uint64        `cbor:"3,keyasint"`
 	Agents   []AgentStatus `cbor:"4,keyasint,omitempty"`
+	// Gone names agents that the entry no longer answers for.
+	Gone  []string `cbor:"5,keyasint,omitempty"`
+	First bool     `cbor:"6,keyasint,omitempty"`
 }
 
 // RevisionAck tells the leader which revision is in force on a process.
--- a/process/agent/heartbeat.go
+++ b/process/agent/heartbeat.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/waxwingpost/waxwingpost/connection/heartbeat"
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -26,8 +27,9 @@
 func (a *Agent) runHeartbeats(ctx context.Context, c *link.Conn) {
 	ticker := a.clock.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
+	encoder := heartbeat.NewEncoder(a.clock)
 	for {
-		if err := a.heartbeat(ctx, c); err != nil {
+		if err := a.heartbeat(ctx, c, encoder); err != nil {
 			a.log.Warn("heartbeat not acknowledged", "entry", c.Peer().Name, "code", int(result.CodeOf(err)))
 			c.Close()
 			return
@@ -42,13 +44,25 @@
 	}
 }
 
-func (a *Agent) heartbeat(ctx context.Context, c *link.Conn) error {
+func (a *Agent) heartbeat(ctx context.Context, c *link.Conn, encoder *heartbeat.Encoder) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	status := a.status()
-	hb := wire.Heartbeat{Seq: status.Seq, Token: a.leases.Issue(), Status: status}
+	beat := encoder.Encode(a.status(), a.leases.Issue(), a.isPrimary(c))
 	var ack wire.HeartbeatAck
-	return c.Call(ctx, wire.KindHeartbeat, hb, &ack)
+	return c.Call(ctx, wire.KindHeartbeat, beat, &ack)
+}
+
+// isPrimary reports whether c is, of the open links, the one to the entry
+// with the highest rendezvous weight: that entry answers for this agent to
+// the leader, and agents spread over the entries.
+func (a *Agent) isPrimary(c *link.Conn) bool {
+	weight := rendezvousWeight(a.set.Name, c.Peer().Name)
+	for _, other := range a.mesh.Conns() {
+		if rendezvousWeight(a.set.Name, other.Peer().Name) > weight {
+			return false
+		}
+	}
+	return true
 }
 
 // status reads what this agent knows of itself.
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -66,6 +66,7 @@
 	folder   *folder.Watcher
 	rollout  *rollout.Runner
 	views    *views
+	agents   *agentLinks
 	dump     obs.State
 	ready    readiness
 }
@@ -121,6 +122,7 @@
 	e.api = e.newAPI()
 	e.rollout = rollout.New(rollout.Config{}, e.node, e.machine, e.fleet, e.fetchManifest, e.clock, e.log, e.scope)
 	e.views = newViews(e)
+	e.agents = newAgentLinks()
 	e.registerDump()
 	return nil
 }
--- a/process/entry/links.go
+++ b/process/entry/links.go
@@ -33,9 +33,11 @@
 		return nil, err
 	}
 	e.log.Info("agent joined", "agent", hello.Name, "incarnation", hello.Incarnation, "service", hello.Service, "zone", hello.Zone)
+	e.agents.add(c)
 	e.views.add(c)
 	return func() {
 		e.views.remove(c)
+		e.agents.remove(c)
 		e.sessions.Lost(hello.Name, hello.Incarnation)
 		e.log.Info("agent link lost", "agent", hello.Name, "incarnation", hello.Incarnation)
 	}, nil
@@ -46,8 +48,6 @@
 	switch kind {
 	case wire.KindLeave:
 		e.leave(c)
-	case wire.KindFleet:
-		e.fleetReport(body)
 	default:
 		e.notifyNode(c, kind, body)
 	}
@@ -66,13 +66,16 @@
 	e.log.Info("agent leaves", "agent", hello.Name, "incarnation", hello.Incarnation)
 }
 
-func (e *Entry) fleetReport(body cbor.RawMessage) {
+// fleetReport takes in another entry's report.
+func (e *Entry) fleetReport(body cbor.RawMessage) (any, error) {
 	var report wire.FleetReport
 	if err := cbor.Unmarshal(body, &report); err != nil {
-		e.log.Warn("fleet report unreadable", "code", int(result.BadMessage), "error", err)
-		return
+		return nil, result.New(result.BadMessage, "fleet report: %v", err)
 	}
-	e.fleet.Report(report)
+	if !e.fleet.Report(report) {
+		return nil, result.New(result.BadMessage, "report %d of %s does not follow the one before", report.Seq, report.Entry)
+	}
+	return wire.Empty{}, nil
 }
 
 // Call implements link.Handler.
@@ -82,6 +85,8 @@
 		return e.heartbeat(c, body)
 	case kind == wire.KindFence && c.Peer().Role == wire.RoleAgent:
 		return e.fence(ctx, body)
+	case kind == wire.KindFleet && c.Peer().Role == wire.RoleEntry:
+		return e.fleetReport(body)
 	case c.Peer().Role == wire.RoleEntry:
 		return e.node.Call(ctx, c.Peer(), kind, body)
 	default:
@@ -90,10 +95,14 @@
 }
 
 func (e *Entry) heartbeat(c *link.Conn, body cbor.RawMessage) (any, error) {
-	var hb wire.Heartbeat
-	if err := cbor.Unmarshal(body, &hb); err != nil {
+	var beat wire.Beat
+	if err := cbor.Unmarshal(body, &beat); err != nil {
 		return nil, result.New(result.BadMessage, "heartbeat: %v", err)
 	}
+	hb, err := e.agents.decode(c, beat)
+	if err != nil {
+		return nil, err
+	}
 	hello := c.Peer()
 	e.sessions.Heartbeat(hello.Name, hello.Incarnation, hb)
 	_, revision := e.machine.Config()
@@ -117,33 +126,3 @@
 	}
 	return reply, nil
 }
-
-// runReports tells the leader of the agents that are linked here, until ctx
-// ends. The leader reports to itself.
-func (e *Entry) runReports(ctx context.Context) {
-	ticker := e.clock.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for seq := uint64(1); ; seq++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			e.report(seq)
-		}
-	}
-}
-
-const reportInterval = 500 * time.Millisecond
-
-func (e *Entry) report(seq uint64) {
-	_, revision := e.machine.Config()
-	r := wire.FleetReport{Entry: e.set.Name, Seq: seq, Revision: revision, Agents: e.sessions.Statuses()}
-	leader := e.node.Leader()
-	switch leader {
-	case "":
-	case e.set.Name:
-		e.fleet.Report(r)
-	default:
-		_ = e.mesh.Notify(leader, wire.KindFleet, r)
-	}
-}
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -1,7 +1,6 @@
-// Package fleet gathers what every agent last said of itself. Each entry
-// reports the agents that are linked to it; the leader merges the reports.
-//
-// An agent that no entry reported for statusLifetime is left out.
+// Package fleet gathers what every agent last said of itself. Each agent has
+// one primary entry, which reports it to the leader; reports carry changes
+// only, and an entry that reports nothing more is left out with its agents.
 package fleet
 
 import (
@@ -15,17 +14,23 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 )
 
-// statusLifetime is how long a status counts after it was last reported.
-const statusLifetime = 3 * time.Second
+// entryLifetime is how long an entry's agents count after its last report.
+const entryLifetime = 3 * time.Second
 
-// Fleet is the merged view. Safe for concurrent use.
+// Fleet is the leader's view. Safe for concurrent use.
 type Fleet struct {
 	clock clockwork.Clock
 
-	// mu guards the maps.
-	mu        sync.Mutex
-	agents    map[string]heard
-	revisions map[string]revisionHeard
+	// mu guards entries.
+	mu      sync.Mutex
+	entries map[string]*entryView
+}
+
+type entryView struct {
+	seq      uint64
+	revision uint64
+	at       time.Time
+	agents   map[string]heard
 }
 
 type heard struct {
@@ -33,64 +38,78 @@
 	at     time.Time
 }
 
-type revisionHeard struct {
-	revision uint64
-	at       time.Time
-}
-
 // New returns an empty fleet.
 func New(clock clockwork.Clock) *Fleet {
-	return &Fleet{
-		clock:     clock,
-		agents:    make(map[string]heard),
-		revisions: make(map[string]revisionHeard),
-	}
+	return &Fleet{clock: clock, entries: make(map[string]*entryView)}
 }
 
-// Report merges one entry's report.
-func (f *Fleet) Report(r wire.FleetReport) {
+// Report takes in one entry's report and returns whether it could: a report
+// of changes to what is not held here can't, and the entry must send all.
+func (f *Fleet) Report(r wire.FleetReport) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	f.revisions[r.Entry] = revisionHeard{revision: r.Revision, at: now}
+	f.expire(now)
+	e := f.entries[r.Entry]
+	if r.First {
+		e = &entryView{agents: make(map[string]heard)}
+		f.entries[r.Entry] = e
+	}
+	if e == nil || (!r.First && r.Seq != e.seq+1) {
+		return false
+	}
+	e.seq, e.revision, e.at = r.Seq, r.Revision, now
 	for _, s := range r.Agents {
-		f.merge(s, now)
+		e.agents[s.Name] = heard{status: s, at: now}
 	}
-	f.expire(now)
-}
-
-// merge keeps the newest status. Two incarnations can't be ordered by their
-// Seq: the one that was heard of last counts, unless it is merely an old
-// report that arrives beside a live one.
-func (f *Fleet) merge(s wire.AgentStatus, now time.Time) {
-	old, ok := f.agents[s.Name]
-	if ok && old.status.Incarnation == s.Incarnation && old.status.Seq > s.Seq {
-		return
+	for _, name := range r.Gone {
+		delete(e.agents, name)
 	}
-	f.agents[s.Name] = heard{status: s, at: now}
+	return true
 }
 
 func (f *Fleet) expire(now time.Time) {
-	for name, h := range f.agents {
-		if now.Sub(h.at) > statusLifetime {
-			delete(f.agents, name)
+	maps.DeleteFunc(f.entries, func(_ string, e *entryView) bool {
+		return now.Sub(e.at) > entryLifetime
+	})
+}
+
+// merged returns each live agent as the entry knows it that heard of a change
+// last: after a change of the primary entry two may hold it for a while.
+func (f *Fleet) merged() map[string]wire.AgentStatus {
+	f.expire(f.clock.Now())
+	newest := make(map[string]heard)
+	for _, name := range slices.Sorted(maps.Keys(f.entries)) {
+		for agent, h := range f.entries[name].agents {
+			if old, ok := newest[agent]; !ok || supersedes(h, old) {
+				newest[agent] = h
+			}
 		}
 	}
-	for name, h := range f.revisions {
-		if now.Sub(h.at) > statusLifetime {
-			delete(f.revisions, name)
-		}
+	statuses := make(map[string]wire.AgentStatus, len(newest))
+	for agent, h := range newest {
+		statuses[agent] = h.status
 	}
+	return statuses
+}
+
+// supersedes orders two statuses: by Seq within an incarnation, else by when
+// they were heard.
+func supersedes(h, old heard) bool {
+	if h.status.Incarnation == old.status.Incarnation {
+		return h.status.Seq > old.status.Seq
+	}
+	return h.at.After(old.at)
 }
 
 // Statuses returns the live agents in the order of their names.
 func (f *Fleet) Statuses() []wire.AgentStatus {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.expire(f.clock.Now())
-	statuses := make([]wire.AgentStatus, 0, len(f.agents))
-	for _, name := range slices.Sorted(maps.Keys(f.agents)) {
-		statuses = append(statuses, f.agents[name].status)
+	merged := f.merged()
+	statuses := make([]wire.AgentStatus, 0, len(merged))
+	for _, name := range slices.Sorted(maps.Keys(merged)) {
+		statuses = append(statuses, merged[name])
 	}
 	return statuses
 }
@@ -99,13 +118,12 @@
 func (f *Fleet) Revisions() map[string]uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.expire(f.clock.Now())
-	revisions := make(map[string]uint64, len(f.revisions)+len(f.agents))
-	for name, r := range f.revisions {
-		revisions[name] = r.revision
+	revisions := make(map[string]uint64)
+	for name, s := range f.merged() {
+		revisions[name] = s.Revision
 	}
-	for name, h := range f.agents {
-		revisions[name] = h.status.Revision
+	for name, e := range f.entries {
+		revisions[name] = e.revision
 	}
 	return revisions
 }
