Folder: one verdict for every change under lost and late answers

Pins alone don't rule it out, because a batch depends on what else stands in the folder. The state machine now finds the accepted change itself by file, base, content and revision. A second cause, a pin made only after a write-back had moved the folder's revision on, let a folder with a lost memory bring back a removed file; pins are made when an edit is first seen.

--- a/process/control/state/edit.go
+++ b/process/control/state/edit.go
@@ -20,6 +20,9 @@
 		return m.alreadyAccepted(edits)
 	}
 	if res, ok := m.checkBases(pending); !ok {
+		if revision, ok := m.decidedBefore(edits); ok {
+			return control.Result{Revision: revision}
+		}
 		return m.refuseEdit(cmd, pending, res)
 	}
 	files := m.filesAfter(pending)
@@ -67,6 +70,29 @@
 	return control.Result{Revision: revision}
 }
 
+// decidedBefore finds the revision that accepted the very same change of one
+// file after it was made. A resend whose first answer was lost finds it also
+// when it comes under another ID and others have gone on since.
+func (m *Machine) decidedBefore(edits []control.Edit) (uint64, bool) {
+	e := edits[0]
+	if len(edits) > 1 || e.Revision == 0 {
+		return 0, false
+	}
+	var after manifest.Digest
+	if !e.Remove {
+		after = manifest.Sum(e.Content)
+	}
+	for _, c := range slices.Backward(m.history.accepted) {
+		if c.Revision <= e.Revision && c.Revision != control.FirstRevision {
+			break
+		}
+		if c.File == e.File && c.Before == e.Base && c.After == after {
+			return c.Revision, true
+		}
+	}
+	return 0, false
+}
+
 // checkBases refuses the change where a file moved on since it was made.
 func (m *Machine) checkBases(edits []control.Edit) (control.Result, bool) {
 	for i, e := range edits {
--- a/process/folder/propose.go
+++ b/process/folder/propose.go
@@ -29,7 +29,7 @@
 // absorb takes note of what is in step: files that hold what they held last,
 // and those that hold, or lack, what is accepted by now.
 func (w *Watcher) absorb(s *scan, inForce map[string]state.File) {
-	changed := false
+	changed := w.absorbPins(s, inForce)
 	for name, digest := range s.digests {
 		known, ok := w.memory.Files[name]
 		if ok && known == digest {
@@ -53,6 +53,29 @@
 	}
 }
 
+// absorbPins settles edits that were accepted although their answer was lost
+// and that the operator has edited further since, and forgets refused files
+// that are gone.
+func (w *Watcher) absorbPins(s *scan, inForce map[string]state.File) bool {
+	changed := false
+	for name, p := range w.memory.Pins {
+		if f, ok := inForce[name]; ok && f.Digest == p.Digest && s.digests[name] != p.Digest {
+			w.settle(name, p.Digest, f.Revision)
+			changed = true
+		}
+	}
+	for name, n := range w.memory.Notes {
+		_, known := w.memory.Files[name]
+		_, accepted := inForce[name]
+		if n.Verdict != verdictAccepted && n.Kept == "" && !known && !accepted && !s.has(name) {
+			delete(w.memory.Notes, name)
+			delete(w.memory.Pins, name)
+			changed = true
+		}
+	}
+	return changed
+}
+
 // unpin forgets an edit that the operator has undone.
 func (w *Watcher) unpin(name string) bool {
 	_, pinned := w.memory.Pins[name]
@@ -148,13 +171,21 @@
 func (w *Watcher) candidates(s *scan) []candidate {
 	var edits, removals []candidate
 	for name, digest := range s.digests {
-		if w.memory.Files[name] != digest && w.settled(name, digest) {
-			edits = append(edits, candidate{name: name, pin: w.pinFor(name, digest), content: s.files[name].Content})
+		if w.memory.Files[name] == digest {
+			continue
+		}
+		p := w.pinFor(name, digest)
+		if w.settled(name, digest) {
+			edits = append(edits, candidate{name: name, pin: p, content: s.files[name].Content})
 		}
 	}
 	for name := range w.memory.Files {
-		if !s.has(name) && w.settled(name, manifest.Digest{}) {
-			removals = append(removals, candidate{name: name, pin: w.pinFor(name, manifest.Digest{})})
+		if s.has(name) {
+			continue
+		}
+		p := w.pinFor(name, manifest.Digest{})
+		if w.settled(name, manifest.Digest{}) {
+			removals = append(removals, candidate{name: name, pin: p})
 		}
 	}
 	byName := func(a, b candidate) int { return strings.Compare(a.name, b.name) }
@@ -163,12 +194,20 @@
 	return append(edits, removals...)
 }
 
-// pinFor returns the pin of an edit; it is made when the edit is first seen.
+// pinFor returns the pin of an edit. It is made when the edit is first seen,
+// before a write-back of other files moves the folder's revision on; an edit
+// of an edit is made upon the same.
 func (w *Watcher) pinFor(name string, digest manifest.Digest) pin {
-	if p, ok := w.memory.Pins[name]; ok && p.Digest == digest {
+	p, ok := w.memory.Pins[name]
+	if ok && p.Digest == digest {
+		return p
+	}
+	if ok {
+		p.Digest, p.Try = digest, 0
+		w.memory.Pins[name] = p
 		return p
 	}
-	p := pin{Digest: digest, Base: w.memory.Files[name], Revision: max(w.memory.Revision, control.FirstRevision)}
+	p = pin{Digest: digest, Base: w.memory.Files[name], Revision: max(w.memory.Revision, control.FirstRevision)}
 	if n := w.memory.Notes[name]; n.Verdict == verdictAccepted && n.Digest == p.Base {
 		p.Revision = max(p.Revision, n.Revision)
 	}
--- a/process/folder/watcher_test.go
+++ b/process/folder/watcher_test.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/process/control/state"
 	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/version/manifest"
 )
 
 // cluster is a control state without replicas: one log, and one machine for
@@ -25,10 +26,26 @@
 	log      []control.Command
 	machines []*state.Machine
 	// behind holds back the log from a machine.
-	behind map[*state.Machine]bool
+	behind map[any]bool
 	// lose makes the next answers get lost after they were decided.
 	lose int
-	down bool
+	// stall keeps the next commands in stalled, undecided.
+	stall   int
+	stalled []control.Command
+	down    bool
+	// first applies every command at once and gives the results.
+	first *state.Machine
+}
+
+func (c *cluster) judge() *state.Machine {
+	if c.first == nil {
+		c.first = state.New(state.Options{})
+	}
+	return c.first
+}
+
+func digestText(content string) string {
+	return manifest.Sum([]byte(content)).String()
 }
 
 func (c *cluster) machine() *state.Machine {
@@ -55,13 +72,12 @@
 	if c.down {
 		return control.Result{}, result.New(result.NoQuorum, "down")
 	}
-	c.log = append(c.log, cmd)
-	judge := state.New(state.Options{})
-	var res control.Result
-	for i, logged := range c.log {
-		res = judge.Apply(uint64(i+1), 1, logged)
+	if c.stall > 0 {
+		c.stall--
+		c.stalled = append(c.stalled, cmd)
+		return control.Result{}, result.New(result.ProposalLost, "stalled")
 	}
-	c.apply()
+	res := c.decide(cmd)
 	if c.lose > 0 {
 		c.lose--
 		return control.Result{}, result.New(result.ProposalLost, "lost")
