--- /dev/null
+++ b/request/admission/sim_test.go
@@ -0,0 +1,371 @@
+package admission
+
+import (
+	"container/heap"
+	"flag"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+)
+
+var seeds = flag.Int("seeds", 2, "number of seeds of each simulated run")
+
+// load is the traffic of one account and priority.
+type load struct {
+	account       string
+	share         int
+	maxConcurrent int
+	rank          int
+	perSecond     float64
+	deadline      time.Duration
+}
+
+// tally of one load.
+type outcome struct {
+	offered, served, late, refused, dropped int
+	latencies                               []time.Duration
+	// held is how long dropped requests waited for their refusal.
+	held []time.Duration
+}
+
+func (o *outcome) p95() time.Duration {
+	if len(o.latencies) == 0 {
+		return 0
+	}
+	slices.Sort(o.latencies)
+	return o.latencies[len(o.latencies)*95/100]
+}
+
+// sim runs a controller in front of servers with so many slots, on virtual
+// time.
+type sim struct {
+	c      *Controller
+	clock  *clockwork.FakeClock
+	rnd    *rand.Rand
+	slots  int
+	busy   int
+	most   int
+	mean   time.Duration
+	limits *Limits
+	events eventHeap
+	wait   []*pending
+	out    []outcome
+	loads  []load
+}
+
+type pending struct {
+	w       *waiter
+	load    int
+	arrived time.Time
+}
+
+type event struct {
+	at time.Time
+	do func()
+	// arrival is set on the arrival of a load's next request.
+	arrival bool
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int           { return len(h) }
+func (h eventHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h eventHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)        { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+const simSweep = 10 * time.Millisecond
+
+func newSim(seed uint64, slots int, mean time.Duration, loads []load) *sim {
+	s := &sim{
+		clock: clockwork.NewFakeClock(), rnd: rand.New(rand.NewPCG(seed, 7)), slots: slots, mean: mean,
+		loads: loads, out: make([]outcome, len(loads)),
+	}
+	s.limits = NewLimits(s.clock)
+	// The simulation sweeps by itself, in the order of its events.
+	cfg := Config{SweepInterval: 24 * time.Hour}
+	s.c = NewController(cfg, func() bool { return true }, s.clock, tally.NoopScope)
+	return s
+}
+
+func (s *sim) at(d time.Duration, do func()) {
+	heap.Push(&s.events, event{at: s.clock.Now().Add(d), do: do})
+}
+
+func (s *sim) nextArrival(i int) {
+	heap.Push(&s.events, event{at: s.clock.Now().Add(s.exp(s.gap(i))), do: func() { s.arrive(i) }, arrival: true})
+}
+
+func (s *sim) exp(mean time.Duration) time.Duration {
+	return time.Duration(s.rnd.ExpFloat64() * float64(mean))
+}
+
+func (s *sim) run(span time.Duration) {
+	for i := range s.loads {
+		s.nextArrival(i)
+	}
+	s.at(simSweep, s.sweep)
+	end := s.clock.Now().Add(span)
+	for len(s.events) > 0 && s.events[0].at.Before(end) {
+		e := heap.Pop(&s.events).(event)
+		s.clock.Advance(e.at.Sub(s.clock.Now()))
+		e.do()
+		s.collect()
+	}
+}
+
+func (s *sim) gap(i int) time.Duration {
+	return time.Duration(float64(time.Second) / s.loads[i].perSecond)
+}
+
+func (s *sim) sweep() {
+	s.c.sweep()
+	s.at(simSweep, s.sweep)
+}
+
+func (s *sim) arrive(i int) {
+	s.nextArrival(i)
+	l := s.loads[i]
+	s.out[i].offered++
+	now := s.clock.Now()
+	w, grant, err := s.c.arrive(Request{
+		Account: l.account, Share: l.share, MaxConcurrent: l.maxConcurrent, Rank: l.rank,
+		Deadline: now.Add(l.deadline), Running: s.limits.Running(l.account), Try: s.take,
+	})
+	switch {
+	case err != nil:
+		s.out[i].refused++
+	case grant != nil:
+		s.serve(i, grant, now)
+	default:
+		s.wait = append(s.wait, &pending{w: w, load: i, arrived: now})
+	}
+}
+
+func (s *sim) take() bool {
+	if s.busy >= s.slots {
+		return false
+	}
+	s.busy++
+	s.most = max(s.most, s.busy)
+	return true
+}
+
+func (s *sim) serve(i int, g *Grant, arrived time.Time) {
+	s.at(s.mean/2+s.exp(s.mean/2), func() {
+		s.busy--
+		g.Release(true)
+		took := s.clock.Now().Sub(arrived)
+		s.out[i].latencies = append(s.out[i].latencies, took)
+		if took <= s.loads[i].deadline {
+			s.out[i].served++
+		} else {
+			s.out[i].late++
+		}
+	})
+}
+
+// collect looks which waiting requests were decided.
+func (s *sim) collect() {
+	s.wait = slices.DeleteFunc(s.wait, func(p *pending) bool {
+		select {
+		case err := <-p.w.decided:
+			if err != nil {
+				s.out[p.load].dropped++
+				s.out[p.load].held = append(s.out[p.load].held, s.clock.Now().Sub(p.arrived))
+				return true
+			}
+			s.serve(p.load, &Grant{c: s.c, account: p.w.account, start: s.clock.Now()}, p.arrived)
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+// Capacity of the simulated servers: 20 slots of 50 ms are 400 a second.
+const (
+	simSlots    = 20
+	simMean     = 50 * time.Millisecond
+	simCapacity = 400.0
+	simSpan     = 10 * time.Second
+	simDeadline = time.Second
+)
+
+func eachSeed(t *testing.T, run func(t *testing.T, seed uint64)) {
+	t.Helper()
+	for seed := range *seeds {
+		t.Logf("seed %d; repeat with -seeds %d", seed, seed+1)
+		run(t, uint64(seed))
+	}
+}
+
+func TestLargeAccountAtTenTimesItsShareStarvesNobody(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		share := simCapacity / 5
+		loads := []load{{account: "big", share: 1, rank: 5, perSecond: 10 * share, deadline: simDeadline}}
+		for _, name := range []string{"a", "b", "c", "d"} {
+			loads = append(loads, load{account: name, share: 1, perSecond: 0.95 * share, deadline: simDeadline})
+		}
+		s := newSim(seed, simSlots, simMean, loads)
+		s.run(simSpan)
+		total := 0
+		for i, o := range s.out {
+			total += o.served
+			if i > 0 && float64(o.served) < 0.95*float64(o.offered) {
+				t.Errorf("%s was served %d of %d", loads[i].account, o.served, o.offered)
+			}
+		}
+		if least := 0.95 * simCapacity * simSpan.Seconds(); float64(total) < least {
+			t.Errorf("%d served of a capacity of %.0f", total, least/0.95)
+		}
+	})
+}
+
+func TestGoodputStaysNearCapacityUnderOverload(t *testing.T) {
+	for _, times := range []float64{2, 4} {
+		eachSeed(t, func(t *testing.T, seed uint64) {
+			var loads []load
+			for _, name := range []string{"a", "b", "c", "d"} {
+				loads = append(loads, load{account: name, share: 1, perSecond: times * simCapacity / 4, deadline: simDeadline})
+			}
+			s := newSim(seed, simSlots, simMean, loads)
+			s.run(simSpan)
+			served, late, dropped, refused := 0, 0, 0, 0
+			for i := range s.out {
+				o := &s.out[i]
+				served, late, dropped, refused = served+o.served, late+o.late, dropped+o.dropped, refused+o.refused
+				if p95 := o.p95(); p95 > simDeadline {
+					t.Errorf("%gx: p95 of admitted requests is %s", times, p95)
+				}
+			}
+			if least := 0.95 * simCapacity * simSpan.Seconds(); float64(served) < least {
+				t.Errorf("%gx: %d served of a capacity of %.0f (late %d)", times, served, least/0.95, late)
+			}
+			if dropped*20 > refused {
+				t.Errorf("%gx: %d requests were held before their refusal, %d refused at once", times, dropped, refused)
+			}
+		})
+	}
+}
+
+func TestHigherPriorityGoesFirstAndTheLowestIsNotStarved(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		loads := []load{
+			{account: "a", share: 1, rank: 10, perSecond: 0.8 * simCapacity, deadline: simDeadline},
+			{account: "a", share: 1, rank: 0, perSecond: simCapacity, deadline: simDeadline},
+		}
+		s := newSim(seed, simSlots, simMean, loads)
+		s.run(simSpan)
+		high, low := &s.out[0], &s.out[1]
+		if float64(high.served) < 0.95*float64(high.offered) {
+			t.Errorf("the higher priority was served %d of %d", high.served, high.offered)
+		}
+		if high.p95() > low.p95() {
+			t.Errorf("p95: higher priority %s, lower %s", high.p95(), low.p95())
+		}
+		if float64(low.served) < 0.1*simCapacity*simSpan.Seconds() {
+			t.Errorf("the lower priority was served %d times in %s", low.served, simSpan)
+		}
+	})
+	// With the higher priority alone above capacity, the lower still runs.
+	s := newSim(1, simSlots, simMean, []load{
+		{account: "a", share: 1, rank: 10, perSecond: 3 * simCapacity, deadline: simDeadline},
+		{account: "a", share: 1, rank: 0, perSecond: simCapacity / 4, deadline: 10 * simDeadline},
+	})
+	s.run(simSpan)
+	if s.out[1].served == 0 {
+		t.Error("the lower priority starved")
+	}
+}
+
+func TestComplianceOfOneAccountGoesBeforeGuidanceOfOthers(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		loads := []load{{account: "kiosk", share: 1, rank: 10, perSecond: 0.15 * simCapacity, deadline: simDeadline}}
+		for _, name := range []string{"a", "b", "c", "d"} {
+			loads = append(loads, load{account: name, share: 1, perSecond: 0.5 * simCapacity, deadline: simDeadline})
+		}
+		s := newSim(seed, simSlots, simMean, loads)
+		s.run(simSpan)
+		checks, guidance := &s.out[0], &s.out[1]
+		if checks.served < checks.offered*99/100 {
+			t.Errorf("checks served %d of %d", checks.served, checks.offered)
+		}
+		if checks.p95() > guidance.p95()/2 {
+			t.Errorf("p95: checks %s, guidance %s", checks.p95(), guidance.p95())
+		}
+	})
+}
+
+func TestWaitingRequestsAreRefusedEarlyWhenServersSlowDown(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		loads := []load{{account: "a", share: 1, perSecond: simCapacity, deadline: simDeadline}}
+		s := newSim(seed, simSlots, simMean, loads)
+		s.run(5 * time.Second)
+		s.mean = 10 * simMean
+		s.run(10 * time.Second)
+		for _, held := range s.out[0].held {
+			if held > simDeadline*9/10 {
+				t.Errorf("a request that is not served was held for %s of %s", held, simDeadline)
+				break
+			}
+		}
+		if s.out[0].dropped == 0 {
+			t.Error("nothing was refused while waiting: the run provoked nothing")
+		}
+	})
+}
+
+func TestConcurrencyLimitOfAnAccountHolds(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		loads := []load{
+			{account: "a", share: 1, maxConcurrent: 4, perSecond: simCapacity, deadline: simDeadline},
+			{account: "b", share: 1, perSecond: 0.7 * simCapacity, deadline: simDeadline},
+		}
+		s := newSim(seed, simSlots, simMean, loads)
+		most := int64(0)
+		running := s.limits.Running("a")
+		s.at(time.Millisecond, func() { sample(s, running, &most) })
+		s.run(10 * time.Second)
+		if most > 4 {
+			t.Errorf("%d requests of a limited account ran at once", most)
+		}
+		if o := s.out[1]; float64(o.served) < 0.95*float64(o.offered) {
+			t.Errorf("the other account was served %d of %d", o.served, o.offered)
+		}
+	})
+}
+
+func sample(s *sim, running *atomic.Int64, most *int64) {
+	*most = max(*most, running.Load())
+	s.at(time.Millisecond, func() { sample(s, running, most) })
+}
+
+// arriveOnce is an arrival without another one after it.
+func (s *sim) arriveOnce(i int) {
+	s.arrive(i)
+	s.events = slices.DeleteFunc(s.events, func(e event) bool { return e.arrival })
+	heap.Init(&s.events)
+}
+
+// stepOnce runs the next event, if any.
+func (s *sim) stepOnce() {
+	if len(s.events) == 0 {
+		return
+	}
+	e := heap.Pop(&s.events).(event)
+	if d := e.at.Sub(s.clock.Now()); d > 0 {
+		s.clock.Advance(d)
+	}
+	e.do()
+}
--- a/request/api/drain_test.go
+++ b/request/api/drain_test.go
@@ -69,6 +69,9 @@
 	if err := <-drained; err != nil {
 		t.Error(err)
 	}
+	if _, ended := engine.counts(); ended != 5 {
+		t.Errorf("drained while %d of 5 streams had ended", ended)
+	}
 	checkStreams(t, done, 5, 60)
 	if started, _ := engine.counts(); started != 5 {
 		t.Errorf("%d runs for 5 requests", started)
--- a/request/routing/group.go
+++ b/request/routing/group.go
@@ -246,7 +246,7 @@
 		if !ok(s) {
 			continue
 		}
-		score := (s.load() + 1) / float64(s.slots(&g.cfg)) * penalty(s, median)
+		score := (s.load() + 1) / float64(s.reportedSlots(&g.cfg)) * penalty(s, median)
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
