--- a/request/routing/config.go
+++ b/request/routing/config.go
@@ -24,6 +24,7 @@
 	DefaultEjectBase    = 2 * time.Second
 	DefaultEjectMax     = 60 * time.Second
 	DefaultEjectedShare = 0.5
+	DefaultPaceAge      = 5 * time.Second
 	DefaultHints        = 4096
 )
 
@@ -53,6 +54,8 @@
 	EjectMax  time.Duration
 	// EjectedShare is the share of servers that may be left out at once.
 	EjectedShare float64
+	// PaceAge is how long a server's pace counts without a newer answer.
+	PaceAge time.Duration
 	// Hints bounds the cached prefixes that are remembered.
 	Hints int
 }
@@ -70,6 +73,9 @@
 	if c.EjectBase <= 0 {
 		c.EjectBase = DefaultEjectBase
 	}
+	if c.PaceAge <= 0 {
+		c.PaceAge = DefaultPaceAge
+	}
 	if c.EjectMax <= 0 {
 		c.EjectMax = DefaultEjectMax
 	}
--- a/request/routing/group.go
+++ b/request/routing/group.go
@@ -100,9 +100,12 @@
 
 func (g *Group) choose(backends []*session.Backend, req Request, now time.Time) *server {
 	g.pool = g.pool[:0]
+	median := g.median()
 	for _, b := range backends {
 		if g.fits(b, req) {
-			g.pool = append(g.pool, g.servers[b.Name])
+			s := g.servers[b.Name]
+			s.age(&g.cfg, now, median)
+			g.pool = append(g.pool, s)
 		}
 	}
 	pool := g.withoutEjected(g.pool, now)
@@ -285,7 +288,7 @@
 	now := g.clock.Now()
 	took := now.Sub(l.start)
 	l.server.own--
-	l.server.learn(o, took, bytes)
+	l.server.learn(o, now, took, bytes)
 	l.server.judge(&g.cfg, now, o, g.median())
 	return took
 }
--- a/request/routing/server.go
+++ b/request/routing/server.go
@@ -40,6 +40,8 @@
 	pace      float64
 	failures  float64
 	failedRun int
+	// learned is when the newest answer was taken in.
+	learned time.Time
 
 	ejectedUntil time.Time
 	ejections    int
@@ -132,10 +134,11 @@
 )
 
 // learn takes an answer in.
-func (s *server) learn(o Outcome, took time.Duration, bytes int64) {
+func (s *server) learn(o Outcome, now time.Time, took time.Duration, bytes int64) {
 	if o == Neutral {
 		return
 	}
+	s.learned = now
 	failed := 0.0
 	s.failedRun++
 	if o == OK {
@@ -160,6 +163,18 @@
 	s.pace += ewmaWeight * (pace - s.pace)
 }
 
+// age forgets a pace that no newer answer confirmed: a server that was passed
+// over as slow may be sound again. It is tried with one request at a time.
+func (s *server) age(cfg *Config, now time.Time, median float64) {
+	if s.pace == 0 || now.Sub(s.learned) < cfg.PaceAge {
+		return
+	}
+	if median > 0 && s.pace > cfg.SlowFactor*median {
+		s.limit = 1
+	}
+	s.samples, s.pace, s.failures, s.failedRun = 0, 0, 0, 0
+}
+
 // judge ejects a server that fails or is slow against the median, and lets
 // one that does well have more requests again.
 func (s *server) judge(cfg *Config, now time.Time, o Outcome, median float64) {
