Planner: a region cut off from the origin takes its own chunks from others

Cause: the home region of a relayed chunk asked only the sources, also when other regions had taken the chunk over and held it. Chunks that are not relayed had no way past a failing origin at all. Where a chunk would take over 3 minutes between regions that way isn't used. Store: reads follow a chunk into the assembled file; a bad chunk in one has it verified again. Tests of the store and of transfers under failure.

--- a/bench/virtual/run.go
+++ b/bench/virtual/run.go
@@ -184,12 +184,13 @@
 		}
 		v.watchers = nil
 	}
+	ways := f.est.Ways(f.p.links(), f.p.chunkBytes(), f.p.Planner.Fetchers)
 	lookup := func(name string) planner.Node { return f.byName[name].node }
 	for _, v := range f.vms {
 		if !v.alive {
 			continue
 		}
-		v.table.SetArrangement(f.arr, f.est.Share, lookup, f.now)
+		v.table.SetArrangement(f.arr, ways, lookup, f.now)
 		for _, name := range v.table.Neighbors() {
 			f.addWatch(f.byName[name], v, old)
 		}
--- a/version/planner/enter.go
+++ b/version/planner/enter.go
@@ -13,6 +13,14 @@
 // have yet to begin without others taking from them: it may be about to.
 const minBacklog = 4
 
+// minSourceFailures is how often each source must have failed in a row before
+// chunks that are not relayed are taken from other regions.
+const minSourceFailures = 2
+
+// maxFarChunk is the longest that a chunk may take between regions; where it
+// takes longer the sources are always faster.
+const maxFarChunk = 3 * time.Minute
+
 // enter plans the requests that bring chunks into the region. A fetcher takes
 // the chunks that it owns in ascending order. Once none of its own are left it
 // takes over the last ones of others, so that two rarely pick the same, after
@@ -101,21 +109,44 @@
 	return i+1 < len(owners) && owners[i+1] == p.t.self.Name
 }
 
-// entry returns the way by which a chunk enters the region now, if any.
+// entry returns the way by which a chunk enters the region now, if any. A
+// relayed chunk comes from another region once one holds it; until then its
+// home takes it from a source. Any other chunk comes from another region only
+// while the sources fail.
 func (p *pass) entry(c int) (Request, bool) {
 	homes := p.t.homes[c]
-	if homes == nil || homes[0] == p.t.self.Region {
-		return p.fromSource(c)
+	if homes == nil {
+		if r, ok := p.fromSource(c); ok || !p.sourcesFail() {
+			return r, ok
+		}
+		return p.fromFar(c, p.t.arr.names)
 	}
-	if r, ok := p.fromFar(c, homes); ok {
-		return r, true
+	if p.heldFar(c) {
+		return p.fromFar(c, homes)
 	}
-	if p.homeLost(c, homes) {
+	if homes[0] == p.t.self.Region || p.homeLost(c, homes) {
 		return p.fromSource(c)
 	}
 	return Request{}, false
 }
 
+// sourcesFail reports whether every source has failed again and again.
+func (p *pass) sourcesFail() bool {
+	for i := range p.t.sources {
+		if p.t.sources[i].failures < minSourceFailures {
+			return false
+		}
+	}
+	return p.t.ways.FarChunk <= maxFarChunk
+}
+
+// heldFar reports whether another region can give the chunk.
+func (p *pass) heldFar(c int) bool {
+	return p.t.ways.FarChunk <= maxFarChunk && slices.ContainsFunc(p.t.neighbors, func(n *neighbor) bool {
+		return n.far && n.have.Has(c) && !p.suspected(n) && !p.demoted(n)
+	})
+}
+
 // fromFar asks another region for a chunk, its home first.
 func (p *pass) fromFar(c int, homes []string) (Request, bool) {
 	for _, region := range homes {
@@ -154,10 +185,10 @@
 
 // homeLost reports whether self's region is next in charge of a relayed chunk:
 // no region before it in the order shows a fetcher that is heard and makes
-// progress, and no region is known to hold or fetch the chunk.
+// progress, and no region is known to fetch the chunk.
 func (p *pass) homeLost(c int, homes []string) bool {
 	for _, n := range p.t.neighbors {
-		if n.far && !p.suspected(n) && (n.have.Has(c) && !p.demoted(n) || n.claims.Has(c)) {
+		if n.far && !p.suspected(n) && n.claims.Has(c) {
 			return false
 		}
 	}
--- a/version/planner/estimate.go
+++ b/version/planner/estimate.go
@@ -31,6 +31,20 @@
 	PairBytes   int64 `json:"pair_bytes"`
 }
 
+// Ways says how chunks enter a region.
+type Ways struct {
+	// Share is the part of the chunks that are relayed.
+	Share float64
+	// FarChunk is how long one chunk takes between two regions.
+	FarChunk time.Duration
+}
+
+// Ways returns the ways of an estimate for chunks of a size, where each of a
+// region's fetchers has an equal part of a pair.
+func (e Estimate) Ways(l Links, chunk int64, fetchers int) Ways {
+	return Ways{Share: e.Share, FarChunk: transferTime(chunk*int64(max(1, fetchers)), l.RegionPair)}
+}
+
 // EstimateShare computes the estimate of a share for a version of size bytes.
 func EstimateShare(l Links, size int64, share float64) Estimate {
 	regions := float64(max(1, l.Regions))
--- a/version/planner/table.go
+++ b/version/planner/table.go
@@ -94,7 +94,7 @@
 	// need holds the chunks that are neither held nor asked for.
 	need      Bits
 	arr       *Arrangement
-	share     float64
+	ways      Ways
 	fetcher   bool
 	neighbors []*neighbor
 	byName    map[string]*neighbor
@@ -148,11 +148,10 @@
 }
 
 // SetArrangement replaces the neighbors, keeping what is known of those that
-// stay. Nodes gives zone and region of every agent; share is the part of the
-// chunks that leave the sources once.
-func (t *Table) SetArrangement(arr *Arrangement, share float64, nodes func(name string) Node, now time.Duration) {
+// stay. Nodes gives zone and region of every agent.
+func (t *Table) SetArrangement(arr *Arrangement, ways Ways, nodes func(name string) Node, now time.Duration) {
 	t.arr = arr
-	t.share = share
+	t.ways = ways
 	t.fetcher = slices.Contains(arr.Fetchers(t.self.Region), t.self.Name)
 	old := t.byName
 	t.byName = make(map[string]*neighbor)
@@ -199,7 +198,7 @@
 	t.homes = make([][]string, t.chunks)
 	for c := range t.chunks {
 		t.owners[c] = t.arr.Owners(t.self.Region, c)
-		if t.arr.Relayed(c, t.share) {
+		if t.arr.Relayed(c, t.ways.Share) {
 			t.homes[c] = t.arr.Homes(c)
 		}
 	}
--- a/version/store/store.go
+++ b/version/store/store.go
@@ -173,12 +173,22 @@
 		return
 	}
 	delete(s.chunks, d)
+	s.distrustLocked(p.path)
 	s.mu.Unlock()
 	if p.path == s.chunkPath(d) && os.Remove(p.path) == nil {
 		s.release(p.size)
 	}
 }
 
+// distrustLocked has an assembled file verified again before its next use.
+func (s *Store) distrustLocked(path string) {
+	for d := range s.versions {
+		if s.versionPath(d) == path {
+			s.versions[d] = false
+		}
+	}
+}
+
 func fileMatches(path string, offset int64, c manifest.Chunk) bool {
 	f, err := os.Open(path)
 	if err != nil {
@@ -243,16 +253,25 @@
 	if !s.Has(c) {
 		return nil, result.New(result.ChunkMissing, "chunk %s is not held", c.Digest)
 	}
+	// The chunk may move into an assembled file before it is opened, once.
+	r, err := s.openPlace(c)
+	if errors.Is(err, fs.ErrNotExist) {
+		r, err = s.openPlace(c)
+	}
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, result.New(result.ChunkMissing, "chunk %s was dropped", c.Digest)
+	}
+	return r, err
+}
+
+func (s *Store) openPlace(c manifest.Chunk) (io.ReadCloser, error) {
 	s.mu.Lock()
 	p, ok := s.chunks[c.Digest]
 	s.mu.Unlock()
 	if !ok {
-		return nil, result.New(result.ChunkMissing, "chunk %s was dropped", c.Digest)
+		return nil, fs.ErrNotExist
 	}
 	f, err := os.Open(p.path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil, result.New(result.ChunkMissing, "chunk %s was dropped", c.Digest)
-	}
 	if err != nil {
 		return nil, errors.Wrap(err, "open chunk")
 	}
--- /dev/null
+++ b/version/transfer/faults_test.go
@@ -0,0 +1,313 @@
+package transfer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/version/manifest"
+	"github.com/waxwingpost/waxwingpost/version/planner"
+)
+
+type hook = func(w http.ResponseWriter, r *http.Request) bool
+
+// spoilers answer a request for a chunk of testChunk bytes wrongly.
+var spoilers = map[string]hook{
+	"corrupt": func(w http.ResponseWriter, r *http.Request) bool {
+		return answer(w, r, testChunk, testChunk)
+	},
+	"truncated": func(w http.ResponseWriter, r *http.Request) bool {
+		return answer(w, r, testChunk, testChunk/3)
+	},
+	"short": func(w http.ResponseWriter, r *http.Request) bool {
+		return answer(w, r, testChunk/2, testChunk/2)
+	},
+	"oversized": func(w http.ResponseWriter, r *http.Request) bool {
+		return answer(w, r, 3*testChunk, 3*testChunk)
+	},
+	"refused": func(w http.ResponseWriter, _ *http.Request) bool {
+		http.Error(w, "no", http.StatusInternalServerError)
+		return true
+	},
+}
+
+// answer announces and sends bytes that belong to no chunk.
+func answer(w http.ResponseWriter, r *http.Request, announced, sent int) bool {
+	w.Header().Set("Content-Length", strconv.Itoa(announced))
+	if span := r.Header.Get("Range"); span != "" {
+		w.Header().Set("Content-Range", "bytes "+strings.TrimPrefix(span, "bytes=")+"/*")
+		w.WriteHeader(http.StatusPartialContent)
+	}
+	_, _ = w.Write(make([]byte, sent))
+	return true
+}
+
+func (f *fleet) corruptChunks() int64 {
+	var n int64
+	for _, a := range f.agents {
+		n += a.Progress().Corrupt
+	}
+	return n
+}
+
+func TestBadChunksFromTheOriginAreFetchedAgain(t *testing.T) {
+	for name, spoil := range spoilers {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 6, 2)
+			m := f.publish("v1", randomContent(2, 20*testChunk))
+			var n atomic.Int64
+			f.origin.setHook(func(w http.ResponseWriter, r *http.Request) bool {
+				return n.Add(1)%3 == 1 && spoil(w, r)
+			})
+			f.order(m)
+			f.fetchAll(m)
+			if name == "corrupt" && f.corruptChunks() == 0 {
+				t.Error("no corrupt chunk was counted")
+			}
+		})
+	}
+}
+
+func TestBadChunksFromAPeerAreFetchedElsewhere(t *testing.T) {
+	for name, spoil := range spoilers {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 6, 1)
+			m := f.publish("v1", randomContent(3, 20*testChunk))
+			f.order(m)
+			bad := func(w http.ResponseWriter, r *http.Request) bool {
+				return strings.HasPrefix(r.URL.Path, wire.PathChunks) && spoil(w, r)
+			}
+			f.agents[2].hook.Store(&bad)
+			f.fetchAll(m)
+		})
+	}
+}
+
+func TestAnOriginThatStallsAndComesBackIsUsedAgain(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	m := f.publish("v1", randomContent(4, 20*testChunk))
+	var n atomic.Int64
+	back := make(chan struct{})
+	f.origin.setHook(func(_ http.ResponseWriter, r *http.Request) bool {
+		if n.Add(1) > 5 {
+			select {
+			case <-back:
+			case <-r.Context().Done():
+				return true
+			}
+		}
+		return false
+	})
+	f.order(m)
+	time.AfterFunc(2500*time.Millisecond, func() { close(back) })
+	f.fetchAll(m)
+}
+
+func TestRetryAfterOfAThrottlingOriginIsHonored(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	m := f.publish("v1", randomContent(5, 4*testChunk))
+	var mu sync.Mutex
+	var throttled, next time.Time
+	f.origin.setHook(func(w http.ResponseWriter, _ *http.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if throttled.IsZero() {
+			throttled = time.Now()
+			w.Header().Set("Retry-After", "2")
+			w.WriteHeader(http.StatusTooManyRequests)
+			return true
+		}
+		// A request that was already under way may follow at once.
+		if wait := time.Since(throttled); wait > time.Second && next.IsZero() {
+			next = time.Now()
+		}
+		return false
+	})
+	f.order(m)
+	f.fetchAll(m)
+	if wait := next.Sub(throttled); wait < 1900*time.Millisecond {
+		t.Errorf("asked again after %v, 2 s were asked for", wait)
+	}
+}
+
+func TestChunksOfKilledFetchersAreTakenOver(t *testing.T) {
+	f := newFleet(t, 9, 1)
+	m := f.publish("v1", randomContent(6, 40*testChunk))
+	f.order(m)
+	fetchers := f.fetchers(m)
+	reached := make(chan struct{})
+	var n atomic.Int64
+	f.origin.setHook(func(http.ResponseWriter, *http.Request) bool {
+		if n.Add(1) == 6 {
+			close(reached)
+		}
+		time.Sleep(5 * time.Millisecond) // the rate of the origin
+		return false
+	})
+	ctx, kill := context.WithCancel(context.Background())
+	for _, a := range fetchers[:2] {
+		go func() { _, _ = a.Fetch(ctx, m) }()
+	}
+	go func() {
+		<-reached
+		f.stop(fetchers[0], kill)
+		f.stop(fetchers[1], kill)
+	}()
+	f.fetchAll(m, fetchers[0], fetchers[1])
+}
+
+// fetchers returns the agents that fetch a version, all in one region.
+func (f *fleet) fetchers(m *manifest.Manifest) []*agent {
+	var nodes []planner.Node
+	for _, a := range f.agents {
+		nodes = append(nodes, planner.Node{Name: a.peer.Name, Zone: a.peer.Zone, Region: a.peer.Region})
+	}
+	var out []*agent
+	for _, name := range planner.Arrange(nodes, m.Digest(), testSettings()).Fetchers("r0") {
+		for _, a := range f.agents {
+			if a.peer.Name == name {
+				out = append(out, a)
+			}
+		}
+	}
+	return out
+}
+
+// stop ends an agent's transfer and lets its peers hang.
+func (f *fleet) stop(a *agent, kill func()) {
+	kill()
+	hang := func(_ http.ResponseWriter, r *http.Request) bool {
+		<-r.Context().Done()
+		return true
+	}
+	a.hook.Store(&hang)
+	a.server.CloseClientConnections()
+}
+
+func TestAVersionChangedTwiceMidTransferKeepsCommonChunksOnly(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	common := randomContent(7, 10*testChunk)
+	v1 := f.publish("v1", append(append([]byte{}, common...), randomContent(8, 10*testChunk)...))
+	v2 := f.publish("v2", append(append([]byte{}, common...), randomContent(9, 10*testChunk)...))
+	v3 := f.publish("v3", append(append([]byte{}, common...), randomContent(10, 10*testChunk)...))
+	for _, m := range []*manifest.Manifest{v1, v2} {
+		f.fetchPart(m, 14)
+	}
+	f.origin.setHook(nil)
+	f.origin.sent.Store(0)
+	f.order(v3)
+	f.fetchAll(v3)
+	if got := float64(f.origin.sent.Load()) / float64(v3.Size()); got > 0.6 {
+		t.Errorf("seed %d: %.2f of v3 left the origin, half of it was held", testSeed, got)
+	}
+	for _, a := range f.agents {
+		if used := a.store.Used(); used != v3.Size() {
+			t.Errorf("%s: %d bytes in the spool, %d expected", a.peer.Name, used, v3.Size())
+		}
+	}
+}
+
+// fetchPart fetches until every agent holds the version's first n chunks, then
+// gives up.
+func (f *fleet) fetchPart(m *manifest.Manifest, n int) {
+	f.t.Helper()
+	f.origin.setHook(func(_ http.ResponseWriter, r *http.Request) bool {
+		var first int
+		_, _ = fmt.Sscanf(r.Header.Get("Range"), "bytes=%d-", &first)
+		if first < n*testChunk {
+			return false
+		}
+		<-r.Context().Done()
+		return true
+	})
+	f.order(m)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, a := range f.agents {
+		wg.Go(func() {
+			if _, err := a.Fetch(ctx, m); err == nil {
+				f.t.Errorf("%s fetched %s whole", a.peer.Name, m.Version)
+			}
+		})
+	}
+	for _, a := range f.agents {
+		for a.Progress().Version != m.Version || a.Progress().Done < int64(n*testChunk) {
+			if ctx.Err() != nil {
+				f.t.Fatalf("seed %d: %s holds %d bytes of %s", testSeed, a.peer.Name, a.Progress().Done, m.Version)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	cancel()
+	wg.Wait()
+}
+
+func TestAnAgentRestartedMidTransferGoesOnFromItsSpool(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	m := f.publish("v1", randomContent(11, 20*testChunk))
+	f.fetchPart(m, 12)
+	f.origin.setHook(nil)
+	f.origin.sent.Store(0)
+	f.agents[0].Manager = f.newManager(f.agents[0])
+	f.order(m)
+	f.fetchAll(m)
+	if got := f.origin.sent.Load(); got > 8*testChunk {
+		t.Errorf("%d bytes fetched after the restart, 8 chunks were missing", got)
+	}
+}
+
+func TestUnauthenticatedPeersGetNothing(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	m := f.publish("v1", randomContent(12, testChunk))
+	f.order(m)
+	f.fetchAll(m)
+	a := f.agents[0]
+	for _, path := range []string{chunkPath(m.Chunks[0].Digest), wire.PathHave + "?manifest=" + m.Digest().String() + "&after=0"} {
+		resp, err := http.Get("http://" + a.peer.Address + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusForbidden || resp.Header.Get(wire.HeaderCode) != strconv.Itoa(int(result.Unauthenticated)) {
+			t.Errorf("%s: %s", path, resp.Status)
+		}
+	}
+}
+
+func TestARegionCutOffFromTheOriginTakesChunksFromOtherRegions(t *testing.T) {
+	f := newFleet(t, 6, 3)
+	m := f.publish("v1", randomContent(13, 15*testChunk))
+	cut := f.agents[0].peer.Region
+	f.order(m)
+	for _, a := range f.agents {
+		if a.peer.Region == cut {
+			a.client.Transport = refusing{f.origin.Listener.Addr().String(), a.client.Transport}
+		}
+	}
+	f.fetchAll(m)
+	if got := float64(f.origin.sent.Load()) / float64(m.Size()); got > 1.5 {
+		t.Errorf("seed %d: %.2f copies left the origin", testSeed, got)
+	}
+}
+
+// refusing fails requests to one address.
+type refusing struct {
+	address string
+	next    http.RoundTripper
+}
+
+func (r refusing) RoundTrip(req *http.Request) (*http.Response, error) {
+	if req.URL.Host == r.address {
+		return nil, fmt.Errorf("cut off from %s", r.address)
+	}
+	return r.next.RoundTrip(req)
+}
--- a/version/transfer/fleet_test.go
+++ b/version/transfer/fleet_test.go
@@ -65,6 +65,12 @@
 	return o
 }
 
+func (o *origin) setHook(h hook) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.hook = h
+}
+
 func (o *origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := strings.TrimSuffix(strings.Trim(r.URL.Path, "/"), "/"+wire.SourceContent)
 	o.mu.Lock()
--- a/version/transfer/manager.go
+++ b/version/transfer/manager.go
@@ -316,8 +316,8 @@
 	return members
 }
 
-// estimate returns how a version enters the regions under a view.
-func estimate(v *wire.AgentView, members map[string]wire.Peer, size int64) planner.Estimate {
+// links returns what a transfer among the members can count on.
+func links(v *wire.AgentView, members map[string]wire.Peer) planner.Links {
 	regions := make(map[string]bool)
 	for _, p := range members {
 		regions[p.Region] = true
@@ -331,7 +331,12 @@
 		l.Sources += s.BytesPerSecond
 		l.SourceInside = l.SourceInside || regions[s.Region]
 	}
-	if v.Objective == config.ObjectiveOriginBytes {
+	return l
+}
+
+// estimate returns how a version enters the regions.
+func estimate(l planner.Links, objective string, size int64) planner.Estimate {
+	if objective == config.ObjectiveOriginBytes {
 		return planner.FewestBytes(l, size)
 	}
 	return planner.Fastest(l, size)
--- a/version/transfer/task.go
+++ b/version/transfer/task.go
@@ -197,14 +197,16 @@
 	}
 	t.view = view
 	t.peers = t.m.members(view, t.man.Version)
-	est := estimate(view, t.peers, t.man.Size())
+	l := links(view, t.peers)
+	est := estimate(l, view.Objective, t.man.Size())
+	ways := est.Ways(l, t.man.Chunks[0].Size, t.m.cfg.Planner.Fetchers)
 	nodes := make([]planner.Node, 0, len(t.peers))
 	for name := range t.peers {
 		nodes = append(nodes, t.node(name))
 	}
 	t.table.SetSources(t.sourceStates())
 	arr := planner.Arrange(nodes, t.man.Digest(), t.m.cfg.Planner)
-	t.table.SetArrangement(arr, est.Share, t.node, t.now())
+	t.table.SetArrangement(arr, ways, t.node, t.now())
 	t.watchNeighbors()
 	t.dropVanished()
 	t.lastPlan.Store(&taskDump{
