--- a/process/control/node/node.go
+++ b/process/control/node/node.go
@@ -54,6 +54,12 @@
 	lastTick time.Time
 	policyAt int
 	joining  bool
+	// failed is why the goroutine must end.
+	failed error
+	// stopping ends when Run is to end.
+	stopping context.Context
+	// beside counts the goroutines that write snapshots.
+	beside sync.WaitGroup
 }
 
 var _ control.Store = (*Node)(nil)
@@ -163,7 +169,10 @@
 		}
 	}
 	r := n.replica
+	n.stopping = ctx
+	r.beside = n.runBeside
 	defer func() {
+		n.beside.Wait()
 		r.abandon(result.New(result.ProposalLost, "the replica stopped"))
 		_ = r.disk.Close()
 	}()
@@ -206,6 +215,9 @@
 
 // turn saves, applies and sends what has gathered.
 func (n *Node) turn(ctx context.Context) error {
+	if n.failed != nil {
+		return n.failed
+	}
 	out, err := n.replica.flush()
 	if err != nil {
 		return err
@@ -215,6 +227,19 @@
 	return nil
 }
 
+// runBeside runs work on another goroutine and what follows on the replica's.
+func (n *Node) runBeside(work func() error, then func(error) error) error {
+	n.beside.Go(func() {
+		err := work()
+		_ = n.submit(n.stopping, func(*replica) {
+			if err := then(err); err != nil {
+				n.failed = err
+			}
+		})
+	})
+	return nil
+}
+
 // tick passes the time that went by. A process that was frozen so notices at
 // once that its leadership is over.
 func (n *Node) tick(ctx context.Context) {
--- a/process/control/node/replica.go
+++ b/process/control/node/replica.go
@@ -17,7 +17,10 @@
 // disk keeps what a replica must not forget. *wal.Log implements it.
 type disk interface {
 	Save(hs *raft.HardState, entries []raft.Entry) error
-	SaveSnapshot(s raft.Snapshot) error
+	// WriteSnapshot may run beside the other methods; Truncate then removes the
+	// part of the log that the snapshot covers.
+	WriteSnapshot(s raft.Snapshot) error
+	Truncate(index uint64) error
 	Install(s raft.Snapshot, hs raft.HardState) error
 	Bytes() int64
 	Close() error
@@ -27,7 +30,8 @@
 type noDisk struct{}
 
 func (noDisk) Save(*raft.HardState, []raft.Entry) error    { return nil }
-func (noDisk) SaveSnapshot(raft.Snapshot) error            { return nil }
+func (noDisk) WriteSnapshot(raft.Snapshot) error           { return nil }
+func (noDisk) Truncate(uint64) error                       { return nil }
 func (noDisk) Install(raft.Snapshot, raft.HardState) error { return nil }
 func (noDisk) Bytes() int64                                { return 0 }
 func (noDisk) Close() error                                { return nil }
@@ -72,7 +76,11 @@
 	waiters []appliedWaiter
 	// snapshotIndex is the index of the last snapshot on disk.
 	snapshotIndex uint64
-	wasLeader     bool
+	// saving is set while a snapshot is being written. beside runs the writing
+	// and calls the second function on the replica's goroutine afterwards.
+	saving    bool
+	beside    func(work func() error, then func(error) error) error
+	wasLeader bool
 }
 
 // newReplica starts a replica from what its disk holds.
@@ -90,6 +98,7 @@
 		inLog:         map[string][]proposal{},
 		rounds:        map[uint64][]readRequest{},
 		snapshotIndex: stored.Snapshot.Index,
+		beside:        inline,
 	}, nil
 }
 
@@ -297,25 +306,48 @@
 }
 
 // maybeSnapshot saves a snapshot when much was applied since the last one.
+// Writing it may take long on a busy disk, so it goes on beside the log.
 func (r *replica) maybeSnapshot() error {
 	applied := r.core.Applied()
 	since := applied - r.snapshotIndex
-	if since == 0 || (since < uint64(r.cfg.SnapshotEvery) && r.disk.Bytes() < r.cfg.SnapshotBytes) {
+	due := since >= uint64(r.cfg.SnapshotEvery) || r.disk.Bytes() >= r.cfg.SnapshotBytes
+	if since == 0 || !due || r.saving {
 		return nil
 	}
 	s, err := r.takeSnapshot()
 	if err != nil {
 		return err
 	}
-	if err := r.disk.SaveSnapshot(s); err != nil {
+	r.saving = true
+	return r.beside(func() error { return r.disk.WriteSnapshot(s) }, func(err error) error {
+		r.saving = false
+		return r.snapshotWritten(s.Index, err)
+	})
+}
+
+// snapshotWritten drops what a snapshot covers once it is on disk.
+func (r *replica) snapshotWritten(index uint64, err error) error {
+	if err != nil {
+		return result.New(result.DiskFailed, "save snapshot: %v", err)
+	}
+	if index <= r.snapshotIndex {
+		// One that came from the leader was installed meanwhile.
+		return nil
+	}
+	if err := r.disk.Truncate(index); err != nil {
 		return err
 	}
-	r.snapshotIndex = s.Index
+	r.snapshotIndex = index
 	r.core.Compact(r.cfg.RetainEntries, r.cfg.RetainBytes)
-	r.log.Info("snapshot saved", "index", s.Index, "bytes", len(s.Data))
+	r.log.Info("snapshot saved", "index", index)
 	return nil
 }
 
+// inline runs work and what follows it at once.
+func inline(work func() error, then func(error) error) error {
+	return then(work())
+}
+
 func (r *replica) takeSnapshot() (raft.Snapshot, error) {
 	data, err := r.sm.Snapshot()
 	if err != nil {
--- a/process/control/wal/doc.go
+++ b/process/control/wal/doc.go
@@ -43,5 +43,5 @@
 //     renamed, and the folder synced. A snapshot is in place before a part of
 //     the log that it covers is removed.
 //
-// A Log is not safe for concurrent use.
+// A Log is not safe for concurrent use, but for WriteSnapshot.
 package wal
