Agents put nothing in force before a quorum told what is

Cause: an agent has no memory over a restart, and the entry that it reaches first may be cut off and behind; it took the first view that came, so its configuration could go back below what had been in force on it. Ruled out: keeping the revision on the agent's disk, which most backend VMs lack. Now the answer to the fence query carries the revision as well, and a view counts only at or above both.

--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -200,6 +200,8 @@
 type FenceReply struct {
 	Index uint64         `cbor:"1,keyasint"`
 	Order *control.Order `cbor:"2,keyasint,omitempty"`
+	// Revision is the configuration's revision at that index.
+	Revision uint64 `cbor:"3,keyasint"`
 }
 
 // Leave tells an entry that the agent takes nothing new.
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -112,7 +112,7 @@
 		return err
 	}
 	a.leases = session.NewLeases(session.Config{}, a.clock, newRand())
-	a.views = newViews(a)
+	a.views = newViews(a.log, a.isLinked, a.applyView)
 	dialer := &link.Dialer{Auth: a.auth, Self: a.self, Handler: a.views, Stats: a.stats}
 	home := homeTargets(a.set.Name, targets, a.set.HomeEntries)
 	a.mesh = mesh.New(mesh.Config{Targets: home}, dialer, a.log)
@@ -150,6 +150,15 @@
 	return nil
 }
 
+func (a *Agent) isLinked(entry string) bool { return a.mesh.Conn(entry) != nil }
+
+func (a *Agent) applyView(view wire.AgentView) {
+	if a.transfer != nil {
+		a.transfer.SetView(view)
+	}
+	a.loader.SetView(view)
+}
+
 func (a *Agent) self() wire.Hello { return a.hello }
 
 // Fence implements loader.FenceSource: it asks the linked entries in turn for
@@ -160,6 +169,7 @@
 	for _, c := range a.mesh.Conns() {
 		err = c.Call(ctx, wire.KindFence, wire.FenceQuery{Agent: a.set.Name}, &reply)
 		if err == nil {
+			a.views.raiseFloor(reply)
 			return reply, nil
 		}
 	}
--- a/process/agent/agent_test.go
+++ b/process/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
@@ -47,6 +48,47 @@
 	return v
 }
 
+func newTestViews() (*views, *[]wire.AgentView) {
+	var applied []wire.AgentView
+	v := newViews(slog.New(slog.DiscardHandler), func(string) bool { return true }, func(view wire.AgentView) {
+		applied = append(applied, view)
+	})
+	return v, &applied
+}
+
+func TestFreshAgentAwaitsTheWordOfAQuorum(t *testing.T) {
+	v, applied := newTestViews()
+	v.receive("stale", view(3, 7))
+	if len(*applied) != 0 || v.revision() != 0 {
+		t.Fatal("a view was put in force before a quorum was heard")
+	}
+	v.raiseFloor(wire.FenceReply{Revision: 5, Order: view(5, 9).Order})
+	if len(*applied) != 0 {
+		t.Fatal("a view below the quorum's revision was put in force")
+	}
+	v.receive("current", view(5, 9))
+	if v.revision() != 5 || len(*applied) != 1 {
+		t.Fatalf("revision %d after %d views", v.revision(), len(*applied))
+	}
+	v.receive("stale", view(3, 7))
+	if last := (*applied)[len(*applied)-1]; last.Revision != 5 || fenceIndex(last) != 9 {
+		t.Errorf("went back to revision %d fence %d", last.Revision, fenceIndex(last))
+	}
+}
+
+func TestPeersAreTheUnionOverEntries(t *testing.T) {
+	v, applied := newTestViews()
+	v.raiseFloor(wire.FenceReply{})
+	one, two := view(1, 1), view(1, 1)
+	one.Peers = []wire.Peer{{Name: "a"}, {Name: "b"}}
+	two.Peers = []wire.Peer{{Name: "b"}, {Name: "c"}}
+	v.receive("entry-1", one)
+	v.receive("entry-2", two)
+	if got := (*applied)[1].Peers; len(got) != 3 {
+		t.Errorf("got %v", got)
+	}
+}
+
 func TestViewsNeverGoBack(t *testing.T) {
 	for _, c := range []struct {
 		next, current wire.AgentView
--- a/process/agent/run.go
+++ b/process/agent/run.go
@@ -21,6 +21,9 @@
 	shutdownBudget = 5 * time.Second
 	// liveInterval is how often transfers are told of live requests.
 	liveInterval = 50 * time.Millisecond
+	// floorRetry and floorTimeout pace the question what is in force.
+	floorRetry   = 200 * time.Millisecond
+	floorTimeout = 4 * time.Second
 )
 
 // Run serves until ctx ends, then stops gracefully: the entries are told,
@@ -42,6 +45,7 @@
 	group.Go(func() error { return a.loader.Run(groupCtx) })
 	group.Go(func() error { a.beatAll(groupCtx); return nil })
 	group.Go(func() error { a.tellLive(groupCtx); return nil })
+	group.Go(func() error { a.learnFloor(groupCtx); return nil })
 	select {
 	case <-ctx.Done():
 		a.drain(srv)
@@ -109,6 +113,25 @@
 	}
 }
 
+// learnFloor asks a quorum what is in force until it is told once.
+func (a *Agent) learnFloor(ctx context.Context) {
+	ticker := a.clock.NewTicker(floorRetry)
+	defer ticker.Stop()
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, floorTimeout)
+		_, err := a.Fence(callCtx)
+		cancel()
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
 // tellLive lets transfers yield while requests are in progress.
 func (a *Agent) tellLive(ctx context.Context) {
 	if a.transfer == nil {
--- a/process/agent/views.go
+++ b/process/agent/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"strings"
@@ -21,17 +22,39 @@
 // views joins what the linked entries tell of the fleet. The order and the
 // limits come from the newest view that was ever received; the peers are the
 // union of what the entries with a live link told.
+//
+// A fresh agent has no memory of what was in force before it started, and the
+// entry that it reaches first may be cut off and behind. So nothing is put in
+// force until a quorum has told the revision and fence below which a view is
+// old.
 type views struct {
-	agent *Agent
+	log *slog.Logger
+	// linked tells whether an entry has a live link.
+	linked func(entry string) bool
+	// apply puts a view in force.
+	apply func(view wire.AgentView)
 
 	// mu guards the fields below and orders the calls of apply.
 	mu      sync.Mutex
 	current wire.AgentView
+	floor   floor
+	inForce uint64
 	peers   map[string][]wire.Peer
 }
 
-func newViews(a *Agent) *views {
-	return &views{agent: a, peers: make(map[string][]wire.Peer)}
+// floor is what a quorum told to be in force already.
+type floor struct {
+	known    bool
+	revision uint64
+	fence    uint64
+}
+
+func (f floor) admits(view wire.AgentView) bool {
+	return f.known && view.Revision >= f.revision && fenceIndex(view) >= f.fence
+}
+
+func newViews(log *slog.Logger, linked func(entry string) bool, apply func(view wire.AgentView)) *views {
+	return &views{log: log, linked: linked, apply: apply, peers: make(map[string][]wire.Peer)}
 }
 
 // Notify implements link.Handler.
@@ -41,7 +64,7 @@
 	}
 	var view wire.AgentView
 	if err := cbor.Unmarshal(body, &view); err != nil {
-		v.agent.log.Warn("view unreadable", "entry", c.Peer().Name, "code", int(result.BadMessage), "error", err)
+		v.log.Warn("view unreadable", "entry", c.Peer().Name, "code", int(result.BadMessage), "error", err)
 		return
 	}
 	v.receive(c.Peer().Name, view)
@@ -60,6 +83,28 @@
 	if isNewer(view, v.current) {
 		v.current = view
 	}
+	v.putInForce()
+}
+
+// raiseFloor takes in the answer of a quorum.
+func (v *views) raiseFloor(reply wire.FenceReply) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.floor.known = true
+	v.floor.revision = max(v.floor.revision, reply.Revision)
+	if reply.Order != nil {
+		v.floor.fence = max(v.floor.fence, reply.Order.Fence.Index)
+	}
+	v.putInForce()
+}
+
+// putInForce applies the newest view unless it is older than the floor. The
+// caller holds mu.
+func (v *views) putInForce() {
+	if !v.floor.admits(v.current) || v.current.Revision == 0 {
+		return
+	}
+	v.inForce = v.current.Revision
 	merged := v.current
 	merged.Peers = v.unionPeers()
 	v.apply(merged)
@@ -82,7 +127,7 @@
 
 func (v *views) forgetLostEntries(sender string) {
 	for name := range v.peers {
-		if name != sender && v.agent.mesh.Conn(name) == nil {
+		if name != sender && !v.linked(name) {
 			delete(v.peers, name)
 		}
 	}
@@ -100,16 +145,9 @@
 	})
 }
 
-func (v *views) apply(view wire.AgentView) {
-	if v.agent.transfer != nil {
-		v.agent.transfer.SetView(view)
-	}
-	v.agent.loader.SetView(view)
-}
-
 // revision returns the configuration's revision in force on this agent.
 func (v *views) revision() uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.current.Revision
+	return v.inForce
 }
--- a/process/entry/links.go
+++ b/process/entry/links.go
@@ -120,7 +120,8 @@
 	if err := e.node.Barrier(ctx); err != nil {
 		return nil, err
 	}
-	reply := wire.FenceReply{Index: e.machine.Index()}
+	_, revision := e.machine.Config()
+	reply := wire.FenceReply{Index: e.machine.Index(), Revision: revision}
 	if order, ok := e.machine.Order(q.Agent); ok {
 		reply.Order = &order
 	}
