--- /dev/null
+++ b/bench/cmd/wpbench/control.go
@@ -0,0 +1,332 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/bench/cluster"
+	"github.com/waxwingpost/waxwingpost/bench/figure"
+)
+
+func init() {
+	register(experiment{
+		Name: "control",
+		Help: "control state of 3 and 5 entries as processes: accepting, a killed leader, restarts; then 40 agents.",
+		Run:  runControl,
+	})
+}
+
+// Targets of the control state.
+const (
+	targetAccept   = "<=250"
+	targetInForce  = "<=2000"
+	targetFailover = "<=3000"
+	targetRestart  = "<=2000"
+)
+
+const (
+	acceptChanges   = 100
+	failoverRounds  = 5
+	restartChanges  = 500
+	restartFiles    = 10
+	inForceChanges  = 20
+	inForceAgents   = 40
+	pollPause       = 5 * time.Millisecond
+	changeTimeout   = 30 * time.Second
+	controlZone     = "z1"
+	controlRegion   = "r1"
+	controlBaseFile = "00-base.yaml"
+)
+
+// controlRig is a cluster of entries under measurement.
+type controlRig struct {
+	opts    options
+	cluster *cluster.Cluster
+	entries []*cluster.Process
+	dir     string
+	serial  int
+}
+
+func runControl(ctx context.Context, opts options) error {
+	for _, n := range []int{3, 5} {
+		if err := measureReplicas(ctx, opts, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// measureReplicas takes the figures of a control set of n.
+func measureReplicas(ctx context.Context, opts options, n int) error {
+	rig, err := newControlRig(ctx, opts, n)
+	if err != nil {
+		return err
+	}
+	defer rig.close()
+	steps := []func(context.Context) error{rig.accept, rig.failover, rig.restart}
+	if n == 3 {
+		steps = append(steps, rig.inForce)
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newControlRig(ctx context.Context, opts options, n int) (*controlRig, error) {
+	dir, err := os.MkdirTemp("", "wpbench-control")
+	if err != nil {
+		return nil, err
+	}
+	var entries []cluster.EntrySpec
+	for i := range n {
+		entries = append(entries, cluster.EntrySpec{Name: fmt.Sprintf("entry-%d", i+1), Zone: controlZone, Region: controlRegion})
+	}
+	c, err := cluster.New(cluster.Options{Bin: opts.Bin, Dir: dir, Entries: entries})
+	if err != nil {
+		return nil, err
+	}
+	rig := &controlRig{opts: opts, cluster: c, entries: c.Entries(), dir: dir}
+	if err := c.StartEntries(); err != nil {
+		return nil, err
+	}
+	if err := rig.found(ctx); err != nil {
+		rig.close()
+		return nil, err
+	}
+	return rig, nil
+}
+
+// found gives the new cluster its first configuration and waits until all
+// entries are ready with it.
+func (r *controlRig) found(ctx context.Context) error {
+	for _, e := range r.entries {
+		alive := func(ctx context.Context) error { return r.cluster.Alive(ctx, e) }
+		if err := cluster.Await(ctx, e.Name+" answers", alive); err != nil {
+			return err
+		}
+	}
+	base := fmt.Sprintf("zones:\n  %s: {region: %s}\n", controlZone, controlRegion)
+	if _, err := r.change(ctx, r.entries[0], controlBaseFile, base); err != nil {
+		return err
+	}
+	return r.awaitReady(ctx)
+}
+
+func (r *controlRig) close() {
+	r.cluster.Close()
+	_ = os.RemoveAll(r.dir)
+}
+
+func (r *controlRig) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	return r.cluster.AwaitReady(ctx, r.entries...)
+}
+
+// print writes a figure under the number of replicas.
+func (r *controlRig) print(name string, value time.Duration, target string) {
+	name = fmt.Sprintf("control_%s_r%d", name, len(r.entries))
+	figure.Print(r.opts.Out, name, float64(value.Microseconds())/1000, "ms", target)
+}
+
+// printQuantiles writes the median and the 99th percentile, to which the
+// target applies.
+func (r *controlRig) printQuantiles(name string, times []time.Duration, target string) {
+	slices.Sort(times)
+	r.print(name+"_p50", times[(len(times)-1)/2], "")
+	r.print(name+"_p99", times[(len(times)*99+99)/100-1], target)
+}
+
+// file returns one of an entry's own files, with content not seen before.
+// Each entry edits its own files, so that no edit meets another one's file on
+// its way into the folder.
+func (r *controlRig) file(entry *cluster.Process, number int) (name, content string) {
+	r.serial++
+	account := fmt.Sprintf("%s-%d", entry.Name, number)
+	return account + ".yaml", fmt.Sprintf("accounts:\n  %s: {share: %d}\n", account, r.serial)
+}
+
+// edit changes a file of an entry and waits until the change is in force there.
+func (r *controlRig) edit(ctx context.Context, entry *cluster.Process) (time.Duration, error) {
+	name, content := r.file(entry, 0)
+	return r.change(ctx, entry, name, content)
+}
+
+// change writes a file and waits until the entry has it in force.
+func (r *controlRig) change(ctx context.Context, entry *cluster.Process, file, content string) (time.Duration, error) {
+	before, err := r.cluster.Revision(ctx, entry)
+	if err != nil {
+		return 0, err
+	}
+	begin := time.Now()
+	if err := r.cluster.WriteFile(entry.Name, file, []byte(content)); err != nil {
+		return 0, err
+	}
+	return r.awaitRevision(ctx, entry, before+1, begin)
+}
+
+// awaitRevision returns how long after begin an entry had a revision in force.
+func (r *controlRig) awaitRevision(ctx context.Context, entry *cluster.Process, want uint64, begin time.Time) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	var got uint64
+	var last error
+	for ctx.Err() == nil {
+		if got, last = r.cluster.Revision(ctx, entry); last == nil && got >= want {
+			return time.Since(begin), nil
+		}
+		time.Sleep(pollPause)
+	}
+	return 0, errors.Newf("%s is at revision %d, want %d: %v", entry.Name, got, want, last)
+}
+
+// accept measures from an operator's edit to the change in force at that entry.
+func (r *controlRig) accept(ctx context.Context) error {
+	var times []time.Duration
+	for i := range acceptChanges {
+		took, err := r.edit(ctx, r.entries[i%len(r.entries)])
+		if err != nil {
+			return err
+		}
+		times = append(times, took)
+		if err := r.awaitEqual(ctx); err != nil {
+			return err
+		}
+	}
+	r.printQuantiles("accept", times, targetAccept)
+	return nil
+}
+
+// awaitEqual waits until all entries have the same revision in force.
+func (r *controlRig) awaitEqual(ctx context.Context) error {
+	revision, err := r.cluster.Revision(ctx, r.entries[0])
+	if err != nil {
+		return err
+	}
+	for _, e := range r.entries {
+		at, err := r.cluster.Revision(ctx, e)
+		if err != nil {
+			return err
+		}
+		revision = max(revision, at)
+	}
+	for _, e := range r.entries {
+		if _, err := r.awaitRevision(ctx, e, revision, time.Now()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// failover measures from kill -9 of the leader to the next accepted change.
+func (r *controlRig) failover(ctx context.Context) error {
+	var times []time.Duration
+	for range failoverRounds {
+		leader, err := r.cluster.Leader(ctx)
+		if err != nil {
+			return err
+		}
+		other := r.entries[0]
+		if other == leader {
+			other = r.entries[1]
+		}
+		begin := time.Now()
+		if err := leader.Kill(); err != nil {
+			return err
+		}
+		if _, err := r.edit(ctx, other); err != nil {
+			return err
+		}
+		times = append(times, time.Since(begin))
+		if err := leader.Restart(); err != nil {
+			return err
+		}
+		if err := r.awaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	r.print("failover_median", median(times), "")
+	r.print("failover_max", slices.Max(times), targetFailover)
+	return nil
+}
+
+func median(times []time.Duration) time.Duration {
+	slices.Sort(times)
+	return times[(len(times)-1)/2]
+}
+
+// restart makes many changes and measures how long one entry, then all of
+// them, take from their start to being ready with the same revision.
+func (r *controlRig) restart(ctx context.Context) error {
+	for range restartChanges / restartFiles {
+		if err := r.changeFiles(ctx); err != nil {
+			return err
+		}
+	}
+	revision, err := r.cluster.Revision(ctx, r.entries[0])
+	if err != nil {
+		return err
+	}
+	for _, c := range []struct {
+		name    string
+		entries []*cluster.Process
+	}{{"restart_one", r.entries[:1]}, {"restart_all", r.entries}} {
+		took, err := r.restartEntries(ctx, c.entries, revision)
+		if err != nil {
+			return err
+		}
+		r.print(fmt.Sprintf("%s_after_%d", c.name, revision), took, targetRestart)
+	}
+	return nil
+}
+
+// changeFiles edits several files at once and waits for all of them.
+func (r *controlRig) changeFiles(ctx context.Context) error {
+	entry := r.entries[r.serial%len(r.entries)]
+	before, err := r.cluster.Revision(ctx, entry)
+	if err != nil {
+		return err
+	}
+	for i := range restartFiles {
+		name, content := r.file(entry, i)
+		if err := r.cluster.WriteFile(entry.Name, name, []byte(content)); err != nil {
+			return err
+		}
+	}
+	if _, err := r.awaitRevision(ctx, entry, before+restartFiles, time.Now()); err != nil {
+		return err
+	}
+	return r.awaitEqual(ctx)
+}
+
+func (r *controlRig) restartEntries(ctx context.Context, entries []*cluster.Process, revision uint64) (time.Duration, error) {
+	for _, e := range entries {
+		if err := e.Kill(); err != nil {
+			return 0, err
+		}
+	}
+	begin := time.Now()
+	for _, e := range entries {
+		if err := e.Restart(); err != nil {
+			return 0, err
+		}
+	}
+	if err := r.awaitReady(ctx); err != nil {
+		return 0, err
+	}
+	took := time.Since(begin)
+	for _, e := range entries {
+		if got, err := r.cluster.Revision(ctx, e); err != nil || got != revision {
+			return 0, errors.Newf("%s came back at revision %d of %d: %v", e.Name, got, revision, err)
+		}
+	}
+	return took, nil
+}
--- a/process/control/node/cluster_test.go
+++ b/process/control/node/cluster_test.go
@@ -18,6 +18,8 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/control/raft"
+	"github.com/waxwingpost/waxwingpost/process/control/wal"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
@@ -232,3 +234,82 @@
 		t.Errorf("the learner holds %d commands, want 300", got)
 	}
 }
+
+// A replica that was frozen for longer than the election timeout knows at once
+// that its quorum is in doubt, and gives up its leadership with its first tick.
+func TestFrozenLeaderClaimsNothing(t *testing.T) {
+	h := &hub{nodes: map[string]*Node{}}
+	names := []string{"e1", "e2", "e3"}
+	clock := clockwork.NewFakeClock()
+	founders := raft.Members{}
+	for _, name := range names {
+		founders = founders.With(raft.Member{ID: name + "-id", Name: name, Voter: true})
+	}
+	id := wal.Identity{Replica: "e1-id", Cluster: "c", Founders: founders}
+	cfg := Config{Name: "e1", DataDir: t.TempDir(), Peers: names}.withDefaults()
+	if err := enterCluster(cfg, id); err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	n, err := New(cfg, newRegister(), port{h, "e1"}, clock, rand.New(rand.NewPCG(1, 1)), log, tally.NoopScope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.unlock()
+	n.lastTick = clock.Now()
+	core := n.replica.core
+	turn := func() {
+		t.Helper()
+		if err := n.turn(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for core.Role() != raft.Leader {
+		clock.Advance(cfg.Tick)
+		n.tick(context.Background())
+		turn()
+		for _, kind := range []raft.Kind{raft.PreVoteReply, raft.VoteReply} {
+			term := core.Term()
+			if kind == raft.PreVoteReply {
+				term++
+			}
+			core.Step(raft.Message{Kind: kind, From: "e2-id", To: "e1-id", Term: term})
+			turn()
+		}
+	}
+	if !n.InQuorum() || !n.IsLeader() {
+		t.Fatal("a new leader does not claim its quorum")
+	}
+	clock.Advance(10 * time.Second)
+	if n.InQuorum() {
+		t.Error("claims its quorum after 10 s without an answer")
+	}
+	n.tick(context.Background())
+	turn()
+	if n.InQuorum() || n.IsLeader() {
+		t.Error("claims its leadership after the first tick")
+	}
+}
+
+// Messages of another cluster, and those to the identity that this VM had
+// before its disk was lost, are refused.
+func TestMessagesOfStrangersAreRefused(t *testing.T) {
+	n := &Node{names: map[string]string{}, status: status{identity: wal.Identity{Replica: "me", Cluster: "ours"}}}
+	for _, c := range []struct {
+		cluster, to string
+		want        result.Code
+	}{
+		{"ours", "me", result.OK},
+		{"theirs", "me", result.WrongCluster},
+		{"", "me", result.WrongCluster},
+		{"ours", "before", result.NotMember},
+	} {
+		body, err := cbor.Marshal(wire.RaftBatch{Cluster: c.cluster, To: c.to, From: "x"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := n.decodeBatch(wire.Hello{Name: "e2"}, body); result.CodeOf(err) != c.want {
+			t.Errorf("cluster %q to %q: %v, want code %d", c.cluster, c.to, err, c.want)
+		}
+	}
+}
--- a/process/control/node/config.go
+++ b/process/control/node/config.go
@@ -64,6 +64,8 @@
 	ForgetReplica  time.Duration
 	// MaxMembers bounds the membership.
 	MaxMembers int
+	// MaxBatch bounds how much waiting work is taken in before one sync.
+	MaxBatch int
 	// FS is the file system of the data folder.
 	FS wal.FS
 }
@@ -80,6 +82,7 @@
 	defaultForgetVolatile = 30 * time.Second
 	defaultForgetReplica  = 10 * time.Minute
 	defaultMaxMembers     = 64
+	defaultMaxBatch       = 1024
 )
 
 func (c Config) withDefaults() Config {
@@ -96,6 +99,7 @@
 	setDefault(&c.ForgetVolatile, defaultForgetVolatile)
 	setDefault(&c.ForgetReplica, defaultForgetReplica)
 	setDefault(&c.MaxMembers, defaultMaxMembers)
+	setDefault(&c.MaxBatch, defaultMaxBatch)
 	if c.FS == nil {
 		c.FS = wal.OS{}
 	}
--- a/process/control/node/node.go
+++ b/process/control/node/node.go
@@ -19,12 +19,8 @@
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
-const (
-	// inboxSize is how much may wait for the replica's goroutine.
-	inboxSize = 4096
-	// maxBatch bounds what is taken in before it is saved.
-	maxBatch = 1024
-)
+// inboxSize is how much may wait for the replica's goroutine.
+const inboxSize = 4096
 
 // Node is a replica of the control state. It implements control.Store. All
 // methods are safe for concurrent use.
@@ -203,7 +199,7 @@
 
 // drain takes in what else waits, so that one sync serves it all.
 func (n *Node) drain() {
-	for range maxBatch {
+	for range n.cfg.MaxBatch - 1 {
 		select {
 		case work := <-n.inbox:
 			work(n.replica)
