--- a/bench/cmd/wpbench/control_agents.go
+++ b/bench/cmd/wpbench/control_agents.go
@@ -60,7 +60,7 @@
 
 // awaitAgents waits until every agent has the current revision in force.
 func (r *controlRig) awaitAgents(ctx context.Context, agents []*cluster.Process) error {
-	revision, err := r.cluster.Revision(ctx, r.entries[0])
+	revision, err := r.revision(ctx, r.entries[0])
 	if err != nil {
 		return err
 	}
@@ -71,7 +71,7 @@
 func (r *controlRig) pushToAgents(ctx context.Context, agents []*cluster.Process) error {
 	var all, slowest []time.Duration
 	for range inForceChanges {
-		before, err := r.cluster.Revision(ctx, r.entries[0])
+		before, err := r.revision(ctx, r.entries[0])
 		if err != nil {
 			return err
 		}
--- a/process/control/node/replica.go
+++ b/process/control/node/replica.go
@@ -76,6 +76,8 @@
 	waiters []appliedWaiter
 	// snapshotIndex is the index of the last snapshot on disk.
 	snapshotIndex uint64
+	// snapshotSize is the size of that snapshot's data.
+	snapshotSize int64
 	// saving is set while a snapshot is being written. beside runs the writing
 	// and calls the second function on the replica's goroutine afterwards.
 	saving    bool
@@ -98,6 +100,7 @@
 		inLog:         map[string][]proposal{},
 		rounds:        map[uint64][]readRequest{},
 		snapshotIndex: stored.Snapshot.Index,
+		snapshotSize:  int64(len(stored.Snapshot.Data)),
 		beside:        inline,
 	}, nil
 }
@@ -216,6 +219,7 @@
 			return err
 		}
 		r.snapshotIndex = rd.Snapshot.Index
+		r.snapshotSize = int64(len(rd.Snapshot.Data))
 	}
 	return r.disk.Save(rd.HardState, rd.Entries)
 }
@@ -306,40 +310,59 @@
 }
 
 // maybeSnapshot saves a snapshot when much was applied since the last one.
-// Writing it may take long on a busy disk, so it goes on beside the log.
+// Encoding and writing it may take long, so they go on beside the log.
 func (r *replica) maybeSnapshot() error {
-	applied := r.core.Applied()
-	since := applied - r.snapshotIndex
-	due := since >= uint64(r.cfg.SnapshotEvery) || r.disk.Bytes() >= r.cfg.SnapshotBytes
-	if since == 0 || !due || r.saving {
+	if r.saving || !r.snapshotDue() {
 		return nil
 	}
-	s, err := r.takeSnapshot()
-	if err != nil {
-		return err
+	if r.cfg.diskless() {
+		r.compact(r.core.Applied())
+		return nil
 	}
+	s, encode := r.capture()
 	r.saving = true
-	return r.beside(func() error { return r.disk.WriteSnapshot(s) }, func(err error) error {
+	work := func() (err error) {
+		if s.Data, err = encode(); err != nil {
+			return err
+		}
+		return r.disk.WriteSnapshot(s)
+	}
+	return r.beside(work, func(err error) error {
 		r.saving = false
-		return r.snapshotWritten(s.Index, err)
+		return r.snapshotWritten(s, err)
 	})
 }
 
+// snapshotDue reports whether the log is long enough. A large state is written
+// less often, so that the snapshots cost no more than the log itself.
+func (r *replica) snapshotDue() bool {
+	since := r.core.Applied() - r.snapshotIndex
+	if since < uint64(r.cfg.SnapshotEvery) {
+		return since > 0 && r.disk.Bytes() >= max(r.cfg.SnapshotBytes, r.snapshotSize)
+	}
+	return r.cfg.diskless() || r.disk.Bytes() >= r.snapshotSize
+}
+
+func (r *replica) compact(index uint64) {
+	r.snapshotIndex = index
+	r.core.Compact(r.cfg.RetainEntries, r.cfg.RetainBytes)
+}
+
 // snapshotWritten drops what a snapshot covers once it is on disk.
-func (r *replica) snapshotWritten(index uint64, err error) error {
+func (r *replica) snapshotWritten(s raft.Snapshot, err error) error {
 	if err != nil {
 		return result.New(result.DiskFailed, "save snapshot: %v", err)
 	}
-	if index <= r.snapshotIndex {
+	if s.Index <= r.snapshotIndex {
 		// One that came from the leader was installed meanwhile.
 		return nil
 	}
-	if err := r.disk.Truncate(index); err != nil {
+	if err := r.disk.Truncate(s.Index); err != nil {
 		return err
 	}
-	r.snapshotIndex = index
-	r.core.Compact(r.cfg.RetainEntries, r.cfg.RetainBytes)
-	r.log.Info("snapshot saved", "index", index)
+	r.snapshotSize = int64(len(s.Data))
+	r.compact(s.Index)
+	r.log.Info("snapshot saved", "index", s.Index, "bytes", len(s.Data))
 	return nil
 }
 
@@ -348,14 +371,24 @@
 	return then(work())
 }
 
-func (r *replica) takeSnapshot() (raft.Snapshot, error) {
-	data, err := r.sm.Snapshot()
-	if err != nil {
-		return raft.Snapshot{}, errors.Wrap(err, "take snapshot")
-	}
+// capture returns a snapshot without its data, and what encodes the data. A
+// state machine with a Capture method lets the latter run beside Apply.
+func (r *replica) capture() (raft.Snapshot, func() ([]byte, error)) {
 	index := r.core.Applied()
 	term, _ := r.core.TermAt(index)
-	return raft.Snapshot{Index: index, Term: term, Members: r.core.MembersAt(index), Data: data}, nil
+	s := raft.Snapshot{Index: index, Term: term, Members: r.core.MembersAt(index)}
+	if c, ok := r.sm.(interface{ Capture() func() ([]byte, error) }); ok {
+		return s, c.Capture()
+	}
+	data, err := r.sm.Snapshot()
+	return s, func() ([]byte, error) { return data, err }
+}
+
+func (r *replica) takeSnapshot() (raft.Snapshot, error) {
+	s, encode := r.capture()
+	data, err := encode()
+	s.Data = data
+	return s, errors.Wrap(err, "take snapshot")
 }
 
 // fillSnapshots puts the current state into the messages that ask for it.
