--- a/process/control/node/messages.go
+++ b/process/control/node/messages.go
@@ -46,13 +46,8 @@
 	batches := map[string]*wire.RaftBatch{}
 	var order []string
 	for _, m := range out {
-		data, err := cbor.Marshal(m)
-		if err != nil {
-			n.log.Error("message not encoded", "error", err)
-			continue
-		}
 		if m.Kind == raft.InstallSnapshot {
-			go n.sendSnapshot(ctx, m.To, m.Snapshot.Index, data)
+			go n.sendSnapshot(ctx, m)
 			continue
 		}
 		b := batches[m.To]
@@ -61,6 +56,13 @@
 			batches[m.To] = b
 			order = append(order, m.To)
 		}
+		// The batch carries the addresses of all its messages.
+		m.To, m.From = "", ""
+		data, err := cbor.Marshal(m)
+		if err != nil {
+			n.log.Error("message not encoded", "error", err)
+			continue
+		}
 		b.Messages = append(b.Messages, data)
 	}
 	for _, to := range order {
@@ -90,6 +92,7 @@
 		if err := decode(data, &messages[i]); err != nil {
 			return nil, err
 		}
+		messages[i].To, messages[i].From = batch.To, batch.From
 	}
 	return messages, nil
 }
@@ -111,15 +114,18 @@
 }
 
 // sendSnapshot sends a message with a snapshot in parts and reports the end.
-func (n *Node) sendSnapshot(ctx context.Context, to string, index uint64, data []byte) {
+func (n *Node) sendSnapshot(ctx context.Context, m raft.Message) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	err := n.sendParts(ctx, to, data)
+	data, err := cbor.Marshal(m)
+	if err == nil {
+		err = n.sendParts(ctx, m.To, data)
+	}
 	if err != nil {
-		n.log.Warn("snapshot not sent", "code", int(result.CodeOf(err)), "to", to, "error", err)
+		n.log.Warn("snapshot not sent", "code", int(result.CodeOf(err)), "to", m.To, "error", err)
 	}
 	_ = n.submit(context.WithoutCancel(ctx), func(r *replica) {
-		r.core.ReportSnapshot(to, index, err == nil)
+		r.core.ReportSnapshot(m.To, m.Snapshot.Index, err == nil)
 	})
 }
 
--- a/process/control/raft/raft.go
+++ b/process/control/raft/raft.go
@@ -28,7 +28,7 @@
 func DefaultConfig() Config {
 	return Config{
 		ElectionTicks:  16,
-		HeartbeatTicks: 3,
+		HeartbeatTicks: 4,
 		MaxAppendBytes: 1 << 20,
 		MaxInFlight:    64,
 		MaxUncommitted: 16384,
--- a/process/control/raft/types.go
+++ b/process/control/raft/types.go
@@ -79,8 +79,8 @@
 // Message is what replicas exchange. Fields that a kind does not use are zero.
 type Message struct {
 	Kind Kind   `cbor:"1,keyasint"`
-	From string `cbor:"2,keyasint"`
-	To   string `cbor:"3,keyasint"`
+	From string `cbor:"2,keyasint,omitempty"`
+	To   string `cbor:"3,keyasint,omitempty"`
 	Term uint64 `cbor:"4,keyasint"`
 	// Index and LogTerm are, by kind: the entry before Entries (Append), the
 	// sender's last entry (Vote, PreVote), or the index that is acknowledged or
