--- a/process/control/state/property_test.go
+++ b/process/control/state/property_test.go
@@ -110,13 +110,14 @@
 
 // TestReservationsAreAtMostOnce judges by the answers alone: a key whose run
 // was permitted is permitted again only to the same command or after a
-// recorded not-run, also when records have been dropped in between.
+// recorded not-run, also when records have been dropped in between. A verdict
+// of ran or unknown stays.
 func TestReservationsAreAtMostOnce(t *testing.T) {
 	ps := properties(t)
 	ps.Property("one permitted run a key", prop.ForAll(
 		func(genes []uint64) bool {
 			m := New(smallOptions)
-			holder := map[string]string{}
+			holder, final := map[string]string{}, map[string]string{}
 			for i, cmd := range logOf(genes) {
 				res := m.Apply(uint64(i+1), 1, cmd)
 				switch {
@@ -126,10 +127,16 @@
 						return false
 					}
 					holder[cmd.Reserve.Key] = cmd.ID
-				case cmd.Outcome != nil && res.Code == 0 && cmd.Outcome.Verdict == control.AttemptNotRun:
-					delete(holder, cmd.Outcome.Key)
 				case cmd.Outcome != nil && res.Code == 0:
-					holder[cmd.Outcome.Key] = "decided"
+					o := cmd.Outcome
+					if final[o.Key] != "" && final[o.Key] != o.Verdict {
+						return false
+					}
+					if o.Verdict == control.AttemptNotRun {
+						delete(holder, o.Key)
+						continue
+					}
+					holder[o.Key], final[o.Key] = "decided", o.Verdict
 				}
 			}
 			return true
--- a/process/folder/faults_test.go
+++ b/process/folder/faults_test.go
@@ -120,6 +120,10 @@
 			v.remove(markerName)
 			v.write("a.yaml", contentA)
 		},
+		"folder of another VM": func(v *vm) {
+			v.write(markerName, "another 99\n")
+			v.write("a.yaml", contentA)
+		},
 		"older copy": func(v *vm) {
 			v.write(markerName, v.watcher.memory.Folder+" 1\n")
 			v.write("a.yaml", contentA)
@@ -213,8 +217,10 @@
 	ctx := context.Background()
 	for i := range 5 {
 		one.write("a.yaml", strings.Repeat("#", i+1)+" priorities:\n")
-		one.watcher.Step(ctx)
-		one.clock.Advance(DefaultSettle - time.Millisecond)
+		for range 2 {
+			one.watcher.Step(ctx)
+			one.clock.Advance(DefaultSettle/2 - time.Millisecond)
+		}
 	}
 	if n := len(one.cluster.log); n != 0 {
 		t.Errorf("%d proposals of a file that was being written", n)
