--- a/process/folder/faults_test.go
+++ b/process/folder/faults_test.go
@@ -368,6 +368,25 @@
 	one.wantRevision(2)
 }
 
+// TestRemovalOnVMBehindIsKept removes a file before the local state knows
+// that it was accepted.
+func TestRemovalOnVMBehindIsKept(t *testing.T) {
+	c := &cluster{}
+	one := newVM(t, c, "entry-1")
+	one.write("a.yaml", contentA)
+	one.run()
+	c.behind = map[any]bool{one.machine: true}
+	one.write("b.yaml", "priorities: {b: 1}\n")
+	one.run()
+	one.remove("b.yaml")
+	one.run()
+	c.behind = nil
+	c.apply()
+	one.run()
+	one.wantFile("b.yaml", "")
+	one.wantRevision(3)
+}
+
 // TestCrashInWriteBack leaves the folder and the memory as a kill at each
 // point of a write-back would.
 func TestCrashInWriteBack(t *testing.T) {
--- a/process/folder/status.go
+++ b/process/folder/status.go
@@ -1,10 +1,10 @@
 package folder
 
 import (
+	"os"
 	"time"
 
 	"github.com/goccy/go-yaml"
-	"github.com/google/renameio/v2"
 
 	"github.com/waxwingpost/waxwingpost/process/control/state"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -101,7 +101,7 @@
 	w.statusText = string(text)
 	st.Written = w.clock.Now().UTC().Format(time.RFC3339Nano)
 	if text, err = yaml.Marshal(st); err == nil {
-		err = renameio.WriteFile(w.cfg.Path+statusSuffix, text, configMode)
+		err = w.replaceStatus(text)
 	}
 	if err != nil {
 		w.statusText = ""
@@ -111,3 +111,13 @@
 	w.status = st
 	w.mu.Unlock()
 }
+
+// replaceStatus replaces the status file at once. It is not synced: a restart
+// writes it anew.
+func (w *Watcher) replaceStatus(text []byte) error {
+	path := w.cfg.Path + statusSuffix
+	if err := os.WriteFile(path+newSuffix, text, configMode); err != nil {
+		return err
+	}
+	return os.Rename(path+newSuffix, path)
+}
--- a/process/folder/writeback.go
+++ b/process/folder/writeback.go
@@ -21,6 +21,7 @@
 const (
 	statusSuffix = ".status.yaml"
 	keptSuffix   = ".refused"
+	newSuffix    = ".new"
 )
 
 const (
