--- a/process/config/merge.go
+++ b/process/config/merge.go
@@ -72,7 +72,7 @@
 	}
 	before := m.parsed
 	m.parsed = make(map[parsedKey]parsedFile, len(files))
-	root := &node{kind: mapNode, merged: true, fields: make(map[string]*node), places: make(map[string]place)}
+	root := newRoot()
 	var problems []*result.Error
 	for _, f := range files {
 		key := parsedKey{name: f.Name, digest: manifest.Sum(f.Content)}
@@ -92,6 +92,24 @@
 	return finish(root)
 }
 
+// MergeAccepted merges files that were accepted before, perhaps by a release
+// with other rules. What this release doesn't know is passed over, so that an
+// accepted configuration stays in force.
+func (m *Merger) MergeAccepted(files []File) *Merged {
+	if merged, problems := m.Merge(files); len(problems) == 0 {
+		return merged
+	}
+	files = slices.Clone(files)
+	slices.SortFunc(files, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
+	root := newRoot()
+	for _, f := range files {
+		if tree, problems := parseFile(f); len(problems) == 0 {
+			root = mergeNodes(root, tree)
+		}
+	}
+	return decodeRoot(root, &decoder{})
+}
+
 // readTree parses one file and checks it against the schema.
 func readTree(f File) parsedFile {
 	tree, problems := parseFile(f)
@@ -101,13 +119,22 @@
 	return parsedFile{tree: tree, problems: problems}
 }
 
-// finish decodes and validates a merged tree.
-func finish(root *node) (*Merged, []*result.Error) {
+func newRoot() *node {
+	return &node{kind: mapNode, merged: true, fields: make(map[string]*node), places: make(map[string]place)}
+}
+
+func decodeRoot(root *node, d *decoder) *Merged {
 	m := &Merged{Config: newConfig(), Origins: map[string]string{}}
-	var d decoder
 	d.decode(root, "", reflect.ValueOf(m.Config).Elem())
 	m.Config.setServiceDefaults()
 	gatherOrigins(root, "", m.Origins)
+	return m
+}
+
+// finish decodes and validates a merged tree.
+func finish(root *node) (*Merged, []*result.Error) {
+	var d decoder
+	m := decodeRoot(root, &d)
 	v := validator{config: m.Config, root: root}
 	v.validate()
 	if problems := append(d.problems, v.problems...); len(problems) > 0 {
--- a/process/config/merge_test.go
+++ b/process/config/merge_test.go
@@ -68,3 +68,13 @@
 		t.Errorf("defaults = %+v", m.Config)
 	}
 }
+
+func TestAcceptedFilesStayInForceUnderOtherRules(t *testing.T) {
+	m := new(Merger).MergeAccepted([]File{
+		file("a.yaml", "priorities: {a: 1}\nkey_of_another_release: 3\n"),
+		file("b.yaml", "links: {live_share: 0.25, vm_bytes_per_second: words}\n"),
+	})
+	if m.Config.Priorities["a"] != 1 || m.Config.Links.LiveShare != 0.25 {
+		t.Errorf("config %+v", m.Config)
+	}
+}
--- a/process/control/state/machine.go
+++ b/process/control/state/machine.go
@@ -40,6 +40,8 @@
 	MaxChanges int
 	// MaxRefusals bounds the refused changes in the history.
 	MaxRefusals int
+	// MaxOrders bounds the orders that are told although they were replaced.
+	MaxOrders int
 	// MaxApplied bounds the remembered results of command IDs.
 	MaxApplied int
 }
@@ -50,6 +52,7 @@
 	DefaultMaxForgotten = 1_000_000
 	DefaultMaxChanges   = 8192
 	DefaultMaxRefusals  = 2048
+	DefaultMaxOrders    = 8192
 	DefaultMaxApplied   = 8192
 )
 
@@ -63,6 +66,7 @@
 	set(&o.MaxForgotten, DefaultMaxForgotten)
 	set(&o.MaxChanges, DefaultMaxChanges)
 	set(&o.MaxRefusals, DefaultMaxRefusals)
+	set(&o.MaxOrders, DefaultMaxOrders)
 	set(&o.MaxApplied, DefaultMaxApplied)
 	return o
 }
@@ -87,6 +91,7 @@
 	removed   map[string]uint64
 	manifests map[string]*registered
 	orders    map[string]control.Order
+	placed    []PlacedOrder
 	calls     *callTable
 	history   *history
 	applied   *appliedTable
@@ -109,6 +114,7 @@
 	m.removed = make(map[string]uint64)
 	m.manifests = make(map[string]*registered)
 	m.orders = make(map[string]control.Order)
+	m.placed = nil
 	m.calls = newCallTable(m.opts)
 	m.history = newHistory(m.opts)
 	m.applied = newAppliedTable(m.opts.MaxApplied)
--- a/process/control/state/order.go
+++ b/process/control/state/order.go
@@ -19,6 +19,13 @@
 	digest   manifest.Digest
 }
 
+// PlacedOrder is an order with the record of who placed it.
+type PlacedOrder struct {
+	Order control.Order `cbor:"1,keyasint" json:"order"`
+	Time  int64         `cbor:"2,keyasint" json:"time_unix_ms"`
+	VM    string        `cbor:"3,keyasint" json:"vm"`
+}
+
 // applyRegister commits the manifest of a version for good.
 func (m *Machine) applyRegister(cmd control.Command) control.Result {
 	mf := cmd.Register.Manifest
@@ -68,6 +75,11 @@
 		return refusal(result.OrderSuperseded, fmt.Sprintf("%s: made after order %d, but order %d is in force",
 			o.Agent, o.After, current.Fence.Index))
 	}
-	m.orders[o.Agent] = control.Order{PlaceOrder: *o, Fence: control.Fence{Term: m.term, Index: m.index}}
+	placed := control.Order{PlaceOrder: *o, Fence: control.Fence{Term: m.term, Index: m.index}}
+	m.orders[o.Agent] = placed
+	m.placed = append(m.placed, PlacedOrder{Order: placed, Time: m.clock.now, VM: shorten(cmd.VM, maxHistoryName)})
+	if len(m.placed) > m.opts.MaxOrders {
+		m.placed = m.placed[1:]
+	}
 	return control.Result{}
 }
--- a/process/control/state/read.go
+++ b/process/control/state/read.go
@@ -129,6 +129,14 @@
 	Orders     []control.Order `json:"orders"`
 }
 
+// OrderRecord explains the orders of an agent.
+type OrderRecord struct {
+	Agent   string        `json:"agent"`
+	InForce control.Order `json:"in_force"`
+	// Placed lists the last orders, the oldest first.
+	Placed []PlacedOrder `json:"placed"`
+}
+
 // FileRecord explains a file.
 type FileRecord struct {
 	File     string          `json:"file"`
@@ -158,9 +166,7 @@
 	case "version":
 		return m.explainVersion(name)
 	case "order":
-		if o, ok := m.orders[name]; ok {
-			return o, nil
-		}
+		return m.explainOrder(name)
 	case "file":
 		return m.explainFile(name)
 	case "call":
@@ -169,7 +175,6 @@
 	default:
 		return nil, result.New(result.BadRequest, "%q: ask for revision:N, version:NAME, order:AGENT, file:NAME or call:ACCOUNT/KEY", query)
 	}
-	return nil, notFound(query)
 }
 
 func notFound(query string) error {
@@ -209,6 +214,20 @@
 	return rec, nil
 }
 
+func (m *Machine) explainOrder(agent string) (any, error) {
+	o, ok := m.orders[agent]
+	if !ok {
+		return nil, notFound("order:" + agent)
+	}
+	rec := OrderRecord{Agent: agent, InForce: o, Placed: []PlacedOrder{}}
+	for _, p := range m.placed {
+		if p.Order.Agent == agent {
+			rec.Placed = append(rec.Placed, p)
+		}
+	}
+	return rec, nil
+}
+
 func (m *Machine) explainFile(name string) (any, error) {
 	rec := FileRecord{File: name, Changes: m.history.find(func(c Change) bool { return c.File == name })}
 	if f, ok := m.files[name]; ok {
--- a/process/control/state/snapshot.go
+++ b/process/control/state/snapshot.go
@@ -56,6 +56,7 @@
 	VMs       []vmTime        `cbor:"17,keyasint"`
 	// Removed is written in the order of its keys, as all maps are.
 	Removed map[string]uint64 `cbor:"18,keyasint"`
+	Placed  []PlacedOrder     `cbor:"19,keyasint"`
 }
 
 type appliedEntry struct {
@@ -98,7 +99,7 @@
 		Files: m.sortedFiles(), Orders: m.sortedOrders(),
 		Accepted: m.history.accepted, Refused: m.history.refused, Dropped: m.history.dropped,
 		Oldest: m.calls.oldest, Sealed: m.calls.forgotten.sealed, Newest: m.calls.forgotten.newest,
-		Now: m.clock.now, VMs: slices.Clone(m.clock.vms), Removed: maps.Clone(m.removed),
+		Now: m.clock.now, VMs: slices.Clone(m.clock.vms), Removed: maps.Clone(m.removed), Placed: m.placed,
 	}
 	for _, version := range sortedKeys(m.manifests) {
 		s.Manifests = append(s.Manifests, m.manifests[version])
@@ -143,10 +144,7 @@
 	for i, f := range s.Files {
 		files[i] = config.File{Name: f.Name, Content: f.Content}
 	}
-	merged, problems := m.merger.Merge(files)
-	if len(problems) > 0 {
-		return result.New(result.SnapshotDamaged, "the accepted files do not merge: %s", problems[0].Error())
-	}
+	merged := m.merger.MergeAccepted(files)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.load(&s)
@@ -175,6 +173,7 @@
 	for _, a := range s.Applied {
 		m.applied.put(a.ID, a.Result)
 	}
+	m.placed = s.Placed
 	m.clock.now, m.clock.vms = s.Now, s.VMs
 	m.calls.oldest = s.Oldest
 	m.loadCalls(s)
--- a/process/folder/propose.go
+++ b/process/folder/propose.go
@@ -1,6 +1,7 @@
 package folder
 
 import (
+	"cmp"
 	"context"
 	"encoding/hex"
 	"fmt"
@@ -64,6 +65,9 @@
 			changed = true
 		}
 	}
+	if len(w.memory.Notes) > maxNotes {
+		w.dropNotes(inForce)
+	}
 	for name, n := range w.memory.Notes {
 		_, known := w.memory.Files[name]
 		_, accepted := inForce[name]
@@ -76,6 +80,24 @@
 	return changed
 }
 
+// maxNotes bounds the verdicts on files that are no longer there.
+const maxNotes = 512
+
+// dropNotes drops the oldest verdicts on files that are gone.
+func (w *Watcher) dropNotes(inForce map[string]state.File) {
+	names := sortedNames(w.memory.Notes)
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(w.memory.Notes[a].Revision, w.memory.Notes[b].Revision)
+	})
+	for _, name := range names {
+		_, known := w.memory.Files[name]
+		_, accepted := inForce[name]
+		if len(w.memory.Notes) > maxNotes && !known && !accepted {
+			delete(w.memory.Notes, name)
+		}
+	}
+}
+
 // unpin forgets an edit that the operator has undone.
 func (w *Watcher) unpin(name string) bool {
 	_, pinned := w.memory.Pins[name]
@@ -134,6 +156,9 @@
 	for _, c := range found {
 		switch w.stage(c, s, inForce) {
 		case stageSend:
+			// Judged here first: a file that stops the judge stops this
+			// watcher and not the replicas.
+			w.check([]candidate{c}, inForce)
 			send = append(send, w.again(c))
 		case stageHeld:
 			held = append(held, c)
