--- a/request/admission/sim_test.go
+++ b/request/admission/sim_test.go
@@ -284,8 +284,8 @@
 		{account: "a", share: 1, rank: 0, perSecond: simCapacity / 4, deadline: 10 * simDeadline},
 	})
 	s.run(simSpan)
-	if s.out[1].served == 0 {
-		t.Error("the lower priority starved")
+	if least := simCapacity * simSpan.Seconds() / DefaultLowTurn / 2; float64(s.out[1].served) < least {
+		t.Errorf("the lower priority was served %d times, at least %.0f are its due", s.out[1].served, least)
 	}
 }
 
--- a/request/routing/routing_test.go
+++ b/request/routing/routing_test.go
@@ -124,7 +124,7 @@
 
 func TestPrefixFollowsItsServerWhileLoadIsNearTheMean(t *testing.T) {
 	g, _ := newGroup()
-	list := backends(8, 16)
+	list := backends(8, 200)
 	first := g.Pick(list, Request{Prefix: 77})
 	first.Done(OK, 100)
 	for range 20 {
@@ -138,7 +138,7 @@
 	for range 64 {
 		most[g.Pick(list, Request{Prefix: 77}).Backend.Name]++
 	}
-	if hot := most[first.Backend.Name]; hot > 16*64/100+4 {
+	if hot := most[first.Backend.Name]; hot > 64/4 {
 		t.Errorf("a hot prefix put %d of 64 requests on one of 8 servers", hot)
 	}
 }
