--- a/version/planner/table.go
+++ b/version/planner/table.go
@@ -141,10 +141,11 @@
 		next[i].SourceState = state
 		if i < len(t.sources) {
 			next[i].until = t.sources[i].until
-			next[i].inFlight = t.sources[i].inFlight
+			next[i].failures = t.sources[i].failures
 		}
 	}
 	t.sources = next
+	t.recountFlights()
 }
 
 // SetArrangement replaces the neighbors, keeping what is known of those that
@@ -166,6 +167,7 @@
 		}
 	}
 	t.recount()
+	t.recountFlights()
 	t.owners, t.homes = nil, nil
 	if t.fetcher {
 		t.rankChunks()
@@ -193,6 +195,20 @@
 	}
 }
 
+// recountFlights counts the requests in flight anew: an agent may have ceased
+// to be a neighbor and become one again meanwhile.
+func (t *Table) recountFlights() {
+	for _, n := range t.neighbors {
+		n.inFlight = 0
+	}
+	for i := range t.sources {
+		t.sources[i].inFlight = 0
+	}
+	for _, f := range t.flights {
+		t.countFlight(f.Request, 1)
+	}
+}
+
 func (t *Table) rankChunks() {
 	t.owners = make([][]string, t.chunks)
 	t.homes = make([][]string, t.chunks)
@@ -298,7 +314,7 @@
 		return
 	}
 	if n := t.byName[r.From]; n != nil {
-		n.inFlight = max(0, n.inFlight+by)
+		n.inFlight += by
 	}
 }
 
--- a/version/store/assemble.go
+++ b/version/store/assemble.go
@@ -54,7 +54,7 @@
 		return "", errors.CombineErrors(errors.Wrap(err, "keep version"), os.Remove(temp))
 	}
 	s.enterVersion(m, d, path)
-	return path, syncFolder(s.folder(versionFolder))
+	return path, nil
 }
 
 func (s *Store) writeWhole(m *manifest.Manifest) (string, error) {
@@ -63,9 +63,6 @@
 		return "", errors.Wrap(err, "create temporary version")
 	}
 	err = s.copyAll(f, m)
-	if err == nil {
-		err = f.Sync()
-	}
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
 	}
@@ -271,12 +268,3 @@
 	}
 	return nil
 }
-
-func syncFolder(path string) error {
-	f, err := os.Open(path)
-	if err != nil {
-		return errors.Wrap(err, "open spool folder")
-	}
-	defer func() { _ = f.Close() }()
-	return errors.Wrap(f.Sync(), "sync spool folder")
-}
--- a/version/store/store.go
+++ b/version/store/store.go
@@ -3,8 +3,10 @@
 //
 // A chunk is verified against its digest while it is written and appears
 // under its name only when it is whole. Nothing found at a restart is trusted:
-// each file is verified again before its first use. An assembled version is
-// written to a temporary file, verified chunk by chunk, synced and renamed.
+// each file is verified again before its first use. For that reason nothing is
+// synced: what a crash tears is found and fetched again. An assembled version
+// is written to a temporary file, verified chunk by chunk, read back and
+// renamed.
 // Once a version is assembled its chunks are read from the assembled file and
 // the single copies are dropped, so that a version takes its size once.
 //
