--- a/bench/cluster/call.go
+++ b/bench/cluster/call.go
@@ -63,6 +63,9 @@
 	Err error
 	// StreamError is the error that a stream ended with, if any.
 	StreamError string
+	// Short is set when a stream ended like a whole one without its last
+	// event: the caller could not know that something is missing.
+	Short bool
 }
 
 // Refused reports whether the caller was told that its request was not run.
@@ -195,6 +198,7 @@
 			text.WriteString(choice.Delta.Content)
 		}
 	}
+	o.Short = lines.Err() == nil
 	o.Err = errors.Newf("the stream ended without its last event: %v", lines.Err())
 }
 
--- /dev/null
+++ b/bench/e2e/kill_test.go
@@ -0,0 +1,82 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/bench/cluster"
+	"github.com/waxwingpost/waxwingpost/bench/fakes"
+)
+
+// killAndRestart kills a process with SIGKILL and starts it again a while
+// later.
+func (s *site) killAndRestart(p *cluster.Process) {
+	s.t.Helper()
+	s.must(p.Kill())
+	s.pause(200*time.Millisecond, 1200*time.Millisecond)
+	s.must(p.Restart())
+}
+
+// TestFilingsUnderKills kills entries, the control leader and the agent of
+// the plain service while callers file and send again through other entries.
+func TestFilingsUnderKills(t *testing.T) {
+	s := newSite(t, 0)
+	f := s.startFiling(12)
+	for range 9 {
+		s.pause(500*time.Millisecond, 1500*time.Millisecond)
+		switch s.rnd.IntN(3) {
+		case 0:
+			s.killAndRestart(s.Entries()[s.rnd.IntN(3)])
+		case 1:
+			if leader, err := s.Leader(s.ctx); err == nil {
+				s.killAndRestart(leader)
+			}
+		default:
+			s.killAndRestart(s.deskAgent)
+		}
+	}
+	s.must(s.AwaitReady(s.ctx, s.Entries()...))
+	s.awaitDesk()
+	f.stop()
+}
+
+// TestChatsUnderKillsAndRollouts kills engines, agents and entries and edits
+// the version to and fro while callers stream answers.
+func TestChatsUnderKillsAndRollouts(t *testing.T) {
+	s := newSite(t, 4, "--token-time", "8ms")
+	c := s.startChats(10, 24, nil)
+	versions := []string{"v2", "v1", "v2"}
+	for i := range 9 {
+		s.pause(400*time.Millisecond, 1200*time.Millisecond)
+		if i%3 == 0 {
+			s.edit("entry-1", versions[i/3], i)
+		}
+		switch s.rnd.IntN(4) {
+		case 0:
+			// The folder of entry-1 takes the edits; kill another one.
+			s.killAndRestart(s.Entries()[1+s.rnd.IntN(2)])
+		case 1:
+			s.killAndRestart(s.agents[s.rnd.IntN(len(s.agents))])
+		case 2:
+			s.killAndRestart(s.engines[s.rnd.IntN(len(s.engines))])
+		default:
+			s.must(s.RestartEngine(s.ctx, s.engines[s.rnd.IntN(len(s.engines))]))
+		}
+	}
+	s.must(s.AwaitReady(s.ctx, s.Entries()...))
+	s.must(s.AwaitServing(s.ctx, "v2", s.agents...))
+	c.stop()
+	s.checkEngines()
+}
+
+// checkEngines judges by the engines' own records.
+func (s *site) checkEngines() {
+	s.t.Helper()
+	for _, p := range s.engines {
+		var stats fakes.EngineStats
+		s.must(s.Stats(s.ctx, p, &stats))
+		if stats.BadLoads > 0 || stats.StaleOrders > 0 {
+			s.t.Errorf("%s: %d loads of partial or mixed weights, %d orders with old fences: %v", p.Name, stats.BadLoads, stats.StaleOrders, stats.Orders)
+		}
+	}
+}
