--- a/bench/e2e/site_test.go
+++ b/bench/e2e/site_test.go
@@ -102,7 +102,7 @@
 }
 
 func (s *site) close() {
-	if s.t.Failed() {
+	if s.t.Failed() || os.Getenv("E2E_LOGS") != "" {
 		for _, p := range s.Processes() {
 			log := p.Log()
 			s.t.Logf("==== %s\n%s", p.Name, log[max(0, len(log)-6000):])
