A fresh entry refuses callers until it has read what is in force

Cause: an entry whose disk was lost answered callers before it had caught up, from an empty configuration: 403 unknown-account, which a caller takes as final. Ruled out: closing the callers' listener, which leaves them with a refused connection and no code.

--- a/bench/chaos/faults.go
+++ b/bench/chaos/faults.go
@@ -87,10 +87,21 @@
 			return err
 		}
 		pause(ctx, down)
-		return p.Restart()
+		return f.restart(ctx, p)
 	}
 }
 
+// restart waits until the process answers: a signal that comes before it has
+// installed its handlers would end it like any other program.
+func (f *schedule) restart(ctx context.Context, p *cluster.Process) error {
+	if err := p.Restart(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	return cluster.Await(ctx, p.Name+" answers", func(ctx context.Context) error { return f.site.cluster.Alive(ctx, p) })
+}
+
 func (f *schedule) terminate(p *cluster.Process) func() error {
 	return func() error {
 		if err := p.Terminate(); err != nil {
@@ -128,7 +139,7 @@
 		if err := os.RemoveAll(f.site.cluster.DataDir(p.Name)); err != nil {
 			return err
 		}
-		return p.Restart()
+		return f.restart(ctx, p)
 	}
 }
 
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -108,6 +108,7 @@
 	if err != nil {
 		return err
 	}
+	e.ready.keptState = holdsFiles(e.set.Data)
 	e.machine = state.New(state.Options{})
 	e.fleet = fleet.New(e.clock)
 	e.sessions = session.New(session.Config{}, e.clock, e.scope)
@@ -168,6 +169,7 @@
 		Sessions:  e.sessions,
 		Store:     e.node,
 		Calls:     e.machine.Call,
+		Synced:    e.mayServe,
 		Self:      e.hello,
 		Auth:      e.auth,
 		Transport: newTransport(),
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -25,8 +26,27 @@
 
 // readiness tells the balancer whether to send callers here.
 type readiness struct {
-	synced   atomic.Bool
-	draining atomic.Bool
+	// keptState is set when the process started with what its disk held.
+	keptState bool
+	synced    atomic.Bool
+	draining  atomic.Bool
+}
+
+// holdsFiles reports whether a folder exists and is not empty.
+func holdsFiles(dir string) bool {
+	entries, err := os.ReadDir(dir)
+	return err == nil && len(entries) > 0
+}
+
+// mayServe reports whether callers may be served by the configuration at hand:
+// one that was read from a quorum, or that this VM had in force before it was
+// restarted and possibly cut off.
+func (e *Entry) mayServe() bool {
+	if e.ready.synced.Load() {
+		return true
+	}
+	_, revision := e.machine.Config()
+	return e.ready.keptState && revision > 0
 }
 
 // check returns why the entry is not ready, or nil.
--- a/process/result/code.go
+++ b/process/result/code.go
@@ -68,6 +68,7 @@
 	AnswerNotKept     Code = 3022
 	RecordsFull       Code = 3023
 	AlreadyRan        Code = 3024
+	NotSynced         Code = 3025
 )
 
 // Codes of weights, versions and orders (4xxx).
--- a/process/result/table.go
+++ b/process/result/table.go
@@ -75,6 +75,7 @@
 	{AnswerNotKept, "answer-not-kept", "the call ran; its answer was too large to keep", "read the result from the service"},
 	{RecordsFull, "records-full", "no room for another record of a call that may not be repeated", "come back after Retry-After; lower requests.key_retention if it lasts"},
 	{AlreadyRan, "already-ran", "a call under this Idempotency-Key ran; its recorded outcome is given", "none"},
+	{NotSynced, "not-synced", "this entry has started and not yet read the configuration in force from a quorum", "come back after Retry-After; another VM may answer"},
 	{ChunkCorrupt, "chunk-corrupt", "a chunk failed its digest", "none: it is fetched again elsewhere"},
 	{ChunkMissing, "chunk-missing", "a peer does not hold the chunk", "none: it is fetched elsewhere"},
 	{SourceThrottled, "source-throttled", "the weight source answered that its rate is exceeded", "none: it is asked again later"},
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -48,6 +48,7 @@
 	DefaultAffinityBytes = 256
 	// drainRetryAfter is told to callers that reach a draining entry.
 	drainRetryAfter = time.Second
+	syncRetryAfter  = time.Second
 )
 
 // Config tunes the API. Zero fields take the defaults.
@@ -98,8 +99,12 @@
 	Store    control.Store
 	// Calls reads the local copy of the control state.
 	Calls func(account, key string) (control.Call, bool)
-	Self  wire.Hello
-	Auth  link.Authenticator
+	// Synced reports whether the configuration at hand may be served by; nil
+	// means always. A fresh entry that knows nothing yet must not tell callers
+	// that their account or service does not exist.
+	Synced func() bool
+	Self   wire.Hello
+	Auth   link.Authenticator
 	// Transport reaches the agents; nil takes a default one.
 	Transport http.RoundTripper
 	Clock     clockwork.Clock
@@ -207,6 +212,9 @@
 	if a.draining {
 		return result.Refuse(result.Draining, drainRetryAfter, "entry %s is stopping", a.d.Self.Name)
 	}
+	if a.d.Synced != nil && !a.d.Synced() {
+		return result.Refuse(result.NotSynced, syncRetryAfter, "entry %s has not read the configuration in force yet", a.d.Self.Name)
+	}
 	a.inFlight++
 	return nil
 }
--- a/request/stream/errors.go
+++ b/request/stream/errors.go
@@ -39,6 +39,7 @@
 	result.InProgress:        http.StatusConflict,
 	result.CutOff:            http.StatusServiceUnavailable,
 	result.NoQuorum:          http.StatusServiceUnavailable,
+	result.NotSynced:         http.StatusServiceUnavailable,
 	result.RateExceeded:      http.StatusTooManyRequests,
 	result.CallerGone:        statusClientClosed,
 }
