Routing: agents refuse beyond the slots, and tell their load in each answer

Ruled out: the entries' own counts, which never passed the slots. Now a dispatch carries the slots, a full agent refuses it as not run and the entry goes elsewhere; every answer corrects the estimate of others' load. Admission: the rate of service follows a moving level, and a waiting request is given up only when even 0.7 of the expected wait does not fit.

--- a/connection/wire/headers.go
+++ b/connection/wire/headers.go
@@ -25,6 +25,12 @@
 	// HeaderResumeOffset is the index of the first server-sent event that is
 	// still wanted of a stream; events count from 0.
 	HeaderResumeOffset = "Waxwingpost-Resume-Offset"
+	// HeaderMaxInFlight makes the agent refuse a dispatch while it passes that
+	// many requests or more; absent means no limit.
+	HeaderMaxInFlight = "Waxwingpost-Max-In-Flight"
+	// HeaderInFlight tells in answers and refusals of an agent how many
+	// requests it passes, this one included.
+	HeaderInFlight = "Waxwingpost-In-Flight"
 )
 
 // Paths of an agent's HTTP server.
--- a/request/admission/config.go
+++ b/request/admission/config.go
@@ -19,6 +19,7 @@
 // Defaults of Config.
 const (
 	DefaultWaitFactor    = 2.0
+	DefaultHopeFactor    = 0.7
 	DefaultSweepInterval = 10 * time.Millisecond
 	DefaultPriorityBurst = 8
 	DefaultLowTurn       = 8
@@ -31,6 +32,9 @@
 type Config struct {
 	// WaitFactor is the safety factor on the expected wait on arrival.
 	WaitFactor float64
+	// HopeFactor is the factor on the expected wait of a request that waits
+	// already: it is given up when even that little does not fit.
+	HopeFactor float64
 	// SweepInterval is how often waiting requests are looked through for
 	// those that can't be served in time any more.
 	SweepInterval time.Duration
@@ -50,6 +54,9 @@
 	if c.WaitFactor <= 0 {
 		c.WaitFactor = DefaultWaitFactor
 	}
+	if c.HopeFactor <= 0 {
+		c.HopeFactor = DefaultHopeFactor
+	}
 	if c.SweepInterval <= 0 {
 		c.SweepInterval = DefaultSweepInterval
 	}
--- a/request/admission/controller.go
+++ b/request/admission/controller.go
@@ -64,6 +64,8 @@
 	active  []*account
 	waiting int
 	running int
+	// level is the moving average of running while requests wait.
+	level   float64
 	virtual float64
 	// mean and deviation are of the service time in seconds.
 	mean      float64
@@ -277,6 +279,7 @@
 	c := g.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.settleLevel()
 	c.running--
 	g.account.running.Add(-1)
 	if served {
--- a/request/admission/estimate.go
+++ b/request/admission/estimate.go
@@ -39,13 +39,21 @@
 	return c.mean + deviations*c.deviation
 }
 
+// settleLevel follows how many requests run. It is called at the end of each.
+func (c *Controller) settleLevel() {
+	c.level += levelWeight * (float64(c.running) - c.level)
+}
+
+// levelWeight is the weight of the newest sample of the running requests.
+const levelWeight = 0.05
+
 // rate is how many requests end in a second. While requests wait as many run
 // as the servers take.
 func (c *Controller) rate() float64 {
 	if c.mean <= 0 {
 		return math.Inf(1)
 	}
-	return float64(max(1, c.running)) / c.mean
+	return max(1, c.level, float64(c.running)) / c.mean
 }
 
 // waits is what the wait of an account's requests depends on.
--- a/request/admission/sweep.go
+++ b/request/admission/sweep.go
@@ -44,7 +44,7 @@
 	wait := c.waits(a)
 	for i := range a.queues {
 		for _, w := range a.queues[i].waiters {
-			if wait.behind(position)+need > w.deadline.Sub(now).Seconds() {
+			if c.cfg.HopeFactor*wait.behind(position)+need > w.deadline.Sub(now).Seconds() {
 				late = append(late, w)
 				continue
 			}
--- a/request/api/calls.go
+++ b/request/api/calls.go
@@ -89,7 +89,7 @@
 }
 
 func place(lease *routing.Lease, grant *admission.Grant) *once.Place {
-	return &once.Place{Backend: lease.Backend, Done: func(answered bool) {
+	return &once.Place{Backend: lease.Backend, Lease: lease, Done: func(answered bool) {
 		outcome := routing.Neutral
 		if answered {
 			outcome = routing.OK
@@ -107,7 +107,7 @@
 	if newer, _ := a.d.Sessions.Lookup(backend.Name, backend.Incarnation); newer != nil {
 		backend = newer
 	}
-	d := &dispatch{req: req, backend: backend, attempt: attempt}
+	d := &dispatch{req: req, backend: backend, lease: p.Lease, attempt: attempt}
 	if req.engine {
 		d.version = backend.Serving
 	}
--- a/request/api/dispatch.go
+++ b/request/api/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/once"
+	"github.com/waxwingpost/waxwingpost/request/routing"
 	"github.com/waxwingpost/waxwingpost/request/stream"
 )
 
@@ -23,10 +24,13 @@
 type dispatch struct {
 	req     *request
 	backend *session.Backend
+	lease   *routing.Lease
 	// version is what the answer must come from; empty for a plain service.
 	version string
 	// attempt is set on a call that may not be repeated.
 	attempt int
+	// limit is how many requests the agent may pass already; zero means any.
+	limit int
 	// offset is the first event that is still wanted of a stream.
 	offset int
 }
@@ -72,6 +76,9 @@
 	set(wire.HeaderVersion, d.version)
 	left := d.req.deadline.Sub(a.d.Clock.Now())
 	set(wire.HeaderDeadlineMs, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	if d.limit > 0 {
+		set(wire.HeaderMaxInFlight, strconv.Itoa(d.limit))
+	}
 	if d.offset > 0 {
 		set(wire.HeaderResumeOffset, strconv.Itoa(d.offset))
 	}
@@ -108,11 +115,32 @@
 	if e := stream.ReadErrorHeader(resp); e != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, maxErrorBytes)
 		_ = resp.Body.Close()
-		return nil, e
+		return nil, &agentRefusal{cause: e, inFlight: readInFlight(resp)}
 	}
 	return resp, nil
 }
 
+// agentRefusal is an agent's refusal with its load.
+type agentRefusal struct {
+	cause    *result.Error
+	inFlight int
+}
+
+// Error implements error.
+func (r *agentRefusal) Error() string { return r.cause.Error() }
+
+// Unwrap lets the code be found.
+func (r *agentRefusal) Unwrap() error { return r.cause }
+
+// readInFlight returns the load that an agent tells, or -1.
+func readInFlight(resp *http.Response) int {
+	n, err := strconv.Atoi(resp.Header.Get(wire.HeaderInFlight))
+	if err != nil {
+		return -1
+	}
+	return n
+}
+
 // maxErrorBytes bounds what is read of a refusal's body.
 const maxErrorBytes = 16 << 10
 
@@ -123,9 +151,14 @@
 	got, err := a.send(watched, d)
 	if err != nil {
 		a.watcher.stop(watch)
+		var refusal *agentRefusal
+		if errors.As(err, &refusal) {
+			d.lease.Observe(refusal.inFlight + 1)
+		}
 		return nil, dispatchError(ctx, err, d.backend.Name)
 	}
 	resp := got.(*http.Response)
+	d.lease.Observe(readInFlight(resp))
 	resp.Body = &watchedBody{ReadCloser: resp.Body, w: a.watcher, x: watch}
 	if problem := checkAnswer(resp, d); problem != "" {
 		_ = resp.Body.Close()
--- a/request/api/serve.go
+++ b/request/api/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -24,8 +25,9 @@
 	ctx    context.Context
 	// version is what the answer comes from.
 	version string
-	// tried names the servers that were tried.
+	// tried names the servers that were tried, full those that were found so.
 	tried []string
+	full  []string
 	// events is set on a stream of events, which is checked event by event.
 	events bool
 	// whole is the body where it was read before it is passed on.
@@ -113,6 +115,9 @@
 		if fail == nil {
 			return nil
 		}
+		if isFull(fail) && an.ctx.Err() == nil && a.elsewhere(an) {
+			continue
+		}
 		if an.mayRetry(a.cfg.MaxAttempts, fail) && a.nextServer(an, "") {
 			a.counters.retried.Inc(1)
 			continue
@@ -131,7 +136,10 @@
 // a failure the server's lease is ended.
 func (a *API) attempt(an *answer, offset int) *result.Error {
 	backend := an.lease.Backend
-	d := &dispatch{req: an.req, backend: backend, offset: offset}
+	d := &dispatch{req: an.req, backend: backend, lease: an.lease, offset: offset}
+	if len(an.full) <= maxFull {
+		d.limit = an.lease.Limit()
+	}
 	if an.req.engine {
 		d.version = backend.Serving
 	}
@@ -182,12 +190,43 @@
 // outcomeOf tells what a failed attempt says of its server.
 func outcomeOf(err *result.Error) routing.Outcome {
 	switch err.Code {
-	case result.CallerGone, result.Draining, result.VersionMismatch, result.StaleLease, result.WrongIncarnation:
+	case result.CallerGone, result.Draining, result.QueueFull, result.VersionMismatch, result.StaleLease, result.WrongIncarnation:
 		return routing.Neutral
 	}
 	return routing.Failed
 }
 
+// isFull reports whether an agent refused a request because others fill it.
+func isFull(err *result.Error) bool {
+	return err.Code == result.QueueFull && err.Ran == result.NotRun
+}
+
+// elsewhere claims another server after one was found full. The request was
+// not run and costs nothing of the retry budget; where all are full it may
+// wait at the one with the least load.
+func (a *API) elsewhere(an *answer) bool {
+	t := an.req.target
+	full := an.tried[len(an.tried)-1]
+	an.tried = an.tried[:len(an.tried)-1]
+	an.full = append(an.full, full)
+	pick := routing.Request{Accept: an.req.accept, Exclude: slices.Concat(an.full, an.tried)}
+	if len(an.full) <= maxFull {
+		an.lease = t.group.Pick(t.backends(), pick)
+	}
+	if an.lease == nil {
+		pick.Exclude, pick.Force = an.tried, true
+		an.lease = t.group.Pick(t.backends(), pick)
+	}
+	if an.lease == nil {
+		return false
+	}
+	an.req.log.Add(reqlog.Step{What: "server is full", Backend: full})
+	return true
+}
+
+// maxFull bounds how many full servers a request tries before it waits at one.
+const maxFull = 2
+
 // mayRetry reports whether another attempt makes sense.
 func (an *answer) mayRetry(most int, err *result.Error) bool {
 	if an.ctx.Err() != nil || len(an.tried) >= most || !an.req.body.canSend() {
--- a/request/once/coordinator.go
+++ b/request/once/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/session"
 	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/request/routing"
 	"github.com/waxwingpost/waxwingpost/version/manifest"
 )
 
@@ -93,6 +94,8 @@
 // Place is room at a backend server that was claimed for a call.
 type Place struct {
 	Backend *session.Backend
+	// Lease is the claim on the server's room.
+	Lease *routing.Lease
 	// Done gives the room back.
 	Done func(answered bool)
 }
--- a/request/routing/group.go
+++ b/request/routing/group.go
@@ -51,6 +51,7 @@
 	group   *Group
 	server  *server
 	start   time.Time
+	limit   int
 }
 
 // Pick chooses among the backend servers and counts the request there. It
@@ -64,8 +65,12 @@
 	if s == nil {
 		return nil
 	}
+	l := &Lease{Backend: s.backend, group: g, server: s, start: now}
+	if s.hasRoom(&g.cfg) {
+		l.limit = s.reportedSlots(&g.cfg)
+	}
 	s.own++
-	return &Lease{Backend: s.backend, group: g, server: s, start: now}
+	return l
 }
 
 // sync takes newer reports in and adds servers that are new; a server with
@@ -279,6 +284,21 @@
 	return g.paces[len(g.paces)/2]
 }
 
+// Observe takes in how many requests the agent says it passes, this one
+// included. A negative count tells nothing. It is fresher than a report.
+func (l *Lease) Observe(inFlight int) {
+	if inFlight < 0 {
+		return
+	}
+	l.group.mu.Lock()
+	defer l.group.mu.Unlock()
+	l.server.others = max(0, float64(inFlight-l.server.own))
+}
+
+// Limit is how many requests the agent may pass before this one; zero means
+// that the request may wait there.
+func (l *Lease) Limit() int { return l.limit }
+
 // Done ends the request and takes its outcome in. It returns how long the
 // request was at the server.
 func (l *Lease) Done(o Outcome, bytes int64) time.Duration {
--- a/request/runner/dispatch.go
+++ b/request/runner/dispatch.go
@@ -120,7 +120,8 @@
 	if err := r.deps.Leases.Check(c.r.Header.Get(wire.HeaderToken)); err != nil {
 		return nil, err
 	}
-	if err := r.enter(); err != nil {
+	limit, _ := strconv.Atoi(c.r.Header.Get(wire.HeaderMaxInFlight))
+	if err := r.enter(limit); err != nil {
 		return nil, err
 	}
 	leave, err := r.deps.Gate.Enter(c.version)
@@ -208,6 +209,7 @@
 	h.Set(wire.HeaderBackend, r.cfg.Agent.Name)
 	h.Set(wire.HeaderRequestID, a.call.requestID)
 	h.Set(wire.HeaderRan, result.DidRun.String())
+	h.Set(wire.HeaderInFlight, strconv.Itoa(r.InFlight()))
 	if v := a.resp.Header.Get(wire.HeaderVersion); v != "" {
 		h.Set(wire.HeaderVersion, v)
 	}
@@ -217,6 +219,7 @@
 func (r *Runner) encodeError(_ context.Context, err error, w http.ResponseWriter) {
 	r.counters.refused.Inc(1)
 	w.Header().Set(wire.HeaderBackend, r.cfg.Agent.Name)
+	w.Header().Set(wire.HeaderInFlight, strconv.Itoa(r.InFlight()))
 	stream.WriteError(w, result.From(err))
 }
 
--- a/request/runner/runner.go
+++ b/request/runner/runner.go
@@ -161,13 +161,17 @@
 	}
 }
 
-// enter counts a request in unless the agent drains.
-func (r *Runner) enter() error {
+// enter counts a request in unless the agent drains or passes as many as the
+// entry permits.
+func (r *Runner) enter(limit int) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.draining {
 		return result.Refuse(result.Draining, drainRetryAfter, "agent %s is stopping", r.cfg.Agent.Name)
 	}
+	if limit > 0 && r.inFlight >= limit {
+		return result.Refuse(result.QueueFull, 0, "agent %s passes %d requests", r.cfg.Agent.Name, r.inFlight)
+	}
 	r.inFlight++
 	return nil
 }
