A request that the transport sent twice is no longer called never sent

Cause: net/http sends a request that can be repeated a second time by itself when a kept connection breaks. When the second try found no listener, its error was a refused connection, and the caller was told not-run though the first try had run. Ruled out: calls that may not be repeated, whose bodies the transport never sends again. Now an error is never-sent only if no try had a connection.

--- a/request/stream/transport.go
+++ b/request/stream/transport.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,11 +51,25 @@
 // follows no redirects and keeps no cookies: answers are passed on as they are.
 type Client struct{ Transport http.RoundTripper }
 
-// Do sends one request.
+// Do sends one request. The transport may send a request that can be repeated
+// a second time by itself; an error tells whether any of the tries had a
+// connection.
 func (c Client) Do(r *http.Request) (*http.Response, error) {
-	return c.Transport.RoundTrip(r)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil && connected.Load() {
+		return nil, &maybeSentError{err}
+	}
+	return resp, err
 }
 
+// maybeSentError is the error of a request that had a connection.
+type maybeSentError struct{ error }
+
+// Unwrap returns the transport's error.
+func (e *maybeSentError) Unwrap() error { return e.error }
+
 // onceBody hides a body's type from the transport.
 type onceBody struct{ io.ReadCloser }
 
@@ -68,8 +84,12 @@
 }
 
 // NeverSent reports whether a failed request can't have reached the other
-// side because no connection was made.
+// side because no connection was made, in any of the transport's tries.
 func NeverSent(err error) bool {
+	var sent *maybeSentError
+	if errors.As(err, &sent) {
+		return false
+	}
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
