--- a/process/folder/watcher_test.go
+++ b/process/folder/watcher_test.go
@@ -246,8 +246,12 @@
 	one.write("a.yaml", contentB)
 	one.remove("b.yaml")
 	one.run()
+	decided := len(c.log)
 	two.restart()
 	two.run()
+	if len(c.log) != decided {
+		t.Errorf("the stale folder was proposed: %+v", c.log[decided:])
+	}
 	two.wantFile("a.yaml", contentB)
 	two.wantFile("b.yaml", "")
 	if _, revision := two.machine.Config(); revision != 2 {
