Records and history tell the proposer's time

The machine's clock is the second highest stamp, and stands still while only one VM proposes. Entries compare a record's time with their own clock to decide whether an agent may have forgotten an attempt, so a silent second VM would have made recent attempts look old and their outcomes unknown. Ages keep the machine's clock; what is told is the proposer's stamp.

--- a/process/control/state/call.go
+++ b/process/control/state/call.go
@@ -40,13 +40,16 @@
 	key         string
 	body        manifest.Digest
 	answer      *control.Answer
-	time        int64
-	attempt     int32
-	reservedBy  commandTag
-	verdict     string
+	// age is the time of the last change on the machine's clock; stamp is that
+	// of the VM that proposed it.
+	age        int64
+	stamp      int64
+	attempt    int32
+	reservedBy commandTag
+	verdict    string
 }
 
-func newRecord(r *control.Reserve, tag commandTag, now int64) *record {
+func (m *Machine) newRecord(r *control.Reserve, tag commandTag) *record {
 	return &record{
 		account:     unique.Make(r.Account),
 		service:     unique.Make(r.Service),
@@ -55,7 +58,8 @@
 		entry:       unique.Make(r.Entry),
 		key:         strings.Clone(r.Key),
 		body:        r.BodyDigest,
-		time:        now,
+		age:         m.clock.now,
+		stamp:       m.stamp,
 		attempt:     int32(r.Attempt),
 		reservedBy:  tag,
 		verdict:     control.AttemptReserved,
@@ -68,7 +72,7 @@
 			Account: r.account.Value(), Key: r.key, BodyDigest: r.body, Service: r.service.Value(),
 			Agent: r.agent.Value(), Incarnation: r.incarnation.Value(), Attempt: int(r.attempt), Entry: r.entry.Value(),
 		},
-		Verdict: r.verdict, Answer: r.answer, Time: r.time,
+		Verdict: r.verdict, Answer: r.answer, Time: r.stamp,
 	}
 }
 
@@ -94,7 +98,7 @@
 	if m.calls.full() {
 		return refusal(result.RecordsFull, fmt.Sprintf("%d records are kept", m.opts.MaxCalls))
 	}
-	added := newRecord(r, tag, m.clock.now)
+	added := m.newRecord(r, tag)
 	m.calls.add(key, added)
 	return control.Result{Call: added.call()}
 }
@@ -120,7 +124,7 @@
 		return refusal(result.KeyReused, "the key was used with another body")
 	}
 	if have.verdict == control.AttemptNotRun && r.Attempt == int(have.attempt)+1 {
-		next := newRecord(r, tag, m.clock.now)
+		next := m.newRecord(r, tag)
 		m.calls.replace(key, next)
 		return control.Result{Call: next.call()}
 	}
@@ -158,7 +162,8 @@
 		return res
 	case have.verdict == control.AttemptReserved:
 		decided := *have
-		decided.verdict, decided.answer, decided.time = o.Verdict, o.Answer, m.clock.now
+		decided.verdict, decided.answer = o.Verdict, o.Answer
+		decided.age, decided.stamp = m.clock.now, m.stamp
 		m.calls.replace(key, &decided)
 		return control.Result{Call: decided.call()}
 	case have.verdict != o.Verdict:
--- a/process/control/state/calls.go
+++ b/process/control/state/calls.go
@@ -48,7 +48,7 @@
 
 func (t *callTable) add(key callKey, r *record) {
 	t.records[key] = r
-	t.queue = append(t.queue, expiry{key: key, time: r.time})
+	t.queue = append(t.queue, expiry{key: key, time: r.age})
 }
 
 // replace changes a record that is queued already.
@@ -72,8 +72,8 @@
 		head := t.queue[0]
 		t.queue = t.queue[1:]
 		r := t.records[head.key]
-		if r.time >= t.oldest {
-			t.queue = append(t.queue, expiry{key: head.key, time: r.time})
+		if r.age >= t.oldest {
+			t.queue = append(t.queue, expiry{key: head.key, time: r.age})
 			continue
 		}
 		delete(t.records, head.key)
--- a/process/control/state/history.go
+++ b/process/control/state/history.go
@@ -79,7 +79,7 @@
 
 func (m *Machine) changeOf(cmd control.Command, e control.Edit, before, after manifest.Digest, revision uint64) Change {
 	return Change{
-		Index: m.index, Term: m.term, Revision: revision, Time: m.clock.now,
+		Index: m.index, Term: m.term, Revision: revision, Time: m.stamp,
 		VM: shorten(cmd.VM, maxHistoryName), Author: shorten(e.Author, maxHistoryName),
 		File: shorten(e.File, maxHistoryName), Before: before, After: after,
 		Command: shorten(cmd.ID, maxHistoryName),
--- a/process/control/state/machine.go
+++ b/process/control/state/machine.go
@@ -84,9 +84,11 @@
 	// merger is used by Apply and Restore alone.
 	merger config.Merger
 
-	mu        sync.RWMutex
-	index     uint64
-	term      uint64
+	mu    sync.RWMutex
+	index uint64
+	term  uint64
+	// stamp is the proposer's time of the command that is being applied.
+	stamp     int64
 	files     map[string]File
 	removed   map[string]uint64
 	manifests map[string]*registered
@@ -129,7 +131,7 @@
 	if index <= m.index {
 		return refusal(result.BadCommand, "entry was applied before")
 	}
-	m.index, m.term = index, term
+	m.index, m.term, m.stamp = index, term, cmd.Time
 	m.clock.advance(cmd.VM, cmd.Time, index)
 	m.calls.expire(m.clock.now, m.retention())
 	res := m.dispatch(cmd)
--- a/process/control/state/order.go
+++ b/process/control/state/order.go
@@ -42,7 +42,7 @@
 		}
 		return control.Result{Index: have.Index, Term: have.Term}
 	}
-	m.manifests[mf.Version] = &registered{Manifest: mf, Index: m.index, Time: m.clock.now, VM: cmd.VM, Term: m.term, digest: digest}
+	m.manifests[mf.Version] = &registered{Manifest: mf, Index: m.index, Time: m.stamp, VM: cmd.VM, Term: m.term, digest: digest}
 	return control.Result{}
 }
 
@@ -77,7 +77,7 @@
 	}
 	placed := control.Order{PlaceOrder: *o, Fence: control.Fence{Term: m.term, Index: m.index}}
 	m.orders[o.Agent] = placed
-	m.placed = append(m.placed, PlacedOrder{Order: placed, Time: m.clock.now, VM: shorten(cmd.VM, maxHistoryName)})
+	m.placed = append(m.placed, PlacedOrder{Order: placed, Time: m.stamp, VM: shorten(cmd.VM, maxHistoryName)})
 	if len(m.placed) > m.opts.MaxOrders {
 		m.placed = m.placed[1:]
 	}
--- a/process/control/state/property_test.go
+++ b/process/control/state/property_test.go
@@ -276,3 +276,19 @@
 		t.Error("two clocks passed the retention and the record is kept")
 	}
 }
+
+// TestRecordsTellTheProposersTime lets one VM stay silent: the machine's clock
+// waits for it, the times that callers and operators are told don't.
+func TestRecordsTellTheProposersTime(t *testing.T) {
+	r := newReplica(Options{})
+	r.Apply(1, 1, control.Command{ID: "1", VM: "entry-2", Time: 10})
+	r.next, r.time = 1, 3_600_000
+	res := r.do("2", control.Command{Reserve: &control.Reserve{Account: "x", Key: "k", Agent: "a", Attempt: 1}})
+	if res.Call.Time != 3_600_001 {
+		t.Errorf("reserved at %d", res.Call.Time)
+	}
+	res = r.do("3", control.Command{Outcome: &control.RecordOutcome{Account: "x", Key: "k", Attempt: 1, Verdict: control.AttemptRan}})
+	if res.Call.Time != 3_600_002 {
+		t.Errorf("decided at %d", res.Call.Time)
+	}
+}
--- a/process/control/state/snapshot.go
+++ b/process/control/state/snapshot.go
@@ -76,7 +76,8 @@
 	Key         string
 	Body        manifest.Digest
 	Answer      *control.Answer
-	Time        int64
+	Age         int64
+	Stamp       int64
 	Attempt     int32
 	ReservedBy  commandTag
 	Verdict     string
@@ -124,7 +125,7 @@
 		entries[i] = callEntry{
 			Queued: queue[i].time, Account: r.account.Value(), Service: r.service.Value(), Agent: r.agent.Value(),
 			Incarnation: r.incarnation.Value(), Entry: r.entry.Value(), Key: r.key, Body: r.body, Answer: r.answer,
-			Time: r.time, Attempt: r.attempt, ReservedBy: r.reservedBy, Verdict: r.verdict,
+			Age: r.age, Stamp: r.stamp, Attempt: r.attempt, ReservedBy: r.reservedBy, Verdict: r.verdict,
 		}
 	}
 	return entries
@@ -190,7 +191,7 @@
 		m.calls.records[key] = &record{
 			account: unique.Make(e.Account), service: unique.Make(e.Service), agent: unique.Make(e.Agent),
 			incarnation: unique.Make(e.Incarnation), entry: unique.Make(e.Entry), key: e.Key, body: e.Body,
-			answer: e.Answer, time: e.Time, attempt: e.Attempt, reservedBy: e.ReservedBy, verdict: e.Verdict,
+			answer: e.Answer, age: e.Age, stamp: e.Stamp, attempt: e.Attempt, reservedBy: e.ReservedBy, verdict: e.Verdict,
 		}
 		m.calls.queue = append(m.calls.queue, expiry{key: key, time: e.Queued})
 	}
