--- a/process/config/validate.go
+++ b/process/config/validate.go
@@ -93,6 +93,10 @@
 }
 
 func (v *validator) broken(keys []string, table, name string) {
+	if name == "" {
+		v.refuse(result.BrokenReference, keys, "name an entry of "+table, "the key is missing")
+		return
+	}
 	v.refuse(result.BrokenReference, keys, "add it to "+table+" or correct the name", "%q is not in %s", name, table)
 }
 
--- a/process/folder/faults_test.go
+++ b/process/folder/faults_test.go
@@ -457,6 +457,24 @@
 	one.wantChange("a.yaml", verdictAccepted, result.OK)
 }
 
+func TestWriteBackKeepsTheFilesMode(t *testing.T) {
+	c := &cluster{}
+	one, two := newVM(t, c, "entry-1"), newVM(t, c, "entry-2")
+	one.write("a.yaml", contentA)
+	one.run()
+	two.run()
+	if err := os.Chmod(two.path("a.yaml"), 0o664); err != nil {
+		t.Fatal(err)
+	}
+	one.write("a.yaml", contentB)
+	one.run()
+	two.run()
+	two.wantFile("a.yaml", contentB)
+	if info, err := os.Stat(two.path("a.yaml")); err != nil || info.Mode().Perm() != 0o664 {
+		t.Errorf("mode %v: %v", info.Mode(), err)
+	}
+}
+
 func TestRunReactsToFileEvents(t *testing.T) {
 	c := &cluster{}
 	one := newVM(t, c, "entry-1")
--- a/process/folder/writeback.go
+++ b/process/folder/writeback.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/renameio/v2"
@@ -146,9 +147,23 @@
 	if wr.want.IsZero() {
 		return nil
 	}
+	takeOwner(fresh, old)
 	return linkOrRename(fresh, path)
 }
 
+// takeOwner gives a new file the mode and, where the process may do so, the
+// owner of the one that it replaces.
+func takeOwner(fresh, old string) {
+	info, err := os.Lstat(old)
+	if err != nil {
+		return
+	}
+	_ = os.Chmod(fresh, info.Mode().Perm())
+	if stat, ok := info.Sys().(*syscall.Stat_t); ok {
+		_ = os.Lchown(fresh, int(stat.Uid), int(stat.Gid))
+	}
+}
+
 // checkOld puts an unexpected file back under its name.
 func (w *Watcher) checkOld(path, old string, expected manifest.Digest) error {
 	if digest, _, err := digestOf(old); err == nil && digest == expected {
