--- a/process/config/validate.go
+++ b/process/config/validate.go
@@ -80,11 +80,13 @@
 	return n.items[i]
 }
 
+// item is the key of a list's item.
 func item(i int) string {
 	return "[" + strconv.Itoa(i) + "]"
 }
 
-func at(keys ...string) []string {
+// keyPath lists the keys that lead to a value.
+func keyPath(keys ...string) []string {
 	return keys
 }
 
@@ -121,32 +123,32 @@
 func (v *validator) zones() {
 	for _, name := range sortedKeys(v.config.Zones) {
 		if region := v.config.Zones[name].Region; !validName(region) {
-			v.bad(at("zones", name, "region"), nameRemedy, "%q does not name a region", region)
+			v.bad(keyPath("zones", name, "region"), nameRemedy, "%q does not name a region", region)
 		}
 	}
 }
 
 func (v *validator) links() {
 	l := v.config.Links
-	v.notNegative(at("links", "region_pair_bytes_per_second"), float64(l.RegionPairBytesPerSecond))
-	v.notNegative(at("links", "vm_bytes_per_second"), float64(l.VMBytesPerSecond))
-	v.share(at("links", "live_share"), l.LiveShare)
+	v.notNegative(keyPath("links", "region_pair_bytes_per_second"), float64(l.RegionPairBytesPerSecond))
+	v.notNegative(keyPath("links", "vm_bytes_per_second"), float64(l.VMBytesPerSecond))
+	v.share(keyPath("links", "live_share"), l.LiveShare)
 }
 
 func (v *validator) control() {
 	voters := v.config.Control.Voters
 	if len(voters) > maxVoters {
-		v.bad(at("control", "voters"), "name 1 to 7 entry VMs", "%d voters", len(voters))
+		v.bad(keyPath("control", "voters"), "name 1 to 7 entry VMs", "%d voters", len(voters))
 	}
 	if voters != nil && len(voters) == 0 {
-		v.bad(at("control", "voters"), "name 1 to 7 entry VMs, or remove the key", "the list is empty")
+		v.bad(keyPath("control", "voters"), "name 1 to 7 entry VMs, or remove the key", "the list is empty")
 	}
 	for i, name := range voters {
 		if !validName(name) {
-			v.bad(at("control", "voters", item(i)), nameRemedy, "%q is not a name", name)
+			v.bad(keyPath("control", "voters", item(i)), nameRemedy, "%q is not a name", name)
 		}
 		if slices.Contains(voters[:i], name) {
-			v.bad(at("control", "voters", item(i)), "name each VM once", "%q stands twice", name)
+			v.bad(keyPath("control", "voters", item(i)), "name each VM once", "%q stands twice", name)
 		}
 	}
 }
@@ -154,14 +156,14 @@
 func (v *validator) sources() {
 	for _, name := range sortedKeys(v.config.Sources) {
 		s := v.config.Sources[name]
-		v.oneOf(at("sources", name, "kind"), s.Kind, SourceOrigin, SourceStore)
+		v.oneOf(keyPath("sources", name, "kind"), s.Kind, SourceOrigin, SourceStore)
 		if !validAddress(s.Address) {
-			v.bad(at("sources", name, "address"), "write an IP and a port such as 10.1.0.5:8080", "%q is no address", s.Address)
+			v.bad(keyPath("sources", name, "address"), "write an IP and a port such as 10.1.0.5:8080", "%q is no address", s.Address)
 		}
 		if _, ok := v.config.Zones[s.Zone]; !ok {
-			v.broken(at("sources", name, "zone"), "zones", s.Zone)
+			v.broken(keyPath("sources", name, "zone"), "zones", s.Zone)
 		}
-		v.notNegative(at("sources", name, "bytes_per_second"), float64(s.BytesPerSecond))
+		v.notNegative(keyPath("sources", name, "bytes_per_second"), float64(s.BytesPerSecond))
 	}
 }
 
@@ -179,10 +181,10 @@
 	for _, name := range sortedKeys(v.config.Versions) {
 		version := v.config.Versions[name]
 		if version.Model == "" {
-			v.bad(at("versions", name, "model"), "name the model", "the model is missing")
+			v.bad(keyPath("versions", name, "model"), "name the model", "the model is missing")
 		}
 		if !strings.HasPrefix(version.Path, "/") || strings.Contains(version.Path, "..") {
-			v.bad(at("versions", name, "path"), "write a path such as /drafting/7", "%q is no absolute path", version.Path)
+			v.bad(keyPath("versions", name, "path"), "write a path such as /drafting/7", "%q is no absolute path", version.Path)
 		}
 		v.base(name, version)
 	}
@@ -195,9 +197,9 @@
 	base, ok := v.config.Versions[version.Base]
 	switch {
 	case !ok:
-		v.broken(at("versions", name, "base"), "versions", version.Base)
+		v.broken(keyPath("versions", name, "base"), "versions", version.Base)
 	case base.Base != "" || version.Base == name:
-		v.bad(at("versions", name, "base"), "name the weights, not an adapter", "%q is an adapter", version.Base)
+		v.bad(keyPath("versions", name, "base"), "name the weights, not an adapter", "%q is an adapter", version.Base)
 	}
 }
 
@@ -205,29 +207,29 @@
 	seen := map[string]string{}
 	for _, name := range sortedKeys(v.config.Services) {
 		s := v.config.Services[name]
-		v.oneOf(at("services", name, "kind"), s.Kind, ServiceEngine, ServicePlain)
+		v.oneOf(keyPath("services", name, "kind"), s.Kind, ServiceEngine, ServicePlain)
 		switch s.Kind {
 		case ServiceEngine:
 			v.engineService(name, s)
 		case ServicePlain:
 			v.plainService(name, s)
 		}
-		v.notNegative(at("services", name, "min_serving"), float64(s.MinServing))
+		v.notNegative(keyPath("services", name, "min_serving"), float64(s.MinServing))
 		v.routes(name, s, seen)
 	}
 }
 
 func (v *validator) engineService(name string, s Service) {
-	v.oneOf(at("services", name, "fencing"), s.Fencing, FencingEnforced, FencingIgnored)
+	v.oneOf(keyPath("services", name, "fencing"), s.Fencing, FencingEnforced, FencingIgnored)
 	version, ok := v.config.Versions[s.Version]
 	if !ok {
-		v.broken(at("services", name, "version"), "versions", s.Version)
+		v.broken(keyPath("services", name, "version"), "versions", s.Version)
 	}
 	if version.Base != "" {
-		v.bad(at("services", name, "version"), "name the weights and list the adapter under adapters", "%q is an adapter", s.Version)
+		v.bad(keyPath("services", name, "version"), "name the weights and list the adapter under adapters", "%q is an adapter", s.Version)
 	}
 	for i, adapter := range s.Adapters {
-		keys := at("services", name, "adapters", item(i))
+		keys := keyPath("services", name, "adapters", item(i))
 		a, ok := v.config.Versions[adapter]
 		switch {
 		case !ok:
@@ -243,19 +245,19 @@
 func (v *validator) plainService(name string, s Service) {
 	const remedy = "remove it: it is for engines only"
 	if s.Version != "" {
-		v.bad(at("services", name, "version"), remedy, "a plain service has no version")
+		v.bad(keyPath("services", name, "version"), remedy, "a plain service has no version")
 	}
 	if len(s.Adapters) > 0 {
-		v.bad(at("services", name, "adapters"), remedy, "a plain service has no adapters")
+		v.bad(keyPath("services", name, "adapters"), remedy, "a plain service has no adapters")
 	}
 	if len(s.Routes) == 0 {
-		v.bad(at("services", name), "list its calls under routes", "a plain service without routes can't be reached")
+		v.bad(keyPath("services", name), "list its calls under routes", "a plain service without routes can't be reached")
 	}
 }
 
 func (v *validator) routes(service string, s Service, seen map[string]string) {
 	for i, r := range s.Routes {
-		keys := at("services", service, "routes", item(i))
+		keys := keyPath("services", service, "routes", item(i))
 		v.oneOf(append(slices.Clone(keys), "method"), r.Method, methods...)
 		if !strings.HasPrefix(r.Path, "/") || strings.ContainsAny(r.Path, "?# ") {
 			v.bad(append(slices.Clone(keys), "path"), "write a path such as /v1/filings", "%q is no absolute path", r.Path)
@@ -275,24 +277,24 @@
 	for _, name := range sortedKeys(v.config.Accounts) {
 		a := v.config.Accounts[name]
 		if a.Share < 1 {
-			v.bad(at("accounts", name, "share"), "write 1 or more", "%d is out of range", a.Share)
+			v.bad(keyPath("accounts", name, "share"), "write 1 or more", "%d is out of range", a.Share)
 		}
-		v.notNegative(at("accounts", name, "max_concurrent"), float64(a.MaxConcurrent))
-		v.notNegative(at("accounts", name, "requests_per_second"), a.RequestsPerSecond)
+		v.notNegative(keyPath("accounts", name, "max_concurrent"), float64(a.MaxConcurrent))
+		v.notNegative(keyPath("accounts", name, "requests_per_second"), a.RequestsPerSecond)
 	}
 }
 
 func (v *validator) limits() {
 	for _, name := range sortedKeys(v.config.Priorities) {
 		if rank := v.config.Priorities[name]; rank < 0 || rank > maxRank {
-			v.bad(at("priorities", name), "write a rank from 0 to 1000", "%d is out of range", rank)
+			v.bad(keyPath("priorities", name), "write a rank from 0 to 1000", "%d is out of range", rank)
 		}
 	}
-	v.oneOf(at("weights", "objective"), v.config.Weights.Objective, ObjectiveTime, ObjectiveOriginBytes)
+	v.oneOf(keyPath("weights", "objective"), v.config.Weights.Objective, ObjectiveTime, ObjectiveOriginBytes)
 	r := v.config.Requests
-	v.within(at("requests", "default_deadline"), r.DefaultDeadline, maxDeadline)
-	v.within(at("requests", "key_retention"), r.KeyRetention, maxKeyRetention)
-	v.share(at("requests", "retry_share"), r.RetryShare)
+	v.within(keyPath("requests", "default_deadline"), r.DefaultDeadline, maxDeadline)
+	v.within(keyPath("requests", "key_retention"), r.KeyRetention, maxKeyRetention)
+	v.share(keyPath("requests", "retry_share"), r.RetryShare)
 }
 
 func (v *validator) within(keys []string, value, limit time.Duration) {
--- a/process/folder/node_test.go
+++ b/process/folder/node_test.go
@@ -100,7 +100,7 @@
 	node    *node.Node
 	machine *state.Machine
 	// mu keeps an operator's reading and saving of a file in one piece; an
-	// editor that saves over what it has not read is not judged here.
+	// editor that saves over what it has not read is not covered here.
 	mu      sync.Mutex
 	watcher *Watcher
 }
--- a/process/folder/propose.go
+++ b/process/folder/propose.go
@@ -156,8 +156,8 @@
 	for _, c := range found {
 		switch w.stage(c, s, inForce) {
 		case stageSend:
-			// Judged here first: a file that stops the judge stops this
-			// watcher and not the replicas.
+			// Validated here first: input that hangs the validation hangs
+			// this watcher and not the replicas.
 			w.check([]candidate{c}, inForce)
 			send = append(send, w.again(c))
 		case stageHeld:
--- a/process/folder/race_test.go
+++ b/process/folder/race_test.go
@@ -215,7 +215,7 @@
 // decide appends a command to the log and returns its result.
 func (c *cluster) decide(cmd control.Command) control.Result {
 	c.log = append(c.log, cmd)
-	res := c.judge().Apply(uint64(len(c.log)), 1, cmd)
+	res := c.decider().Apply(uint64(len(c.log)), 1, cmd)
 	c.apply()
 	return res
 }
--- a/process/folder/watcher_test.go
+++ b/process/folder/watcher_test.go
@@ -37,7 +37,7 @@
 	first *state.Machine
 }
 
-func (c *cluster) judge() *state.Machine {
+func (c *cluster) decider() *state.Machine {
 	if c.first == nil {
 		c.first = state.New(state.Options{})
 	}
--- a/process/folder/writeback.go
+++ b/process/folder/writeback.go
@@ -86,7 +86,7 @@
 }
 
 // writes lists what is to be written, and whether that brings every file in
-// step that bears no edit.
+// step that holds no edit.
 func (w *Watcher) writes(s *scan, inForce map[string]state.File) ([]write, bool) {
 	var writes []write
 	all := true
