--- a/bench/cmd/wpbench/requests_load.go
+++ b/bench/cmd/wpbench/requests_load.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingpost/waxwingpost/bench/cluster"
 	"github.com/waxwingpost/waxwingpost/bench/fakes"
 	"github.com/waxwingpost/waxwingpost/connection/engine"
@@ -153,6 +155,20 @@
 	firstByte []time.Duration
 	total     []time.Duration
 	refusal   []time.Duration
+	// start is when the traffic began, inTime when each good answer ended.
+	start  time.Time
+	inTime []time.Duration
+}
+
+// goodWithin counts the good answers that ended within a span of the run.
+func (c *counts) goodWithin(from, to time.Duration) int {
+	n := 0
+	for _, at := range c.inTime {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
 }
 
 // judge sorts an outcome in by what the caller itself can see.
@@ -179,9 +195,10 @@
 	switch {
 	case err == nil && (deadline == 0 || out.Total <= deadline):
 		c.good++
+		c.inTime = append(c.inTime, time.Since(c.start))
 	case err == nil:
 		c.late++
-	case err == fakes.ErrShort:
+	case errors.Is(err, fakes.ErrShort):
 		c.short++
 	default:
 		c.crossed++
@@ -205,7 +222,7 @@
 
 // run offers the traffic for a span and waits for every request's end.
 func (t traffic) run(ctx context.Context, caller *cluster.Caller, to chooser, span time.Duration) *counts {
-	c := &counts{}
+	c := &counts{start: time.Now()}
 	rnd := rand.New(rand.NewPCG(t.seed, 11))
 	end := time.Now().Add(span)
 	next := time.Now()
