--- a/bench/cmd/wpbench/requests.go
+++ b/bench/cmd/wpbench/requests.go
@@ -190,6 +190,8 @@
 	kept = 1
 	for i, c := range results {
 		sum += goodput(c)
+		fmt.Fprintf(r.opts.Log, "flood %s: %d of %d good, %d late, %d lost, refused %v, p95 %s\n",
+			all[i].account, c.good, c.offered, c.late, c.lost, c.codes, percentile(c.total, 0.95))
 		if i == 0 {
 			continue
 		}
--- a/bench/cmd/wpbench/requests_load.go
+++ b/bench/cmd/wpbench/requests_load.go
@@ -155,6 +155,7 @@
 	firstByte []time.Duration
 	total     []time.Duration
 	refusal   []time.Duration
+	codes     map[int]int
 	// start is when the traffic began, inTime when each good answer ended.
 	start  time.Time
 	inTime []time.Duration
@@ -181,6 +182,10 @@
 		c.judgeAnswer(out, prompt, deadline)
 	case out.Err == nil && out.Refused():
 		c.refused++
+		if c.codes == nil {
+			c.codes = make(map[int]int)
+		}
+		c.codes[out.Code]++
 		c.refusal = append(c.refusal, out.Total)
 	case out.Err == nil:
 		// An explicit error, in a status or at the end of a stream.
--- a/connection/session/table.go
+++ b/connection/session/table.go
@@ -138,6 +138,7 @@
 		}
 		old = nil
 	}
+	t.prune(now)
 	s := &session{hello: hello, seenAt: now, linked: true}
 	if old != nil {
 		s.backend = old.backend
@@ -147,6 +148,18 @@
 	return nil
 }
 
+// forgetAfter is how long a session without heartbeats is remembered.
+const forgetAfter = 24 * time.Hour
+
+// prune forgets sessions of VMs that are gone.
+func (t *Table) prune(now time.Time) {
+	for name, s := range t.sessions {
+		if now.Sub(s.seenAt) > forgetAfter {
+			delete(t.sessions, name)
+		}
+	}
+}
+
 func (t *Table) holdsName(s *session, now time.Time) bool {
 	return !s.left && now.Sub(s.seenAt) < t.cfg.SilentAfter()
 }
--- a/request/api/calls.go
+++ b/request/api/calls.go
@@ -135,6 +135,7 @@
 // writeOnce passes the outcome to the caller.
 func (a *API) writeOnce(w http.ResponseWriter, an *onceAnswer) {
 	out := an.out.Answer
+	defer a.limitWriting(w, an.req)()
 	h := w.Header()
 	h.Set(wire.HeaderRequestID, an.req.id)
 	h.Set(wire.HeaderKey, an.req.key)
--- a/request/api/encode.go
+++ b/request/api/encode.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -55,6 +56,7 @@
 
 func (a *API) writeAnswer(w http.ResponseWriter, an *answer) {
 	defer an.finish(routing.Neutral, 0)
+	defer a.limitWriting(w, an.req)()
 	h := w.Header()
 	stream.CopyHeader(h, an.resp.Header)
 	setAnswerHeaders(h, an)
@@ -74,6 +76,18 @@
 	}
 }
 
+// writeGrace is granted beyond the deadline for the end of an answer.
+const writeGrace = 2 * time.Second
+
+// limitWriting ends the connection of a caller that does not take its answer
+// by the deadline, so that it holds no room at a server. The returned function
+// lifts the limit for the connection's next request.
+func (a *API) limitWriting(w http.ResponseWriter, req *request) (lift func()) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(time.Now().Add(a.left(req) + writeGrace))
+	return func() { _ = rc.SetWriteDeadline(time.Time{}) }
+}
+
 func setAnswerHeaders(h http.Header, an *answer) {
 	h.Set(wire.HeaderRequestID, an.req.id)
 	h.Set(wire.HeaderBackend, an.lease.Backend.Name)
@@ -198,6 +212,7 @@
 // passEvents copies events until the answer is complete or breaks off.
 func (a *API) passEvents(an *answer, out *eventWriter, resumed bool) (done bool, err error) {
 	r := stream.NewEventReader(an.resp.Body)
+	defer r.Release()
 	for {
 		ev, err := r.Next()
 		if err != nil {
--- /dev/null
+++ b/request/api/retry_test.go
@@ -0,0 +1,118 @@
+package api_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/config"
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+// counting is a service that counts what it runs at once.
+type counting struct {
+	running, most, runs atomic.Int64
+	hold                time.Duration
+}
+
+func (c *counting) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	c.runs.Add(1)
+	n := c.running.Add(1)
+	defer c.running.Add(-1)
+	for most := c.most.Load(); n > most && !c.most.CompareAndSwap(most, n); most = c.most.Load() {
+	}
+	time.Sleep(c.hold)
+	_, _ = fmt.Fprint(w, "ok")
+}
+
+// TestFullAgentsRefuseAndRequestsGoElsewhere lets three entries, which hear of
+// each other's load only by reports, fill the same servers.
+func TestFullAgentsRefuseAndRequestsGoElsewhere(t *testing.T) {
+	const slots, servers, requests = 3, 4, 12
+	f := newFleet(t, 3)
+	var services []*counting
+	for i := range servers {
+		s := &counting{hold: 100 * time.Millisecond}
+		services = append(services, s)
+		a := f.addAgent(fmt.Sprintf("a%d", i), "desk", "", slots, s)
+		// No report after the first: the entries know nothing of each other.
+		a.silent.Store(true)
+	}
+	var group sync.WaitGroup
+	for i := range requests {
+		group.Go(func() {
+			if got := f.entries[i%3].send(context.Background(), "GET", "/status", ""); got.status != 200 {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+	group.Wait()
+	for i, s := range services {
+		if n := s.most.Load(); n > slots+1 {
+			t.Errorf("server %d ran %d requests at once on %d slots", i, n, slots)
+		}
+	}
+}
+
+// TestMixedFailuresAreNeverToldAsNotRun has one server break off after the
+// run and the next one refuse: together they prove nothing.
+func TestMixedFailuresAreNeverToldAsNotRun(t *testing.T) {
+	f := newFleet(t, 1)
+	breaking := answerWith("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
+	f.addAgent("a1", "desk", "", 4, breaking)
+	refusing := f.addAgent("a2", "desk", "", 4, breaking)
+	refusing.runner.StartDrain()
+	// Few enough for the retry budget to last.
+	for range 3 {
+		if got := f.entries[0].send(context.Background(), "GET", "/status", ""); got.notRun() {
+			t.Fatalf("%+v", got)
+		}
+	}
+}
+
+func TestRequestsThatCannotBeRoutedAreNotRun(t *testing.T) {
+	f := newFleet(t, 1)
+	f.addAgent("a1", "desk", "", 4, newFilings())
+	e := f.entries[0]
+	for name, test := range map[string]struct {
+		method, path, body string
+		header             []string
+		code               result.Code
+	}{
+		"account":  {"GET", "/status", "", []string{wire.HeaderAccount, "nobody"}, result.UnknownAccount},
+		"path":     {"GET", "/nothing", "", nil, result.UnknownService},
+		"model":    {"POST", "/v1/chat/completions", `{"model":"x"}`, nil, result.UnknownService},
+		"no model": {"POST", "/v1/chat/completions", `{}`, nil, result.BadRequest},
+		"no JSON":  {"POST", "/v1/chat/completions", `{`, nil, result.BadRequest},
+		"priority": {"GET", "/status", "", []string{wire.HeaderPriority, "x"}, result.BadRequest},
+		"deadline": {"GET", "/status", "", []string{wire.HeaderDeadlineMs, "-5"}, result.BadRequest},
+		"key":      {"POST", "/filings", "", []string{wire.HeaderKey, strings.Repeat("k", 300)}, result.BadRequest},
+		"backend":  {"POST", "/v1/chat/completions", chatBody("x", false), nil, result.NoBackend},
+	} {
+		got := e.send(context.Background(), test.method, test.path, test.body, test.header...)
+		if got.code != test.code || !got.notRun() {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+}
+
+func TestLargeBodiesPassThroughUnheld(t *testing.T) {
+	f := newFleet(t, 1)
+	service := newFilings()
+	f.addAgent("a1", "desk", "", 4, service)
+	f.entries[0].cfg.Services["desk"].Routes[1] = config.Route{Method: "POST", Path: "/status", Repeatable: true}
+	body := strings.Repeat("x", 3<<20)
+	got := f.entries[0].send(context.Background(), "POST", "/status", body)
+	if got.status != 200 || service.count(body) != 1 {
+		t.Errorf("status %d, %d runs", got.status, service.count(body))
+	}
+	if got := file(f.entries[0], "k", body); got.code != result.BadRequest || !got.notRun() {
+		t.Errorf("a call that may not be repeated with a large body: %+v", got)
+	}
+}
--- a/request/api/stream_test.go
+++ b/request/api/stream_test.go
@@ -247,6 +247,24 @@
 	}
 }
 
+func TestReaderThatStopsHoldsNoRoomBeyondItsDeadline(t *testing.T) {
+	f := newFleet(t, 1)
+	f.addAgent("a1", "drafting", "v1", 4, &floodEngine{})
+	req, _ := http.NewRequest(http.MethodPost, f.entries[0].server.URL+"/v1/chat/completions", strings.NewReader(chatBody("x", true)))
+	req.Header.Set(wire.HeaderAccount, "kochi")
+	req.Header.Set(wire.HeaderDeadlineMs, "300")
+	resp, err := callers.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	if err := f.entries[0].api.Drain(ctx); err != nil {
+		t.Errorf("a caller that reads nothing is still served: %v", err)
+	}
+}
+
 // floodEngine sends events as fast as they are taken.
 type floodEngine struct{ sent atomic.Int64 }
 
--- a/request/stream/events.go
+++ b/request/stream/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"strconv"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -40,9 +41,25 @@
 	buf []byte
 }
 
-// NewEventReader reads events from r.
+var eventReaders = sync.Pool{New: func() any {
+	return &EventReader{r: bufio.NewReaderSize(nil, eventBufferBytes)}
+}}
+
+// NewEventReader reads events from r. Its Release is called at the end.
 func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(r, eventBufferBytes)}
+	e := eventReaders.Get().(*EventReader)
+	e.r.Reset(r)
+	return e
+}
+
+// Release gives the reader's buffers back; neither the reader nor the last
+// event may be used afterwards.
+func (e *EventReader) Release() {
+	e.r.Reset(nil)
+	if cap(e.buf) > eventBufferBytes {
+		e.buf = nil
+	}
+	eventReaders.Put(e)
 }
 
 // Next returns the next whole event; its Raw is valid until the call after.
