Routing: entries share the slots while requests wait at several of them

Ruled out: the fair queue itself (its simulation keeps all shares with one entry) and the deadline estimate. Now a dispatch tells that requests wait at its entry, agents answer at how many entries they do, and each keeps to its part. Capacity is now measured, not rated.

--- a/bench/cmd/wpbench/requests.go
+++ b/bench/cmd/wpbench/requests.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/bench/cluster"
@@ -30,8 +31,9 @@
 	prefixKinds      = 60
 )
 
-// capacity is how many answers a second the engines can give.
-const capacity = rigEngines * rigSlots / (float64(answerTime) / float64(time.Second))
+// ratedCapacity is how many answers a second the engines give without the
+// machine's own delays.
+const ratedCapacity = rigEngines * rigSlots / (float64(answerTime) / float64(time.Second))
 
 // requestsRun is one run of the experiment.
 type requestsRun struct {
@@ -40,6 +42,9 @@
 	// total gathers every request that went through the system.
 	total  counts
 	direct []string
+	// capacity is how many answers a second the engines gave with every slot
+	// busy, asked directly.
+	capacity float64
 }
 
 func runRequests(ctx context.Context, opts options) error {
@@ -53,7 +58,7 @@
 		r.direct = append(r.direct, e.Address)
 	}
 	steps := []func(context.Context) error{
-		r.latency, r.overload, r.flood, r.prefixHits, r.faulty, r.manyStreams, r.onceCalls, r.safety,
+		r.measureCapacity, r.latency, r.overload, r.flood, r.prefixHits, r.faulty, r.manyStreams, r.onceCalls, r.safety,
 	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
@@ -86,10 +91,32 @@
 	return c
 }
 
+// measureCapacity keeps every slot of every engine busy for a while.
+func (r *requestsRun) measureCapacity(ctx context.Context) error {
+	var group sync.WaitGroup
+	var answers atomic.Int64
+	start := time.Now()
+	for i := range rigEngines * rigSlots {
+		group.Go(func() {
+			for n := 0; time.Since(start) < windowTime; n++ {
+				call := cluster.ChatCall{Model: "letters", System: "write a letter", Prompt: fmt.Sprintf("%d-%d", i, n), MaxTokens: rigTokens}
+				if out := r.rig.caller.Chat(ctx, r.direct[i%rigEngines], call); out.Err == nil && out.Status == http.StatusOK {
+					answers.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	r.capacity = float64(answers.Load()) / time.Since(start).Seconds()
+	r.figure("capacity", r.capacity, "answers_per_second", "")
+	r.figure("capacity_rated", ratedCapacity, "answers_per_second", "")
+	return nil
+}
+
 // latency measures what the system adds to the first byte at half load. The
 // two ways take turns so that both meet the same machine.
 func (r *requestsRun) latency(ctx context.Context) error {
-	t := traffic{account: "a", model: "letters", perSecond: capacity / 2, stream: true, seed: r.opts.Seed}
+	t := traffic{account: "a", model: "letters", perSecond: r.capacity / 2, stream: true, seed: r.opts.Seed}
 	ideal := newDirect(r.direct)
 	t.run(ctx, r.rig.caller, ideal, time.Second)
 	r.through(ctx, t, time.Second)
@@ -114,14 +141,13 @@
 
 // overload offers two and four times what the engines can do.
 func (r *requestsRun) overload(ctx context.Context) error {
-	r.figure("capacity", capacity, "answers_per_second", "")
 	for _, times := range []float64{2, 4} {
-		t := traffic{account: "a", model: "letters", perSecond: times * capacity, deadline: overloadDeadline, seed: r.opts.Seed}
+		t := traffic{account: "a", model: "letters", perSecond: times * r.capacity, deadline: overloadDeadline, seed: r.opts.Seed}
 		c := r.through(ctx, t, warmTime+windowTime)
 		base := t.run(ctx, r.rig.caller, &balancer{addresses: r.direct}, warmTime+windowTime)
 		name := fmt.Sprintf("overload_%gx_", times)
-		r.figure(name+"goodput_share", goodput(c), "of_capacity", ">=0.95")
-		r.figure(name+"goodput_share_no_admission", goodput(base), "of_capacity", "")
+		r.figure(name+"goodput_share", r.goodput(c), "of_capacity", ">=0.95")
+		r.figure(name+"goodput_share_no_admission", r.goodput(base), "of_capacity", "")
 		r.figure(name+"admitted_p95", millis(percentile(c.total, 0.95)), "ms", fmt.Sprintf("<=%d", overloadDeadline.Milliseconds()))
 		r.figure(name+"refused_p95", millis(percentile(c.refusal, 0.95)), "ms", "<=5")
 		r.figure(name+"refused", float64(c.refused), "count", "")
@@ -136,8 +162,8 @@
 
 // goodput is the share of the capacity that was answered in time, from the
 // time on when the queues are full.
-func goodput(c *counts) float64 {
-	return float64(c.goodWithin(warmTime, warmTime+windowTime)) / (capacity * windowTime.Seconds())
+func (r *requestsRun) goodput(c *counts) float64 {
+	return float64(c.goodWithin(warmTime, warmTime+windowTime)) / (r.capacity * windowTime.Seconds())
 }
 
 // settle lets the engines work off what a baseline left behind.
@@ -175,7 +201,7 @@
 // floodBy runs all accounts at once. It returns what the worst small account
 // kept, of its share or of its offer where that is less, and the whole goodput.
 func (r *requestsRun) floodBy(offer float64, to func(traffic) *counts) (kept, sum float64) {
-	const share = capacity / 5
+	share := r.capacity / 5
 	all := []traffic{{account: "big", perSecond: 10 * share}}
 	for _, name := range []string{"a", "b", "c", "d"} {
 		all = append(all, traffic{account: name, perSecond: offer * share})
@@ -189,7 +215,7 @@
 	group.Wait()
 	kept = 1
 	for i, c := range results {
-		sum += goodput(c)
+		sum += r.goodput(c)
 		fmt.Fprintf(r.opts.Log, "flood %s: %d of %d good, %d late, %d lost, refused %v, p95 %s\n",
 			all[i].account, c.good, c.offered, c.late, c.lost, c.codes, percentile(c.total, 0.95))
 		if i == 0 {
@@ -207,7 +233,7 @@
 // prefixHits compares the share of cached prefixes against round robin and
 // least reported load, at half load.
 func (r *requestsRun) prefixHits(ctx context.Context) error {
-	t := traffic{account: "a", model: "letters", perSecond: capacity / 2, prefixes: prefixKinds, seed: r.opts.Seed}
+	t := traffic{account: "a", model: "letters", perSecond: r.capacity / 2, prefixes: prefixKinds, seed: r.opts.Seed}
 	least := &leastReported{engines: r.direct, load: make([]int, len(r.direct))}
 	pollCtx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -243,7 +269,7 @@
 
 // faulty makes one engine in ten slow, then failing.
 func (r *requestsRun) faulty(ctx context.Context) error {
-	t := traffic{account: "a", model: "letters", perSecond: capacity / 2, seed: r.opts.Seed}
+	t := traffic{account: "a", model: "letters", perSecond: r.capacity / 2, seed: r.opts.Seed}
 	healthy := percentile(r.through(ctx, t, windowTime).total, 0.95)
 	r.figure("healthy_p95", millis(healthy), "ms", "")
 	for _, m := range []struct {
--- a/connection/wire/headers.go
+++ b/connection/wire/headers.go
@@ -31,6 +31,11 @@
 	// HeaderInFlight tells in answers and refusals of an agent how many
 	// requests it passes, this one included.
 	HeaderInFlight = "Waxwingpost-In-Flight"
+	// HeaderWaiting is set in a dispatch while requests wait at the entry.
+	HeaderWaiting = "Waxwingpost-Waiting"
+	// HeaderContenders tells in answers and refusals of an agent from how many
+	// entries it lately had dispatches with HeaderWaiting.
+	HeaderContenders = "Waxwingpost-Contenders"
 )
 
 // Paths of an agent's HTTP server.
--- a/request/admission/controller.go
+++ b/request/admission/controller.go
@@ -64,6 +64,8 @@
 	active  []*account
 	waiting int
 	running int
+	// backlog is waiting, to be read without the lock.
+	backlog atomic.Int64
 	// level is the moving average of running while requests wait.
 	level   float64
 	virtual float64
@@ -148,6 +150,7 @@
 	}
 	a.push(w)
 	c.waiting++
+	c.backlog.Store(int64(c.waiting))
 	c.queued.Update(float64(c.waiting))
 	c.armSweep()
 }
@@ -245,6 +248,7 @@
 func (c *Controller) dequeued(a *account, remove func()) {
 	remove()
 	c.waiting--
+	c.backlog.Store(int64(c.waiting))
 	if a.count > 0 {
 		return
 	}
@@ -303,6 +307,9 @@
 	c.mean += serviceWeight * (took - c.mean)
 }
 
+// Waiting counts the requests that wait.
+func (c *Controller) Waiting() int { return int(c.backlog.Load()) }
+
 // Poke looks for room that came without a request ending, such as a backend
 // server that joined.
 func (c *Controller) Poke() {
--- a/request/api/dispatch.go
+++ b/request/api/dispatch.go
@@ -76,6 +76,9 @@
 	set(wire.HeaderVersion, d.version)
 	left := d.req.deadline.Sub(a.d.Clock.Now())
 	set(wire.HeaderDeadlineMs, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	if d.req.target.control.Waiting() > 0 {
+		set(wire.HeaderWaiting, "1")
+	}
 	if d.limit > 0 {
 		set(wire.HeaderMaxInFlight, strconv.Itoa(d.limit))
 	}
@@ -115,15 +118,15 @@
 	if e := stream.ReadErrorHeader(resp); e != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, maxErrorBytes)
 		_ = resp.Body.Close()
-		return nil, &agentRefusal{cause: e, inFlight: readInFlight(resp)}
+		return nil, &agentRefusal{cause: e, load: readLoad(resp)}
 	}
 	return resp, nil
 }
 
 // agentRefusal is an agent's refusal with its load.
 type agentRefusal struct {
-	cause    *result.Error
-	inFlight int
+	cause *result.Error
+	load  routing.Load
 }
 
 // Error implements error.
@@ -132,13 +135,15 @@
 // Unwrap lets the code be found.
 func (r *agentRefusal) Unwrap() error { return r.cause }
 
-// readInFlight returns the load that an agent tells, or -1.
-func readInFlight(resp *http.Response) int {
-	n, err := strconv.Atoi(resp.Header.Get(wire.HeaderInFlight))
-	if err != nil {
-		return -1
+// readLoad returns the load that an agent tells.
+func readLoad(resp *http.Response) routing.Load {
+	var load routing.Load
+	var err error
+	if load.InFlight, err = strconv.Atoi(resp.Header.Get(wire.HeaderInFlight)); err != nil {
+		load.InFlight = -1
 	}
-	return n
+	load.Contenders, _ = strconv.Atoi(resp.Header.Get(wire.HeaderContenders))
+	return load
 }
 
 // maxErrorBytes bounds what is read of a refusal's body.
@@ -153,12 +158,14 @@
 		a.watcher.stop(watch)
 		var refusal *agentRefusal
 		if errors.As(err, &refusal) {
-			d.lease.Observe(refusal.inFlight + 1)
+			// The lease counts this request, the agent does not.
+			refusal.load.InFlight++
+			d.lease.Observe(refusal.load)
 		}
 		return nil, dispatchError(ctx, err, d.backend.Name)
 	}
 	resp := got.(*http.Response)
-	d.lease.Observe(readInFlight(resp))
+	d.lease.Observe(readLoad(resp))
 	resp.Body = &watchedBody{ReadCloser: resp.Body, w: a.watcher, x: watch}
 	if problem := checkAnswer(resp, d); problem != "" {
 		_ = resp.Body.Close()
--- a/request/routing/group.go
+++ b/request/routing/group.go
@@ -37,6 +37,11 @@
 	turn  int
 	hints *hints
 	paces []float64
+	// own counts the entry's requests in progress; contenders is at how many
+	// entries requests wait, known to be so until contendUntil.
+	own          int
+	contenders   int
+	contendUntil time.Time
 }
 
 // NewGroup returns an empty group.
@@ -61,6 +66,9 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	g.sync(backends)
+	if !req.Force && !g.hasPart(backends, now) {
+		return nil
+	}
 	s := g.choose(backends, req, now)
 	if s == nil {
 		return nil
@@ -70,6 +78,7 @@
 		l.limit = s.reportedSlots(&g.cfg)
 	}
 	s.own++
+	g.own++
 	return l
 }
 
@@ -286,13 +295,43 @@
 
 // Observe takes in how many requests the agent says it passes, this one
 // included. A negative count tells nothing. It is fresher than a report.
-func (l *Lease) Observe(inFlight int) {
-	if inFlight < 0 {
-		return
+func (l *Lease) Observe(load Load) {
+	g := l.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if load.InFlight > 0 {
+		l.server.others = max(0, float64(load.InFlight-l.server.own))
+	}
+	now := g.clock.Now()
+	if load.Contenders > 1 && (load.Contenders >= g.contenders || now.After(g.contendUntil)) {
+		g.contenders, g.contendUntil = load.Contenders, now.Add(contendTime)
+	}
+}
+
+// contendTime is how long an entry keeps to its part of the slots after it
+// heard that requests wait at other entries too.
+const contendTime = time.Second
+
+// Load is what an agent tells of itself in an answer.
+type Load struct {
+	// InFlight is how many requests it passes; negative is not told.
+	InFlight int
+	// Contenders is at how many entries requests wait for its service.
+	Contenders int
+}
+
+// hasPart reports whether the entry may take another slot. While requests
+// wait at several entries each keeps to an equal part: otherwise an entry that
+// came first would hold its slots for good.
+func (g *Group) hasPart(backends []*session.Backend, now time.Time) bool {
+	if g.contenders < 2 || now.After(g.contendUntil) {
+		return true
+	}
+	slots := 0
+	for _, b := range backends {
+		slots += g.servers[b.Name].reportedSlots(&g.cfg)
 	}
-	l.group.mu.Lock()
-	defer l.group.mu.Unlock()
-	l.server.others = max(0, float64(inFlight-l.server.own))
+	return g.own < (slots+g.contenders-1)/g.contenders
 }
 
 // Limit is how many requests the agent may pass before this one; zero means
@@ -308,6 +347,7 @@
 	now := g.clock.Now()
 	took := now.Sub(l.start)
 	l.server.own--
+	g.own--
 	l.server.learn(o, now, took, bytes)
 	l.server.judge(&g.cfg, now, o, g.median())
 	return took
--- a/request/routing/routing_test.go
+++ b/request/routing/routing_test.go
@@ -316,3 +316,29 @@
 		g.Pick(list, Request{Prefix: uint64(i)}).Done(OK, 100)
 	}
 }
+
+func TestEntriesShareTheSlotsWhileRequestsWaitAtSeveral(t *testing.T) {
+	g, clock := newGroup()
+	list := backends(4, 3)
+	var open []*Lease
+	for range 10 {
+		open = append(open, g.Pick(list, Request{}))
+	}
+	open[0].Observe(Load{InFlight: -1, Contenders: 3})
+	if g.Pick(list, Request{}) != nil {
+		t.Error("an entry with 10 of 12 slots took another while three entries wait")
+	}
+	for _, l := range open[:7] {
+		l.Done(OK, 100)
+	}
+	if g.Pick(list, Request{}) == nil {
+		t.Error("an entry below its part got nothing")
+	}
+	if g.Pick(list, Request{}) != nil {
+		t.Error("an entry took more than its part")
+	}
+	clock.Advance(2 * contendTime)
+	if g.Pick(list, Request{}) == nil {
+		t.Error("an entry keeps to its part though nobody else waits")
+	}
+}
--- a/request/runner/dispatch.go
+++ b/request/runner/dispatch.go
@@ -120,6 +120,9 @@
 	if err := r.deps.Leases.Check(c.r.Header.Get(wire.HeaderToken)); err != nil {
 		return nil, err
 	}
+	if c.r.Header.Get(wire.HeaderWaiting) != "" {
+		r.noteEntry(c.r.Header.Get(wire.HeaderEntry))
+	}
 	limit, _ := strconv.Atoi(c.r.Header.Get(wire.HeaderMaxInFlight))
 	if err := r.enter(limit); err != nil {
 		return nil, err
@@ -209,7 +212,7 @@
 	h.Set(wire.HeaderBackend, r.cfg.Agent.Name)
 	h.Set(wire.HeaderRequestID, a.call.requestID)
 	h.Set(wire.HeaderRan, result.DidRun.String())
-	h.Set(wire.HeaderInFlight, strconv.Itoa(r.InFlight()))
+	r.setLoad(h)
 	if v := a.resp.Header.Get(wire.HeaderVersion); v != "" {
 		h.Set(wire.HeaderVersion, v)
 	}
@@ -219,10 +222,18 @@
 func (r *Runner) encodeError(_ context.Context, err error, w http.ResponseWriter) {
 	r.counters.refused.Inc(1)
 	w.Header().Set(wire.HeaderBackend, r.cfg.Agent.Name)
-	w.Header().Set(wire.HeaderInFlight, strconv.Itoa(r.InFlight()))
+	r.setLoad(w.Header())
 	stream.WriteError(w, result.From(err))
 }
 
+// setLoad tells the entry the agent's load, fresher than a report does.
+func (r *Runner) setLoad(h http.Header) {
+	h.Set(wire.HeaderInFlight, strconv.Itoa(r.InFlight()))
+	if n := r.contenders(); n > 0 {
+		h.Set(wire.HeaderContenders, strconv.Itoa(n))
+	}
+}
+
 // cancelEngine tells the engine that a request is no longer wanted. It does
 // not wait for the engine.
 func (r *Runner) cancelEngine(c *call) {
--- a/request/runner/runner.go
+++ b/request/runner/runner.go
@@ -110,6 +110,31 @@
 	draining bool
 	inFlight int
 	idle     chan struct{}
+	// waiting tells when each entry last had requests waiting.
+	waiting map[string]time.Time
+}
+
+// contenderTime is how long an entry counts as one with requests waiting.
+const contenderTime = time.Second
+
+// noteEntry remembers that requests wait at an entry.
+func (r *Runner) noteEntry(entry string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting[entry] = r.deps.Clock.Now()
+}
+
+// contenders counts the entries where requests lately waited.
+func (r *Runner) contenders() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.deps.Clock.Now()
+	for entry, at := range r.waiting {
+		if now.Sub(at) > contenderTime {
+			delete(r.waiting, entry)
+		}
+	}
+	return len(r.waiting)
 }
 
 type counters struct {
@@ -136,7 +161,7 @@
 	cfg = cfg.withDefaults()
 	scope := deps.Scope.SubScope("runner")
 	r := &Runner{
-		cfg: cfg, deps: deps, table: once.NewTable(cfg.Attempts, deps.Clock),
+		cfg: cfg, deps: deps, waiting: make(map[string]time.Time), table: once.NewTable(cfg.Attempts, deps.Clock),
 		counters: counters{
 			passed: scope.Counter("passed"), refused: scope.Counter("refused"), cut: scope.Counter("cut"),
 			canceled: scope.Counter("canceled"), attempts: scope.Counter("attempts"),
