--- /dev/null
+++ b/bench/loopback/fleet.go
@@ -0,0 +1,265 @@
+// Package loopback runs real transfer managers in one process, over TCP on
+// loopback with limited links, to check what the virtual links say.
+//
+// Each VM's link is limited by the manager's own pacing and, for what it
+// sends, by a limiter on its connections that live requests share. A Fleet is
+// used by one goroutine.
+package loopback
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/waxwingpost/waxwingpost/bench/fakes"
+	"github.com/waxwingpost/waxwingpost/bench/virtual"
+	"github.com/waxwingpost/waxwingpost/connection/link"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/config"
+	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/version/manifest"
+	"github.com/waxwingpost/waxwingpost/version/store"
+	"github.com/waxwingpost/waxwingpost/version/transfer"
+)
+
+const (
+	versionName = "v1"
+	versionPath = "models/" + versionName
+	joinKey     = "loopback"
+)
+
+// Fleet is a set of agents and an origin.
+type Fleet struct {
+	params  virtual.Params
+	dir     string
+	origin  *fakes.Origin
+	man     *manifest.Manifest
+	vms     []*vm
+	servers []*http.Server
+	view    wire.AgentView
+}
+
+type vm struct {
+	peer    wire.Peer
+	manager *transfer.Manager
+	live    *liveServer
+}
+
+// Start starts the agents and the origin. The caller must Close the fleet.
+func Start(p virtual.Params, liveShare float64) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "wpbench-loopback-")
+	if err != nil {
+		return nil, errors.Wrap(err, "create folder")
+	}
+	f := &Fleet{params: p, dir: dir}
+	if err := f.start(liveShare); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(liveShare float64) error {
+	p := f.params
+	f.origin = fakes.NewOrigin(fakes.OriginConfig{
+		Versions:       map[string]int{versionPath: int(p.ModelBytes)},
+		ChunkBytes:     int(p.ModelBytes) / p.Chunks,
+		BytesPerSecond: int(p.OriginCopies * float64(p.ModelBytes) / p.Window.Seconds()),
+		Seed:           p.Seed,
+	})
+	f.man = f.origin.Manifest(versionPath)
+	address, err := f.serve(f.origin, nil)
+	if err != nil {
+		return err
+	}
+	for i := range p.VMs {
+		if err := f.startVM(i); err != nil {
+			return err
+		}
+	}
+	f.view = wire.AgentView{
+		Revision:                 1,
+		Order:                    &control.Order{PlaceOrder: control.PlaceOrder{Version: versionName}},
+		Manifests:                []manifest.Manifest{*f.man},
+		Sources:                  []wire.Source{{Name: "origin", Kind: config.SourceOrigin, Address: address, BytesPerSecond: p.Links().Sources}},
+		Objective:                p.Objective,
+		RegionPairBytesPerSecond: p.PairBytesPerSecond,
+		VMBytesPerSecond:         p.Links().VM,
+		LiveShare:                liveShare,
+		Paths:                    map[string]string{versionName: versionPath},
+	}
+	for _, v := range f.vms {
+		f.view.Peers = append(f.view.Peers, v.peer)
+	}
+	return nil
+}
+
+// serve starts an HTTP server, with what it sends limited where l is given.
+func (f *Fleet) serve(h http.Handler, l *limiter) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	address := listener.Addr().String()
+	if l != nil {
+		listener = limitedListener{listener, l}
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	f.servers = append(f.servers, srv)
+	go func() { _ = srv.Serve(listener) }()
+	return address, nil
+}
+
+func (f *Fleet) startVM(i int) error {
+	node := f.params.Node(i)
+	spool, err := store.Open(store.Config{Dir: filepath.Join(f.dir, node.Name)})
+	if err != nil {
+		return err
+	}
+	peer := wire.Peer{Name: node.Name, Zone: node.Zone, Region: node.Region, Version: versionName}
+	cfg := transfer.Config{
+		Self:         peer,
+		Planner:      f.params.Planner,
+		UploadSlots:  f.params.UploadSlots,
+		QueueWait:    f.params.QueueWait,
+		HaveInterval: f.params.HaveInterval,
+	}
+	manager := transfer.New(cfg, spool,
+		&http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8},
+		link.Authenticator{Key: joinKey}, clockwork.NewRealClock(),
+		rand.New(rand.NewPCG(f.params.Seed, uint64(i))),
+		slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
+	v := &vm{peer: peer, manager: manager, live: newLiveServer(manager)}
+	mux := http.NewServeMux()
+	mux.Handle("/", manager.Handler())
+	mux.Handle(livePath, v.live)
+	v.peer.Address, err = f.serve(mux, newLimiter(float64(f.params.Links().VM)))
+	f.vms = append(f.vms, v)
+	return err
+}
+
+// Close stops the fleet and removes its files.
+func (f *Fleet) Close() {
+	for _, srv := range f.servers {
+		_ = srv.Close()
+	}
+	_ = os.RemoveAll(f.dir)
+}
+
+// Result is what a push measured.
+type Result struct {
+	Duration    time.Duration
+	OriginBytes int64
+	CrossBytes  int64
+}
+
+// Push moves the version to every VM and checks every copy.
+func (f *Fleet) Push(ctx context.Context) (Result, error) {
+	start := time.Now()
+	for _, v := range f.vms {
+		v.manager.SetView(f.view)
+	}
+	var group errgroup.Group
+	paths := make([]string, len(f.vms))
+	for i, v := range f.vms {
+		group.Go(func() error {
+			path, err := v.manager.Fetch(ctx, f.man)
+			paths[i] = path
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return Result{}, err
+	}
+	r := Result{Duration: time.Since(start), OriginBytes: f.origin.Stats().ContentBytes}
+	for i, v := range f.vms {
+		r.CrossBytes += v.manager.Progress().CrossRegion
+		if err := checkFile(paths[i]); err != nil {
+			return r, errors.Wrapf(err, "%s", v.peer.Name)
+		}
+	}
+	return r, nil
+}
+
+func checkFile(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	name, err := fakes.CheckContent(data)
+	if err == nil && name != versionPath {
+		err = errors.Newf("content of %s", name)
+	}
+	return err
+}
+
+// limiter bounds what a VM sends over all its connections.
+type limiter struct {
+	mu   sync.Mutex
+	rate float64
+	free time.Time
+}
+
+// limiterPiece is the most that passes at once, about one packet burst.
+const limiterPiece = 4 << 10
+
+func newLimiter(rate float64) *limiter { return &limiter{rate: rate} }
+
+// wait lets n bytes pass after those before them, in the order of the calls.
+func (l *limiter) wait(n int) {
+	l.mu.Lock()
+	now := time.Now()
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+	due := l.free
+	l.mu.Unlock()
+	time.Sleep(time.Until(due))
+}
+
+type limitedListener struct {
+	net.Listener
+	l *limiter
+}
+
+// Accept implements net.Listener.
+func (l limitedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return limitedConn{c, l.l}, nil
+}
+
+type limitedConn struct {
+	net.Conn
+	l *limiter
+}
+
+// Write implements net.Conn.
+func (c limitedConn) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		piece := p[written:min(len(p), written+limiterPiece)]
+		c.l.wait(len(piece))
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
--- a/bench/virtual/params.go
+++ b/bench/virtual/params.go
@@ -95,7 +95,8 @@
 
 func (p Params) chunkBytes() int64 { return p.ModelBytes / int64(p.Chunks) }
 
-func (p Params) links() planner.Links {
+// Links returns the rates of the run's links.
+func (p Params) Links() planner.Links {
 	return planner.Links{
 		Sources:    int64(p.originRate()),
 		RegionPair: p.PairBytesPerSecond,
@@ -107,9 +108,9 @@
 // Estimate returns what the planner expects of the run.
 func (p Params) Estimate() planner.Estimate {
 	if p.Objective == config.ObjectiveOriginBytes {
-		return planner.FewestBytes(p.links(), p.ModelBytes)
+		return planner.FewestBytes(p.Links(), p.ModelBytes)
 	}
-	return planner.Fastest(p.links(), p.ModelBytes)
+	return planner.Fastest(p.Links(), p.ModelBytes)
 }
 
 // startUp is the least time by which a transfer exceeds the flow of its bytes:
@@ -133,8 +134,8 @@
 	return time.Duration(math.Ceil(s * float64(time.Second)))
 }
 
-// node places the VMs over zones and the zones over regions, round robin.
-func (p Params) node(i int) planner.Node {
+// Node returns a VM's place. It spreads the VMs over zones and the zones over regions, round robin.
+func (p Params) Node(i int) planner.Node {
 	zone := i % p.Zones
 	return planner.Node{
 		Name:   fmt.Sprintf("vm-%04d", i),
--- a/bench/virtual/run.go
+++ b/bench/virtual/run.go
@@ -125,7 +125,7 @@
 		left:    p.VMs,
 	}
 	for i := range p.VMs {
-		f.addVM(p.node(i))
+		f.addVM(p.Node(i))
 	}
 	f.order = f.rnd.Perm(len(f.vms))
 	for range f.regions {
@@ -184,7 +184,7 @@
 		}
 		v.watchers = nil
 	}
-	ways := f.est.Ways(f.p.links(), f.p.chunkBytes(), f.p.Planner.Fetchers)
+	ways := f.est.Ways(f.p.Links(), f.p.chunkBytes(), f.p.Planner.Fetchers)
 	lookup := func(name string) planner.Node { return f.byName[name].node }
 	for _, v := range f.vms {
 		if !v.alive {
--- a/version/planner/enter.go
+++ b/version/planner/enter.go
@@ -59,9 +59,11 @@
 	})
 }
 
-// idle reports whether a fetcher brings nothing in and made no progress.
-func (p *pass) idle(n *neighbor) bool {
-	return p.suspected(n) || n.claims.empty() && p.now-n.progress > p.t.set.StealAfter
+// idle reports whether a fetcher brings nothing in and made no progress for
+// long, although the chunk could be had.
+func (p *pass) idle(n *neighbor, c int) bool {
+	since := max(n.progress, p.t.farSince[c])
+	return p.suspected(n) || n.claims.empty() && p.now-since > p.t.set.StealAfter
 }
 
 // inCharge reports whether self is to bring the chunk in: as the first of its
@@ -76,7 +78,7 @@
 		if n == nil || p.suspected(n) {
 			continue
 		}
-		late := p.idle(n) || p.next(c, name) && p.backlog(name) > minBacklog
+		late := p.idle(n, c) || p.next(c, name) && p.backlog(name, c) > minBacklog
 		if own || !late {
 			return false
 		}
@@ -84,24 +86,41 @@
 	return false
 }
 
-// backlog counts the chunks that a fetcher has yet to begin.
-func (p *pass) backlog(name string) int {
-	if n, ok := p.backlogs[name]; ok {
+// backlog counts the chunks that a fetcher could begin but has yet to, of
+// those that enter by the same way as c: it takes each way's in order.
+func (p *pass) backlog(name string, c int) int {
+	key := backlogKey{name, p.way(c)}
+	if n, ok := p.backlogs[key]; ok {
 		return n
 	}
 	n := 0
-	p.need.each(func(c int) {
-		if p.t.owners[c][0] == name && !p.inRegion(c) {
+	p.need.each(func(other int) {
+		if p.t.owners[other][0] == name && p.way(other) == key.way && !p.inRegion(other) && p.enterable(other) {
 			n++
 		}
 	})
 	if p.backlogs == nil {
-		p.backlogs = make(map[string]int)
+		p.backlogs = make(map[backlogKey]int)
 	}
-	p.backlogs[name] = n
+	p.backlogs[key] = n
 	return n
 }
 
+// backlogKey names a fetcher and a way of entering.
+type backlogKey struct {
+	fetcher string
+	way     string
+}
+
+// way is the region from which a chunk enters, or empty for the sources.
+func (p *pass) way(c int) string {
+	homes := p.t.homes[c]
+	if homes == nil || homes[0] == p.t.self.Region {
+		return ""
+	}
+	return homes[0]
+}
+
 // next reports whether self follows name among the owners of the chunk.
 func (p *pass) next(c int, name string) bool {
 	owners := p.t.owners[c]
@@ -140,6 +159,12 @@
 	return p.t.ways.FarChunk <= maxFarChunk
 }
 
+// enterable reports whether the region's fetchers may bring the chunk in now.
+func (p *pass) enterable(c int) bool {
+	homes := p.t.homes[c]
+	return homes == nil || homes[0] == p.t.self.Region || p.heldFar(c)
+}
+
 // heldFar reports whether another region can give the chunk.
 func (p *pass) heldFar(c int) bool {
 	return p.t.ways.FarChunk <= maxFarChunk && slices.ContainsFunc(p.t.neighbors, func(n *neighbor) bool {
@@ -147,14 +172,16 @@
 	})
 }
 
-// fromFar asks another region for a chunk, its home first.
-func (p *pass) fromFar(c int, homes []string) (Request, bool) {
-	for _, region := range homes {
-		if region == p.t.self.Region || p.farLoad(region) >= p.t.set.FarInFlight {
+// fromFar asks the first region in the order that can give the chunk. While
+// that one is busy the chunk waits: asking the next would load its links with
+// what is another's part.
+func (p *pass) fromFar(c int, order []string) (Request, bool) {
+	for _, region := range order {
+		if region == p.t.self.Region {
 			continue
 		}
 		if n := p.farHolder(c, region); n != nil {
-			return Request{Chunk: c, From: n.name, Far: true}, true
+			return Request{Chunk: c, From: n.name, Far: true}, p.farLoad(region) < p.t.set.FarInFlight
 		}
 	}
 	return Request{}, false
--- a/version/planner/plan.go
+++ b/version/planner/plan.go
@@ -35,7 +35,7 @@
 	load  []int
 	total int
 	// backlogs holds what backlog counted, by fetcher.
-	backlogs map[string]int
+	backlogs map[backlogKey]int
 }
 
 func newPass(t *Table, now time.Duration) *pass {
--- a/version/planner/table.go
+++ b/version/planner/table.go
@@ -106,6 +106,8 @@
 	// how many requests for it are in flight.
 	counts  []int
 	pending []int
+	// farSince is when another region was first known to hold each chunk.
+	farSince []time.Duration
 	// ties orders equally rare chunks, differently on each agent.
 	ties []uint64
 	// owners holds the order of the owners of each chunk, homes that of the
@@ -117,14 +119,15 @@
 // NewTable returns the table of a transfer of n chunks.
 func NewTable(self Node, n int, set Settings) *Table {
 	t := &Table{
-		set:     set,
-		self:    self,
-		chunks:  n,
-		have:    NewBits(n),
-		byName:  make(map[string]*neighbor),
-		counts:  make([]int, n),
-		pending: make([]int, n),
-		ties:    make([]uint64, n),
+		set:      set,
+		self:     self,
+		chunks:   n,
+		have:     NewBits(n),
+		byName:   make(map[string]*neighbor),
+		counts:   make([]int, n),
+		pending:  make([]int, n),
+		farSince: make([]time.Duration, n),
+		ties:     make([]uint64, n),
 	}
 	t.need = NewBits(n)
 	for c := range n {
@@ -279,14 +282,24 @@
 			continue
 		}
 		n.progress = now
-		if !n.far {
-			t.count(w, gained, 1)
-			t.count(w, lost, -1)
+		if n.far {
+			t.noteFar(w, gained, now)
+			continue
 		}
+		t.count(w, gained, 1)
+		t.count(w, lost, -1)
 	}
 	n.have = have
 }
 
+func (t *Table) noteFar(word int, set uint64, now time.Duration) {
+	Bits{set}.each(func(i int) {
+		if c := word*wordBits + i; t.farSince[c] == 0 {
+			t.farSince[c] = now
+		}
+	})
+}
+
 func (t *Table) count(word int, set uint64, by int) {
 	Bits{set}.each(func(i int) { t.counts[word*wordBits+i] += by })
 }
--- a/version/transfer/config.go
+++ b/version/transfer/config.go
@@ -25,6 +25,9 @@
 	HaveHold time.Duration
 	// HaveInterval is the least time between two questions to one peer.
 	HaveInterval time.Duration
+	// LiveHold is how long after the last live request transfers go on to
+	// yield: requests come in quick succession.
+	LiveHold time.Duration
 	// KeepVersions is how many assembled versions besides those in the view
 	// stay in the spool.
 	KeepVersions int
@@ -40,6 +43,7 @@
 	setDefault(&c.StallTimeout, 10*time.Second)
 	setDefault(&c.HaveHold, 2*time.Second)
 	setDefault(&c.HaveInterval, 100*time.Millisecond)
+	setDefault(&c.LiveHold, 2*time.Second)
 	setDefault(&c.KeepVersions, 1)
 	return c
 }
--- a/version/transfer/manager.go
+++ b/version/transfer/manager.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
@@ -45,11 +46,14 @@
 	far      chan struct{}
 	seqBase  uint64
 
-	mu    sync.Mutex
-	view  *wire.AgentView
-	live  int
-	pairs map[string]*bucket
-	tasks map[manifest.Digest]*task
+	mu   sync.Mutex
+	view *wire.AgentView
+	live int
+	// yielding is set while requests are live and for LiveHold after.
+	yielding bool
+	lastLive time.Time
+	pairs    map[string]*bucket
+	tasks    map[manifest.Digest]*task
 	// known holds the manifests whose chunks this agent serves, by digest.
 	known map[manifest.Digest]*publication
 	// staged lists assembled versions, the last used at the end.
@@ -121,13 +125,19 @@
 }
 
 // SetLiveRequests tells how many live requests are running or waiting on this
-// agent; transfers take a smaller share of the links while there are any.
+// agent; transfers take a smaller share of the links while there are any and
+// for LiveHold after. It is to be called several times a second.
 func (m *Manager) SetLiveRequests(n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	changed := (n > 0) != (m.live > 0)
+	now := m.clock.Now()
 	m.live = n
-	if changed {
+	if n > 0 {
+		m.lastLive = now
+	}
+	yielding := n > 0 || !m.lastLive.IsZero() && now.Sub(m.lastLive) < m.cfg.LiveHold
+	if yielding != m.yielding {
+		m.yielding = yielding
 		m.paceLocked()
 	}
 }
@@ -140,7 +150,7 @@
 	}
 	rest := 1 - min(max(m.view.LiveShare, 0), 1)
 	vmRate := float64(m.view.VMBytesPerSecond)
-	if m.live > 0 {
+	if m.yielding {
 		vmRate *= rest
 	}
 	m.up.setRate(vmRate)
