Transfer: adapters stay staged beside their model; sources by rate

Fault: with a model and two adapters Staged lost the model although it was kept, since only the last staged version was listed. With time all sources are used by their rates; with origin-bytes the origin is asked only while no other source is ready.

--- a/version/planner/enter.go
+++ b/version/planner/enter.go
@@ -1,7 +1,9 @@
 package planner
 
 import (
+	"math"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -240,33 +242,41 @@
 	return !n.claims.empty() || p.now-n.progress <= p.t.set.HomeTimeout
 }
 
-// fromSource picks a source that is ready: one that isn't the origin before
-// the origin, then the least asked for its rate.
+// fromSource picks a source that is ready. Where the sources are balanced each
+// gets chunks by its rate, else the origin comes last.
 func (p *pass) fromSource(c int) (Request, bool) {
-	best, planned := -1, p.sourceLoad()
-	if planned >= p.t.set.SourceInFlight {
+	if p.sourceLoad() >= p.t.set.SourceInFlight {
 		return Request{}, false
 	}
+	best := -1
 	for i := range p.t.sources {
 		if p.t.sources[i].until > p.now {
 			continue
 		}
-		if best < 0 || p.betterSource(i, best) {
+		if best < 0 || p.betterSource(c, i, best) {
 			best = i
 		}
 	}
 	return Request{Chunk: c, Source: best}, best >= 0
 }
 
-func (p *pass) betterSource(i, j int) bool {
+func (p *pass) betterSource(c, i, j int) bool {
+	if p.t.ways.Balance {
+		return p.sourceScore(c, i) < p.sourceScore(c, j)
+	}
 	a, b := &p.t.sources[i], &p.t.sources[j]
 	if a.Origin != b.Origin {
 		return !a.Origin
 	}
-	if a.Near != b.Near {
-		return a.Near
-	}
-	return a.inFlight < b.inFlight
+	return a.Near && !b.Near
+}
+
+// sourceScore is the chunk's weighted rendezvous score of a source: the least
+// score falls to a source as often as its rate is part of the sum.
+func (p *pass) sourceScore(c, i int) float64 {
+	const unit = 1 << 53
+	draw := (float64(hash(p.t.arr.seed, "source", c, strconv.Itoa(i))%unit) + 1) / unit
+	return -math.Log(draw) / float64(max(1, p.t.sources[i].BytesPerSecond))
 }
 
 func (p *pass) sourceLoad() int {
--- a/version/planner/estimate.go
+++ b/version/planner/estimate.go
@@ -37,6 +37,9 @@
 	Share float64
 	// FarChunk is how long one chunk takes between two regions.
 	FarChunk time.Duration
+	// Balance has all sources used by their rates. Otherwise the origin is
+	// asked only while no other source is ready.
+	Balance bool
 }
 
 // Ways returns the ways of an estimate for chunks of a size, where each of a
--- a/version/store/store_test.go
+++ b/version/store/store_test.go
@@ -244,3 +244,26 @@
 	}
 	assemble(t, s, m, data)
 }
+
+// endless yields bytes without end and counts them.
+type endless struct{ n int64 }
+
+func (e *endless) Read(p []byte) (int, error) {
+	if e.n > 1<<24 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	e.n += int64(len(p))
+	return len(p), nil
+}
+
+func TestPutReadsNoMoreThanTheChunk(t *testing.T) {
+	s := open(t, t.TempDir(), 0)
+	c := manifest.Build("v", content(1, chunkSize), chunkSize).Chunks[0]
+	r := &endless{}
+	if err := s.Put(c, r); result.CodeOf(err) != result.ChunkCorrupt {
+		t.Errorf("got %v", err)
+	}
+	if r.n > chunkSize+1 {
+		t.Errorf("%d bytes read for a chunk of %d", r.n, chunkSize)
+	}
+}
--- a/version/transfer/faults_test.go
+++ b/version/transfer/faults_test.go
@@ -111,6 +111,21 @@
 	f.fetchAll(m)
 }
 
+func TestARequestThatStallsForGoodIsGivenUp(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	m := f.publish("v1", randomContent(14, 12*testChunk))
+	var n atomic.Int64
+	f.origin.setHook(func(_ http.ResponseWriter, r *http.Request) bool {
+		if n.Add(1) > 3 {
+			return false
+		}
+		<-r.Context().Done()
+		return true
+	})
+	f.order(m)
+	f.fetchAll(m)
+}
+
 func TestRetryAfterOfAThrottlingOriginIsHonored(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	m := f.publish("v1", randomContent(5, 4*testChunk))
--- a/version/transfer/manager.go
+++ b/version/transfer/manager.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -284,34 +285,43 @@
 	m.publishLocked(man).complete()
 }
 
-// collect drops what neither the view, a task nor the latest staged versions
-// need. Chunks in common with a kept version stay.
+// collect drops what neither the view, a task nor the latest of the other
+// staged versions need. Chunks in common with a kept version stay.
 func (m *Manager) collect() {
 	m.mu.Lock()
-	var keep []*manifest.Manifest
-	if m.view != nil {
-		for i := range m.view.Manifests {
-			keep = append(keep, &m.view.Manifests[i])
-		}
-	}
-	for _, t := range m.tasks {
-		keep = append(keep, t.man)
-	}
-	m.staged = m.staged[max(0, len(m.staged)-m.cfg.KeepVersions):]
-	keep = append(keep, m.staged...)
+	keep := m.neededLocked()
 	kept := make(map[manifest.Digest]bool, len(keep))
 	for _, man := range keep {
 		kept[man.Digest()] = true
 	}
-	for d := range m.known {
-		if !kept[d] {
-			delete(m.known, d)
+	spare := m.cfg.KeepVersions
+	for _, man := range slices.Backward(m.staged) {
+		if d := man.Digest(); !kept[d] && spare > 0 {
+			spare--
+			kept[d] = true
+			keep = append(keep, man)
 		}
 	}
+	m.staged = slices.DeleteFunc(m.staged, func(man *manifest.Manifest) bool { return !kept[man.Digest()] })
+	maps.DeleteFunc(m.known, func(d manifest.Digest, _ *publication) bool { return !kept[d] })
 	m.mu.Unlock()
 	m.store.Keep(keep...)
 }
 
+// neededLocked returns the manifests of the view and of all tasks.
+func (m *Manager) neededLocked() []*manifest.Manifest {
+	var needed []*manifest.Manifest
+	if m.view != nil {
+		for i := range m.view.Manifests {
+			needed = append(needed, &m.view.Manifests[i])
+		}
+	}
+	for _, t := range m.tasks {
+		needed = append(needed, t.man)
+	}
+	return needed
+}
+
 // members returns the agents that take part in a transfer: those that are
 // ordered to hold the same version, or all for one that no order names.
 func (m *Manager) members(v *wire.AgentView, version string) map[string]wire.Peer {
--- a/version/transfer/task.go
+++ b/version/transfer/task.go
@@ -200,6 +200,7 @@
 	l := links(view, t.peers)
 	est := estimate(l, view.Objective, t.man.Size())
 	ways := est.Ways(l, t.man.Chunks[0].Size, t.m.cfg.Planner.Fetchers)
+	ways.Balance = view.Objective == config.ObjectiveTime
 	nodes := make([]planner.Node, 0, len(t.peers))
 	for name := range t.peers {
 		nodes = append(nodes, t.node(name))
--- a/version/transfer/transfer_test.go
+++ b/version/transfer/transfer_test.go
@@ -1,9 +1,13 @@
 package transfer
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
+	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/config"
+	"github.com/waxwingpost/waxwingpost/version/manifest"
 )
 
 func TestOneCopyLeavesTheOriginAndEachRegionIsEnteredOnce(t *testing.T) {
@@ -32,3 +36,39 @@
 		t.Errorf("seed %d: %.2f copies left the origin, 3 expected", testSeed, got)
 	}
 }
+
+func TestAVersionAndItsAdaptersStayStagedTogether(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	var all []*manifest.Manifest
+	for i := range 4 {
+		all = append(all, f.publish(fmt.Sprintf("v%d", i), randomContent(uint64(20+i), 3*testChunk)))
+	}
+	f.order(all...)
+	for _, m := range all {
+		f.fetchAll(m)
+	}
+	for _, a := range f.agents {
+		if got := a.Staged(); !slices.Equal(got, []string{"v0", "v1", "v2", "v3"}) {
+			t.Errorf("%s: staged %v", a.peer.Name, got)
+		}
+	}
+}
+
+func TestAStoreSavesTheOriginUnlessTimeCounts(t *testing.T) {
+	for objective, wantFromOrigin := range map[string]bool{config.ObjectiveOriginBytes: false, config.ObjectiveTime: true} {
+		f := newFleet(t, 4, 1)
+		m := f.publish("v1", randomContent(30, 40*testChunk))
+		store := newOrigin(t)
+		store.content["models/v1"] = f.content["v1"]
+		f.view.Objective = objective
+		f.view.Sources[0].BytesPerSecond = 1 << 30
+		f.view.Sources = append(f.view.Sources, wire.Source{
+			Name: "store", Kind: config.SourceStore, Address: store.Listener.Addr().String(), BytesPerSecond: 1 << 30,
+		})
+		f.order(m)
+		f.fetchAll(m)
+		if got := f.origin.sent.Load() > 0; got != wantFromOrigin {
+			t.Errorf("%s: %d bytes from the origin, %d from the store", objective, f.origin.sent.Load(), store.sent.Load())
+		}
+	}
+}
