--- a/bench/cmd/wpdemo/demo.go
+++ b/bench/cmd/wpdemo/demo.go
@@ -64,7 +64,10 @@
 		return err
 	}
 	d.cluster, d.caller = c, cluster.NewCaller()
-	defer c.Close()
+	defer func() {
+		c.Close()
+		d.say("every process has ended")
+	}()
 	steps := []step{
 		{"start", d.startAll},
 		{"first push", d.firstPush},
