--- a/version/rollout/progress.go
+++ b/version/rollout/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/waxwingpost/waxwingpost/process/config"
 )
@@ -23,6 +24,35 @@
 	// DoneBytes and TotalBytes add up the agents' transfers.
 	DoneBytes  int64 `json:"done_bytes"`
 	TotalBytes int64 `json:"total_bytes"`
+	// BytesPerSecond is the recent rate of all transfers together, and
+	// ExpectedSeconds the time that is left at this rate.
+	BytesPerSecond  float64 `json:"bytes_per_second"`
+	ExpectedSeconds float64 `json:"expected_seconds"`
+}
+
+// rateWeight is the weight of the newest reading in the rate of transfers.
+const rateWeight = 0.2
+
+// follow completes p's rate from the reading before.
+func (p *ServiceProgress) follow(before ServiceProgress, elapsed time.Duration) {
+	left := p.TotalBytes - p.DoneBytes
+	if left <= 0 || elapsed <= 0 {
+		return
+	}
+	reading := float64(max(0, p.DoneBytes-before.DoneBytes)) / elapsed.Seconds()
+	p.BytesPerSecond = rateWeight*reading + (1-rateWeight)*before.BytesPerSecond
+	if before.BytesPerSecond == 0 {
+		p.BytesPerSecond = reading
+	}
+	if p.BytesPerSecond > 0 {
+		p.ExpectedSeconds = float64(left) / p.BytesPerSecond
+	}
+}
+
+// sameCounts reports whether two readings differ in bytes alone.
+func (p ServiceProgress) sameCounts(q ServiceProgress) bool {
+	p.DoneBytes, p.TotalBytes, p.BytesPerSecond, p.ExpectedSeconds = q.DoneBytes, q.TotalBytes, q.BytesPerSecond, q.ExpectedSeconds
+	return p == q
 }
 
 // Summarize returns the progress of every engine service.
@@ -78,17 +108,21 @@
 	summary := Summarize(in)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.clock.Now()
+	elapsed := now.Sub(r.loggedAt)
+	r.loggedAt = now
 	for name, p := range summary {
 		before := r.logged[name]
+		p.follow(before, elapsed)
+		summary[name] = p
 		r.gauges(name, p)
-		quiet := p
-		quiet.DoneBytes, quiet.TotalBytes = before.DoneBytes, before.TotalBytes
-		if quiet == before {
+		if p.sameCounts(before) {
 			continue
 		}
 		r.log.Info("progress", "service", name, "version", p.Version, "alive", p.Alive, "missing", p.Missing,
 			"staged", p.Staged, "ordered", p.Ordered, "serving", p.Serving, "serving_other", p.ServingOther,
-			"stuck", p.Stuck, "done_bytes", p.DoneBytes, "total_bytes", p.TotalBytes)
+			"stuck", p.Stuck, "done_bytes", p.DoneBytes, "total_bytes", p.TotalBytes,
+			"bytes_per_second", int64(p.BytesPerSecond), "expected_seconds", int64(p.ExpectedSeconds))
 	}
 	r.logged = summary
 }
--- a/version/rollout/runner.go
+++ b/version/rollout/runner.go
@@ -93,6 +93,7 @@
 	agents   map[string]*progress
 	failures map[string]registration
 	logged   map[string]ServiceProgress
+	loggedAt time.Time
 }
 
 // progress is what a Runner remembers of an agent.
--- a/version/rollout/runner_test.go
+++ b/version/rollout/runner_test.go
@@ -154,3 +154,18 @@
 		t.Errorf("stuck %v, missing %v", in.Stuck, in.Missing)
 	}
 }
+
+func TestProgressTellsRateAndExpectedEnd(t *testing.T) {
+	r := newRunnerRig(t)
+	r.step(context.Background())
+	for i := range 4 {
+		for k := range *r.fleet {
+			(*r.fleet)[k].Transfer = wire.Transfer{Done: int64(i) * 500, Total: 2000}
+		}
+		r.clock.Advance(time.Second)
+		r.step(context.Background())
+	}
+	if p := r.logged[service]; p.BytesPerSecond != 1000 || p.ExpectedSeconds != 1 {
+		t.Errorf("progress %+v, want 1000 bytes a second and 1 s left", p)
+	}
+}
