A pause of the entry itself ends no stream

Cause: the watcher that ends exchanges with silent agents judged by what the entry had heard; after the entry itself was frozen or starved it had heard nobody, and cut streams whose agents were well. Ruled out: longer silence before a cut, which only moves the bound. Now a look that comes later than an interval after its time gives the agents one silence period to be heard.

--- a/bench/cmd/wpbench/weights_loopback.go
+++ b/bench/cmd/wpbench/weights_loopback.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/bench/figure"
 	"github.com/waxwingpost/waxwingpost/bench/loopback"
 	"github.com/waxwingpost/waxwingpost/bench/virtual"
 	"github.com/waxwingpost/waxwingpost/process/config"
+	"github.com/waxwingpost/waxwingpost/process/obs"
 )
 
 func init() {
@@ -72,12 +72,12 @@
 		return err
 	}
 	defer f.Close()
-	before := processorTime()
+	before := obs.ReadUsage().CPUSeconds
 	r, err := f.Push(ctx)
 	if err != nil {
 		return err
 	}
-	used := processorTime() - before
+	used := obs.ReadUsage().CPUSeconds - before
 	show := func(what string, value float64, unit, target string) {
 		figure.Print(opts.Out, "weights_loopback_"+name+"_"+what, value, unit, target)
 	}
@@ -87,20 +87,10 @@
 	show("real_of_virtual", real/modeled, "ratio", "")
 	show("origin", float64(r.OriginBytes)/float64(p.ModelBytes), "copies", "")
 	show("cross", float64(r.CrossBytes)/float64(p.ModelBytes), "copies", "")
-	show("cpu", used.Seconds()/float64(p.VMs)/(float64(p.ModelBytes)/(1<<30)), "s_per_vm_and_gib", "")
+	show("cpu", used/float64(p.VMs)/(float64(p.ModelBytes)/(1<<30)), "s_per_vm_and_gib", "")
 	return nil
 }
 
-// processorTime is what the process has used: all agents, the origin and the
-// checks together.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // runLive measures live requests first without and then during a push.
 func runLive(ctx context.Context, opts options) error {
 	p := loopbackParams(opts.Seed, liveVMs)
--- a/request/api/watch.go
+++ b/request/api/watch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,12 +18,17 @@
 // watchInterval is how often exchanges with agents are looked through.
 const watchInterval = 100 * time.Millisecond
 
+// maxLate is how late a look may be before it shows a pause of this process.
+const maxLate = watchInterval
+
 // errSilent ends an exchange with an agent that fell silent.
 var errSilent = errors.New("the agent fell silent")
 
 // watcher ends exchanges with agents that fell silent: neither a heartbeat
 // nor a byte of the answer arrives. An agent that leaves as planned is not
-// silent. Safe for concurrent use.
+// silent. A process that was itself frozen or starved has heard nobody for
+// that time: it gives the agents a new chance to be heard. Safe for concurrent
+// use.
 type watcher struct {
 	sessions *session.Table
 	clock    clockwork.Clock
@@ -30,6 +37,11 @@
 	mu     sync.Mutex
 	active map[*exchangeWatch]struct{}
 	armed  bool
+	// due is when the next look is to happen.
+	due time.Time
+	// trusted is when what was heard tells of the agents again, and not of a
+	// pause of this process.
+	trusted time.Time
 }
 
 // exchangeWatch is one exchange that is watched.
@@ -68,22 +80,35 @@
 func (w *watcher) arm() {
 	if !w.armed && len(w.active) > 0 {
 		w.armed = true
+		w.due = w.clock.Now().Add(watchInterval)
 		w.clock.AfterFunc(watchInterval, w.look)
 	}
 }
 
 func (w *watcher) look() {
+	now := w.clock.Now()
 	w.mu.Lock()
-	all := make([]*exchangeWatch, 0, len(w.active))
-	for x := range w.active {
-		all = append(all, x)
-	}
+	late := now.Sub(w.due)
 	w.armed = false
 	w.arm()
 	w.mu.Unlock()
-	now := w.clock.Now()
+	w.endSilent(now, late)
+}
+
+// endSilent ends the exchanges with silent agents. Late is how late it is
+// called.
+func (w *watcher) endSilent(now time.Time, late time.Duration) {
+	limit := w.sessions.SilentAfter()
+	w.mu.Lock()
+	if late > maxLate {
+		w.trusted = now.Add(limit)
+	}
+	var all []*exchangeWatch
+	if !now.Before(w.trusted) {
+		all = slices.Collect(maps.Keys(w.active))
+	}
+	w.mu.Unlock()
 	for _, x := range all {
-		limit := w.sessions.SilentAfter()
 		quiet := now.UnixNano()-x.heard.Load() >= limit.Nanoseconds()
 		if quiet && w.sessions.Silent(x.backend.Name, x.backend.Incarnation) {
 			x.cancel(errSilent)
