--- a/connection/wire/headers.go
+++ b/connection/wire/headers.go
@@ -25,6 +25,17 @@
 	// HeaderResumeOffset is the index of the first server-sent event that is
 	// still wanted of a stream; events count from 0.
 	HeaderResumeOffset = "Waxwingpost-Resume-Offset"
+	// HeaderMaxInFlight makes the agent refuse a dispatch while it passes that
+	// many requests or more; absent means no limit.
+	HeaderMaxInFlight = "Waxwingpost-Max-In-Flight"
+	// HeaderInFlight tells in answers and refusals of an agent how many
+	// requests it passes, this one included.
+	HeaderInFlight = "Waxwingpost-In-Flight"
+	// HeaderWaiting is set in a dispatch while requests wait at the entry.
+	HeaderWaiting = "Waxwingpost-Waiting"
+	// HeaderContenders tells in answers and refusals of an agent from how many
+	// entries it lately had dispatches with HeaderWaiting.
+	HeaderContenders = "Waxwingpost-Contenders"
 )
 
 // Paths of an agent's HTTP server.
--- a/process/control/state/machine.go
+++ b/process/control/state/machine.go
@@ -40,6 +40,8 @@
 	MaxChanges int
 	// MaxRefusals bounds the refused changes in the history.
 	MaxRefusals int
+	// MaxOrders bounds the orders that are told although they were replaced.
+	MaxOrders int
 	// MaxApplied bounds the remembered results of command IDs.
 	MaxApplied int
 }
@@ -50,6 +52,7 @@
 	DefaultMaxForgotten = 1_000_000
 	DefaultMaxChanges   = 8192
 	DefaultMaxRefusals  = 2048
+	DefaultMaxOrders    = 8192
 	DefaultMaxApplied   = 8192
 )
 
@@ -63,6 +66,7 @@
 	set(&o.MaxForgotten, DefaultMaxForgotten)
 	set(&o.MaxChanges, DefaultMaxChanges)
 	set(&o.MaxRefusals, DefaultMaxRefusals)
+	set(&o.MaxOrders, DefaultMaxOrders)
 	set(&o.MaxApplied, DefaultMaxApplied)
 	return o
 }
@@ -80,13 +84,16 @@
 	// merger is used by Apply and Restore alone.
 	merger config.Merger
 
-	mu        sync.RWMutex
-	index     uint64
-	term      uint64
+	mu    sync.RWMutex
+	index uint64
+	term  uint64
+	// stamp is the proposer's time of the command that is being applied.
+	stamp     int64
 	files     map[string]File
 	removed   map[string]uint64
 	manifests map[string]*registered
 	orders    map[string]control.Order
+	placed    []PlacedOrder
 	calls     *callTable
 	history   *history
 	applied   *appliedTable
@@ -109,6 +116,7 @@
 	m.removed = make(map[string]uint64)
 	m.manifests = make(map[string]*registered)
 	m.orders = make(map[string]control.Order)
+	m.placed = nil
 	m.calls = newCallTable(m.opts)
 	m.history = newHistory(m.opts)
 	m.applied = newAppliedTable(m.opts.MaxApplied)
@@ -123,7 +131,7 @@
 	if index <= m.index {
 		return refusal(result.BadCommand, "entry was applied before")
 	}
-	m.index, m.term = index, term
+	m.index, m.term, m.stamp = index, term, cmd.Time
 	m.clock.advance(cmd.VM, cmd.Time, index)
 	m.calls.expire(m.clock.now, m.retention())
 	res := m.dispatch(cmd)
--- a/version/planner/table.go
+++ b/version/planner/table.go
@@ -106,6 +106,8 @@
 	// how many requests for it are in flight.
 	counts  []int
 	pending []int
+	// farSince is when another region was first known to hold each chunk.
+	farSince []time.Duration
 	// ties orders equally rare chunks, differently on each agent.
 	ties []uint64
 	// owners holds the order of the owners of each chunk, homes that of the
@@ -117,14 +119,15 @@
 // NewTable returns the table of a transfer of n chunks.
 func NewTable(self Node, n int, set Settings) *Table {
 	t := &Table{
-		set:     set,
-		self:    self,
-		chunks:  n,
-		have:    NewBits(n),
-		byName:  make(map[string]*neighbor),
-		counts:  make([]int, n),
-		pending: make([]int, n),
-		ties:    make([]uint64, n),
+		set:      set,
+		self:     self,
+		chunks:   n,
+		have:     NewBits(n),
+		byName:   make(map[string]*neighbor),
+		counts:   make([]int, n),
+		pending:  make([]int, n),
+		farSince: make([]time.Duration, n),
+		ties:     make([]uint64, n),
 	}
 	t.need = NewBits(n)
 	for c := range n {
@@ -141,10 +144,11 @@
 		next[i].SourceState = state
 		if i < len(t.sources) {
 			next[i].until = t.sources[i].until
-			next[i].inFlight = t.sources[i].inFlight
+			next[i].failures = t.sources[i].failures
 		}
 	}
 	t.sources = next
+	t.recountFlights()
 }
 
 // SetArrangement replaces the neighbors, keeping what is known of those that
@@ -166,6 +170,7 @@
 		}
 	}
 	t.recount()
+	t.recountFlights()
 	t.owners, t.homes = nil, nil
 	if t.fetcher {
 		t.rankChunks()
@@ -193,6 +198,20 @@
 	}
 }
 
+// recountFlights counts the requests in flight anew: an agent may have ceased
+// to be a neighbor and become one again meanwhile.
+func (t *Table) recountFlights() {
+	for _, n := range t.neighbors {
+		n.inFlight = 0
+	}
+	for i := range t.sources {
+		t.sources[i].inFlight = 0
+	}
+	for _, f := range t.flights {
+		t.countFlight(f.Request, 1)
+	}
+}
+
 func (t *Table) rankChunks() {
 	t.owners = make([][]string, t.chunks)
 	t.homes = make([][]string, t.chunks)
@@ -263,14 +282,24 @@
 			continue
 		}
 		n.progress = now
-		if !n.far {
-			t.count(w, gained, 1)
-			t.count(w, lost, -1)
+		if n.far {
+			t.noteFar(w, gained, now)
+			continue
 		}
+		t.count(w, gained, 1)
+		t.count(w, lost, -1)
 	}
 	n.have = have
 }
 
+func (t *Table) noteFar(word int, set uint64, now time.Duration) {
+	Bits{set}.each(func(i int) {
+		if c := word*wordBits + i; t.farSince[c] == 0 {
+			t.farSince[c] = now
+		}
+	})
+}
+
 func (t *Table) count(word int, set uint64, by int) {
 	Bits{set}.each(func(i int) { t.counts[word*wordBits+i] += by })
 }
@@ -298,7 +327,7 @@
 		return
 	}
 	if n := t.byName[r.From]; n != nil {
-		n.inFlight = max(0, n.inFlight+by)
+		n.inFlight += by
 	}
 }
 
--- a/version/transfer/manager.go
+++ b/version/transfer/manager.go
@@ -13,10 +13,12 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
@@ -45,11 +47,14 @@
 	far      chan struct{}
 	seqBase  uint64
 
-	mu    sync.Mutex
-	view  *wire.AgentView
-	live  int
-	pairs map[string]*bucket
-	tasks map[manifest.Digest]*task
+	mu   sync.Mutex
+	view *wire.AgentView
+	live int
+	// yielding is set while requests are live and for LiveHold after.
+	yielding bool
+	lastLive time.Time
+	pairs    map[string]*bucket
+	tasks    map[manifest.Digest]*task
 	// known holds the manifests whose chunks this agent serves, by digest.
 	known map[manifest.Digest]*publication
 	// staged lists assembled versions, the last used at the end.
@@ -121,13 +126,19 @@
 }
 
 // SetLiveRequests tells how many live requests are running or waiting on this
-// agent; transfers take a smaller share of the links while there are any.
+// agent; transfers take a smaller share of the links while there are any and
+// for LiveHold after. It is to be called several times a second.
 func (m *Manager) SetLiveRequests(n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	changed := (n > 0) != (m.live > 0)
+	now := m.clock.Now()
 	m.live = n
-	if changed {
+	if n > 0 {
+		m.lastLive = now
+	}
+	yielding := n > 0 || !m.lastLive.IsZero() && now.Sub(m.lastLive) < m.cfg.LiveHold
+	if yielding != m.yielding {
+		m.yielding = yielding
 		m.paceLocked()
 	}
 }
@@ -140,7 +151,7 @@
 	}
 	rest := 1 - min(max(m.view.LiveShare, 0), 1)
 	vmRate := float64(m.view.VMBytesPerSecond)
-	if m.live > 0 {
+	if m.yielding {
 		vmRate *= rest
 	}
 	m.up.setRate(vmRate)
@@ -274,34 +285,43 @@
 	m.publishLocked(man).complete()
 }
 
-// collect drops what neither the view, a task nor the latest staged versions
-// need. Chunks in common with a kept version stay.
+// collect drops what neither the view, a task nor the latest of the other
+// staged versions need. Chunks in common with a kept version stay.
 func (m *Manager) collect() {
 	m.mu.Lock()
-	var keep []*manifest.Manifest
-	if m.view != nil {
-		for i := range m.view.Manifests {
-			keep = append(keep, &m.view.Manifests[i])
-		}
-	}
-	for _, t := range m.tasks {
-		keep = append(keep, t.man)
-	}
-	m.staged = m.staged[max(0, len(m.staged)-m.cfg.KeepVersions):]
-	keep = append(keep, m.staged...)
+	keep := m.neededLocked()
 	kept := make(map[manifest.Digest]bool, len(keep))
 	for _, man := range keep {
 		kept[man.Digest()] = true
 	}
-	for d := range m.known {
-		if !kept[d] {
-			delete(m.known, d)
+	spare := m.cfg.KeepVersions
+	for _, man := range slices.Backward(m.staged) {
+		if d := man.Digest(); !kept[d] && spare > 0 {
+			spare--
+			kept[d] = true
+			keep = append(keep, man)
 		}
 	}
+	m.staged = slices.DeleteFunc(m.staged, func(man *manifest.Manifest) bool { return !kept[man.Digest()] })
+	maps.DeleteFunc(m.known, func(d manifest.Digest, _ *publication) bool { return !kept[d] })
 	m.mu.Unlock()
 	m.store.Keep(keep...)
 }
 
+// neededLocked returns the manifests of the view and of all tasks.
+func (m *Manager) neededLocked() []*manifest.Manifest {
+	var needed []*manifest.Manifest
+	if m.view != nil {
+		for i := range m.view.Manifests {
+			needed = append(needed, &m.view.Manifests[i])
+		}
+	}
+	for _, t := range m.tasks {
+		needed = append(needed, t.man)
+	}
+	return needed
+}
+
 // members returns the agents that take part in a transfer: those that are
 // ordered to hold the same version, or all for one that no order names.
 func (m *Manager) members(v *wire.AgentView, version string) map[string]wire.Peer {
