--- a/process/control/node/replica.go
+++ b/process/control/node/replica.go
@@ -214,6 +214,10 @@
 // save puts the work on disk. The order is snapshot before the entries that
 // follow it.
 func (r *replica) save(rd raft.Ready) error {
+	if rd.HardState == nil && len(rd.Entries) == 0 {
+		return nil
+	}
+	defer r.scope.Timer("disk_save").Start().Stop()
 	if rd.Snapshot != nil {
 		if err := r.disk.Install(*rd.Snapshot, *rd.HardState); err != nil {
 			return err
