--- a/process/folder/propose.go
+++ b/process/folder/propose.go
@@ -410,7 +410,7 @@
 	} else {
 		kept, err := w.keep(c.name, s.files[c.name].Content, c.pin.Digest)
 		if err != nil {
-			w.log.Error("a refused file could not be kept", "event", "folder-keep", "file", c.name, "code", int(result.DiskFailed), "err", err)
+			w.log.Error("a refused file could not be kept", "event", "folder-keep", "file", c.name, "code", int(result.DiskFailed), "error", err.Error())
 			return
 		}
 		verdict.Kept = kept
--- a/process/folder/status.go
+++ b/process/folder/status.go
@@ -105,7 +105,7 @@
 	}
 	if err != nil {
 		w.statusText = ""
-		w.log.Error("the status file was not written", "event", "folder-status", "code", int(result.DiskFailed), "err", err)
+		w.log.Error("the status file was not written", "event", "folder-status", "code", int(result.DiskFailed), "error", err.Error())
 	}
 	w.mu.Lock()
 	w.status = st
--- a/process/folder/watcher.go
+++ b/process/folder/watcher.go
@@ -146,7 +146,7 @@
 	signal := make(chan struct{}, 1)
 	notifier, err := fsnotify.NewWatcher()
 	if err != nil {
-		w.log.Warn("no file events", "event", "folder-events-off", "err", err)
+		w.log.Warn("no file events", "event", "folder-events-off", "error", err.Error())
 		return signal, func() {}
 	}
 	stop := make(chan struct{})
@@ -177,7 +177,7 @@
 			_ = notifier.Add(w.cfg.Path)
 			continue
 		case err := <-notifier.Errors:
-			w.log.Debug("file events failed", "event", "folder-events", "err", err)
+			w.log.Debug("file events failed", "event", "folder-events", "error", err.Error())
 			continue
 		case e := <-notifier.Events:
 			if strings.HasPrefix(filepath.Base(e.Name), markerName) {
@@ -284,7 +284,7 @@
 
 func (w *Watcher) save() bool {
 	if err := w.memory.save(w.cfg.DataDir); err != nil {
-		w.log.Error("the folder's memory was not written", "event", "folder-memory", "code", int(result.DiskFailed), "err", err)
+		w.log.Error("the folder's memory was not written", "event", "folder-memory", "code", int(result.DiskFailed), "error", err.Error())
 		return false
 	}
 	return true
--- a/process/folder/writeback.go
+++ b/process/folder/writeback.go
@@ -61,7 +61,7 @@
 		if err := w.place(wr, s.digests[wr.name]); err != nil {
 			all = false
 			w.wake(w.cfg.RetryEvery)
-			w.log.Warn("an accepted file was not placed", "event", "folder-write", "file", wr.name, "err", err)
+			w.log.Info("an accepted file was not placed yet", "event", "folder-write", "file", wr.name, "error", err.Error())
 			continue
 		}
 		w.placed(wr)
@@ -233,7 +233,7 @@
 		err = syncDir(w.cfg.Path)
 	}
 	if err != nil {
-		w.log.Error("the folder's marker was not written", "event", "folder-marker", "code", int(result.DiskFailed), "err", err)
+		w.log.Error("the folder's marker was not written", "event", "folder-marker", "code", int(result.DiskFailed), "error", err.Error())
 	}
 	return err == nil
 }
@@ -319,7 +319,7 @@
 			continue
 		}
 		if _, err := w.keep(name, s.files[name].Content, digest); err != nil {
-			w.log.Error("a file could not be kept", "event", "folder-keep", "file", name, "err", err)
+			w.log.Error("a file could not be kept", "event", "folder-keep", "file", name, "error", err.Error())
 			return
 		}
 	}
