--- a/request/api/harness_test.go
+++ b/request/api/harness_test.go
@@ -160,14 +160,19 @@
 }
 
 // Propose implements control.Store.
-func (e *testEntry) Propose(_ context.Context, cmd control.Command) (control.Result, error) {
+func (e *testEntry) Propose(ctx context.Context, cmd control.Command) (control.Result, error) {
 	before, after := beforeRecord, afterRecord
 	if cmd.Reserve != nil {
 		before, after = beforeReserve, afterReserve
 	}
 	e.at(before)
 	e.halt()
-	if e.dead.Load() || e.cut.Load() {
+	if e.cut.Load() {
+		// Nothing comes back over a cut network.
+		<-ctx.Done()
+		return control.Result{}, errDead
+	}
+	if e.dead.Load() {
 		return control.Result{}, errDead
 	}
 	res := e.ledger.apply(cmd)
