Planner: settle while orders spread; a way out when no fetcher takes part

Faults found by review and shown by properties: while orders spread the fetchers of a region change with each view, and chunks entered twice (TestNothingEntersTwiceWhileOrdersSpread red without the pause of 1 s); a region whose fetchers are in the views but take no part never completed (TestARegionWhoseFetchersTakeNoPartCompletes). Agents next in the order fetch for themselves after 2 minutes without a chunk.

--- a/bench/cmd/wpbench/weights_loopback.go
+++ b/bench/cmd/wpbench/weights_loopback.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"syscall"
+	"fmt"
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/bench/figure"
@@ -30,10 +30,12 @@
 	// loopbackPair is what a pair carries of the model in the window, as at
 	// the sizes of the virtual runs.
 	loopbackPair = 0.7
-	liveVMs      = 6
-	livePerSec   = 8
-	liveShare    = 0.5
-	liveIdle     = 8 * time.Second
+	// unlimitedBytes is the model's size in the runs without limits.
+	unlimitedBytes = 128 << 20
+	liveVMs        = 6
+	livePerSec     = 8
+	liveShare      = 0.5
+	liveIdle       = 8 * time.Second
 )
 
 func loopbackParams(seed uint64, vms int) virtual.Params {
@@ -45,6 +47,7 @@
 	p.HaveInterval /= loopbackScale
 	p.QueueWait /= loopbackScale
 	p.Planner.BusyPause /= loopbackScale
+	p.Planner.SettlePause /= loopbackScale
 	p.Planner.StealPause /= loopbackScale
 	p.PairBytesPerSecond = int64(loopbackPair * float64(p.ModelBytes) / p.Window.Seconds())
 	return p
@@ -61,6 +64,9 @@
 	if err := compareLoopback(ctx, opts, "origin_bytes", relayed); err != nil {
 		return err
 	}
+	if err := runUnlimited(ctx, opts); err != nil {
+		return err
+	}
 	return runLive(ctx, opts)
 }
 
@@ -72,12 +78,10 @@
 		return err
 	}
 	defer f.Close()
-	before := processorTime()
 	r, err := f.Push(ctx)
 	if err != nil {
 		return err
 	}
-	used := processorTime() - before
 	show := func(what string, value float64, unit, target string) {
 		figure.Print(opts.Out, "weights_loopback_"+name+"_"+what, value, unit, target)
 	}
@@ -87,18 +91,30 @@
 	show("real_of_virtual", real/modeled, "ratio", "")
 	show("origin", float64(r.OriginBytes)/float64(p.ModelBytes), "copies", "")
 	show("cross", float64(r.CrossBytes)/float64(p.ModelBytes), "copies", "")
-	show("cpu", used.Seconds()/float64(p.VMs)/(float64(p.ModelBytes)/(1<<30)), "s_per_vm_and_gib", "")
 	return nil
 }
 
-// processorTime is what the process has used: all agents, the origin and the
-// checks together.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
+// runUnlimited measures the processor time of a transfer without limits, by
+// which pacing and its timers fall away.
+func runUnlimited(ctx context.Context, opts options) error {
+	for _, n := range []int{4, 8, 16} {
+		p := loopbackParams(opts.Seed, n)
+		p.ModelBytes = unlimitedBytes
+		p.VMCopies, p.OriginCopies, p.PairBytesPerSecond = 0, 0, 0
+		f, err := loopback.Start(p, 0)
+		if err != nil {
+			return err
+		}
+		r, err := f.Push(ctx)
+		f.Close()
+		if err != nil {
+			return err
+		}
+		gib := float64(p.ModelBytes) / (1 << 30)
+		name := fmt.Sprintf("weights_loopback_cpu_n%d", n)
+		figure.Print(opts.Out, name, r.Processor.Seconds()/float64(n)/gib, "s_per_vm_and_gib", "")
 	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return nil
 }
 
 // runLive measures live requests first without and then during a push.
--- a/bench/loopback/fleet.go
+++ b/bench/loopback/fleet.go
@@ -16,6 +16,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -145,7 +146,11 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", manager.Handler())
 	mux.Handle(livePath, v.live)
-	v.peer.Address, err = f.serve(mux, newLimiter(float64(f.params.Links().VM)))
+	var limit *limiter
+	if rate := f.params.Links().VM; rate > 0 {
+		limit = newLimiter(float64(rate))
+	}
+	v.peer.Address, err = f.serve(mux, limit)
 	f.vms = append(f.vms, v)
 	return err
 }
@@ -160,14 +165,17 @@
 
 // Result is what a push measured.
 type Result struct {
-	Duration    time.Duration
+	Duration time.Duration
+	// Processor is the time that the process used until all VMs were done: all
+	// agents and the origin.
+	Processor   time.Duration
 	OriginBytes int64
 	CrossBytes  int64
 }
 
 // Push moves the version to every VM and checks every copy.
 func (f *Fleet) Push(ctx context.Context) (Result, error) {
-	start := time.Now()
+	start, before := time.Now(), processorTime()
 	for _, v := range f.vms {
 		v.manager.SetView(f.view)
 	}
@@ -183,7 +191,7 @@
 	if err := group.Wait(); err != nil {
 		return Result{}, err
 	}
-	r := Result{Duration: time.Since(start), OriginBytes: f.origin.Stats().ContentBytes}
+	r := Result{Duration: time.Since(start), Processor: processorTime() - before, OriginBytes: f.origin.Stats().ContentBytes}
 	for i, v := range f.vms {
 		r.CrossBytes += v.manager.Progress().CrossRegion
 		if err := checkFile(paths[i]); err != nil {
@@ -193,6 +201,15 @@
 	return r, nil
 }
 
+// processorTime is what this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 func checkFile(path string) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/version/planner/arrange.go
+++ b/version/planner/arrange.go
@@ -29,7 +29,9 @@
 
 type region struct {
 	fetchers []string
-	rings    []ring
+	// ranks holds every agent's place in the order of fetchers.
+	ranks map[string]int
+	rings []ring
 }
 
 // ring is a cyclic order; each node is a neighbor of the one before and after.
@@ -58,8 +60,11 @@
 }
 
 func (a *Arrangement) arrangeRegion(members []Node) *region {
-	r := &region{}
+	r := &region{ranks: make(map[string]int, len(members))}
 	byHash := a.ranked(members, "fetchers")
+	for i, name := range byHash {
+		r.ranks[name] = i
+	}
 	r.fetchers = byHash[:min(a.set.Fetchers, len(byHash))]
 	zones := make(map[string][]Node)
 	for _, n := range members {
@@ -141,6 +146,15 @@
 	return r.fetchers
 }
 
+// rankOf returns an agent's place in the order of its region's fetchers.
+func (a *Arrangement) rankOf(n Node) int {
+	r := a.regions[n.Region]
+	if r == nil {
+		return 0
+	}
+	return r.ranks[n.Name]
+}
+
 // Owners returns a region's fetchers in the order in which they are in charge
 // of a chunk.
 func (a *Arrangement) Owners(name string, chunk int) []string {
--- a/version/planner/enter.go
+++ b/version/planner/enter.go
@@ -28,12 +28,42 @@
 // takes over the last ones of others, so that two rarely pick the same, after
 // a pause in which news of what others began can arrive.
 func (p *pass) enter() {
+	if p.now-p.t.settled < p.t.set.SettlePause {
+		return
+	}
 	p.enterRange(true)
 	if p.now-p.t.entered >= p.t.set.StealPause {
 		p.enterRange(false)
 	}
 }
 
+// orphaned reports whether an agent that is no fetcher got nothing for so long
+// that the fetchers before it must all be unable: those that a view names need
+// not take part. The agents next in the order act first.
+func (p *pass) orphaned() bool {
+	if p.t.fetcher || p.t.set.Fetchers <= 0 {
+		return false
+	}
+	patience := p.t.set.OrphanAfter * time.Duration(p.t.rank/p.t.set.Fetchers)
+	return p.now-p.t.received > patience
+}
+
+// enterAlone takes a chunk that no neighbor holds from a source.
+func (p *pass) enterAlone() {
+	best := -1
+	p.need.each(func(c int) {
+		if !p.inRegion(c) && (best < 0 || p.t.ties[c] < p.t.ties[best]) {
+			best = c
+		}
+	})
+	if best < 0 {
+		return
+	}
+	if r, ok := p.fromSource(best); ok {
+		p.add(r)
+	}
+}
+
 func (p *pass) enterRange(own bool) {
 	for i := range p.t.chunks {
 		c := i
@@ -296,6 +326,9 @@
 // nothing was heard: timeouts pass without an event.
 func (t *Table) Wake(now time.Duration) time.Duration {
 	wake := t.set.SuspectAfter
+	if settled := t.settled + t.set.SettlePause; settled > now {
+		wake = settled - now
+	}
 	for i := range t.sources {
 		if until := t.sources[i].until; until > now {
 			wake = min(wake, until-now)
--- a/version/planner/plan.go
+++ b/version/planner/plan.go
@@ -13,12 +13,16 @@
 		return nil
 	}
 	p := newPass(t, now)
-	if !t.fetcher && (p.total >= t.set.InFlight || t.need.empty() && !p.hedging()) {
+	orphaned := p.orphaned()
+	if !t.fetcher && !orphaned && (p.total >= t.set.InFlight || t.need.empty() && !p.hedging()) {
 		return nil
 	}
 	if t.fetcher {
 		p.enter()
 	}
+	if orphaned {
+		p.enterAlone()
+	}
 	p.exchange()
 	p.hedge()
 	return p.out
--- a/version/planner/planner_test.go
+++ b/version/planner/planner_test.go
@@ -55,6 +55,42 @@
 	}, fleetGens()...))
 }
 
+func TestNothingEntersTwiceWhileOrdersSpread(t *testing.T) {
+	check(t, "ramp", prop.ForAll(func(seed uint64, agents, regions, chunks, quarters int) string {
+		w := newWorld(seed, 1, regions, chunks, float64(quarters)/4)
+		for i := range agents {
+			w.step()
+			w.join(i+1, regions)
+			w.arrange()
+		}
+		if !w.run(maxSteps) && w.broken == nil {
+			return "not complete"
+		}
+		for region, counts := range w.entered {
+			for c, n := range counts {
+				if n > 1 {
+					return fmt.Sprintf("chunk %d entered %s %d times", c, region, n)
+				}
+			}
+		}
+		return verdict(w)
+	}, fleetGens()...))
+}
+
+func TestARegionWhoseFetchersTakeNoPartCompletes(t *testing.T) {
+	check(t, "mute fetchers", prop.ForAll(func(seed uint64, agents, regions, chunks, quarters int) string {
+		w := newWorld(seed, agents+6*regions, regions, chunks, float64(quarters)/4)
+		w.mute = make(map[string]bool)
+		for _, name := range w.arr.Fetchers("r0") {
+			w.mute[name] = true
+		}
+		if !w.run(maxSteps) && w.broken == nil {
+			return "not complete"
+		}
+		return verdict(w)
+	}, fleetGens()...))
+}
+
 func verdict(w *world) string {
 	if w.broken != nil {
 		return w.broken.Error()
--- a/version/planner/settings.go
+++ b/version/planner/settings.go
@@ -34,6 +34,10 @@
 	BusyPause time.Duration
 	// SuspectAfter is the silence after which a neighbor is passed over.
 	SuspectAfter time.Duration
+	// SettlePause is how long the fetchers of a region bring nothing in after
+	// a view changed who they are: while orders spread, views change often,
+	// and a fetcher doesn't see what one that ceased to be one holds.
+	SettlePause time.Duration
 	// StealPause is how long a fetcher without chunks of its own waits before
 	// it takes over others'.
 	StealPause time.Duration
@@ -43,6 +47,9 @@
 	// HomeTimeout is the lack of progress after which the next region takes
 	// over a relayed chunk.
 	HomeTimeout time.Duration
+	// OrphanAfter is the lack of chunks after which the agents next in the
+	// order fetch for themselves, as many at a time as there are fetchers.
+	OrphanAfter time.Duration
 	// HedgeAfter is the age of a request after which, with nothing else left
 	// to ask, the chunk is also asked of another neighbor.
 	HedgeAfter time.Duration
@@ -62,9 +69,11 @@
 		MaxDemotion:    time.Minute,
 		BusyPause:      time.Second,
 		SuspectAfter:   6 * time.Second,
+		SettlePause:    time.Second,
 		StealPause:     500 * time.Millisecond,
 		StealAfter:     10 * time.Second,
 		HomeTimeout:    20 * time.Second,
+		OrphanAfter:    2 * time.Minute,
 		HedgeAfter:     10 * time.Second,
 	}
 }
--- a/version/planner/table.go
+++ b/version/planner/table.go
@@ -100,6 +100,12 @@
 	byName    map[string]*neighbor
 	sources   []source
 	flights   []flight
+	// rank is self's place in the order of its region's fetchers.
+	rank int
+	// received is when self last got a chunk.
+	received time.Duration
+	// settled is when the fetchers of the region last changed.
+	settled time.Duration
 	// entered is when self's last request that brought in a chunk ended.
 	entered time.Duration
 	// counts holds, for each chunk, how many near neighbors hold it; pending
@@ -154,7 +160,14 @@
 // SetArrangement replaces the neighbors, keeping what is known of those that
 // stay. Nodes gives zone and region of every agent.
 func (t *Table) SetArrangement(arr *Arrangement, ways Ways, nodes func(name string) Node, now time.Duration) {
+	if t.arr == nil || !slices.Equal(t.arr.Fetchers(t.self.Region), arr.Fetchers(t.self.Region)) {
+		t.settled = now
+	}
+	if t.arr == nil {
+		t.received = now
+	}
 	t.arr = arr
+	t.rank = arr.rankOf(t.self)
 	t.ways = ways
 	t.fetcher = slices.Contains(arr.Fetchers(t.self.Region), t.self.Name)
 	old := t.byName
@@ -346,6 +359,7 @@
 	switch out {
 	case Received:
 		t.Hold(r.Chunk)
+		t.received = now
 		t.succeeded(r, now)
 	case Corrupt, Failed:
 		t.failed(r, now)
--- a/version/planner/world_test.go
+++ b/version/planner/world_test.go
@@ -26,6 +26,8 @@
 	entered map[string][]int
 	left    []int
 	broken  error
+	// mute agents stand in the views but take no part.
+	mute map[string]bool
 }
 
 type worldAgent struct {
@@ -92,8 +94,9 @@
 	for _, name := range w.names {
 		w.hear(w.agents[name])
 	}
-	a := w.agents[w.names[w.rnd.IntN(len(w.names))]]
-	w.plan(a)
+	if a := w.agents[w.names[w.rnd.IntN(len(w.names))]]; !w.mute[a.node.Name] {
+		w.plan(a)
+	}
 	for range 2 {
 		w.finish(w.agents[w.names[w.rnd.IntN(len(w.names))]])
 	}
@@ -102,7 +105,7 @@
 // hear brings an agent the newest news of all its neighbors.
 func (w *world) hear(a *worldAgent) {
 	for _, name := range a.table.Neighbors() {
-		if n := w.agents[name]; n != nil {
+		if n := w.agents[name]; n != nil && !w.mute[name] {
 			a.table.Heard(name, n.table.Have().Clone(), n.table.Claims(), w.now)
 		}
 	}
@@ -203,8 +206,8 @@
 }
 
 func (w *world) complete() bool {
-	for _, a := range w.agents {
-		if !a.table.Complete() {
+	for name, a := range w.agents {
+		if !w.mute[name] && !a.table.Complete() {
 			return false
 		}
 	}
--- a/version/transfer/config.go
+++ b/version/transfer/config.go
@@ -25,6 +25,8 @@
 	HaveHold time.Duration
 	// HaveInterval is the least time between two questions to one peer.
 	HaveInterval time.Duration
+	// ViewInterval is the least time between two changes of a transfer's view.
+	ViewInterval time.Duration
 	// LiveHold is how long after the last live request transfers go on to
 	// yield: requests come in quick succession.
 	LiveHold time.Duration
@@ -43,6 +45,7 @@
 	setDefault(&c.StallTimeout, 10*time.Second)
 	setDefault(&c.HaveHold, 2*time.Second)
 	setDefault(&c.HaveInterval, 100*time.Millisecond)
+	setDefault(&c.ViewInterval, time.Second)
 	setDefault(&c.LiveHold, 2*time.Second)
 	setDefault(&c.KeepVersions, 1)
 	return c
--- a/version/transfer/fleet_test.go
+++ b/version/transfer/fleet_test.go
@@ -41,6 +41,7 @@
 	s.BusyPause = 20 * time.Millisecond
 	s.SuspectAfter = time.Second
 	s.StealAfter = time.Second
+	s.SettlePause = 20 * time.Millisecond
 	s.StealPause = 200 * time.Millisecond
 	s.HomeTimeout = 2 * time.Second
 	s.HedgeAfter = time.Second
@@ -193,6 +194,9 @@
 		v := f.view
 		v.Order = &control.Order{Fence: control.Fence{Index: v.Revision}}
 		v.Order.Version = manifests[0].Version
+		for _, m := range manifests[1:] {
+			v.Order.Adapters = append(v.Order.Adapters, m.Version)
+		}
 		a.SetView(v)
 	}
 }
--- a/version/transfer/manager.go
+++ b/version/transfer/manager.go
@@ -323,13 +323,15 @@
 }
 
 // members returns the agents that take part in a transfer: those that are
-// ordered to hold the same version, or all for one that no order names.
+// ordered to hold the same version or, for an adapter, the version it goes with.
 func (m *Manager) members(v *wire.AgentView, version string) map[string]wire.Peer {
+	if v.Order != nil && slices.Contains(v.Order.Adapters, version) {
+		version = v.Order.Version
+	}
 	self := m.cfg.Self
 	members := map[string]wire.Peer{self.Name: self}
-	ordered := v.Order != nil && v.Order.Version == version
 	for _, p := range v.Peers {
-		if p.Name != self.Name && (!ordered || p.Version == version) {
+		if p.Name != self.Name && p.Version == version {
 			members[p.Name] = p
 		}
 	}
--- a/version/transfer/task.go
+++ b/version/transfer/task.go
@@ -40,6 +40,7 @@
 	// copies maps a chunk's digest to all its indexes.
 	copies  map[manifest.Digest][]int
 	view    *wire.AgentView
+	adopted time.Duration
 	peers   map[string]wire.Peer
 	watches map[string]context.CancelFunc
 	// jobs holds the cancel function of every request in flight.
@@ -189,13 +190,14 @@
 }
 
 // adoptView takes over a new view, if any, and returns the channel that tells
-// of the next.
+// of the next. Views that follow each other closely are taken over once every
+// ViewInterval: a view costs as much as thousands of plans.
 func (t *task) adoptView() <-chan struct{} {
 	view, changed := t.m.currentView()
-	if view == t.view {
+	if view == t.view || t.view != nil && t.now()-t.adopted < t.m.cfg.ViewInterval {
 		return changed
 	}
-	t.view = view
+	t.view, t.adopted = view, t.now()
 	t.peers = t.m.members(view, t.man.Version)
 	l := links(view, t.peers)
 	est := estimate(l, view.Objective, t.man.Size())
