--- a/bench/cmd/wpbench/weights_loopback.go
+++ b/bench/cmd/wpbench/weights_loopback.go
@@ -112,7 +112,7 @@
 		}
 		gib := float64(p.ModelBytes) / (1 << 30)
 		name := fmt.Sprintf("weights_loopback_cpu_n%d", n)
-		figure.Print(opts.Out, name, r.Processor.Seconds()/float64(n)/gib, "s_per_vm_and_gib", "")
+		figure.Print(opts.Out, name, r.Processor/float64(n)/gib, "s_per_vm_and_gib", "")
 	}
 	return nil
 }
--- a/bench/loopback/fleet.go
+++ b/bench/loopback/fleet.go
@@ -16,7 +16,6 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +29,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/config"
 	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/obs"
 	"github.com/waxwingpost/waxwingpost/version/manifest"
 	"github.com/waxwingpost/waxwingpost/version/store"
 	"github.com/waxwingpost/waxwingpost/version/transfer"
@@ -166,16 +166,16 @@
 // Result is what a push measured.
 type Result struct {
 	Duration time.Duration
-	// Processor is the time that the process used until all VMs were done: all
-	// agents and the origin.
-	Processor   time.Duration
+	// Processor is the processor time, in seconds, that the process used until
+	// all VMs were done: all agents and the origin.
+	Processor   float64
 	OriginBytes int64
 	CrossBytes  int64
 }
 
 // Push moves the version to every VM and checks every copy.
 func (f *Fleet) Push(ctx context.Context) (Result, error) {
-	start, before := time.Now(), processorTime()
+	start, before := time.Now(), obs.ReadUsage().CPUSeconds
 	for _, v := range f.vms {
 		v.manager.SetView(f.view)
 	}
@@ -191,7 +191,7 @@
 	if err := group.Wait(); err != nil {
 		return Result{}, err
 	}
-	r := Result{Duration: time.Since(start), Processor: processorTime() - before, OriginBytes: f.origin.Stats().ContentBytes}
+	r := Result{Duration: time.Since(start), Processor: obs.ReadUsage().CPUSeconds - before, OriginBytes: f.origin.Stats().ContentBytes}
 	for i, v := range f.vms {
 		r.CrossBytes += v.manager.Progress().CrossRegion
 		if err := checkFile(paths[i]); err != nil {
@@ -201,15 +201,6 @@
 	return r, nil
 }
 
-// processorTime is what this process has used.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 func checkFile(path string) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/connection/session/table.go
+++ b/connection/session/table.go
@@ -138,6 +138,7 @@
 		}
 		old = nil
 	}
+	t.prune(now)
 	s := &session{hello: hello, seenAt: now, linked: true}
 	if old != nil {
 		s.backend = old.backend
@@ -147,6 +148,18 @@
 	return nil
 }
 
+// forgetAfter is how long a session without heartbeats is remembered.
+const forgetAfter = 24 * time.Hour
+
+// prune forgets sessions of VMs that are gone.
+func (t *Table) prune(now time.Time) {
+	for name, s := range t.sessions {
+		if now.Sub(s.seenAt) > forgetAfter {
+			delete(t.sessions, name)
+		}
+	}
+}
+
 func (t *Table) holdsName(s *session, now time.Time) bool {
 	return !s.left && now.Sub(s.seenAt) < t.cfg.SilentAfter()
 }
@@ -267,6 +280,22 @@
 	return s.backend, false
 }
 
+// SilentAfter is the time without a heartbeat that makes an agent silent.
+func (t *Table) SilentAfter() time.Duration { return t.cfg.SilentAfter() }
+
+// Silent reports whether an agent stopped sending heartbeats without having
+// announced a stop, or was replaced by another incarnation.
+func (t *Table) Silent(name, incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.sessions[name]
+	if s == nil || s.hello.Incarnation != incarnation {
+		return true
+	}
+	leaving := s.left || (s.backend != nil && s.backend.Status.Draining)
+	return !leaving && t.clock.Now().Sub(s.seenAt) >= t.cfg.SilentAfter()
+}
+
 // Statuses returns the newest status of every agent that is not silent.
 func (t *Table) Statuses() []wire.AgentStatus {
 	t.mu.Lock()
--- a/process/control/node/replica.go
+++ b/process/control/node/replica.go
@@ -17,7 +17,10 @@
 // disk keeps what a replica must not forget. *wal.Log implements it.
 type disk interface {
 	Save(hs *raft.HardState, entries []raft.Entry) error
-	SaveSnapshot(s raft.Snapshot) error
+	// WriteSnapshot may run beside the other methods; Truncate then removes the
+	// part of the log that the snapshot covers.
+	WriteSnapshot(s raft.Snapshot) error
+	Truncate(index uint64) error
 	Install(s raft.Snapshot, hs raft.HardState) error
 	Bytes() int64
 	Close() error
@@ -27,7 +30,8 @@
 type noDisk struct{}
 
 func (noDisk) Save(*raft.HardState, []raft.Entry) error    { return nil }
-func (noDisk) SaveSnapshot(raft.Snapshot) error            { return nil }
+func (noDisk) WriteSnapshot(raft.Snapshot) error           { return nil }
+func (noDisk) Truncate(uint64) error                       { return nil }
 func (noDisk) Install(raft.Snapshot, raft.HardState) error { return nil }
 func (noDisk) Bytes() int64                                { return 0 }
 func (noDisk) Close() error                                { return nil }
@@ -72,7 +76,13 @@
 	waiters []appliedWaiter
 	// snapshotIndex is the index of the last snapshot on disk.
 	snapshotIndex uint64
-	wasLeader     bool
+	// snapshotSize is the size of that snapshot's data.
+	snapshotSize int64
+	// saving is set while a snapshot is being written. beside runs the writing
+	// and calls the second function on the replica's goroutine afterwards.
+	saving    bool
+	beside    func(work func() error, then func(error) error) error
+	wasLeader bool
 }
 
 // newReplica starts a replica from what its disk holds.
@@ -90,6 +100,8 @@
 		inLog:         map[string][]proposal{},
 		rounds:        map[uint64][]readRequest{},
 		snapshotIndex: stored.Snapshot.Index,
+		snapshotSize:  int64(len(stored.Snapshot.Data)),
+		beside:        inline,
 	}, nil
 }
 
@@ -207,6 +219,7 @@
 			return err
 		}
 		r.snapshotIndex = rd.Snapshot.Index
+		r.snapshotSize = int64(len(rd.Snapshot.Data))
 	}
 	return r.disk.Save(rd.HardState, rd.Entries)
 }
@@ -297,33 +310,85 @@
 }
 
 // maybeSnapshot saves a snapshot when much was applied since the last one.
+// Encoding and writing it may take long, so they go on beside the log.
 func (r *replica) maybeSnapshot() error {
-	applied := r.core.Applied()
-	since := applied - r.snapshotIndex
-	if since == 0 || (since < uint64(r.cfg.SnapshotEvery) && r.disk.Bytes() < r.cfg.SnapshotBytes) {
+	if r.saving || !r.snapshotDue() {
+		return nil
+	}
+	if r.cfg.diskless() {
+		r.compact(r.core.Applied())
 		return nil
 	}
-	s, err := r.takeSnapshot()
+	s, encode := r.capture()
+	r.saving = true
+	work := func() (err error) {
+		if s.Data, err = encode(); err != nil {
+			return err
+		}
+		return r.disk.WriteSnapshot(s)
+	}
+	return r.beside(work, func(err error) error {
+		r.saving = false
+		return r.snapshotWritten(s, err)
+	})
+}
+
+// snapshotDue reports whether the log is long enough. A large state is written
+// less often, so that the snapshots cost no more than the log itself.
+func (r *replica) snapshotDue() bool {
+	since := r.core.Applied() - r.snapshotIndex
+	if since < uint64(r.cfg.SnapshotEvery) {
+		return since > 0 && r.disk.Bytes() >= max(r.cfg.SnapshotBytes, r.snapshotSize)
+	}
+	return r.cfg.diskless() || r.disk.Bytes() >= r.snapshotSize
+}
+
+func (r *replica) compact(index uint64) {
+	r.snapshotIndex = index
+	r.core.Compact(r.cfg.RetainEntries, r.cfg.RetainBytes)
+}
+
+// snapshotWritten drops what a snapshot covers once it is on disk.
+func (r *replica) snapshotWritten(s raft.Snapshot, err error) error {
 	if err != nil {
-		return err
+		return result.New(result.DiskFailed, "save snapshot: %v", err)
 	}
-	if err := r.disk.SaveSnapshot(s); err != nil {
+	if s.Index <= r.snapshotIndex {
+		// One that came from the leader was installed meanwhile.
+		return nil
+	}
+	if err := r.disk.Truncate(s.Index); err != nil {
 		return err
 	}
-	r.snapshotIndex = s.Index
-	r.core.Compact(r.cfg.RetainEntries, r.cfg.RetainBytes)
+	r.snapshotSize = int64(len(s.Data))
+	r.compact(s.Index)
 	r.log.Info("snapshot saved", "index", s.Index, "bytes", len(s.Data))
 	return nil
 }
 
-func (r *replica) takeSnapshot() (raft.Snapshot, error) {
-	data, err := r.sm.Snapshot()
-	if err != nil {
-		return raft.Snapshot{}, errors.Wrap(err, "take snapshot")
-	}
+// inline runs work and what follows it at once.
+func inline(work func() error, then func(error) error) error {
+	return then(work())
+}
+
+// capture returns a snapshot without its data, and what encodes the data. A
+// state machine with a Capture method lets the latter run beside Apply.
+func (r *replica) capture() (raft.Snapshot, func() ([]byte, error)) {
 	index := r.core.Applied()
 	term, _ := r.core.TermAt(index)
-	return raft.Snapshot{Index: index, Term: term, Members: r.core.MembersAt(index), Data: data}, nil
+	s := raft.Snapshot{Index: index, Term: term, Members: r.core.MembersAt(index)}
+	if c, ok := r.sm.(interface{ Capture() func() ([]byte, error) }); ok {
+		return s, c.Capture()
+	}
+	data, err := r.sm.Snapshot()
+	return s, func() ([]byte, error) { return data, err }
+}
+
+func (r *replica) takeSnapshot() (raft.Snapshot, error) {
+	s, encode := r.capture()
+	data, err := encode()
+	s.Data = data
+	return s, errors.Wrap(err, "take snapshot")
 }
 
 // fillSnapshots puts the current state into the messages that ask for it.
--- a/process/control/state/calls.go
+++ b/process/control/state/calls.go
@@ -48,7 +48,12 @@
 
 func (t *callTable) add(key callKey, r *record) {
 	t.records[key] = r
-	t.queue = append(t.queue, expiry{key: key, time: r.time})
+	t.queue = append(t.queue, expiry{key: key, time: r.age})
+}
+
+// replace changes a record that is queued already.
+func (t *callTable) replace(key callKey, r *record) {
+	t.records[key] = r
 }
 
 // maxExpired bounds the records that one command may drop, so that a shorter
@@ -67,8 +72,8 @@
 		head := t.queue[0]
 		t.queue = t.queue[1:]
 		r := t.records[head.key]
-		if r.time >= t.oldest {
-			t.queue = append(t.queue, expiry{key: head.key, time: r.time})
+		if r.age >= t.oldest {
+			t.queue = append(t.queue, expiry{key: head.key, time: r.age})
 			continue
 		}
 		delete(t.records, head.key)
@@ -121,8 +126,9 @@
 	if len(f.newest) < generationSize {
 		return
 	}
-	slices.Sort(f.newest)
-	f.sealed = append(f.sealed, f.newest)
+	generation := slices.Clone(f.newest)
+	slices.Sort(generation)
+	f.sealed = append(f.sealed, generation)
 	f.newest, f.index = nil, make(map[uint64]struct{})
 	if len(f.sealed) > max(1, f.limit/generationSize) {
 		f.sealed = f.sealed[1:]
--- a/process/control/state/snapshot.go
+++ b/process/control/state/snapshot.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"maps"
 	"slices"
 	"unique"
 
@@ -55,6 +56,7 @@
 	VMs       []vmTime        `cbor:"17,keyasint"`
 	// Removed is written in the order of its keys, as all maps are.
 	Removed map[string]uint64 `cbor:"18,keyasint"`
+	Placed  []PlacedOrder     `cbor:"19,keyasint"`
 }
 
 type appliedEntry struct {
@@ -74,7 +76,8 @@
 	Key         string
 	Body        manifest.Digest
 	Answer      *control.Answer
-	Time        int64
+	Age         int64
+	Stamp       int64
 	Attempt     int32
 	ReservedBy  commandTag
 	Verdict     string
@@ -82,15 +85,22 @@
 
 // Snapshot returns the machine's whole state in deterministic CBOR.
 func (m *Machine) Snapshot() ([]byte, error) {
+	return m.Capture()()
+}
+
+// Capture takes the state as it is now and returns a function that encodes it
+// as Snapshot does. The function may run in another goroutine beside Apply:
+// what it reads is never changed. Capturing copies no more than pointers for
+// each record of a call.
+func (m *Machine) Capture() func() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := snapshot{
+	s := &snapshot{
 		Format: snapshotFormat, Index: m.index, Term: m.term, Revision: m.view.Load().revision,
 		Files: m.sortedFiles(), Orders: m.sortedOrders(),
 		Accepted: m.history.accepted, Refused: m.history.refused, Dropped: m.history.dropped,
 		Oldest: m.calls.oldest, Sealed: m.calls.forgotten.sealed, Newest: m.calls.forgotten.newest,
-		Now: m.clock.now, VMs: m.clock.vms,
-		Calls: m.callEntries(), Removed: m.removed,
+		Now: m.clock.now, VMs: slices.Clone(m.clock.vms), Removed: maps.Clone(m.removed), Placed: m.placed,
 	}
 	for _, version := range sortedKeys(m.manifests) {
 		s.Manifests = append(s.Manifests, m.manifests[version])
@@ -98,18 +108,25 @@
 	for _, id := range m.applied.order {
 		s.Applied = append(s.Applied, appliedEntry{ID: id, Result: m.applied.results[id]})
 	}
-	return encoder.Marshal(&s)
+	queue := m.calls.queue
+	records := make([]*record, len(queue))
+	for i, q := range queue {
+		records[i] = m.calls.records[q.key]
+	}
+	return func() ([]byte, error) {
+		s.Calls = callEntries(queue, records)
+		return encoder.Marshal(s)
+	}
 }
 
-func (m *Machine) callEntries() []callEntry {
-	entries := make([]callEntry, 0, len(m.calls.queue))
-	for _, q := range m.calls.queue {
-		r := m.calls.records[q.key]
-		entries = append(entries, callEntry{
-			Queued: q.time, Account: r.account.Value(), Service: r.service.Value(), Agent: r.agent.Value(),
+func callEntries(queue []expiry, records []*record) []callEntry {
+	entries := make([]callEntry, len(queue))
+	for i, r := range records {
+		entries[i] = callEntry{
+			Queued: queue[i].time, Account: r.account.Value(), Service: r.service.Value(), Agent: r.agent.Value(),
 			Incarnation: r.incarnation.Value(), Entry: r.entry.Value(), Key: r.key, Body: r.body, Answer: r.answer,
-			Time: r.time, Attempt: r.attempt, ReservedBy: r.reservedBy, Verdict: r.verdict,
-		})
+			Age: r.age, Stamp: r.stamp, Attempt: r.attempt, ReservedBy: r.reservedBy, Verdict: r.verdict,
+		}
 	}
 	return entries
 }
@@ -128,10 +145,7 @@
 	for i, f := range s.Files {
 		files[i] = config.File{Name: f.Name, Content: f.Content}
 	}
-	merged, problems := config.Merge(files)
-	if len(problems) > 0 {
-		return result.New(result.SnapshotDamaged, "the accepted files do not merge: %s", problems[0].Error())
-	}
+	merged := m.merger.MergeAccepted(files)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.load(&s)
@@ -160,6 +174,7 @@
 	for _, a := range s.Applied {
 		m.applied.put(a.ID, a.Result)
 	}
+	m.placed = s.Placed
 	m.clock.now, m.clock.vms = s.Now, s.VMs
 	m.calls.oldest = s.Oldest
 	m.loadCalls(s)
@@ -176,7 +191,7 @@
 		m.calls.records[key] = &record{
 			account: unique.Make(e.Account), service: unique.Make(e.Service), agent: unique.Make(e.Agent),
 			incarnation: unique.Make(e.Incarnation), entry: unique.Make(e.Entry), key: e.Key, body: e.Body,
-			answer: e.Answer, time: e.Time, attempt: e.Attempt, reservedBy: e.ReservedBy, verdict: e.Verdict,
+			answer: e.Answer, age: e.Age, stamp: e.Stamp, attempt: e.Attempt, reservedBy: e.ReservedBy, verdict: e.Verdict,
 		}
 		m.calls.queue = append(m.calls.queue, expiry{key: key, time: e.Queued})
 	}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -66,6 +66,7 @@
 	folder   *folder.Watcher
 	rollout  *rollout.Runner
 	views    *views
+	agents   *agentLinks
 	dump     obs.State
 	ready    readiness
 }
@@ -107,6 +108,7 @@
 	if err != nil {
 		return err
 	}
+	e.ready.keptState = holdsFiles(e.set.Data)
 	e.machine = state.New(state.Options{})
 	e.fleet = fleet.New(e.clock)
 	e.sessions = session.New(session.Config{}, e.clock, e.scope)
@@ -121,6 +123,7 @@
 	e.api = e.newAPI()
 	e.rollout = rollout.New(rollout.Config{}, e.node, e.machine, e.fleet, e.fetchManifest, e.clock, e.log, e.scope)
 	e.views = newViews(e)
+	e.agents = newAgentLinks()
 	e.registerDump()
 	return nil
 }
@@ -166,6 +169,7 @@
 		Sessions:  e.sessions,
 		Store:     e.node,
 		Calls:     e.machine.Call,
+		Synced:    e.mayServe,
 		Self:      e.hello,
 		Auth:      e.auth,
 		Transport: newTransport(),
--- a/process/entry/views.go
+++ b/process/entry/views.go
@@ -21,6 +21,8 @@
 	// peerRefresh is how often a change of the agents alone, without a change
 	// of the control state, reaches the agents.
 	peerRefresh = time.Second
+	// minViewInterval joins the changes that come close together into one pass.
+	minViewInterval = 50 * time.Millisecond
 )
 
 // views keeps every linked agent's AgentView current. A view is sent only when
@@ -68,6 +70,11 @@
 		case <-v.wake:
 		case <-ticker.Chan():
 		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-v.entry.clock.After(minViewInterval):
+		}
 	}
 }
 
@@ -138,7 +145,9 @@
 func (v *views) manifests(cfg *config.Config, order control.Order) ([]manifest.Manifest, map[string]string) {
 	var manifests []manifest.Manifest
 	paths := make(map[string]string)
-	for _, name := range append([]string{order.Version}, order.Adapters...) {
+	names := slices.Concat([]string{order.Version, order.Keep}, order.Adapters, order.KeepAdapters)
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
 		if m, ok := v.entry.machine.Manifest(name); ok {
 			manifests = append(manifests, *m)
 			paths[name] = cfg.Versions[name].Path
--- a/request/api/dispatch.go
+++ b/request/api/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/once"
+	"github.com/waxwingpost/waxwingpost/request/routing"
 	"github.com/waxwingpost/waxwingpost/request/stream"
 )
 
@@ -23,10 +24,13 @@
 type dispatch struct {
 	req     *request
 	backend *session.Backend
+	lease   *routing.Lease
 	// version is what the answer must come from; empty for a plain service.
 	version string
 	// attempt is set on a call that may not be repeated.
 	attempt int
+	// limit is how many requests the agent may pass already; zero means any.
+	limit int
 	// offset is the first event that is still wanted of a stream.
 	offset int
 }
@@ -67,11 +71,17 @@
 	set(wire.HeaderIncarnation, d.backend.Incarnation)
 	set(wire.HeaderRequestID, d.req.id)
 	set(wire.HeaderAccount, d.req.account)
-	set(wire.HeaderPriority, d.req.priority)
+	set(wire.HeaderPriority, strconv.Itoa(d.req.rank))
 	set(wire.HeaderEntry, a.d.Self.Name)
 	set(wire.HeaderVersion, d.version)
 	left := d.req.deadline.Sub(a.d.Clock.Now())
 	set(wire.HeaderDeadlineMs, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	if d.req.target.control.Waiting() > 0 {
+		set(wire.HeaderWaiting, "1")
+	}
+	if d.limit > 0 {
+		set(wire.HeaderMaxInFlight, strconv.Itoa(d.limit))
+	}
 	if d.offset > 0 {
 		set(wire.HeaderResumeOffset, strconv.Itoa(d.offset))
 	}
@@ -108,22 +118,55 @@
 	if e := stream.ReadErrorHeader(resp); e != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, maxErrorBytes)
 		_ = resp.Body.Close()
-		return nil, e
+		return nil, &agentRefusal{cause: e, load: readLoad(resp)}
 	}
 	return resp, nil
 }
 
+// agentRefusal is an agent's refusal with its load.
+type agentRefusal struct {
+	cause *result.Error
+	load  routing.Load
+}
+
+// Error implements error.
+func (r *agentRefusal) Error() string { return r.cause.Error() }
+
+// Unwrap lets the code be found.
+func (r *agentRefusal) Unwrap() error { return r.cause }
+
+// readLoad returns the load that an agent tells.
+func readLoad(resp *http.Response) routing.Load {
+	var load routing.Load
+	var err error
+	if load.InFlight, err = strconv.Atoi(resp.Header.Get(wire.HeaderInFlight)); err != nil {
+		load.InFlight = -1
+	}
+	load.Contenders, _ = strconv.Atoi(resp.Header.Get(wire.HeaderContenders))
+	return load
+}
+
 // maxErrorBytes bounds what is read of a refusal's body.
 const maxErrorBytes = 16 << 10
 
 // exchange sends a dispatch and returns the agent's answer. Its errors tell
 // by their Ran whether the request may have run.
 func (a *API) exchange(ctx context.Context, d *dispatch) (*http.Response, *result.Error) {
-	got, err := a.send(ctx, d)
+	watched, watch := a.watcher.start(ctx, d.backend)
+	got, err := a.send(watched, d)
 	if err != nil {
+		a.watcher.stop(watch)
+		var refusal *agentRefusal
+		if errors.As(err, &refusal) {
+			// The lease counts this request, the agent does not.
+			refusal.load.InFlight++
+			d.lease.Observe(refusal.load)
+		}
 		return nil, dispatchError(ctx, err, d.backend.Name)
 	}
 	resp := got.(*http.Response)
+	d.lease.Observe(readLoad(resp))
+	resp.Body = &watchedBody{ReadCloser: resp.Body, w: a.watcher, x: watch}
 	if problem := checkAnswer(resp, d); problem != "" {
 		_ = resp.Body.Close()
 		e := result.New(result.BackendFailed, "%s: %s", d.backend.Name, problem)
@@ -152,12 +195,13 @@
 }
 
 func dispatchError(ctx context.Context, err error, backend string) *result.Error {
-	var e *result.Error
-	if errors.As(err, &e) {
-		if e.Ran == result.RanUnstated {
-			e.Ran = result.RanUnknown
+	var known *result.Error
+	if errors.As(err, &known) {
+		copied := *known
+		if copied.Ran == result.RanUnstated {
+			copied.Ran = result.RanUnknown
 		}
-		return e
+		return &copied
 	}
 	code := result.BackendFailed
 	switch ctx.Err() {
@@ -166,7 +210,7 @@
 	case context.Canceled:
 		code = result.CallerGone
 	}
-	e = result.New(code, "%s: %v", backend, err)
+	e := result.New(code, "%s: %v", backend, err)
 	e.Ran = result.RanUnknown
 	if stream.NeverSent(err) {
 		e.Ran = result.NotRun
--- a/version/planner/planner_test.go
+++ b/version/planner/planner_test.go
@@ -80,6 +80,10 @@
 func TestARegionWhoseFetchersTakeNoPartCompletes(t *testing.T) {
 	check(t, "mute fetchers", prop.ForAll(func(seed uint64, agents, regions, chunks, quarters int) string {
 		w := newWorld(seed, agents+6*regions, regions, chunks, float64(quarters)/4)
+		w.set.OrphanAfter = 3 * time.Second
+		for _, a := range w.agents {
+			a.table.set = w.set
+		}
 		w.mute = make(map[string]bool)
 		for _, name := range w.arr.Fetchers("r0") {
 			w.mute[name] = true
