--- a/version/planner/planner_test.go
+++ b/version/planner/planner_test.go
@@ -227,3 +227,27 @@
 		t.Error("indexes past the end or missing bytes read as present")
 	}
 }
+
+func TestRequestsToANeighborThatCameBackAreCounted(t *testing.T) {
+	a, b := Node{Name: "a", Region: "r"}, Node{Name: "b", Region: "r"}
+	lookup := func(name string) Node { return Node{Name: name, Region: "r"} }
+	version := manifest.Sum([]byte("v"))
+	with, without := Arrange([]Node{a, b}, version, DefaultSettings()), Arrange([]Node{a}, version, DefaultSettings())
+	table := NewTable(a, 4, DefaultSettings())
+	table.SetArrangement(with, Ways{}, lookup, 0)
+	have := NewBits(4)
+	have.Set(0)
+	have.Set(1)
+	table.Heard("b", have, NewBits(4), 0)
+	first := Plan(table, 0)
+	if len(first) != 1 || first[0].From != "b" {
+		t.Fatalf("planned %v", first)
+	}
+	table.Started(first[0], 0)
+	table.SetArrangement(without, Ways{}, lookup, 0)
+	table.SetArrangement(with, Ways{}, lookup, 0)
+	table.Heard("b", have, NewBits(4), 0)
+	if again := Plan(table, 0); len(again) != 0 {
+		t.Errorf("planned %v while %v is in flight to the same neighbor", again, first)
+	}
+}
