--- a/bench/e2e/kill_test.go
+++ b/bench/e2e/kill_test.go
@@ -40,8 +40,8 @@
 	f.stop()
 }
 
-// TestChatsUnderKillsAndRollouts kills engines, agents and entries and edits
-// the version to and fro while callers stream answers.
+// TestChatsUnderKillsAndRollouts kills engines, agents and entries, freezes
+// engines and edits the version to and fro while callers stream answers.
 func TestChatsUnderKillsAndRollouts(t *testing.T) {
 	s := newSite(t, 4, "--token-time", "8ms")
 	c := s.startChats(10, 24, nil)
@@ -51,7 +51,7 @@
 		if i%3 == 0 {
 			s.edit("entry-1", versions[i/3], i)
 		}
-		switch s.rnd.IntN(4) {
+		switch s.rnd.IntN(5) {
 		case 0:
 			// The folder of entry-1 takes the edits; kill another one.
 			s.killAndRestart(s.Entries()[1+s.rnd.IntN(2)])
@@ -59,6 +59,11 @@
 			s.killAndRestart(s.agents[s.rnd.IntN(len(s.agents))])
 		case 2:
 			s.killAndRestart(s.engines[s.rnd.IntN(len(s.engines))])
+		case 3:
+			frozen := s.engines[s.rnd.IntN(len(s.engines))]
+			s.must(frozen.Stop())
+			s.pause(2*time.Second, pastLease)
+			s.must(frozen.Cont())
 		default:
 			s.must(s.RestartEngine(s.ctx, s.engines[s.rnd.IntN(len(s.engines))]))
 		}
--- a/version/loader/loader.go
+++ b/version/loader/loader.go
@@ -46,6 +46,9 @@
 	RetryDelayMax time.Duration
 	// FenceTimeout bounds one question for the current fence.
 	FenceTimeout time.Duration
+	// ReportTimeout bounds one reading of the report, so that an engine that
+	// hangs is noticed.
+	ReportTimeout time.Duration
 	// ReportFailures is how many readings in a row may fail before the
 	// admission check closes.
 	ReportFailures int
@@ -59,6 +62,7 @@
 	setDuration(&c.RetryDelay, 500*time.Millisecond)
 	setDuration(&c.RetryDelayMax, 15*time.Second)
 	setDuration(&c.FenceTimeout, 3*time.Second)
+	setDuration(&c.ReportTimeout, time.Second)
 	if c.ReportFailures == 0 {
 		c.ReportFailures = 3
 	}
--- a/version/loader/loader_test.go
+++ b/version/loader/loader_test.go
@@ -169,6 +169,21 @@
 	r.wantServing("v1")
 }
 
+func TestEngineThatHangsIsShutOff(t *testing.T) {
+	r := newRig(t)
+	r.cfg.ReportTimeout = 10 * time.Millisecond
+	r.SetView(view(5, "v1"))
+	r.run(long)
+	r.engine.hangs.Store(true)
+	for range r.cfg.ReportFailures {
+		r.tick(context.Background())
+	}
+	r.wantServing("")
+	r.engine.hangs.Store(false)
+	r.run(long)
+	r.wantServing("v1")
+}
+
 func TestFetchFailsThenSucceeds(t *testing.T) {
 	r := newRig(t)
 	r.fetcher.err = result.New(result.SourceFailed, "down")
--- a/version/loader/sim_test.go
+++ b/version/loader/sim_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 	lag     time.Duration
 	load    time.Duration
 	ignores bool
+	hangs   atomic.Bool
 
 	mu      sync.Mutex
 	now     engine.Report
@@ -86,7 +88,11 @@
 	e.now.Adapters = adapters
 }
 
-func (e *simEngine) Report(context.Context) (engine.Report, error) {
+func (e *simEngine) Report(ctx context.Context) (engine.Report, error) {
+	if e.hangs.Load() {
+		<-ctx.Done()
+		return engine.Report{}, result.New(result.EngineUnreadable, "%v", ctx.Err())
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.settle()
--- a/version/loader/step.go
+++ b/version/loader/step.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/waxwingpost/waxwingpost/connection/engine"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -76,7 +77,7 @@
 // tick reads the report, closes the admission check if the report calls for
 // it, and advances the order in force.
 func (c *Controller) tick(ctx context.Context) {
-	report, err := c.driver.Report(ctx)
+	report, err := c.readReport(ctx)
 	c.mu.Lock()
 	c.reports.observe(report, err, c.clock.Now())
 	c.guard()
@@ -95,6 +96,12 @@
 	}
 }
 
+func (c *Controller) readReport(ctx context.Context) (engine.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.ReportTimeout)
+	defer cancel()
+	return c.driver.Report(ctx)
+}
+
 // guard closes the admission check at once when the engine no longer reports
 // what is to be served. It is called with mu held.
 func (c *Controller) guard() {
--- a/version/rollout/plan_test.go
+++ b/version/rollout/plan_test.go
@@ -333,3 +333,23 @@
 		t.Errorf("plan %+v", plan)
 	}
 }
+
+// BenchmarkPlan plans for a fleet of one service in the middle of a rollout.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 2100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newSimFleet(n, n/2, 1)
+			for range 60 {
+				f.commit(Plan(f.input(true)))
+				f.advance()
+			}
+			f.setVersion("v2")
+			f.commit(Plan(f.input(true)))
+			in := f.input(true)
+			for b.Loop() {
+				Plan(in)
+				Summarize(in)
+			}
+		})
+	}
+}
