--- a/bench/e2e/freeze_test.go
+++ b/bench/e2e/freeze_test.go
@@ -59,9 +59,11 @@
 }
 
 // TestFrozenLeaderKeepsNoAuthority freezes the leader past its lease while an
-// operator goes on elsewhere. After SIGCONT nothing goes back.
+// operator goes on elsewhere, beside engines that take old orders. An agent is
+// killed meanwhile and comes back without memory together with the old leader.
+// Nothing goes back, and no engine gets an old order.
 func TestFrozenLeaderKeepsNoAuthority(t *testing.T) {
-	s := newSite(t, 2)
+	s := newSite(t, 2, fencingIgnored)
 	before := s.awaitRevision(1)
 	leader := s.awaitLeader()
 	other := s.Entries()[0]
@@ -81,8 +83,10 @@
 		return err
 	}))
 	s.must(s.AwaitServing(s.ctx, "v2", s.agents...))
-	s.must(leader.Cont())
 	watch := s.watchRevisions()
+	s.must(s.agents[0].Kill())
+	s.must(s.agents[0].Restart())
+	s.must(leader.Cont())
 	s.pause(2*time.Second, 3*time.Second)
 	if after := s.awaitRevision(accepted); after != accepted {
 		t.Errorf("revision %d after the leader came back, %d was accepted", after, accepted)
--- a/bench/e2e/site_test.go
+++ b/bench/e2e/site_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 	testTimeout = 150 * time.Second
 	weightBytes = 1 << 20
 	mainFile    = "10-main.yaml"
+	// fencingIgnored makes stand-in engines take old orders.
+	fencingIgnored = "--fencing-ignored"
 )
 
 // bin holds the binaries that TestMain built.
@@ -54,6 +57,8 @@
 	caller *cluster.Caller
 	*cluster.Cluster
 
+	// fencing tells whether the engines refuse old fences.
+	fencing string
 	// written is the content that edit wrote last.
 	written []byte
 
@@ -79,7 +84,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &site{t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 1)), caller: cluster.NewCaller(), Cluster: c}
+	s := &site{t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 1)), caller: cluster.NewCaller(), Cluster: c, fencing: "enforced"}
+	if slices.Contains(engineArgs, fencingIgnored) {
+		s.fencing = "ignored"
+	}
 	t.Cleanup(s.close)
 	s.must(c.StartEntries())
 	s.origin = s.fake("origin", "origin", "--version", fmt.Sprintf("/v1=%d", weightBytes),
@@ -156,7 +164,7 @@
   v2: {model: drafting, path: /v2}
 priorities: {normal: 10}
 services:
-  drafting: {kind: engine, version: %s, fencing: enforced, min_serving: 1}
+  drafting: {kind: engine, version: %s, fencing: %s, min_serving: 1}
   desk:
     kind: plain
     routes:
@@ -164,7 +172,7 @@
       - {method: GET, path: /v1/filings/, repeatable: true, priority: normal}
 accounts: {stewards: {share: 4}, note-%d: {share: 1}}
 requests: {default_deadline: 20s, key_retention: 1h, retry_share: 0.2}
-`, note, s.origin.Address, version, note)
+`, note, s.origin.Address, version, s.fencing, note)
 	s.must(s.WriteFile(entry, mainFile, s.written))
 }
 
