--- a/request/once/flight.go
+++ b/request/once/flight.go
@@ -71,6 +71,10 @@
 // attempt reserves and dispatches once. A next of zero means that the call is
 // decided; otherwise the next attempt may be made, and err is why.
 func (c *Coordinator) attempt(ctx context.Context, f *flight, place *Place, n int) (next int, out *Outcome, err error) {
+	if !c.isWanted(f) {
+		place.Done(false)
+		return 0, nil, callerLeft()
+	}
 	reserve := c.reservation(f, place, n)
 	rec, err := c.reserve(ctx, f, reserve)
 	if err != nil {
@@ -85,7 +89,7 @@
 	if !c.isWanted(f) {
 		place.Done(false)
 		c.recordLater(reserve, control.AttemptNotRun, nil)
-		return 0, nil, result.Refuse(result.CallerGone, 0, "the caller left before the call was sent")
+		return 0, nil, callerLeft()
 	}
 	answer, rest, err := f.call.Send(ctx, place, n)
 	if err == nil {
@@ -106,6 +110,10 @@
 	return c.resolve(ctx, f, control.Call{Reserve: reserve, Verdict: control.AttemptReserved}, true)
 }
 
+func callerLeft() error {
+	return result.Refuse(result.CallerGone, 0, "the caller left before the call was sent")
+}
+
 // provesNotRun reports whether a failed dispatch can't have been run. An agent
 // of another incarnation speaks for itself only: a copy of the dispatch may
 // have reached the one before.
