--- a/version/planner/planner_test.go
+++ b/version/planner/planner_test.go
@@ -55,6 +55,46 @@
 	}, fleetGens()...))
 }
 
+func TestNothingEntersTwiceWhileOrdersSpread(t *testing.T) {
+	check(t, "ramp", prop.ForAll(func(seed uint64, agents, regions, chunks, quarters int) string {
+		w := newWorld(seed, 1, regions, chunks, float64(quarters)/4)
+		for i := range agents {
+			w.step()
+			w.join(i+1, regions)
+			w.arrange()
+		}
+		if !w.run(maxSteps) && w.broken == nil {
+			return "not complete"
+		}
+		for region, counts := range w.entered {
+			for c, n := range counts {
+				if n > 1 {
+					return fmt.Sprintf("chunk %d entered %s %d times", c, region, n)
+				}
+			}
+		}
+		return verdict(w)
+	}, fleetGens()...))
+}
+
+func TestARegionWhoseFetchersTakeNoPartCompletes(t *testing.T) {
+	check(t, "mute fetchers", prop.ForAll(func(seed uint64, agents, regions, chunks, quarters int) string {
+		w := newWorld(seed, agents+6*regions, regions, chunks, float64(quarters)/4)
+		w.set.OrphanAfter = 3 * time.Second
+		for _, a := range w.agents {
+			a.table.set = w.set
+		}
+		w.mute = make(map[string]bool)
+		for _, name := range w.arr.Fetchers("r0") {
+			w.mute[name] = true
+		}
+		if !w.run(maxSteps) && w.broken == nil {
+			return "not complete"
+		}
+		return verdict(w)
+	}, fleetGens()...))
+}
+
 func verdict(w *world) string {
 	if w.broken != nil {
 		return w.broken.Error()
@@ -187,3 +227,27 @@
 		t.Error("indexes past the end or missing bytes read as present")
 	}
 }
+
+func TestRequestsToANeighborThatCameBackAreCounted(t *testing.T) {
+	a, b := Node{Name: "a", Region: "r"}, Node{Name: "b", Region: "r"}
+	lookup := func(name string) Node { return Node{Name: name, Region: "r"} }
+	version := manifest.Sum([]byte("v"))
+	with, without := Arrange([]Node{a, b}, version, DefaultSettings()), Arrange([]Node{a}, version, DefaultSettings())
+	table := NewTable(a, 4, DefaultSettings())
+	table.SetArrangement(with, Ways{}, lookup, 0)
+	have := NewBits(4)
+	have.Set(0)
+	have.Set(1)
+	table.Heard("b", have, NewBits(4), 0)
+	first := Plan(table, 0)
+	if len(first) != 1 || first[0].From != "b" {
+		t.Fatalf("planned %v", first)
+	}
+	table.Started(first[0], 0)
+	table.SetArrangement(without, Ways{}, lookup, 0)
+	table.SetArrangement(with, Ways{}, lookup, 0)
+	table.Heard("b", have, NewBits(4), 0)
+	if again := Plan(table, 0); len(again) != 0 {
+		t.Errorf("planned %v while %v is in flight to the same neighbor", again, first)
+	}
+}
