--- a/request/once/coordinator.go
+++ b/request/once/coordinator.go
@@ -218,6 +218,10 @@
 // take returns the outcome to one of the callers. What is not held of a large
 // answer goes to the caller that started the flight.
 func (f *flight) take(call *Call) (*Outcome, error) {
+	if result.CodeOf(f.err) == result.CallerGone {
+		// It was given up for want of callers just before this one came.
+		return nil, inProgress()
+	}
 	if f.err == nil && f.outcome.Rest != nil && f.call != call {
 		return nil, notKept()
 	}
