Transfer: peers at a new address, views without news, metrics by sender

A peer that came back at another address was asked at the old one until the transfer ended (TestAPeerThatMovedIsFound red with the watches kept). A view with the same members and links no longer rearranges.

--- a/version/transfer/faults_test.go
+++ b/version/transfer/faults_test.go
@@ -314,6 +314,23 @@
 	}
 }
 
+func TestAPeerThatMovedIsFound(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	m := f.publish("v1", randomContent(15, 8*testChunk))
+	holder, other := f.agents[0], f.agents[1]
+	f.order(m)
+	f.fetchAll(m, other)
+	other.client.Transport = refusing{f.origin.Listener.Addr().String(), other.client.Transport}
+	address := holder.peer.Address
+	holder.peer.Address = "127.0.0.1:1"
+	f.order(m)
+	time.AfterFunc(300*time.Millisecond, func() {
+		holder.peer.Address = address
+		f.order(m)
+	})
+	f.fetchAll(m, holder)
+}
+
 // refusing fails requests to one address.
 type refusing struct {
 	address string
--- a/version/transfer/fetch.go
+++ b/version/transfer/fetch.go
@@ -33,12 +33,14 @@
 	chunk   manifest.Chunk
 	open    func(ctx context.Context) (io.ReadCloser, error)
 	buckets []*bucket
+	// from is the kind of the sender, for the metrics.
+	from string
 	// counts get the bytes that arrive, whether they prove sound or not.
 	counts []*atomic.Int64
 }
 
 func (t *task) newJob(r planner.Request) *job {
-	j := &job{t: t, chunk: t.man.Chunks[r.Chunk], buckets: []*bucket{t.m.down}}
+	j := &job{t: t, chunk: t.man.Chunks[r.Chunk], from: "peer", buckets: []*bucket{t.m.down}}
 	if r.FromSource() {
 		t.sourceJob(j, t.view.Sources[r.Source], t.view.Paths[t.man.Version], t.offsets[r.Chunk])
 		return j
@@ -57,6 +59,7 @@
 	j.open = func(ctx context.Context) (io.ReadCloser, error) {
 		return source.Content(ctx, t.m.client, src, path, offset, j.chunk.Size)
 	}
+	j.from = src.Kind
 	if src.Kind == config.SourceOrigin {
 		j.counts = append(j.counts, &t.count.fromOrigin)
 	} else {
@@ -92,8 +95,10 @@
 		return err
 	}
 	defer func() { _ = body.Close() }()
+	received := j.t.m.scope.Tagged(map[string]string{"from": j.from}).Counter("bytes_received")
 	return j.t.m.store.Put(j.chunk, &pacedReader{ctx: ctx, r: body, buckets: j.buckets, progress: func(n int) {
 		watchdog.reset()
+		received.Inc(int64(n))
 		for _, c := range j.counts {
 			c.Add(int64(n))
 		}
--- a/version/transfer/manager.go
+++ b/version/transfer/manager.go
@@ -366,9 +366,10 @@
 
 // Dump returns the state for operators.
 func (m *Manager) Dump() any {
+	used := m.store.Used()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := dump{SpoolBytes: m.store.Used(), LiveRequests: m.live, Staged: make([]string, 0, len(m.staged))}
+	d := dump{SpoolBytes: used, LiveRequests: m.live, Staged: make([]string, 0, len(m.staged))}
 	for _, s := range m.staged {
 		d.Staged = append(d.Staged, s.Version)
 	}
--- a/version/transfer/task.go
+++ b/version/transfer/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -198,16 +199,36 @@
 		return changed
 	}
 	t.view, t.adopted = view, t.now()
-	t.peers = t.m.members(view, t.man.Version)
-	l := links(view, t.peers)
+	t.table.SetSources(t.sourceStates())
+	members := t.m.members(view, t.man.Version)
+	l := links(view, members)
 	est := estimate(l, view.Objective, t.man.Size())
+	if last := t.lastPlan.Load(); last != nil && last.Estimate == est && maps.Equal(members, t.peers) {
+		return changed
+	}
+	t.stopMoved(members)
+	t.peers = members
+	t.arrange(l, est)
+	return changed
+}
+
+// stopMoved ends the watches of peers that are at another address now.
+func (t *task) stopMoved(members map[string]wire.Peer) {
+	for name, stop := range t.watches {
+		if members[name].Address != t.peers[name].Address {
+			stop()
+			delete(t.watches, name)
+		}
+	}
+}
+
+func (t *task) arrange(l planner.Links, est planner.Estimate) {
 	ways := est.Ways(l, t.man.Chunks[0].Size, t.m.cfg.Planner.Fetchers)
-	ways.Balance = view.Objective == config.ObjectiveTime
+	ways.Balance = t.view.Objective == config.ObjectiveTime
 	nodes := make([]planner.Node, 0, len(t.peers))
 	for name := range t.peers {
 		nodes = append(nodes, t.node(name))
 	}
-	t.table.SetSources(t.sourceStates())
 	arr := planner.Arrange(nodes, t.man.Digest(), t.m.cfg.Planner)
 	t.table.SetArrangement(arr, ways, t.node, t.now())
 	t.watchNeighbors()
@@ -217,7 +238,6 @@
 		Fetcher:  slices.Contains(arr.Fetchers(t.m.cfg.Self.Region), t.m.cfg.Self.Name),
 		Peers:    t.table.Neighbors(),
 	})
-	return changed
 }
 
 func (t *task) node(name string) planner.Node {
