Transfer: a live share of 1 no longer lifts every limit

Cause: the rate became zero, which means unlimited, on the VM's link, on pairs and in the estimate. Transfers now keep 2% of a link at least. Seen red before the change: TestALiveShareOfAllStillLimits.

--- a/version/transfer/manager.go
+++ b/version/transfer/manager.go
@@ -149,7 +149,7 @@
 	if m.view == nil {
 		return
 	}
-	rest := 1 - min(max(m.view.LiveShare, 0), 1)
+	rest := transferShare(m.view)
 	vmRate := float64(m.view.VMBytesPerSecond)
 	if m.yielding {
 		vmRate *= rest
@@ -161,10 +161,20 @@
 	}
 }
 
+// minTransferShare is what transfers keep of a link whatever the live share
+// is: a rate of zero would mean unlimited.
+const minTransferShare = 0.02
+
+// transferShare is the part of a link that transfers may take while requests
+// are live.
+func transferShare(v *wire.AgentView) float64 {
+	return min(max(1-v.LiveShare, minTransferShare), 1)
+}
+
 // pairRateLocked is this agent's part of a pair of regions: only the fetchers
 // of a region cross it, each with an equal part.
 func (m *Manager) pairRateLocked() float64 {
-	rest := 1 - min(max(m.view.LiveShare, 0), 1)
+	rest := transferShare(m.view)
 	members := 1
 	for _, p := range m.view.Peers {
 		if p.Region == m.cfg.Self.Region && p.Name != m.cfg.Self.Name {
@@ -345,7 +355,7 @@
 		regions[p.Region] = true
 	}
 	l := planner.Links{
-		RegionPair: int64(float64(v.RegionPairBytesPerSecond) * (1 - v.LiveShare)),
+		RegionPair: int64(float64(v.RegionPairBytesPerSecond) * transferShare(v)),
 		VM:         v.VMBytesPerSecond,
 		Regions:    len(regions),
 	}
--- a/version/transfer/pace_test.go
+++ b/version/transfer/pace_test.go
@@ -72,6 +72,22 @@
 	}
 }
 
+func TestALiveShareOfAllStillLimits(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	f.view.VMBytesPerSecond = 1000
+	f.view.RegionPairBytesPerSecond = 1000
+	f.view.LiveShare = 1
+	f.order(f.publish("v1", randomContent(1, 10)))
+	m := f.agents[0].Manager
+	m.SetLiveRequests(1)
+	if up, pair := m.up.rate, m.pair("r1").rate; up <= 0 || up > 100 || pair <= 0 || pair > 100 {
+		t.Errorf("up %v, pair %v of 1000", up, pair)
+	}
+	if l := links(&f.view, m.members(&f.view, "v1")); l.RegionPair <= 0 {
+		t.Errorf("the estimate takes pairs as unlimited: %+v", l)
+	}
+}
+
 func TestAnOlderViewIsIgnored(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	m := f.agents[0].Manager
