--- a/bench/cmd/wpbench/requests.go
+++ b/bench/cmd/wpbench/requests.go
@@ -29,6 +29,10 @@
 	streamsAtOnce    = 1000
 	onceCallers      = 16
 	prefixKinds      = 60
+	// toldFailures is how many failures are told one by one; failurePause is
+	// how long a caller waits after one.
+	toldFailures = 5
+	failurePause = 200 * time.Millisecond
 )
 
 // ratedCapacity is how many answers a second the engines give without the
@@ -359,9 +363,14 @@
 					total = append(total, first.Total)
 				} else {
 					failed++
-					fmt.Fprintf(r.opts.Log, "%s failed: %d %d %q %v after %s\n", call.Key, first.Status, first.Code, first.Ran, first.Err, first.Total)
+					if failed <= toldFailures {
+						fmt.Fprintf(r.opts.Log, "%s failed: %d %d %q %v after %s\n", call.Key, first.Status, first.Code, first.Ran, first.Err, first.Total)
+					}
 				}
 				mu.Unlock()
+				if !ok {
+					time.Sleep(failurePause)
+				}
 			}
 		})
 	}
