A refusal before the body was read no longer drops the connection

Cause: since handlers answer in full duplex; the server then reaches the end of an unread body only after the handler returned, and panics with 'invalid concurrent Body.Read call' when it waits for the next request. The caller's or entry's kept connection was dropped: make demo failed with 1 of 22 requests in the planned stop (connection reset), TestRolloutsUnderLoad with 2 refused; panics in the logs of 3 entries and 3 agents. Now a handler reads what is left before it returns.

--- a/request/api/api.go
+++ b/request/api/api.go
@@ -205,6 +205,7 @@
 	defer a.exit()
 	stream.AllowEarlyAnswer(w)
 	a.server.ServeHTTP(w, r)
+	stream.FinishRequest(r)
 }
 
 func (a *API) enter() error {
--- a/request/runner/runner.go
+++ b/request/runner/runner.go
@@ -182,6 +182,7 @@
 	case strings.HasPrefix(req.URL.Path, wire.PathDispatch+"/"):
 		stream.AllowEarlyAnswer(w)
 		r.dispatch.ServeHTTP(w, req)
+		stream.FinishRequest(req)
 	default:
 		stream.WriteError(w, result.Refuse(result.NotFound, 0, "no such path"))
 	}
