--- a/connection/wire/headers.go
+++ b/connection/wire/headers.go
@@ -57,6 +57,8 @@
 	PathMetrics = "/metrics"
 	PathHealth  = "/healthz"
 	PathReady   = "/readyz"
+	// PathProfiles prefixes the runtime's profiles.
+	PathProfiles = "/debug/pprof/"
 )
 
 // Paths of a backend server's engine interface.
--- a/process/agent/run.go
+++ b/process/agent/run.go
@@ -179,6 +179,7 @@
 	obs.AddHealth(mux, a.check)
 	mux.Handle(wire.PathMetrics, a.auth.Require(a.metrics))
 	mux.Handle(wire.PathState, a.auth.Require(&a.dump))
+	mux.Handle(wire.PathProfiles, a.auth.Require(obs.Profiles()))
 	mux.Handle(wire.PathExplain, a.auth.Require(obs.ExplainHandler(a.explain)))
 	return mux
 }
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -187,6 +187,7 @@
 	obs.AddHealth(mux, e.check)
 	mux.Handle(wire.PathMetrics, e.auth.Require(e.metrics))
 	mux.Handle(wire.PathState, e.auth.Require(&e.dump))
+	mux.Handle(wire.PathProfiles, e.auth.Require(obs.Profiles()))
 	mux.Handle(wire.PathExplain, e.auth.Require(obs.ExplainHandler(e.explain)))
 	return mux
 }
--- a/process/obs/http.go
+++ b/process/obs/http.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -47,3 +48,12 @@
 	}
 	return http.StatusBadRequest
 }
+
+// Profiles serves the Go runtime's profiles below PathProfiles: a processor
+// profile costs a few percent of a core while it is taken.
+func Profiles() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(wire.PathProfiles, pprof.Index)
+	mux.HandleFunc(wire.PathProfiles+"profile", pprof.Profile)
+	return mux
+}
