--- a/process/control/node/bootstrap.go
+++ b/process/control/node/bootstrap.go
@@ -168,5 +168,10 @@
 	if cfg.diskless() {
 		return noDisk{}, raft.Stored{Snapshot: foundingSnapshot(id)}, nil
 	}
-	return wal.Open(cfg.FS, cfg.DataDir, foundingSnapshot(id))
+	l, stored, err := wal.Open(cfg.FS, cfg.DataDir, foundingSnapshot(id))
+	if err != nil {
+		return nil, stored, err
+	}
+	l.SetSegmentBytes(cfg.SegmentBytes)
+	return l, stored, nil
 }
--- a/process/control/node/config.go
+++ b/process/control/node/config.go
@@ -66,6 +66,9 @@
 	MaxMembers int
 	// MaxBatch bounds how much waiting work is taken in before one sync.
 	MaxBatch int
+	// SegmentBytes is the size from which on a part of the log is ended when a
+	// snapshot was saved.
+	SegmentBytes int64
 	// FS is the file system of the data folder.
 	FS wal.FS
 }
@@ -83,6 +86,7 @@
 	defaultForgetReplica  = 10 * time.Minute
 	defaultMaxMembers     = 64
 	defaultMaxBatch       = 1024
+	defaultSegmentBytes   = 8 << 20
 )
 
 func (c Config) withDefaults() Config {
@@ -94,6 +98,7 @@
 	setDefault(&c.SnapshotBytes, defaultSnapshotBytes)
 	setDefault(&c.RetainEntries, defaultRetainEntries)
 	setDefault(&c.RetainBytes, defaultRetainBytes)
+	setDefault(&c.SegmentBytes, defaultSegmentBytes)
 	setDefault(&c.RetryAfter, defaultRetryAfter)
 	setDefault(&c.CallTimeout, defaultCallTimeout)
 	setDefault(&c.ForgetVolatile, defaultForgetVolatile)
--- a/process/control/node/replica.go
+++ b/process/control/node/replica.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"math/rand/v2"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/uber-go/tally/v4"
@@ -74,6 +75,10 @@
 	token  uint64
 	// waiters are called as the applied index rises.
 	waiters []appliedWaiter
+	// snapshotEvery is how many entries are applied between two snapshots. It
+	// differs from replica to replica: they apply in step, and a majority must
+	// not be busy with its snapshots at the same time.
+	snapshotEvery uint64
 	// snapshotIndex is the index of the last snapshot on disk.
 	snapshotIndex uint64
 	// snapshotSize is the size of that snapshot's data.
@@ -99,6 +104,7 @@
 		core:          raft.New(cfg.core(id.Replica), rnd, stored),
 		inLog:         map[string][]proposal{},
 		rounds:        map[uint64][]readRequest{},
+		snapshotEvery: snapshotEvery(cfg.SnapshotEvery, id.Replica),
 		snapshotIndex: stored.Snapshot.Index,
 		snapshotSize:  int64(len(stored.Snapshot.Data)),
 		beside:        inline,
@@ -337,11 +343,17 @@
 	})
 }
 
+// snapshotEvery adds up to a half to every, by the replica's identity.
+func snapshotEvery(every int, replica string) uint64 {
+	spread := uint64(every/2 + 1)
+	return uint64(every) + xxhash.Sum64String(replica)%spread
+}
+
 // snapshotDue reports whether the log is long enough. A large state is written
 // less often, so that the snapshots cost no more than the log itself.
 func (r *replica) snapshotDue() bool {
 	since := r.core.Applied() - r.snapshotIndex
-	if since < uint64(r.cfg.SnapshotEvery) {
+	if since < r.snapshotEvery {
 		return since > 0 && r.disk.Bytes() >= max(r.cfg.SnapshotBytes, r.snapshotSize)
 	}
 	return r.cfg.diskless() || r.disk.Bytes() >= r.snapshotSize
--- a/process/control/node/sim_test.go
+++ b/process/control/node/sim_test.go
@@ -80,6 +80,9 @@
 	log    *slog.Logger
 }
 
+// simSegmentBytes lets a segment outlive a few snapshots.
+const simSegmentBytes = 4 << 10
+
 func newWorld(t *testing.T, seed uint64, voters, spare int) *world {
 	w := &world{
 		t: t, seed: seed, rnd: rand.New(rand.NewPCG(seed, 11)),
@@ -151,6 +154,8 @@
 		w.fail("open of %s: %v", h.name, err)
 		return
 	}
+	// Every second seed ends segments at a size, the others at every snapshot.
+	d.SetSegmentBytes(int64(w.seed%2) * simSegmentBytes)
 	h.incar++
 	h.frozen = 0
 	h.sm = &recorder{register: newRegister(), w: w}
--- a/process/control/wal/open.go
+++ b/process/control/wal/open.go
@@ -174,7 +174,7 @@
 		l.chain = sum
 		off += recordBytes(body)
 	}
-	l.bytes = int64(len(data))
+	l.bytes, l.size = int64(len(data)), int64(len(data))
 	if len(data) == 0 {
 		return result.New(result.LogDamaged, "%s is empty", s.name())
 	}
@@ -184,7 +184,7 @@
 // cutTail drops a torn record, and makes that last before anything is added.
 func (r *replay) cutTail(path string, size int) error {
 	l := r.log
-	l.bytes = int64(size)
+	l.bytes, l.size = int64(size), int64(size)
 	if err := l.fs.Truncate(path, int64(size)); err != nil {
 		return l.fail("cut tail", err)
 	}
--- a/process/control/wal/wal.go
+++ b/process/control/wal/wal.go
@@ -69,11 +69,20 @@
 	hard  raft.HardState
 	// last is the index of the last entry.
 	last uint64
-	// bytes counts what was written since the last snapshot.
+	// bytes counts what was written since the last snapshot; after a restart
+	// it is the size of the open segment.
 	bytes int64
-	err   error
+	// size is that of the open segment; it is ended at segmentBytes.
+	size         int64
+	segmentBytes int64
+	err          error
 }
 
+// SetSegmentBytes sets the size from which on Truncate begins a new segment.
+// Beginning one costs syncs on the path of the log, so it must not happen at
+// every snapshot. At zero, the default, it does.
+func (l *Log) SetSegmentBytes(n int64) { l.segmentBytes = n }
+
 // Save writes a hard state, which may be nil, and entries as one record and
 // syncs it.
 func (l *Log) Save(hs *raft.HardState, entries []raft.Entry) error {
@@ -92,6 +101,7 @@
 	}
 	l.chain = sum
 	l.bytes += int64(len(data))
+	l.size += int64(len(data))
 	if hs != nil {
 		l.hard = *hs
 	}
@@ -127,10 +137,16 @@
 }
 
 // Truncate removes the part of the log that a saved snapshot up to index
-// covers.
+// covers, by whole segments.
 func (l *Log) Truncate(index uint64) error {
-	if err := l.cut(nil); err != nil {
-		return err
+	if l.err != nil {
+		return l.err
+	}
+	l.bytes = 0
+	if l.size >= l.segmentBytes {
+		if err := l.cut(nil); err != nil {
+			return err
+		}
 	}
 	return l.prune(index)
 }
@@ -219,6 +235,7 @@
 	l.segments = append(l.segments, next)
 	l.chain = sum
 	l.bytes = 0
+	l.size = int64(len(data))
 	return nil
 }
 
--- a/process/control/wal/wal_test.go
+++ b/process/control/wal/wal_test.go
@@ -95,8 +95,14 @@
 	}}
 }
 
-func open(d *faultdisk.Disk) (*wal.Log, mirror, error) {
+func open(d *faultdisk.Disk) (*wal.Log, mirror, error) { return openSized(d, 0) }
+
+// openSized opens a log whose segments end at a size.
+func openSized(d *faultdisk.Disk, segmentBytes int64) (*wal.Log, mirror, error) {
 	l, stored, err := wal.Open(d, dir, raft.Snapshot{})
+	if err == nil {
+		l.SetSegmentBytes(segmentBytes)
+	}
 	return l, mirror{stored.HardState, stored.Snapshot, stored.Entries}, err
 }
 
@@ -110,11 +116,14 @@
 // A crash in any operation on the disk leaves all that was acknowledged, and of
 // the call in progress all or nothing.
 func TestCrashAtEveryOperationKeepsWhatWasSynced(t *testing.T) {
-	for seed := uint64(1); seed <= 6; seed++ {
-		ops := script(rand.New(rand.NewPCG(seed, 0)), 40)
-		for at := 0; ; at++ {
-			if finished := crashRun(t, seed, ops, at); finished || t.Failed() {
-				break
+	// A segment of 0 bytes ends at every snapshot, one of 4 KiB outlives some.
+	for _, segmentBytes := range []int64{0, 4 << 10} {
+		for seed := uint64(1); seed <= 6; seed++ {
+			ops := script(rand.New(rand.NewPCG(seed, 0)), 40)
+			for at := 0; ; at++ {
+				if finished := crashRun(t, seed, segmentBytes, ops, at); finished || t.Failed() {
+					break
+				}
 			}
 		}
 	}
@@ -122,14 +131,14 @@
 
 // crashRun plays the script with a crash after the given number of operations,
 // reopens, and goes on to the end. It reports whether the crash came too late.
-func crashRun(t *testing.T, seed uint64, ops []op, at int) bool {
+func crashRun(t *testing.T, seed uint64, segmentBytes int64, ops []op, at int) bool {
 	t.Helper()
 	d := newDisk(seed*1000 + uint64(at))
 	if err := wal.Create(d, dir); err != nil {
 		t.Fatal(err)
 	}
 	d.CrashAfter(at)
-	l, want, err := open(d)
+	l, want, err := openSized(d, segmentBytes)
 	for i := 0; i < len(ops); i++ {
 		if err == nil {
 			if err = ops[i].run(l); err == nil {
@@ -142,7 +151,7 @@
 		}
 		d.Restart()
 		var got mirror
-		if l, got, err = open(d); err != nil {
+		if l, got, err = openSized(d, segmentBytes); err != nil {
 			t.Fatalf("seed %d crash %d in %s: reopen: %v", seed, at, ops[i].name, err)
 		}
 		after := want.clone()
@@ -165,7 +174,7 @@
 	}
 	finished := !d.Crashed() && d.Ops <= at
 	d.Restart()
-	if _, got, err := open(d); err != nil || !same(got, want) {
+	if _, got, err := openSized(d, segmentBytes); err != nil || !same(got, want) {
 		t.Fatalf("seed %d crash %d: after the end: %v, %d entries of %d", seed, at, err, len(got.entries), len(want.entries))
 	}
 	return finished
