--- a/bench/cmd/wpbench/requests.go
+++ b/bench/cmd/wpbench/requests.go
@@ -17,11 +17,30 @@
 func init() {
 	register(experiment{
 		Name: "requests",
-		Help: "latency, goodput, fairness, prefix hits and at-most-once calls on processes, beside baselines.",
-		Run:  runRequests,
+		Help: "latency, goodput under overload and shares under a flood, on processes, beside baselines.",
+		Run: requestSteps(func(r *requestsRun) []requestStep {
+			return []requestStep{r.measureCapacity, r.latency, r.overload, r.flood}
+		}),
+	})
+	register(experiment{
+		Name: "requests-routing",
+		Help: "prefix hits, and a slow and a failing backend server, on processes, beside baselines.",
+		Run: requestSteps(func(r *requestsRun) []requestStep {
+			return []requestStep{r.measureCapacity, r.costs, r.prefixHits, r.faulty}
+		}),
+	})
+	register(experiment{
+		Name: "requests-calls",
+		Help: "1,000 streams at once, and calls that may not be repeated with and without the reserve.",
+		Run: requestSteps(func(r *requestsRun) []requestStep {
+			return []requestStep{r.manyStreams, r.onceCalls}
+		}),
 	})
 }
 
+// requestStep is one measurement.
+type requestStep func(ctx context.Context) error
+
 const (
 	windowTime       = 4 * time.Second
 	warmTime         = 2 * time.Second
@@ -51,28 +70,29 @@
 	capacity float64
 }
 
-func runRequests(ctx context.Context, opts options) error {
-	rig, err := startRequestsRig(ctx, opts)
-	if err != nil {
-		return err
-	}
-	defer rig.close()
-	r := &requestsRun{opts: opts, rig: rig}
-	for _, e := range rig.engines {
-		r.direct = append(r.direct, e.Address)
-	}
-	steps := []func(context.Context) error{
-		r.measureCapacity, r.latency, r.overload, r.flood, r.prefixHits, r.faulty, r.manyStreams, r.onceCalls, r.safety,
-	}
-	for _, step := range steps {
-		if err := step(ctx); err != nil {
+// requestSteps makes an experiment of steps on one rig. Each ends with the
+// count of broken promises.
+func requestSteps(steps func(r *requestsRun) []requestStep) func(context.Context, options) error {
+	return func(ctx context.Context, opts options) error {
+		rig, err := startRequestsRig(ctx, opts)
+		if err != nil {
 			return err
 		}
-		if err := ctx.Err(); err != nil {
-			return err
+		defer rig.close()
+		r := &requestsRun{opts: opts, rig: rig}
+		for _, e := range rig.engines {
+			r.direct = append(r.direct, e.Address)
+		}
+		for _, step := range append(steps(r), r.safety) {
+			if err := step(ctx); err != nil {
+				return err
+			}
+			if err := ctx.Err(); err != nil {
+				return err
+			}
 		}
+		return nil
 	}
-	return nil
 }
 
 func (r *requestsRun) figure(name string, value float64, unit, target string) {
