--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -9,22 +9,14 @@
 import (
 	"context"
 	"io"
-	"log/slog"
-	"math/rand/v2"
-	"net"
-	"net/http"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/jonboulle/clockwork"
-	"github.com/uber-go/tally/v4"
-
 	"github.com/waxwingpost/waxwingpost/connection/engine"
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/mesh"
 	"github.com/waxwingpost/waxwingpost/connection/session"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
-	"github.com/waxwingpost/waxwingpost/process/obs"
+	"github.com/waxwingpost/waxwingpost/process/base"
 	"github.com/waxwingpost/waxwingpost/process/settings"
 	"github.com/waxwingpost/waxwingpost/request/runner"
 	"github.com/waxwingpost/waxwingpost/version/loader"
@@ -32,91 +24,47 @@
 	"github.com/waxwingpost/waxwingpost/version/transfer"
 )
 
-const (
-	// engineTimeout bounds one call of the engine's order interface.
-	engineTimeout = 5 * time.Second
-
-	idleConnsPerHost = 256
-	idleConnTimeout  = 90 * time.Second
-	dialTimeout      = 2 * time.Second
-)
+// engineTimeout bounds one call of the engine's order interface.
+const engineTimeout = 5 * time.Second
 
 // Agent is one running agent process.
 type Agent struct {
-	set     settings.Agent
-	hello   wire.Hello
-	auth    link.Authenticator
-	clock   clockwork.Clock
-	log     *slog.Logger
-	scope   tally.Scope
-	metrics http.Handler
-	closer  io.Closer
+	*base.Base
+	set   settings.Agent
+	hello wire.Hello
 
-	stats    *link.Stats
 	mesh     *mesh.Mesh
 	leases   *session.Leases
 	views    *views
 	transfer *transfer.Manager
 	loader   *loader.Controller
 	runner   *runner.Runner
-	dump     obs.State
 	beat     beatState
 }
 
 // New assembles an agent from valid settings. Nothing runs until Run.
 func New(set settings.Agent, logOut io.Writer) (*Agent, error) {
-	log, err := obs.NewLogger(logOut, set.LogLevel, set.Name)
+	common, err := base.New(set.Common, logOut)
 	if err != nil {
 		return nil, err
 	}
-	scope, metrics, closer := obs.NewMetrics(set.Name)
-	a := &Agent{
-		set:     set,
-		auth:    link.Authenticator{Key: set.JoinKey},
-		clock:   clockwork.NewRealClock(),
-		log:     log,
-		scope:   scope,
-		metrics: metrics,
-		closer:  closer,
-		stats:   &link.Stats{},
-	}
-	a.hello = wire.Hello{
-		Role:        wire.RoleAgent,
-		Name:        set.Name,
-		Incarnation: uuid.New().String(),
-		Zone:        set.Zone,
-		Region:      set.Region,
-		Address:     set.Listen,
-		Service:     set.Service,
-	}
+	a := &Agent{Base: common, set: set, hello: base.Hello(set.Common, set.Listen)}
+	a.hello.Role = wire.RoleAgent
+	a.hello.Service = set.Service
 	return a, a.assemble()
 }
 
-func newRand() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-}
-
-func newTransport() *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:         d.DialContext,
-		MaxIdleConnsPerHost: idleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}
-}
-
 func (a *Agent) assemble() error {
 	targets, err := settings.ParseTargets(a.set.Entries)
 	if err != nil {
 		return err
 	}
-	a.leases = session.NewLeases(session.Config{}, a.clock, newRand())
-	a.views = newViews(a.log, a.isLinked, a.applyView)
-	dialer := &link.Dialer{Auth: a.auth, Self: a.self, Handler: a.views, Stats: a.stats}
+	a.leases = session.NewLeases(session.Config{}, a.Clock, base.NewRand())
+	a.views = newViews(a.Log, a.isLinked, a.applyView)
+	dialer := &link.Dialer{Auth: a.Auth, Self: a.self, Handler: a.views, Stats: a.Stats}
 	home := homeTargets(a.set.Name, targets, a.set.HomeEntries)
-	a.mesh = mesh.New(mesh.Config{Targets: home}, dialer, a.log)
-	backend := newTransport()
+	a.mesh = mesh.New(mesh.Config{Targets: home}, dialer, a.Log)
+	backend := base.NewTransport()
 	driver := engine.NewHTTP(a.set.Backend, backend, engineTimeout)
 	if err := a.newLoader(driver); err != nil {
 		return err
@@ -126,9 +74,9 @@
 		Leases:    a.leases,
 		Driver:    driver,
 		Transport: backend,
-		Clock:     a.clock,
-		Log:       a.log,
-		Scope:     a.scope,
+		Clock:     a.Clock,
+		Log:       a.Log,
+		Scope:     a.Scope,
 	})
 	a.registerDump()
 	return nil
@@ -142,11 +90,11 @@
 			return err
 		}
 		peer := wire.Peer{Name: a.set.Name, Address: a.set.Listen, Zone: a.set.Zone, Region: a.set.Region}
-		a.transfer = transfer.New(transfer.Config{Self: peer}, spool, newTransport(), a.auth, a.clock, newRand(), a.log, a.scope)
+		a.transfer = transfer.New(transfer.Config{Self: peer}, spool, base.NewTransport(), a.Auth, a.Clock, base.NewRand(), a.Log, a.Scope)
 		fetcher = a.transfer
 	}
 	cfg := loader.Config{Agent: a.set.Name, Service: a.set.Service, Plain: a.set.Plain}
-	a.loader = loader.New(cfg, driver, fetcher, a, a.clock, a.log, a.scope)
+	a.loader = loader.New(cfg, driver, fetcher, a, a.Clock, a.Log, a.Scope)
 	return nil
 }
 
--- a/process/agent/heartbeat.go
+++ b/process/agent/heartbeat.go
@@ -25,12 +25,12 @@
 
 // runHeartbeats sends heartbeats on a link until it is lost or ctx ends.
 func (a *Agent) runHeartbeats(ctx context.Context, c *link.Conn) {
-	ticker := a.clock.NewTicker(heartbeatInterval)
+	ticker := a.Clock.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	encoder := heartbeat.NewEncoder(a.clock)
+	encoder := heartbeat.NewEncoder(a.Clock)
 	for {
 		if err := a.heartbeat(ctx, c, encoder); err != nil {
-			a.log.Warn("heartbeat not acknowledged", "entry", c.Peer().Name, "code", int(result.CodeOf(err)))
+			a.Log.Warn("heartbeat not acknowledged", "entry", c.Peer().Name, "code", int(result.CodeOf(err)))
 			c.Close()
 			return
 		}
--- a/process/agent/run.go
+++ b/process/agent/run.go
@@ -7,17 +7,16 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/base"
 	"github.com/waxwingpost/waxwingpost/process/obs"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
 const (
-	headerTimeout  = 10 * time.Second
 	shutdownBudget = 5 * time.Second
 	// liveInterval is how often transfers are told of live requests.
 	liveInterval = 50 * time.Millisecond
@@ -29,18 +28,18 @@
 // Run serves until ctx ends, then stops gracefully: the entries are told,
 // nothing new is taken, and what is in progress ends.
 func (a *Agent) Run(ctx context.Context) error {
-	defer func() { _ = a.closer.Close() }()
+	defer a.Close()
 	listener, err := net.Listen("tcp", a.set.Listen)
 	if err != nil {
 		return err
 	}
-	a.log.Info("agent started", "listen", a.set.Listen, "service", a.set.Service, "backend", a.set.Backend, "incarnation", a.hello.Incarnation)
+	a.Log.Info("agent started", "listen", a.set.Listen, "service", a.set.Service, "backend", a.set.Backend, "incarnation", a.hello.Incarnation)
 	// The parts outlive ctx: they are needed until the requests have ended.
 	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	group, groupCtx := errgroup.WithContext(partsCtx)
-	srv := &http.Server{Handler: a.mux(), ReadHeaderTimeout: headerTimeout}
-	group.Go(func() error { return serve(srv, listener) })
+	srv := base.NewServer(a.mux())
+	group.Go(func() error { return base.Serve(srv, listener) })
 	group.Go(func() error { a.mesh.Run(groupCtx); return nil })
 	group.Go(func() error { return a.loader.Run(groupCtx) })
 	group.Go(func() error { a.beatAll(groupCtx); return nil })
@@ -53,19 +52,8 @@
 	}
 	stopParts()
 	_ = srv.Close()
-	err = group.Wait()
-	if errors.Is(err, context.Canceled) {
-		err = nil
-	}
-	a.log.Info("agent stopped", "code", int(result.CodeOf(err)))
-	return err
-}
-
-func serve(srv *http.Server, l net.Listener) error {
-	err := srv.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
+	err = base.IgnoreCanceled(group.Wait())
+	a.Log.Info("agent stopped", "code", int(result.CodeOf(err)))
 	return err
 }
 
@@ -74,7 +62,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	beating := make(map[*link.Conn]bool)
-	ticker := a.clock.NewTicker(linkScan)
+	ticker := a.Clock.NewTicker(linkScan)
 	defer ticker.Stop()
 	for {
 		a.beatNew(ctx, &wg, beating)
@@ -115,7 +103,7 @@
 
 // learnFloor asks a quorum what is in force until it is told once.
 func (a *Agent) learnFloor(ctx context.Context) {
-	ticker := a.clock.NewTicker(floorRetry)
+	ticker := a.Clock.NewTicker(floorRetry)
 	defer ticker.Stop()
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, floorTimeout)
@@ -137,7 +125,7 @@
 	if a.transfer == nil {
 		return
 	}
-	ticker := a.clock.NewTicker(liveInterval)
+	ticker := a.Clock.NewTicker(liveInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -151,17 +139,17 @@
 
 func (a *Agent) drain(srv *http.Server) {
 	a.beat.draining.Store(true)
-	a.log.Info("agent draining")
+	a.Log.Info("agent draining")
 	for _, c := range a.mesh.Conns() {
 		_ = c.Notify(wire.KindLeave, wire.Leave{Reason: "planned stop"})
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.set.DrainLimit)
 	defer cancel()
 	if err := a.runner.Drain(ctx); err != nil {
-		a.log.Error("drain limit reached", "code", int(result.CodeOf(err)), "error", err)
+		a.Log.Error("drain limit reached", "code", int(result.CodeOf(err)), "error", err)
 	}
 	if err := a.loader.Close(ctx); err != nil {
-		a.log.Error("loader not closed", "code", int(result.CodeOf(err)), "error", err)
+		a.Log.Error("loader not closed", "code", int(result.CodeOf(err)), "error", err)
 	}
 	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), shutdownBudget)
 	defer cancelShutdown()
@@ -170,17 +158,13 @@
 
 func (a *Agent) mux() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.PathDispatch+"/", a.auth.Require(a.runner))
-	mux.Handle(wire.PathAttempt, a.auth.Require(a.runner))
+	mux.Handle(wire.PathDispatch+"/", a.Auth.Require(a.runner))
+	mux.Handle(wire.PathAttempt, a.Auth.Require(a.runner))
 	if a.transfer != nil {
-		mux.Handle(wire.PathChunks, a.auth.Require(a.transfer.Handler()))
-		mux.Handle(wire.PathHave, a.auth.Require(a.transfer.Handler()))
-	}
-	obs.AddHealth(mux, a.check)
-	mux.Handle(wire.PathMetrics, a.auth.Require(a.metrics))
-	mux.Handle(wire.PathState, a.auth.Require(&a.dump))
-	mux.Handle(wire.PathProfiles, a.auth.Require(obs.Profiles()))
-	mux.Handle(wire.PathExplain, a.auth.Require(obs.ExplainHandler(a.explain)))
+		mux.Handle(wire.PathChunks, a.Auth.Require(a.transfer.Handler()))
+		mux.Handle(wire.PathHave, a.Auth.Require(a.transfer.Handler()))
+	}
+	a.AddOperatorPaths(mux, a.check, a.explain)
 	return mux
 }
 
@@ -203,13 +187,13 @@
 }
 
 func (a *Agent) registerDump() {
-	a.dump.Add("process", func() any { return a.hello })
-	a.dump.Add("usage", func() any { return obs.ReadUsage() })
-	a.dump.Add("links", func() any { return a.stats.Read() })
-	a.dump.Add("status", func() any { return a.status() })
-	a.dump.Add("loader", a.loader.Dump)
-	a.dump.Add("runner", a.runner.Dump)
+	a.Dump.Add("process", func() any { return a.hello })
+	a.Dump.Add("usage", func() any { return obs.ReadUsage() })
+	a.Dump.Add("links", func() any { return a.Stats.Read() })
+	a.Dump.Add("status", func() any { return a.status() })
+	a.Dump.Add("loader", a.loader.Dump)
+	a.Dump.Add("runner", a.runner.Dump)
 	if a.transfer != nil {
-		a.dump.Add("transfer", a.transfer.Dump)
+		a.Dump.Add("transfer", a.transfer.Dump)
 	}
 }
--- a/process/entry/dump.go
+++ b/process/entry/dump.go
@@ -21,17 +21,17 @@
 }
 
 func (e *Entry) registerDump() {
-	e.dump.Add("process", e.processState)
-	e.dump.Add("links", func() any { return e.stats.Read() })
-	e.dump.Add("control", e.node.Dump)
-	e.dump.Add("state", e.machine.Dump)
-	e.dump.Add("sessions", e.sessions.Dump)
-	e.dump.Add("fleet", func() any { return e.fleet.Statuses() })
-	e.dump.Add("in_force", func() any { return e.fleet.Revisions() })
-	e.dump.Add("requests", e.api.Dump)
-	e.dump.Add("rollout", e.rollout.Dump)
+	e.Dump.Add("process", e.processState)
+	e.Dump.Add("links", func() any { return e.Stats.Read() })
+	e.Dump.Add("control", e.node.Dump)
+	e.Dump.Add("state", e.machine.Dump)
+	e.Dump.Add("sessions", e.sessions.Dump)
+	e.Dump.Add("fleet", func() any { return e.fleet.Statuses() })
+	e.Dump.Add("in_force", func() any { return e.fleet.Revisions() })
+	e.Dump.Add("requests", e.api.Dump)
+	e.Dump.Add("rollout", e.rollout.Dump)
 	if e.folder != nil {
-		e.dump.Add("folder", e.folder.Dump)
+		e.Dump.Add("folder", e.folder.Dump)
 	}
 }
 
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -9,27 +9,21 @@
 import (
 	"context"
 	"io"
-	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/jonboulle/clockwork"
-	"github.com/uber-go/tally/v4"
-
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/mesh"
 	"github.com/waxwingpost/waxwingpost/connection/session"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/base"
 	"github.com/waxwingpost/waxwingpost/process/config"
 	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/process/control/node"
 	"github.com/waxwingpost/waxwingpost/process/control/state"
 	"github.com/waxwingpost/waxwingpost/process/fleet"
 	"github.com/waxwingpost/waxwingpost/process/folder"
-	"github.com/waxwingpost/waxwingpost/process/obs"
 	"github.com/waxwingpost/waxwingpost/process/settings"
 	"github.com/waxwingpost/waxwingpost/request/api"
 	"github.com/waxwingpost/waxwingpost/version/manifest"
@@ -37,26 +31,15 @@
 	"github.com/waxwingpost/waxwingpost/version/source"
 )
 
-// Limits of the connections to agents.
-const (
-	idleConnsPerAgent  = 256
-	idleConnTimeout    = 90 * time.Second
-	dialTimeout        = 2 * time.Second
-	sourceClientBudget = 30 * time.Second
-)
+// sourceClientBudget bounds the reading of a manifest.
+const sourceClientBudget = 30 * time.Second
 
 // Entry is one running entry process.
 type Entry struct {
-	set     settings.Entry
-	hello   wire.Hello
-	auth    link.Authenticator
-	clock   clockwork.Clock
-	log     *slog.Logger
-	scope   tally.Scope
-	metrics http.Handler
-	closer  io.Closer
+	*base.Base
+	set   settings.Entry
+	hello wire.Hello
 
-	stats    *link.Stats
 	mesh     *mesh.Mesh
 	machine  *state.Machine
 	node     *node.Node
@@ -67,42 +50,20 @@
 	rollout  *rollout.Runner
 	views    *views
 	agents   *agentLinks
-	dump     obs.State
 	ready    readiness
 }
 
 // New assembles an entry from valid settings. Nothing runs until Run.
 func New(set settings.Entry, logOut io.Writer) (*Entry, error) {
-	log, err := obs.NewLogger(logOut, set.LogLevel, set.Name)
+	common, err := base.New(set.Common, logOut)
 	if err != nil {
 		return nil, err
 	}
-	scope, metrics, closer := obs.NewMetrics(set.Name)
-	e := &Entry{
-		set:     set,
-		auth:    link.Authenticator{Key: set.JoinKey},
-		clock:   clockwork.NewRealClock(),
-		log:     log,
-		scope:   scope,
-		metrics: metrics,
-		closer:  closer,
-		stats:   &link.Stats{},
-	}
-	e.hello = wire.Hello{
-		Role:        wire.RoleEntry,
-		Name:        set.Name,
-		Incarnation: uuid.New().String(),
-		Zone:        set.Zone,
-		Region:      set.Region,
-		Address:     set.PeerListen,
-	}
+	e := &Entry{Base: common, set: set, hello: base.Hello(set.Common, set.PeerListen)}
+	e.hello.Role = wire.RoleEntry
 	return e, e.assemble()
 }
 
-func newRand() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-}
-
 func (e *Entry) assemble() error {
 	targets, err := settings.ParseTargets(e.set.Entries)
 	if err != nil {
@@ -110,8 +71,8 @@
 	}
 	e.ready.keptState = holdsFiles(e.set.Data)
 	e.machine = state.New(state.Options{})
-	e.fleet = fleet.New(e.clock)
-	e.sessions = session.New(session.Config{}, e.clock, e.scope)
+	e.fleet = fleet.New(e.Clock)
+	e.sessions = session.New(session.Config{}, e.Clock, e.Scope)
 	e.mesh = e.newMesh(targets)
 	if e.node, err = e.newNode(targets); err != nil {
 		return err
@@ -121,7 +82,7 @@
 		return err
 	}
 	e.api = e.newAPI()
-	e.rollout = rollout.New(rollout.Config{}, e.node, e.machine, e.fleet, e.fetchManifest, e.clock, e.log, e.scope)
+	e.rollout = rollout.New(rollout.Config{}, e.node, e.machine, e.fleet, e.fetchManifest, e.Clock, e.Log, e.Scope)
 	e.views = newViews(e)
 	e.agents = newAgentLinks()
 	e.registerDump()
@@ -137,8 +98,8 @@
 			later[name] = address
 		}
 	}
-	dialer := &link.Dialer{Auth: e.auth, Self: e.self, Handler: e, Stats: e.stats}
-	return mesh.New(mesh.Config{Targets: later}, dialer, e.log)
+	dialer := &link.Dialer{Auth: e.Auth, Self: e.self, Handler: e, Stats: e.Stats}
+	return mesh.New(mesh.Config{Targets: later}, dialer, e.Log)
 }
 
 func (e *Entry) newNode(targets map[string]string) (*node.Node, error) {
@@ -148,7 +109,7 @@
 		Peers:     settings.Names(targets),
 		Bootstrap: settings.SplitList(e.set.Bootstrap),
 	}
-	return node.New(cfg, e.machine, e.mesh, e.clock, newRand(), e.log, e.scope)
+	return node.New(cfg, e.machine, e.mesh, e.Clock, base.NewRand(), e.Log, e.Scope)
 }
 
 func (e *Entry) newFolder() error {
@@ -159,7 +120,7 @@
 		return err
 	}
 	cfg := folder.Config{Path: e.set.Folder, DataDir: e.set.Data, VM: e.set.Name}
-	e.folder = folder.New(cfg, e.node, e.machine, e.clock, e.log, e.scope)
+	e.folder = folder.New(cfg, e.node, e.machine, e.Clock, e.Log, e.Scope)
 	return nil
 }
 
@@ -171,24 +132,15 @@
 		Calls:     e.machine.Call,
 		Synced:    e.mayServe,
 		Self:      e.hello,
-		Auth:      e.auth,
-		Transport: newTransport(),
-		Clock:     e.clock,
-		Rand:      newRand(),
-		Log:       e.log,
-		Scope:     e.scope,
+		Auth:      e.Auth,
+		Transport: base.NewTransport(),
+		Clock:     e.Clock,
+		Rand:      base.NewRand(),
+		Log:       e.Log,
+		Scope:     e.Scope,
 	})
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         dialContext(dialTimeout),
-		MaxIdleConnsPerHost: idleConnsPerAgent,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}
-}
-
 func (e *Entry) self() wire.Hello { return e.hello }
 
 // fetchManifest reads the manifest of a version from the sources, the store
@@ -199,7 +151,7 @@
 	cfg, _ := e.machine.Config()
 	var lastErr error
 	for _, src := range wireSources(cfg) {
-		m, err := source.Manifest(ctx, &http.Client{Transport: newTransport()}, src, v.Path)
+		m, err := source.Manifest(ctx, &http.Client{Transport: base.NewTransport()}, src, v.Path)
 		if err == nil {
 			return m, nil
 		}
--- a/process/entry/links.go
+++ b/process/entry/links.go
@@ -29,17 +29,17 @@
 func (e *Entry) openAgent(c *link.Conn) (func(), error) {
 	hello := c.Peer()
 	if err := e.sessions.Open(hello); err != nil {
-		e.log.Warn("agent refused", "agent", hello.Name, "incarnation", hello.Incarnation, "code", int(result.CodeOf(err)), "error", err)
+		e.Log.Warn("agent refused", "agent", hello.Name, "incarnation", hello.Incarnation, "code", int(result.CodeOf(err)), "error", err)
 		return nil, err
 	}
-	e.log.Info("agent joined", "agent", hello.Name, "incarnation", hello.Incarnation, "service", hello.Service, "zone", hello.Zone)
+	e.Log.Info("agent joined", "agent", hello.Name, "incarnation", hello.Incarnation, "service", hello.Service, "zone", hello.Zone)
 	e.agents.add(c)
 	e.views.add(c)
 	return func() {
 		e.views.remove(c)
 		e.agents.remove(c)
 		e.sessions.Lost(hello.Name, hello.Incarnation)
-		e.log.Info("agent link lost", "agent", hello.Name, "incarnation", hello.Incarnation)
+		e.Log.Info("agent link lost", "agent", hello.Name, "incarnation", hello.Incarnation)
 	}, nil
 }
 
@@ -63,7 +63,7 @@
 func (e *Entry) leave(c *link.Conn) {
 	hello := c.Peer()
 	e.sessions.Leave(hello.Name, hello.Incarnation)
-	e.log.Info("agent leaves", "agent", hello.Name, "incarnation", hello.Incarnation)
+	e.Log.Info("agent leaves", "agent", hello.Name, "incarnation", hello.Incarnation)
 }
 
 // fleetReport takes in another entry's report.
--- a/process/entry/reports.go
+++ b/process/entry/reports.go
@@ -73,9 +73,9 @@
 // runReports tells the leader of this entry's agents until ctx ends. The
 // leader reports to itself.
 func (e *Entry) runReports(ctx context.Context) {
-	ticker := e.clock.NewTicker(reportInterval)
+	ticker := e.Clock.NewTicker(reportInterval)
 	defer ticker.Stop()
-	reporter := fleet.NewReporter(e.set.Name, e.clock)
+	reporter := fleet.NewReporter(e.set.Name, e.Clock)
 	for {
 		select {
 		case <-ctx.Done():
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -8,17 +8,15 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/waxwingpost/waxwingpost/connection/link"
-	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/base"
 	"github.com/waxwingpost/waxwingpost/process/obs"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
 const (
-	headerTimeout  = 10 * time.Second
 	shutdownBudget = 5 * time.Second
 	barrierTimeout = 2 * time.Second
 	barrierRetry   = 200 * time.Millisecond
@@ -66,28 +64,23 @@
 	}
 }
 
-func dialContext(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: timeout}
-	return d.DialContext
-}
-
 // Run serves until ctx ends, then stops gracefully: readiness fails at once,
 // new requests are taken for the grace period, and what is in progress ends.
 func (e *Entry) Run(ctx context.Context) error {
-	defer func() { _ = e.closer.Close() }()
+	defer e.Close()
 	callers, peers, err := e.listen()
 	if err != nil {
 		return err
 	}
-	e.log.Info("entry started", "listen", e.set.Listen, "peer_listen", e.set.PeerListen, "replica", e.hello.Replica, "incarnation", e.hello.Incarnation)
+	e.Log.Info("entry started", "listen", e.set.Listen, "peer_listen", e.set.PeerListen, "replica", e.hello.Replica, "incarnation", e.hello.Incarnation)
 	// The parts outlive ctx: they are needed until the requests have ended.
 	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	group, groupCtx := errgroup.WithContext(partsCtx)
-	callerSrv := newServer(e.callerMux())
-	peerSrv := newServer(e.peerMux())
-	group.Go(func() error { return serve(callerSrv, callers) })
-	group.Go(func() error { return serve(peerSrv, peers) })
+	callerSrv := base.NewServer(e.callerMux())
+	peerSrv := base.NewServer(e.peerMux())
+	group.Go(func() error { return base.Serve(callerSrv, callers) })
+	group.Go(func() error { return base.Serve(peerSrv, peers) })
 	e.startParts(groupCtx, group)
 	select {
 	case <-ctx.Done():
@@ -97,11 +90,8 @@
 	stopParts()
 	_ = callerSrv.Close()
 	_ = peerSrv.Close()
-	err = group.Wait()
-	if errors.Is(err, context.Canceled) {
-		err = nil
-	}
-	e.log.Info("entry stopped", "code", int(result.CodeOf(err)))
+	err = base.IgnoreCanceled(group.Wait())
+	e.Log.Info("entry stopped", "code", int(result.CodeOf(err)))
 	return err
 }
 
@@ -116,18 +106,6 @@
 	return callers, peers, nil
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-}
-
-func serve(srv *http.Server, l net.Listener) error {
-	err := srv.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 func (e *Entry) startParts(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { e.mesh.Run(ctx); return nil })
 	group.Go(func() error { return e.node.Run(ctx) })
@@ -149,24 +127,24 @@
 		if err == nil {
 			e.ready.synced.Store(true)
 			_, revision := e.machine.Config()
-			e.log.Info("entry synced", "revision", revision, "index", e.machine.Index())
+			e.Log.Info("entry synced", "revision", revision, "index", e.machine.Index())
 			return
 		}
 		select {
 		case <-ctx.Done():
-		case <-e.clock.After(barrierRetry):
+		case <-e.Clock.After(barrierRetry):
 		}
 	}
 }
 
 func (e *Entry) drain(callers *http.Server) {
 	e.ready.draining.Store(true)
-	e.log.Info("entry draining", "grace", e.set.DrainGrace)
-	<-e.clock.After(e.set.DrainGrace)
+	e.Log.Info("entry draining", "grace", e.set.DrainGrace)
+	<-e.Clock.After(e.set.DrainGrace)
 	ctx, cancel := context.WithTimeout(context.Background(), e.set.DrainLimit)
 	defer cancel()
 	if err := e.api.Drain(ctx); err != nil {
-		e.log.Error("drain limit reached", "code", int(result.CodeOf(err)), "error", err)
+		e.Log.Error("drain limit reached", "code", int(result.CodeOf(err)), "error", err)
 	}
 	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), shutdownBudget)
 	defer cancelShutdown()
@@ -182,12 +160,8 @@
 
 func (e *Entry) peerMux() http.Handler {
 	mux := http.NewServeMux()
-	acceptor := &link.Acceptor{Auth: e.auth, Self: e.self, Open: e.open, Handler: e, Stats: e.stats}
+	acceptor := &link.Acceptor{Auth: e.Auth, Self: e.self, Open: e.open, Handler: e, Stats: e.Stats}
 	mux.Handle(link.Path, acceptor)
-	obs.AddHealth(mux, e.check)
-	mux.Handle(wire.PathMetrics, e.auth.Require(e.metrics))
-	mux.Handle(wire.PathState, e.auth.Require(&e.dump))
-	mux.Handle(wire.PathProfiles, e.auth.Require(obs.Profiles()))
-	mux.Handle(wire.PathExplain, e.auth.Require(obs.ExplainHandler(e.explain)))
+	e.AddOperatorPaths(mux, e.check, e.explain)
 	return mux
 }
--- a/process/entry/views.go
+++ b/process/entry/views.go
@@ -58,7 +58,7 @@
 
 // run sends views until ctx ends.
 func (v *views) run(ctx context.Context) {
-	ticker := v.entry.clock.NewTicker(peerRefresh)
+	ticker := v.entry.Clock.NewTicker(peerRefresh)
 	defer ticker.Stop()
 	for {
 		changed := v.entry.machine.Changed()
@@ -73,7 +73,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-v.entry.clock.After(minViewInterval):
+		case <-v.entry.Clock.After(minViewInterval):
 		}
 	}
 }
--- a/process/folder/watcher.go
+++ b/process/folder/watcher.go
@@ -199,6 +199,7 @@
 // Step looks at the folder once, proposes what has changed, writes back what
 // was accepted, and returns when it wants to be called again at the latest.
 func (w *Watcher) Step(ctx context.Context) time.Duration {
+	defer w.scope.Timer("step").Start().Stop()
 	w.next = w.cfg.ScanEvery
 	ready := w.ready(ctx)
 	files, revision := w.machine.Accepted()
@@ -283,6 +284,7 @@
 }
 
 func (w *Watcher) save() bool {
+	defer w.scope.Timer("memory_save").Start().Stop()
 	if err := w.memory.save(w.cfg.DataDir); err != nil {
 		w.log.Error("the folder's memory was not written", "event", "folder-memory", "code", int(result.DiskFailed), "error", err.Error())
 		return false
