--- a/request/api/api.go
+++ b/request/api/api.go
@@ -18,7 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/jonboulle/clockwork"
@@ -31,6 +30,7 @@
 	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/admission"
+	"github.com/waxwingpost/waxwingpost/request/inflight"
 	"github.com/waxwingpost/waxwingpost/request/once"
 	"github.com/waxwingpost/waxwingpost/request/reqlog"
 	"github.com/waxwingpost/waxwingpost/request/routing"
@@ -128,12 +128,11 @@
 	ids      atomic.Uint64
 	idPrefix string
 
-	// mu guards the fields below.
-	mu       sync.Mutex
-	targets  map[string]*target
-	draining bool
-	inFlight int
-	idle     chan struct{}
+	inFlight inflight.Counter
+
+	// mu guards targets.
+	mu      sync.Mutex
+	targets map[string]*target
 }
 
 type counters struct {
@@ -202,64 +201,31 @@
 		a.encodeError(r.Context(), err, w)
 		return
 	}
-	defer a.exit()
+	defer a.inFlight.Leave()
 	stream.AllowEarlyAnswer(w)
 	a.server.ServeHTTP(w, r)
 	stream.FinishRequest(r)
 }
 
 func (a *API) enter() error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.draining {
-		return result.Refuse(result.Draining, drainRetryAfter, "entry %s is stopping", a.d.Self.Name)
-	}
 	if a.d.Synced != nil && !a.d.Synced() {
 		return result.Refuse(result.NotSynced, syncRetryAfter, "entry %s has not read the configuration in force yet", a.d.Self.Name)
 	}
-	a.inFlight++
-	return nil
-}
-
-func (a *API) exit() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.inFlight--
-	if a.inFlight == 0 && a.idle != nil {
-		close(a.idle)
-		a.idle = nil
+	if a.inFlight.Enter(0) != inflight.Entered {
+		return result.Refuse(result.Draining, drainRetryAfter, "entry %s is stopping", a.d.Self.Name)
 	}
+	return nil
 }
 
 // Drain refuses everything new and waits for the requests in progress and for
 // the records that are still to be written.
 func (a *API) Drain(ctx context.Context) error {
-	if err := a.drainRequests(ctx); err != nil {
+	if err := a.inFlight.Drain(ctx); err != nil {
 		return err
 	}
 	return a.once.Drain(ctx)
 }
 
-func (a *API) drainRequests(ctx context.Context) error {
-	a.mu.Lock()
-	a.draining = true
-	if a.inFlight == 0 {
-		a.mu.Unlock()
-		return nil
-	}
-	if a.idle == nil {
-		a.idle = make(chan struct{})
-	}
-	idle := a.idle
-	a.mu.Unlock()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "requests still in progress")
-	}
-}
-
 // Explain returns every decision about a recent request.
 func (a *API) Explain(requestID string) (any, bool) {
 	return a.requests.Find(requestID)
@@ -281,8 +247,8 @@
 
 // Dump returns the API's state.
 func (a *API) Dump() any {
+	d := Dump{Draining: a.inFlight.Draining(), InFlight: a.inFlight.Count(), Services: make(map[string]TargetDump)}
 	a.mu.Lock()
-	d := Dump{Draining: a.draining, InFlight: a.inFlight, Services: make(map[string]TargetDump)}
 	targets := make([]*target, 0, len(a.targets))
 	for _, t := range a.targets {
 		targets = append(targets, t)
--- a/request/runner/dispatch.go
+++ b/request/runner/dispatch.go
@@ -129,14 +129,14 @@
 	}
 	leave, err := r.deps.Gate.Enter(c.version)
 	if err != nil {
-		r.exit()
+		r.inFlight.Leave()
 		refusal := *result.From(err)
 		refusal.Ran = result.NotRun
 		return nil, &refusal
 	}
 	return func() {
 		leave()
-		r.exit()
+		r.inFlight.Leave()
 	}, nil
 }
 
--- a/request/runner/runner.go
+++ b/request/runner/runner.go
@@ -18,7 +18,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/jonboulle/clockwork"
@@ -28,6 +27,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/session"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/request/inflight"
 	"github.com/waxwingpost/waxwingpost/request/once"
 	"github.com/waxwingpost/waxwingpost/request/stream"
 )
@@ -105,11 +105,10 @@
 	sendOnce endpoint.Endpoint
 	counters counters
 
-	// mu guards the fields below.
-	mu       sync.Mutex
-	draining bool
-	inFlight int
-	idle     chan struct{}
+	inFlight inflight.Counter
+
+	// mu guards waiting.
+	mu sync.Mutex
 	// waiting tells when each entry last had requests waiting.
 	waiting map[string]time.Time
 }
@@ -191,62 +190,24 @@
 // enter counts a request in unless the agent drains or passes as many as the
 // entry permits.
 func (r *Runner) enter(limit int) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.draining {
+	switch r.inFlight.Enter(limit) {
+	case inflight.Draining:
 		return result.Refuse(result.Draining, drainRetryAfter, "agent %s is stopping", r.cfg.Agent.Name)
-	}
-	if limit > 0 && r.inFlight >= limit {
-		return result.Refuse(result.QueueFull, 0, "agent %s passes %d requests", r.cfg.Agent.Name, r.inFlight)
-	}
-	r.inFlight++
-	return nil
-}
-
-func (r *Runner) exit() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inFlight--
-	if r.inFlight == 0 && r.idle != nil {
-		close(r.idle)
-		r.idle = nil
+	case inflight.Full:
+		return result.Refuse(result.QueueFull, 0, "agent %s passes %d requests", r.cfg.Agent.Name, limit)
+	default:
+		return nil
 	}
 }
 
 // InFlight counts the requests that are being passed to the backend server.
-func (r *Runner) InFlight() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.inFlight
-}
+func (r *Runner) InFlight() int { return r.inFlight.Count() }
 
 // StartDrain refuses everything new from now on.
-func (r *Runner) StartDrain() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.draining = true
-}
+func (r *Runner) StartDrain() { r.inFlight.StartDrain() }
 
 // Drain refuses everything new and waits for the requests in progress.
-func (r *Runner) Drain(ctx context.Context) error {
-	r.mu.Lock()
-	r.draining = true
-	if r.inFlight == 0 {
-		r.mu.Unlock()
-		return nil
-	}
-	if r.idle == nil {
-		r.idle = make(chan struct{})
-	}
-	idle := r.idle
-	r.mu.Unlock()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrapf(ctx.Err(), "%d requests still in progress", r.InFlight())
-	}
-}
+func (r *Runner) Drain(ctx context.Context) error { return r.inFlight.Drain(ctx) }
 
 // Dump is the runner as the state dump shows it.
 type Dump struct {
@@ -257,9 +218,5 @@
 
 // Dump returns the runner's state.
 func (r *Runner) Dump() any {
-	r.mu.Lock()
-	d := Dump{Draining: r.draining, InFlight: r.inFlight}
-	r.mu.Unlock()
-	d.Attempts = r.table.Dump()
-	return d
+	return Dump{Draining: r.inFlight.Draining(), InFlight: r.inFlight.Count(), Attempts: r.table.Dump()}
 }
