--- a/bench/chaos/chaos.go
+++ b/bench/chaos/chaos.go
@@ -157,7 +157,8 @@
 			return err
 		}
 	}
-	if s.desk, err = s.cluster.StartFake("desk", "plain"); err != nil {
+	// A filing takes long enough that most faults hit some in progress.
+	if s.desk, err = s.cluster.StartFake("desk", "plain", "--delay", "50ms"); err != nil {
 		return err
 	}
 	s.deskAg, err = s.cluster.StartAgent(cluster.AgentSpec{
