--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -30,7 +30,6 @@
 	KindPropose   Kind = 11 // entry to leader: control.Command, answered by control.Result
 	KindBarrier   Kind = 12 // entry to leader: Empty, answered by BarrierReply
 	KindFleet     Kind = 13 // entry to leader: FleetReport
-	KindRevision  Kind = 14 // entry to leader: RevisionAck
 	KindBootstrap Kind = 15 // entry to entry: control/node's own message
 	KindSnapshot  Kind = 16 // leader to replica: control/node's own message
 )
@@ -235,9 +234,3 @@
 	Gone  []string `cbor:"5,keyasint,omitempty"`
 	First bool     `cbor:"6,keyasint,omitempty"`
 }
-
-// RevisionAck tells the leader which revision is in force on a process.
-type RevisionAck struct {
-	Process  string `cbor:"1,keyasint"`
-	Revision uint64 `cbor:"2,keyasint"`
-}
--- a/process/control/node/config.go
+++ b/process/control/node/config.go
@@ -8,6 +8,7 @@
 	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/process/control/raft"
 	"github.com/waxwingpost/waxwingpost/process/control/wal"
+	"github.com/waxwingpost/waxwingpost/process/defaults"
 )
 
 // StateMachine is the deterministic state that the log drives. Apply, Snapshot
@@ -91,33 +92,26 @@
 
 func (c Config) withDefaults() Config {
 	core := raft.DefaultConfig()
-	setDefault(&c.Tick, defaultTick)
-	setDefault(&c.ElectionTicks, core.ElectionTicks)
-	setDefault(&c.HeartbeatTicks, core.HeartbeatTicks)
-	setDefault(&c.SnapshotEvery, defaultSnapshotEvery)
-	setDefault(&c.SnapshotBytes, defaultSnapshotBytes)
-	setDefault(&c.RetainEntries, defaultRetainEntries)
-	setDefault(&c.RetainBytes, defaultRetainBytes)
-	setDefault(&c.SegmentBytes, defaultSegmentBytes)
-	setDefault(&c.RetryAfter, defaultRetryAfter)
-	setDefault(&c.CallTimeout, defaultCallTimeout)
-	setDefault(&c.ForgetVolatile, defaultForgetVolatile)
-	setDefault(&c.ForgetReplica, defaultForgetReplica)
-	setDefault(&c.MaxMembers, defaultMaxMembers)
-	setDefault(&c.MaxBatch, defaultMaxBatch)
+	defaults.IfZero(&c.Tick, defaultTick)
+	defaults.IfZero(&c.ElectionTicks, core.ElectionTicks)
+	defaults.IfZero(&c.HeartbeatTicks, core.HeartbeatTicks)
+	defaults.IfZero(&c.SnapshotEvery, defaultSnapshotEvery)
+	defaults.IfZero(&c.SnapshotBytes, defaultSnapshotBytes)
+	defaults.IfZero(&c.RetainEntries, defaultRetainEntries)
+	defaults.IfZero(&c.RetainBytes, defaultRetainBytes)
+	defaults.IfZero(&c.SegmentBytes, defaultSegmentBytes)
+	defaults.IfZero(&c.RetryAfter, defaultRetryAfter)
+	defaults.IfZero(&c.CallTimeout, defaultCallTimeout)
+	defaults.IfZero(&c.ForgetVolatile, defaultForgetVolatile)
+	defaults.IfZero(&c.ForgetReplica, defaultForgetReplica)
+	defaults.IfZero(&c.MaxMembers, defaultMaxMembers)
+	defaults.IfZero(&c.MaxBatch, defaultMaxBatch)
 	if c.FS == nil {
 		c.FS = wal.OS{}
 	}
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (c Config) diskless() bool { return c.DataDir == "" }
 
 // electionTimeout is the shortest silence after which a leader is replaced.
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -28,6 +28,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/config"
 	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/defaults"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/admission"
 	"github.com/waxwingpost/waxwingpost/request/inflight"
@@ -74,22 +75,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	setInt(&c.HeadBytes, DefaultHeadBytes)
-	setInt(&c.MaxBodyBytes, DefaultMaxBodyBytes)
-	setInt(&c.MaxAnswerBytes, DefaultMaxAnswer)
-	setInt(&c.WholeAnswerBytes, DefaultWholeAnswer)
-	setInt(&c.MaxAttempts, DefaultMaxAttempts)
-	setInt(&c.AffinityBytes, DefaultAffinityBytes)
-	setInt(&c.LogSize, reqlog.DefaultSize)
+	defaults.IfNotPositive(&c.HeadBytes, DefaultHeadBytes)
+	defaults.IfNotPositive(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	defaults.IfNotPositive(&c.MaxAnswerBytes, DefaultMaxAnswer)
+	defaults.IfNotPositive(&c.WholeAnswerBytes, DefaultWholeAnswer)
+	defaults.IfNotPositive(&c.MaxAttempts, DefaultMaxAttempts)
+	defaults.IfNotPositive(&c.AffinityBytes, DefaultAffinityBytes)
+	defaults.IfNotPositive(&c.LogSize, reqlog.DefaultSize)
 	return c
 }
 
-func setInt[T int | int64](v *T, def T) {
-	if *v <= 0 {
-		*v = def
-	}
-}
-
 // Deps are what the API works with.
 type Deps struct {
 	Settings Config
--- a/request/once/coordinator.go
+++ b/request/once/coordinator.go
@@ -13,6 +13,7 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/session"
 	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/defaults"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/routing"
 	"github.com/waxwingpost/waxwingpost/version/manifest"
@@ -66,16 +67,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDuration(&c.ReserveTimeout, DefaultReserveTimeout)
-	setDuration(&c.RecordTimeout, DefaultRecordTimeout)
-	setDuration(&c.RecordFollow, DefaultRecordFollow)
-	setDuration(&c.AskTimeout, DefaultAskTimeout)
-	setDuration(&c.AskWindow, DefaultAskWindow)
-	setDuration(&c.ResendWait, DefaultResendWait)
-	setDuration(&c.ResendGrace, DefaultResendGrace)
-	setDuration(&c.MaxRunTime, DefaultMaxRunTime)
-	setDuration(&c.MaxAskAge, DefaultMaxAskAge)
-	setDuration(&c.UnlinkedAge, DefaultUnlinkedAge)
+	defaults.IfNotPositive(&c.ReserveTimeout, DefaultReserveTimeout)
+	defaults.IfNotPositive(&c.RecordTimeout, DefaultRecordTimeout)
+	defaults.IfNotPositive(&c.RecordFollow, DefaultRecordFollow)
+	defaults.IfNotPositive(&c.AskTimeout, DefaultAskTimeout)
+	defaults.IfNotPositive(&c.AskWindow, DefaultAskWindow)
+	defaults.IfNotPositive(&c.ResendWait, DefaultResendWait)
+	defaults.IfNotPositive(&c.ResendGrace, DefaultResendGrace)
+	defaults.IfNotPositive(&c.MaxRunTime, DefaultMaxRunTime)
+	defaults.IfNotPositive(&c.MaxAskAge, DefaultMaxAskAge)
+	defaults.IfNotPositive(&c.UnlinkedAge, DefaultUnlinkedAge)
 	if c.InlineBytes <= 0 {
 		c.InlineBytes = DefaultInlineBytes
 	}
@@ -85,12 +86,6 @@
 	return c
 }
 
-func setDuration(d *time.Duration, def time.Duration) {
-	if *d <= 0 {
-		*d = def
-	}
-}
-
 // Place is room at a backend server that was claimed for a call.
 type Place struct {
 	Backend *session.Backend
--- a/request/routing/config.go
+++ b/request/routing/config.go
@@ -10,7 +10,11 @@
 // under admission.Controller.mu.
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/defaults"
+)
 
 // Defaults of Config.
 const (
@@ -61,15 +65,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	setInt(&c.PlainSlots, DefaultPlainSlots)
-	setInt(&c.Subset, DefaultSubset)
-	setInt(&c.MinSamples, DefaultMinSamples)
-	setInt(&c.Hints, DefaultHints)
-	setFloat(&c.LoadBound, DefaultLoadBound)
-	setFloat(&c.ZoneSpill, DefaultZoneSpill)
-	setFloat(&c.SlowFactor, DefaultSlowFactor)
-	setFloat(&c.FailureShare, DefaultFailureShare)
-	setFloat(&c.EjectedShare, DefaultEjectedShare)
+	defaults.IfNotPositive(&c.PlainSlots, DefaultPlainSlots)
+	defaults.IfNotPositive(&c.Subset, DefaultSubset)
+	defaults.IfNotPositive(&c.MinSamples, DefaultMinSamples)
+	defaults.IfNotPositive(&c.Hints, DefaultHints)
+	defaults.IfNotPositive(&c.LoadBound, DefaultLoadBound)
+	defaults.IfNotPositive(&c.ZoneSpill, DefaultZoneSpill)
+	defaults.IfNotPositive(&c.SlowFactor, DefaultSlowFactor)
+	defaults.IfNotPositive(&c.FailureShare, DefaultFailureShare)
+	defaults.IfNotPositive(&c.EjectedShare, DefaultEjectedShare)
 	if c.EjectBase <= 0 {
 		c.EjectBase = DefaultEjectBase
 	}
@@ -81,15 +85,3 @@
 	}
 	return c
 }
-
-func setInt(v *int, def int) {
-	if *v <= 0 {
-		*v = def
-	}
-}
-
-func setFloat(v *float64, def float64) {
-	if *v <= 0 {
-		*v = def
-	}
-}
--- a/version/loader/loader.go
+++ b/version/loader/loader.go
@@ -20,6 +20,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/engine"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/defaults"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/version/manifest"
 )
@@ -55,25 +56,19 @@
 }
 
 func (c *Config) setDefaults() {
-	setDuration(&c.PollInterval, 100*time.Millisecond)
-	setDuration(&c.Settle, 500*time.Millisecond)
-	setDuration(&c.LoadGrace, 3*time.Second)
-	setDuration(&c.LoadTimeout, 5*time.Minute)
-	setDuration(&c.RetryDelay, 500*time.Millisecond)
-	setDuration(&c.RetryDelayMax, 15*time.Second)
-	setDuration(&c.FenceTimeout, 3*time.Second)
-	setDuration(&c.ReportTimeout, time.Second)
+	defaults.IfZero(&c.PollInterval, 100*time.Millisecond)
+	defaults.IfZero(&c.Settle, 500*time.Millisecond)
+	defaults.IfZero(&c.LoadGrace, 3*time.Second)
+	defaults.IfZero(&c.LoadTimeout, 5*time.Minute)
+	defaults.IfZero(&c.RetryDelay, 500*time.Millisecond)
+	defaults.IfZero(&c.RetryDelayMax, 15*time.Second)
+	defaults.IfZero(&c.FenceTimeout, 3*time.Second)
+	defaults.IfZero(&c.ReportTimeout, time.Second)
 	if c.ReportFailures == 0 {
 		c.ReportFailures = 3
 	}
 }
 
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Fetcher brings a version's content into the spool.
 type Fetcher interface {
 	// Fetch returns the path of a file with the whole verified content.
--- a/version/rollout/runner.go
+++ b/version/rollout/runner.go
@@ -15,6 +15,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/config"
 	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/defaults"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/version/manifest"
 )
@@ -39,11 +40,11 @@
 }
 
 func (c *Config) setDefaults() {
-	setDuration(&c.Interval, 200*time.Millisecond)
-	setDuration(&c.ProposeTimeout, 5*time.Second)
-	setDuration(&c.StuckAfter, time.Minute)
-	setDuration(&c.MissingFor, time.Minute)
-	setDuration(&c.RegisterRetry, time.Second)
+	defaults.IfZero(&c.Interval, 200*time.Millisecond)
+	defaults.IfZero(&c.ProposeTimeout, 5*time.Second)
+	defaults.IfZero(&c.StuckAfter, time.Minute)
+	defaults.IfZero(&c.MissingFor, time.Minute)
+	defaults.IfZero(&c.RegisterRetry, time.Second)
 	if c.MaxDownShare == 0 {
 		c.MaxDownShare = 0.25
 	}
@@ -52,12 +53,6 @@
 	}
 }
 
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Machine is the part of the replicated state that a rollout reads.
 type Machine interface {
 	Config() (*config.Config, uint64)
--- a/version/transfer/config.go
+++ b/version/transfer/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/defaults"
 	"github.com/waxwingpost/waxwingpost/version/planner"
 )
 
@@ -39,20 +40,14 @@
 	if c.Planner == (planner.Settings{}) {
 		c.Planner = planner.DefaultSettings()
 	}
-	setDefault(&c.UploadSlots, 3)
-	setDefault(&c.FarSlots, 32)
-	setDefault(&c.QueueWait, 2*time.Second)
-	setDefault(&c.StallTimeout, 10*time.Second)
-	setDefault(&c.HaveHold, 2*time.Second)
-	setDefault(&c.HaveInterval, 100*time.Millisecond)
-	setDefault(&c.ViewInterval, time.Second)
-	setDefault(&c.LiveHold, 2*time.Second)
-	setDefault(&c.KeepVersions, 1)
+	defaults.IfZero(&c.UploadSlots, 3)
+	defaults.IfZero(&c.FarSlots, 32)
+	defaults.IfZero(&c.QueueWait, 2*time.Second)
+	defaults.IfZero(&c.StallTimeout, 10*time.Second)
+	defaults.IfZero(&c.HaveHold, 2*time.Second)
+	defaults.IfZero(&c.HaveInterval, 100*time.Millisecond)
+	defaults.IfZero(&c.ViewInterval, time.Second)
+	defaults.IfZero(&c.LiveHold, 2*time.Second)
+	defaults.IfZero(&c.KeepVersions, 1)
 	return c
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
