Platform: the thin whole path by three programs

Adds platform/ (names, formats, calls), a replicated desired state, a directory of backend servers fed from control processes to entries and agents, direct dispatch by entries, and the exchange of weights by agents. Raft commits need tolerance+1 disks; silent voters are replaced.

--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -27,10 +27,16 @@
 type Authenticator struct {
 	// Key is the join key from the settings; it may be empty.
 	Key string
+	// Open accepts every peer: the network lets only processes of the system
+	// reach the listener.
+	Open bool
 }
 
 // Check returns an Unauthenticated error unless the request may join.
 func (a Authenticator) Check(r *http.Request) error {
+	if a.Open {
+		return nil
+	}
 	if a.Key == "" {
 		return requireLoopback(r.RemoteAddr)
 	}
--- a/connection/mesh/mesh.go
+++ b/connection/mesh/mesh.go
@@ -64,11 +64,27 @@
 }
 
 func (m *Mesh) keep(ctx context.Context, name, address string) {
+	m.Keep(ctx, name, address, 0)
+}
+
+// Keep dials one target until ctx ends, whenever no link to it is open. It
+// waits for patience before each first try, so that of two processes which
+// know each other only one needs to dial.
+func (m *Mesh) Keep(ctx context.Context, name, address string, patience time.Duration) {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = minRedial
 	wait.MaxInterval = maxRedial
 	lastCode := result.OK
+	sleep(ctx, patience)
 	for ctx.Err() == nil {
+		if c := m.Conn(name); c != nil {
+			select {
+			case <-c.Done():
+				sleep(ctx, max(patience, minRedial))
+			case <-ctx.Done():
+			}
+			continue
+		}
 		c, err := m.dialer.Dial(ctx, address)
 		if err == nil {
 			wait.Reset()
--- /dev/null
+++ b/connection/wire/news.go
@@ -0,0 +1,52 @@
+package wire
+
+import "github.com/waxwingpost/waxwingpost/process/directory"
+
+// Follow asks a control process for everything it knows and for all news.
+type Follow struct {
+	// Relay asks also for what the control process heard from others: a
+	// follower with links to all of them needs it from the first alone.
+	Relay bool `cbor:"1,keyasint,omitempty"`
+}
+
+// Left tells that a server deregistered. Born is 0 where it was not told.
+type Left struct {
+	ID   string `cbor:"1,keyasint"`
+	Born int64  `cbor:"2,keyasint,omitempty"`
+}
+
+// News tells what changed. Fields that are empty did not change.
+type News struct {
+	// Revision, ConfigVersion and Weights are what is desired; Revision is 0
+	// where the news is not about that.
+	Revision      uint64         `cbor:"1,keyasint,omitempty"`
+	ConfigVersion uint64         `cbor:"2,keyasint,omitempty"`
+	Weights       map[string]int `cbor:"3,keyasint,omitempty"`
+	// Servers have changed, Alive were heard without a change, Left are gone.
+	Servers []directory.Server `cbor:"4,keyasint,omitempty"`
+	Alive   []string           `cbor:"5,keyasint,omitempty"`
+	Left    []Left             `cbor:"6,keyasint,omitempty"`
+	// Controls are the peer addresses of the control processes.
+	Controls []string `cbor:"7,keyasint,omitempty"`
+	// Demand is the sum of what all entries told, by service.
+	Demand map[string]float64 `cbor:"8,keyasint,omitempty"`
+	// Entries counts the entries that are linked.
+	Entries int `cbor:"9,keyasint,omitempty"`
+}
+
+// DocumentQuery asks for the configuration document of a version or later.
+type DocumentQuery struct {
+	Version uint64 `cbor:"1,keyasint"`
+}
+
+// Document is the configuration document, compressed with DEFLATE.
+type Document struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Content []byte `cbor:"2,keyasint"`
+}
+
+// Demand tells how much of each service an entry's callers ask for, in
+// server time a second.
+type Demand struct {
+	ByService map[string]float64 `cbor:"1,keyasint"`
+}
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -32,6 +32,10 @@
 	KindFleet     Kind = 13 // entry to leader: FleetReport
 	KindBootstrap Kind = 15 // entry to entry: control/node's own message
 	KindSnapshot  Kind = 16 // leader to replica: control/node's own message
+	KindFollow    Kind = 20 // entry or agent to control: Follow, answered by News
+	KindNews      Kind = 21 // control to follower or control: News
+	KindDocument  Kind = 22 // follower to control: DocumentQuery, answered by Document
+	KindDemand    Kind = 23 // entry to control: Demand
 )
 
 // Envelope frames every message. ID joins a call with its reply; a
@@ -51,8 +55,9 @@
 
 // Roles of a process.
 const (
-	RoleEntry = "entry"
-	RoleAgent = "agent"
+	RoleEntry   = "entry"
+	RoleAgent   = "agent"
+	RoleControl = "control"
 )
 
 // Hello is the first message of a link, from both sides.
--- a/process/base/base.go
+++ b/process/base/base.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/obs"
+	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/process/settings"
 )
 
@@ -66,6 +68,21 @@
 // Close flushes the metrics and stops reporting.
 func (b *Base) Close() { _ = b.closer.Close() }
 
+// ServeMetrics serves the metrics at an address of its own until ctx ends, and
+// without a join key: the network lets only operators reach it.
+func (b *Base) ServeMetrics(ctx context.Context, ip string, port int) error {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(wire.PathMetrics, b.metrics)
+	srv := NewServer(mux)
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	return Serve(srv, l)
+}
+
 // Hello returns what a process with these settings says of itself, under a new
 // incarnation. Role and the role's own fields are the caller's to add.
 func Hello(set settings.Common, address string) wire.Hello {
@@ -105,6 +122,22 @@
 	}
 }
 
+// UnackedLimit ends connections whose bytes the other VM does not acknowledge:
+// a VM without power answers nothing, and a cut link loses what it held.
+const UnackedLimit = 2 * time.Second
+
+// LinkClient returns the client that links between processes are dialed with.
+func LinkClient() *http.Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableCompression: true}}
+}
+
+// ExplainNothing answers explain requests in processes that keep their records
+// in the log alone.
+func ExplainNothing(string) (any, error) {
+	return nil, result.New(result.NotFound, "see the log")
+}
+
 // NewServer returns a server without a bound on the length of requests, which
 // may be streams.
 func NewServer(h http.Handler) *http.Server {
--- a/process/control/node/config.go
+++ b/process/control/node/config.go
@@ -44,6 +44,14 @@
 	// only while none of them belongs to a cluster.
 	Bootstrap []string
 
+	// Tolerance, where it is above 0, is how many VMs may lose their disks at
+	// once: a change is acknowledged once Tolerance+1 disks hold it, every
+	// replica with a disk becomes a voter, and a voter that is silent for long
+	// is removed as soon as 2*Tolerance+1 others answer.
+	Tolerance int
+	// ForgetVoter is how long such a voter may be silent.
+	ForgetVoter time.Duration
+
 	// Tick is the unit of the timeouts below that count ticks.
 	Tick           time.Duration
 	ElectionTicks  int
@@ -85,6 +93,7 @@
 	defaultCallTimeout    = 2 * time.Second
 	defaultForgetVolatile = 30 * time.Second
 	defaultForgetReplica  = 10 * time.Minute
+	defaultForgetVoter    = 5 * time.Second
 	defaultMaxMembers     = 64
 	defaultMaxBatch       = 1024
 	defaultSegmentBytes   = 8 << 20
@@ -104,6 +113,7 @@
 	defaults.IfZero(&c.CallTimeout, defaultCallTimeout)
 	defaults.IfZero(&c.ForgetVolatile, defaultForgetVolatile)
 	defaults.IfZero(&c.ForgetReplica, defaultForgetReplica)
+	defaults.IfZero(&c.ForgetVoter, defaultForgetVoter)
 	defaults.IfZero(&c.MaxMembers, defaultMaxMembers)
 	defaults.IfZero(&c.MaxBatch, defaultMaxBatch)
 	if c.FS == nil {
@@ -131,5 +141,8 @@
 	rc.ElectionTicks = c.ElectionTicks
 	rc.HeartbeatTicks = c.HeartbeatTicks
 	rc.NeverVote = c.diskless()
+	if c.Tolerance > 0 {
+		rc.MinCopies = c.Tolerance + 1
+	}
 	return rc
 }
--- a/process/control/node/enter.go
+++ b/process/control/node/enter.go
@@ -36,7 +36,7 @@
 func (n *Node) peers() []string {
 	seen := map[string]bool{n.cfg.Name: true}
 	var names []string
-	for _, list := range [][]string{n.cfg.Peers, n.cfg.Bootstrap} {
+	for _, list := range [][]string{n.cfg.Peers, n.cfg.Bootstrap, n.memberNames()} {
 		for _, name := range list {
 			if !seen[name] {
 				seen[name] = true
@@ -47,6 +47,15 @@
 	return names
 }
 
+// memberNames returns the names of the members as this replica knows them.
+func (n *Node) memberNames() []string {
+	var names []string
+	for _, m := range n.current().core.Members {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // introduction returns what this replica tells others about itself.
 func (n *Node) introduction() introduction {
 	s := n.current()
--- a/process/control/node/members.go
+++ b/process/control/node/members.go
@@ -25,6 +25,9 @@
 	// forgetVolatile and forgetReplica are in ticks.
 	forgetVolatile uint64
 	forgetReplica  uint64
+	// tolerance and forgetVoter are as in Config; forgetVoter is in ticks.
+	tolerance   int
+	forgetVoter uint64
 }
 
 // nextChange returns the membership that the leader should propose next;
@@ -34,7 +37,7 @@
 	if len(v.wanted) == 0 {
 		v.wanted = v.presentNames()
 	}
-	for _, rule := range []func() (raft.Members, bool){v.retire, v.promote, v.demote, v.forget} {
+	for _, rule := range []func() (raft.Members, bool){v.retire, v.promote, v.replace, v.demote, v.forget} {
 		if next, ok := rule(); ok {
 			return next, true
 		}
@@ -123,6 +126,29 @@
 	return nil, false
 }
 
+// replace removes a voter that was silent for long where enough others answer:
+// its VM was replaced by another. One that comes back joins as a learner.
+func (v *view) replace() (raft.Members, bool) {
+	if v.tolerance <= 0 {
+		return nil, false
+	}
+	answering := 0
+	var lost *raft.Member
+	for _, m := range v.members {
+		switch {
+		case !m.Voter:
+		case m.ID == v.self || v.active(m.ID):
+			answering++
+		case v.peers[m.ID].Silent > v.forgetVoter:
+			lost = &m
+		}
+	}
+	if lost == nil || answering < 2*v.tolerance+1 {
+		return nil, false
+	}
+	return v.members.Without(lost.ID), true
+}
+
 func (v *view) withoutVote(m raft.Member) (raft.Members, bool) {
 	m.Voter = false
 	next := v.members.With(m)
@@ -166,7 +192,8 @@
 func (v *view) presentNames() []string {
 	names := v.voterNames()
 	for _, m := range v.members {
-		if m.Successor && !slices.Contains(names, m.Name) {
+		joins := m.Successor || v.tolerance > 0 && !m.Volatile
+		if joins && !slices.Contains(names, m.Name) {
 			names = append(names, m.Name)
 		}
 	}
@@ -220,6 +247,8 @@
 		wanted:         r.sm.Voters(),
 		forgetVolatile: r.cfg.ticks(r.cfg.ForgetVolatile),
 		forgetReplica:  r.cfg.ticks(r.cfg.ForgetReplica),
+		tolerance:      r.cfg.Tolerance,
+		forgetVoter:    r.cfg.ticks(r.cfg.ForgetVoter),
 	}
 	next, ok := v.nextChange()
 	if !ok {
--- a/process/control/raft/leader.go
+++ b/process/control/raft/leader.go
@@ -261,7 +261,7 @@
 		held = append(held, r.progress[id].match)
 	}
 	slices.Sort(held)
-	index := held[len(held)-r.Members().Quorum()]
+	index := min(held[len(held)-r.Members().Quorum()], r.copied())
 	if index <= r.log.committed || !r.log.matches(index, r.term) {
 		return false
 	}
@@ -270,6 +270,22 @@
 	return true
 }
 
+// copied returns the index up to which enough disks hold the log, those of
+// learners included.
+func (r *Raft) copied() uint64 {
+	if r.cfg.MinCopies <= 0 {
+		return r.log.last()
+	}
+	var held []uint64
+	for _, m := range r.Members() {
+		if !m.Volatile {
+			held = append(held, r.progress[m.ID].match)
+		}
+	}
+	slices.Sort(held)
+	return held[len(held)-min(r.cfg.MinCopies, len(held))]
+}
+
 func (r *Raft) committedInTerm() bool {
 	return r.log.matches(r.log.committed, r.term)
 }
--- a/process/control/raft/raft.go
+++ b/process/control/raft/raft.go
@@ -22,6 +22,9 @@
 	MaxUncommitted int
 	// NeverVote is set for a replica that keeps nothing on disk.
 	NeverVote bool
+	// MinCopies is on how many disks an entry must be before it is committed,
+	// where the membership has that many. A majority is always needed.
+	MinCopies int
 }
 
 // DefaultConfig returns the settings used in production, but for the ID.
--- a/process/control/types.go
+++ b/process/control/types.go
@@ -39,6 +39,23 @@
 	Time int64 `cbor:"7,keyasint"`
 	// VM is the name of the VM that proposed the command.
 	VM string `cbor:"8,keyasint"`
+	// Deploy and Weights change a whole deployment; see process/control/desired.
+	Deploy  *Deploy      `cbor:"9,keyasint,omitempty"`
+	Weights *NameWeights `cbor:"10,keyasint,omitempty"`
+}
+
+// Deploy replaces the whole configuration of a deployment where its version is
+// higher than the one held. It was validated by the proposer.
+type Deploy struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// Content is the operator's document, compressed with DEFLATE.
+	Content []byte `cbor:"2,keyasint"`
+}
+
+// NameWeights names the newest version of a model's weights.
+type NameWeights struct {
+	Model   string `cbor:"1,keyasint"`
+	Version int    `cbor:"2,keyasint"`
 }
 
 // Edit is a compare-and-set on one file of the folder.
--- /dev/null
+++ b/process/controller/operators.go
@@ -0,0 +1,215 @@
+package controller
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+
+	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/control/desired"
+	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/process/result"
+)
+
+const (
+	// proposeTimeout bounds a change: operators turn to another control process
+	// after a second without an answer.
+	proposeTimeout = 1500 * time.Millisecond
+	// readTimeout bounds a read of the newest configuration.
+	readTimeout = 900 * time.Millisecond
+	// retryAfter is told to operators when no quorum answers: about the time of
+	// an election.
+	retryAfter = 500 * time.Millisecond
+	// maxDocument bounds a configuration document.
+	maxDocument = 32 << 20
+)
+
+// document is a configuration as an operator sent it.
+type document struct {
+	raw    []byte
+	config *deployment.Config
+}
+
+func (c *Controller) operatorMux() http.Handler {
+	mux := http.NewServeMux()
+	serve := func(e endpoint.Endpoint, dec kithttp.DecodeRequestFunc, enc kithttp.EncodeResponseFunc) http.Handler {
+		return kithttp.NewServer(e, dec, enc, kithttp.ServerErrorEncoder(c.encodeError))
+	}
+	mux.Handle("POST "+platform.PathPutConfig, serve(c.putConfig, decodeDocument, encodeEmpty))
+	mux.Handle("GET "+platform.PathGetConfig, serve(c.getConfig, decodeNothing, encodeDocument))
+	mux.Handle("POST "+platform.PathPutVersion, serve(c.putVersion, decodeVersion, encodeEmpty))
+	mux.HandleFunc("POST "+platform.PathHeartbeat, c.heartbeat)
+	mux.HandleFunc("POST "+platform.PathLeave, c.leave)
+	return mux
+}
+
+func decodeDocument(_ context.Context, r *http.Request) (any, error) {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, maxDocument+1))
+	if err != nil || len(raw) > maxDocument {
+		return nil, result.New(result.BadRequest, "read configuration of %d bytes: %v", len(raw), err)
+	}
+	config, err := platform.DecodeConfig(raw)
+	if err != nil {
+		return nil, err
+	}
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	return document{raw: raw, config: config}, nil
+}
+
+func decodeVersion(_ context.Context, r *http.Request) (any, error) {
+	return platform.DecodeVersionName(r.Body)
+}
+
+func decodeNothing(context.Context, *http.Request) (any, error) { return struct{}{}, nil }
+
+func encodeEmpty(_ context.Context, w http.ResponseWriter, _ any) error {
+	return writeJSON(w, http.StatusOK, []byte("{}"))
+}
+
+func encodeDocument(_ context.Context, w http.ResponseWriter, response any) error {
+	return writeJSON(w, http.StatusOK, response.([]byte))
+}
+
+func writeJSON(w http.ResponseWriter, status int, body []byte) error {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, err := w.Write(body)
+	return err
+}
+
+// encodeError answers 503 where another try may help, else 400.
+func (c *Controller) encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	code := result.CodeOf(err)
+	status := http.StatusBadRequest
+	switch code {
+	case result.NoQuorum, result.NotLeader, result.ProposalLost, result.LinkLost, result.QueueFull,
+		result.DiskFailed, result.Internal, result.SnapshotDamaged:
+		status = http.StatusServiceUnavailable
+		w.Header().Set(platform.HeaderRetryAfter, platform.FormatSeconds(retryAfter))
+	}
+	c.Log.Warn("operator refused", "status", status, "code", int(code), "error", err)
+	_ = writeJSON(w, status, fmt.Appendf(nil, `{"code":%d}`, int(code)))
+}
+
+func (c *Controller) current() (*replica, error) {
+	r := c.replica.Load()
+	if r == nil {
+		return nil, result.Refuse(result.NoQuorum, retryAfter, "the replica is not open")
+	}
+	return r, nil
+}
+
+// putConfig makes a configuration durable. One that is not higher than the
+// version held is acknowledged and changes nothing.
+func (c *Controller) putConfig(ctx context.Context, request any) (any, error) {
+	doc := request.(document)
+	content, err := desired.Compress(doc.raw)
+	if err != nil {
+		return nil, result.New(result.Internal, "compress: %v", err)
+	}
+	digest := strconv.FormatUint(xxhash.Sum64(doc.raw), 16)
+	return c.propose(ctx, control.Command{
+		ID:     fmt.Sprintf("config/%d/%s", doc.config.Version, digest),
+		Deploy: &control.Deploy{Version: doc.config.Version, Content: content},
+	}, "version", doc.config.Version, "digest", digest)
+}
+
+// putVersion makes the name of new weights durable.
+func (c *Controller) putVersion(ctx context.Context, request any) (any, error) {
+	v := request.(platform.VersionName)
+	return c.propose(ctx, control.Command{
+		ID:      fmt.Sprintf("weights/%s/%d", hex.EncodeToString([]byte(v.Model)), v.Version),
+		Weights: &control.NameWeights{Model: v.Model, Version: v.Version},
+	}, "model", v.Model, "version", v.Version)
+}
+
+func (c *Controller) propose(ctx context.Context, cmd control.Command, inputs ...any) (any, error) {
+	r, err := c.current()
+	if err != nil {
+		return nil, err
+	}
+	started := c.Clock.Now()
+	// The change goes on when the operator's connection breaks: it is sent again.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), proposeTimeout)
+	defer cancel()
+	res, err := r.node.Propose(ctx, cmd)
+	if err == nil && res.Code != 0 {
+		err = result.New(result.Code(res.Code), "%s", res.Detail)
+	}
+	if err != nil {
+		return nil, err
+	}
+	took := c.Clock.Since(started)
+	c.Scope.Timer("change_acknowledged").Record(took)
+	c.Log.Info("change acknowledged", append(inputs, "index", res.Index, "revision", res.Revision, "took", took)...)
+	return struct{}{}, nil
+}
+
+// getConfig returns the newest configuration, proved by a quorum round.
+func (c *Controller) getConfig(ctx context.Context, _ any) (any, error) {
+	r, err := c.current()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if err := r.node.Barrier(ctx); err != nil {
+		return nil, err
+	}
+	s, _ := r.machine.Current()
+	if s.ConfigVersion == 0 {
+		return nil, result.Refuse(result.NoQuorum, retryAfter, "no configuration was accepted yet")
+	}
+	return desired.Expand(s.Content)
+}
+
+// mayHear reports whether heartbeats that arrive here reach the entries. One
+// that is cut off refuses them, so that servers turn to another.
+func (c *Controller) mayHear() bool {
+	entries := int64(c.hub.Entries())
+	r := c.replica.Load()
+	if r != nil && r.node.InQuorum() {
+		return true
+	}
+	return entries > 0 && entries >= c.entriesSeen.Load()
+}
+
+func (c *Controller) heartbeat(w http.ResponseWriter, r *http.Request) {
+	if !c.mayHear() {
+		c.Scope.Counter("heartbeats_refused").Inc(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	id := strings.TrimPrefix(r.URL.Path, platform.PathHeartbeat)
+	s, err := platform.DecodeHeartbeat(id, r.Body)
+	if err != nil {
+		c.Scope.Counter("heartbeats_unreadable").Inc(1)
+		c.Log.Warn("heartbeat unreadable", "server", id, "code", int(result.CodeOf(err)), "error", err)
+		_ = writeJSON(w, http.StatusBadRequest, []byte("{}"))
+		return
+	}
+	c.hub.Hear(s)
+	_ = writeJSON(w, http.StatusOK, []byte("{}"))
+}
+
+func (c *Controller) leave(w http.ResponseWriter, r *http.Request) {
+	if !c.mayHear() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	c.hub.Leave(strings.TrimPrefix(r.URL.Path, platform.PathLeave), platform.DecodeLeave(r.Body))
+	_ = writeJSON(w, http.StatusOK, []byte("{}"))
+}
--- /dev/null
+++ b/process/resident/resident.go
@@ -0,0 +1,112 @@
+// Package resident runs a process on the users' platform: it reads the settings
+// file, sets up log and metrics, and notices changed settings.
+package resident
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/base"
+	"github.com/waxwingpost/waxwingpost/process/controller"
+	"github.com/waxwingpost/waxwingpost/process/frontend"
+	"github.com/waxwingpost/waxwingpost/process/obs"
+	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/process/settings"
+	"github.com/waxwingpost/waxwingpost/process/sidecar"
+)
+
+// settingsInterval is the pause between two looks at the settings file, which
+// may change without a signal.
+const settingsInterval = 3 * time.Second
+
+// Commands are the subcommands that run on the platform. What they need to know
+// is in the settings file that the platform names.
+type Commands struct {
+	Control controlCommand `cmd:"" help:"Run a control process."`
+	Entry   entryCommand   `cmd:"" help:"Run the process that callers reach."`
+	Agent   agentCommand   `cmd:"" help:"Run the process beside a model engine."`
+}
+
+type common struct {
+	LogLevel string `help:"debug, info, warn or error." env:"WAXWINGPOST_LOG_LEVEL" default:"info"`
+}
+
+type (
+	controlCommand struct{ common }
+	entryCommand   struct{ common }
+	agentCommand   struct{ common }
+)
+
+// process is one of the three programs.
+type process interface {
+	Run(ctx context.Context) error
+	// Seeds takes in the addresses of control processes from changed settings.
+	Seeds(set platform.Settings)
+}
+
+// Run runs a control process.
+func (c *controlCommand) Run(ctx context.Context) error {
+	return c.run(ctx, func(s platform.Settings, b *base.Base) process { return controller.New(s, b) })
+}
+
+// Run runs an entry.
+func (c *entryCommand) Run(ctx context.Context) error {
+	return c.run(ctx, func(s platform.Settings, b *base.Base) process { return frontend.New(s, b) })
+}
+
+// Run runs an agent.
+func (c *agentCommand) Run(ctx context.Context) error {
+	return c.run(ctx, func(s platform.Settings, b *base.Base) process { return sidecar.New(s, b) })
+}
+
+func (c *common) run(ctx context.Context, build func(platform.Settings, *base.Base) process) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	set, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	out := obs.NewBuffer(os.Stdout)
+	defer out.Flush()
+	b, err := base.New(settings.Common{Name: set.VM, Zone: set.Zone, Region: set.Region, LogLevel: c.LogLevel}, out)
+	if err != nil {
+		return err
+	}
+	defer b.Close()
+	b.Auth.Open = true
+	p := build(set, b)
+	go watch(ctx, set, b, p, hangups)
+	return p.Run(ctx)
+}
+
+// watch passes on changed settings until ctx ends.
+func watch(ctx context.Context, set platform.Settings, b *base.Base, p process, hangups <-chan os.Signal) {
+	for {
+		signaled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			signaled = true
+		case <-b.Clock.After(settingsInterval):
+		}
+		next, err := platform.LoadSettings()
+		if err != nil {
+			b.Log.Error("settings not reloaded", "code", int(result.CodeOf(err)), "error", err)
+			continue
+		}
+		changed := !slices.Equal(next.Seeds, set.Seeds)
+		if signaled || changed {
+			b.Log.Info("settings reloaded", "signaled", signaled, "seeds_changed", changed, "seeds", next.Seeds)
+		}
+		if changed {
+			p.Seeds(next)
+		}
+		set = next
+	}
+}
--- /dev/null
+++ b/process/sidecar/keeper.go
@@ -0,0 +1,295 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/connection/backend"
+	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/feed"
+	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/version/pieces"
+	"github.com/waxwingpost/waxwingpost/version/planner"
+)
+
+const (
+	// idlePause and busyPause are the waits between two looks at the engine
+	// while it holds what it should, and while it does not. A restarted engine
+	// must be brought to the newest weights within seconds.
+	idlePause = 700 * time.Millisecond
+	busyPause = 150 * time.Millisecond
+	// engineLimit bounds a call to the engine on the same VM.
+	engineLimit = 1500 * time.Millisecond
+	// fetchLimit bounds one round of fetching, after which plans are made anew.
+	fetchLimit = 10 * time.Second
+	// firstVersion is the version that models have before one was named.
+	firstVersion = 1
+)
+
+// keeper brings the newest weights to the engine.
+type keeper struct {
+	s       *Sidecar
+	fetcher *pieces.Fetcher
+	wake    chan struct{}
+
+	// mu guards the state that the dump shows.
+	mu     sync.Mutex
+	report platform.EngineReport
+	target pieces.Key
+	step   string
+}
+
+func newKeeper(s *Sidecar) *keeper {
+	return &keeper{
+		s: s, wake: make(chan struct{}, 1),
+		fetcher: &pieces.Fetcher{
+			Self: s.node(), Store: s.store, Client: s.client, Clock: s.Clock, Log: s.Log, Scope: s.Scope.SubScope("weights"),
+		},
+	}
+}
+
+func (k *keeper) poke() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *keeper) dump() any {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return map[string]any{"report": k.report, "target": k.target, "step": k.step}
+}
+
+func (k *keeper) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := idlePause
+		if !k.look(ctx) {
+			pause = busyPause
+		}
+		select {
+		case <-ctx.Done():
+		case <-k.wake:
+		case <-k.s.Clock.After(pause):
+		}
+	}
+}
+
+// targets returns what the engine is to hold.
+func (k *keeper) targets(v *feed.View) []pieces.Key {
+	if v.Config == nil {
+		return nil
+	}
+	service := v.Config.Services[k.s.set.BackendService]
+	if service == nil || service.Engine == nil || service.Engine.Pieces == 0 {
+		return nil
+	}
+	var keys []pieces.Key
+	for _, model := range service.Engine.Models {
+		keys = append(keys, pieces.Key{Model: model, Version: max(v.Weights[model].Version, firstVersion)})
+	}
+	return keys
+}
+
+// look compares what the engine holds with what it should, and acts. It
+// reports whether nothing is left to do.
+func (k *keeper) look(ctx context.Context) bool {
+	view := k.s.follower.View()
+	settled := true
+	for _, key := range k.targets(view) {
+		report, err := k.engineReport(ctx)
+		if err != nil {
+			k.note(key, report, "engine does not answer")
+			return true
+		}
+		if holds(report, key) {
+			k.note(key, report, "held")
+			continue
+		}
+		settled = false
+		if report.Busy {
+			k.note(key, report, "engine is busy")
+			continue
+		}
+		if err := k.bring(ctx, view, key); err != nil && ctx.Err() == nil {
+			k.s.Log.Warn("weights not brought", "model", key.Model, "version", key.Version, "code", int(result.CodeOf(err)), "error", err)
+		}
+	}
+	return settled
+}
+
+func holds(r platform.EngineReport, key pieces.Key) bool {
+	for _, w := range r.Held {
+		if w.Model == key.Model && w.Version >= key.Version {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *keeper) note(key pieces.Key, r platform.EngineReport, step string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.target != key || k.step != step {
+		k.s.Log.Info("engine looked at", "model", key.Model, "version", key.Version, "step", step,
+			"held", r.Held, "busy", r.Busy, "orders", r.Orders)
+	}
+	k.report, k.target, k.step = r, key, step
+}
+
+// bring fetches, stages, verifies and loads a version.
+func (k *keeper) bring(ctx context.Context, view *feed.View, key pieces.Key) error {
+	order := k.order(view, key)
+	fetchCtx, cancel := context.WithTimeout(ctx, fetchLimit)
+	defer cancel()
+	stop := k.stopWhenOvertaken(fetchCtx, cancel, key)
+	defer stop()
+	if err := k.fetcher.FetchManifest(fetchCtx, order); err != nil {
+		return err
+	}
+	k.reuseStaged(ctx, key)
+	if err := k.fetcher.Fetch(fetchCtx, order); err != nil {
+		return err
+	}
+	if err := k.stage(ctx, key); err != nil {
+		return err
+	}
+	return k.load(ctx, key)
+}
+
+// stopWhenOvertaken cancels a fetch once a newer version was named.
+func (k *keeper) stopWhenOvertaken(ctx context.Context, cancel context.CancelFunc, key pieces.Key) func() {
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-ctx.Done():
+				return
+			case <-k.s.Clock.After(busyPause):
+			}
+			for _, now := range k.targets(k.s.follower.View()) {
+				if now.Model == key.Model && now.Version > key.Version {
+					cancel()
+					return
+				}
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+// order describes the transfer: the agents are those beside the service's
+// servers, known by their VM's address.
+func (k *keeper) order(view *feed.View, key pieces.Key) *pieces.Order {
+	o := &pieces.Order{Key: key, Peers: map[string]string{}}
+	if origin := view.Config.Origin(); origin != nil {
+		o.Origin, o.Home = origin.Address, k.s.set.Regions[origin.Zone]
+	}
+	for _, e := range view.Servers[k.s.set.BackendService] {
+		host, _, err := net.SplitHostPort(e.Address)
+		if err != nil || o.Peers[host] != "" {
+			continue
+		}
+		o.Nodes = append(o.Nodes, planner.Node{Name: host, Zone: e.Zone, Region: k.s.set.Regions[e.Zone]})
+		o.Peers[host] = k.s.set.PeerAddress(host)
+	}
+	return o
+}
+
+// reuseStaged takes pieces that the engine still has staged from before a
+// restart of this process.
+func (k *keeper) reuseStaged(ctx context.Context, key pieces.Key) {
+	for _, piece := range k.s.store.Missing(key) {
+		data, err := k.call(ctx, http.MethodGet, platform.StageGetPath(key.Model, piece), nil)
+		if err != nil || !k.s.store.Put(key, piece, data) {
+			// What is staged is of another version, or nothing.
+			return
+		}
+	}
+}
+
+// stage puts every piece into the engine's staging and reads it back: what
+// lies there may have turned bad.
+func (k *keeper) stage(ctx context.Context, key pieces.Key) error {
+	m, ok := k.s.store.Manifest(key)
+	if !ok {
+		return result.New(result.ChunkMissing, "version %d was replaced", key.Version)
+	}
+	started := k.s.Clock.Now()
+	put := 0
+	for piece, digest := range m.Digests {
+		staged, err := k.call(ctx, http.MethodGet, platform.StageGetPath(key.Model, piece), nil)
+		if err == nil && sha256.Sum256(staged) == digest {
+			continue
+		}
+		data := k.s.store.Piece(key, piece)
+		if data == nil {
+			return result.New(result.ChunkMissing, "version %d was replaced", key.Version)
+		}
+		if _, err := k.call(ctx, http.MethodPut, platform.StagePutPath(key.Model, piece), data); err != nil {
+			return err
+		}
+		put++
+	}
+	if put > 0 {
+		// What was put is read back as well before the engine loads it.
+		k.s.Log.Info("pieces staged", "model", key.Model, "version", key.Version, "put", put, "took", k.s.Clock.Since(started))
+		return k.stage(ctx, key)
+	}
+	return nil
+}
+
+// load orders the engine to load what is staged.
+func (k *keeper) load(ctx context.Context, key pieces.Key) error {
+	body, err := platform.EncodeLoadOrder(key.Model, key.Version)
+	if err != nil {
+		return err
+	}
+	_, err = k.call(ctx, http.MethodPost, platform.PathOrder, body)
+	k.s.Log.Info("load ordered", "model", key.Model, "version", key.Version, "error", err)
+	return err
+}
+
+func (k *keeper) engineReport(ctx context.Context) (platform.EngineReport, error) {
+	body, err := k.call(ctx, http.MethodGet, platform.PathReport, nil)
+	if err != nil {
+		return platform.EngineReport{}, err
+	}
+	return platform.DecodeReport(bytes.NewReader(body))
+}
+
+// call calls the engine on this VM and returns the body of a success.
+func (k *keeper) call(ctx context.Context, method, target string, body []byte) ([]byte, error) {
+	by := time.Now().Add(engineLimit)
+	req := &backend.Request{Method: method, Target: target, Host: k.s.set.BackendAddress, Body: body, HeadBy: by}
+	if body != nil {
+		contentType := "application/octet-stream"
+		if method == http.MethodPost {
+			contentType = "application/json"
+		}
+		req.Header = http.Header{"Content-Type": {contentType}}
+	}
+	ex, err := k.s.client.Do(ctx, k.s.set.BackendAddress, req)
+	if err != nil {
+		return nil, result.New(result.EngineUnreadable, "%s %s: %v", method, target, err)
+	}
+	defer ex.Close()
+	ex.ReadBy(by)
+	data, err := io.ReadAll(ex)
+	switch {
+	case err != nil:
+		return nil, result.New(result.EngineUnreadable, "%s %s: %v", method, target, err)
+	case ex.Status >= 300:
+		return nil, result.New(result.EngineRefused, "%s %s: status %d: %.100s", method, target, ex.Status, data)
+	default:
+		return data, nil
+	}
+}
--- /dev/null
+++ b/request/placement/server.go
@@ -0,0 +1,77 @@
+package placement
+
+import "time"
+
+const (
+	// failureWeight is the weight of the last outcome in the share of failures.
+	failureWeight = 0.25
+	// failureShare is the share of failures at which a server is left out.
+	failureShare = 0.45
+	// minLeftOut and maxLeftOut bound how long a server is left out after
+	// failures. It doubles each time.
+	minLeftOut = 700 * time.Millisecond
+	maxLeftOut = 6 * time.Second
+	// fullPause is how long a server that refused is left alone: about a pass
+	// of its engine.
+	fullPause = 100 * time.Millisecond
+	// unheldPause is how long a server is left alone that lacked the weights:
+	// until news of it can have arrived.
+	unheldPause = 500 * time.Millisecond
+)
+
+// server is what this entry knows of a server by its own requests.
+type server struct {
+	Server
+	// own counts this entry's requests there, reading their prompt tokens that
+	// no event has followed yet.
+	own     int
+	reading int
+	// failures is the moving share of failed requests, streak those in a row.
+	failures float64
+	streak   int
+	leftOut  time.Duration
+	until    time.Time
+	// trial is set while one request finds out whether a server works again.
+	trial bool
+	// fullUntil ends a pause after a refusal.
+	fullUntil time.Time
+	gone      bool
+}
+
+func (s *server) rested(now time.Time) bool {
+	return !now.Before(s.until) && !now.Before(s.fullUntil) && !(s.trial && s.own > 0)
+}
+
+// learn takes in how a request ended.
+func (s *server) learn(o Outcome, now time.Time) {
+	switch o {
+	case Served:
+		s.streak = 0
+		s.failures *= 1 - failureWeight
+		s.trial = false
+		if s.failures < failureShare/4 {
+			s.leftOut = 0
+		}
+	case Failed, Stalled:
+		s.streak++
+		s.failures += failureWeight * (1 - s.failures)
+		if s.trial || o == Stalled || s.streak >= 2 || s.failures >= failureShare {
+			s.leaveOut(now)
+		}
+	case Full:
+		s.fullUntil = now.Add(fullPause)
+	case Unheld:
+		s.fullUntil = now.Add(unheldPause)
+	case Abandoned:
+		s.trial = false
+	}
+}
+
+func (s *server) leaveOut(now time.Time) {
+	if now.Before(s.until) {
+		return
+	}
+	s.leftOut = min(max(2*s.leftOut, minLeftOut), maxLeftOut)
+	s.until = now.Add(s.leftOut)
+	s.trial = true
+}
--- /dev/null
+++ b/version/pieces/plan.go
@@ -0,0 +1,78 @@
+package pieces
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+
+	"github.com/waxwingpost/waxwingpost/version/manifest"
+	"github.com/waxwingpost/waxwingpost/version/planner"
+)
+
+// Origin is the name of the origin among the sources of a piece.
+const Origin = ""
+
+// Lane says which link a piece comes over first.
+type Lane uint8
+
+// Lanes.
+const (
+	// FromOrigin is the origin's link.
+	FromOrigin Lane = iota
+	// FromFar is the link between two regions.
+	FromFar
+	// FromNear is the link of another VM in the region.
+	FromNear
+)
+
+// Plan tells where an agent takes each piece from.
+type Plan struct {
+	self planner.Node
+	home string
+	arr  *planner.Arrangement
+}
+
+// NewPlan returns the plan of one agent. home is the origin's region; where no
+// agent is there, the first region takes its place. Agents with equal lists of
+// nodes make plans that fit together.
+func NewPlan(self planner.Node, nodes []planner.Node, home string, k Key) *Plan {
+	if !slices.ContainsFunc(nodes, func(n planner.Node) bool { return n.Name == self.Name }) {
+		nodes = append(slices.Clone(nodes), self)
+	}
+	if !slices.ContainsFunc(nodes, func(n planner.Node) bool { return n.Region == home }) {
+		home = slices.MinFunc(nodes, func(a, b planner.Node) int {
+			if a.Region < b.Region {
+				return -1
+			}
+			return 1
+		}).Region
+	}
+	set := planner.Settings{Fetchers: len(nodes)}
+	return &Plan{self: self, home: home, arr: planner.Arrange(nodes, k.digest(), set)}
+}
+
+// digest seeds the arrangement of a version.
+func (k Key) digest() manifest.Digest {
+	return manifest.Digest(sha256.Sum256(binary.BigEndian.AppendUint64([]byte(k.Model+"\x00"), uint64(k.Version))))
+}
+
+// Sources returns whom to ask for a piece, in order. The origin is last, but
+// for the agent in charge of the piece.
+func (p *Plan) Sources(piece int) ([]string, Lane) {
+	home := p.arr.Owners(p.home, piece)
+	region := p.arr.Owners(p.self.Region, piece)
+	switch {
+	case len(home) > 0 && home[0] == p.self.Name:
+		return append([]string{Origin}, without(home, p.self.Name)...), FromOrigin
+	case p.self.Region == p.home:
+		return append(without(home, p.self.Name), Origin), FromNear
+	case len(region) > 0 && region[0] == p.self.Name:
+		return append(slices.Clone(home), Origin), FromFar
+	default:
+		return append(append(without(region, p.self.Name), home...), Origin), FromNear
+	}
+}
+
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+}
--- /dev/null
+++ b/version/pieces/serve.go
@@ -0,0 +1,74 @@
+package pieces
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/waxwingpost/waxwingpost/platform"
+)
+
+const (
+	// Prefix begins the paths that agents serve each other.
+	Prefix = "/v1/pieces/"
+	// holdFor is how long a request waits for a piece that is on its way.
+	holdFor = 2500 * time.Millisecond
+	// manifestName takes the place of a piece's number in the manifest's path.
+	manifestName = "manifest"
+)
+
+func path(k Key, name string) string {
+	return Prefix + url.PathEscape(k.Model) + "/" + strconv.Itoa(k.Version) + "/" + name
+}
+
+// ServeHTTP serves pieces and manifests to other agents.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	parts := strings.Split(strings.TrimPrefix(r.URL.Path, Prefix), "/")
+	if len(parts) != 3 {
+		http.NotFound(w, r)
+		return
+	}
+	version, err := strconv.Atoi(parts[1])
+	if err != nil {
+		http.NotFound(w, r)
+		return
+	}
+	k := Key{Model: parts[0], Version: version}
+	ctx, cancel := context.WithTimeout(r.Context(), holdFor)
+	defer cancel()
+	var data []byte
+	if parts[2] == manifestName {
+		data = s.encodedManifest(ctx, k)
+	} else if piece, err := strconv.Atoi(parts[2]); err == nil {
+		data = s.Wait(ctx, k, piece)
+	}
+	if data == nil {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data) // the other agent asks elsewhere
+}
+
+func (s *Store) encodedManifest(ctx context.Context, k Key) []byte {
+	m, ok := s.WaitManifest(ctx, k)
+	if !ok {
+		return nil
+	}
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func decodeManifest(data []byte) (platform.Manifest, error) {
+	var m platform.Manifest
+	err := cbor.Unmarshal(data, &m)
+	return m, err
+}
--- /dev/null
+++ b/version/pieces/store.go
@@ -0,0 +1,164 @@
+// Package pieces spreads one version of a model's weights over the VMs of a
+// deployment whose agents have no disk: small pieces, held in memory, verified
+// by SHA-256 on arrival.
+//
+// Each piece leaves the origin once, to the agent in charge of it in the
+// origin's region; it enters each other region once, to the agent in charge
+// there; all others take it from the one in charge in their region. An agent
+// that is asked for a piece which is on its way answers when it has arrived.
+// Where an agent fails, the next in the order is asked, and the origin last.
+package pieces
+
+import (
+	"context"
+	"crypto/sha256"
+	"sync"
+
+	"github.com/waxwingpost/waxwingpost/platform"
+)
+
+// Key names a version of a model's weights.
+type Key struct {
+	Model   string
+	Version int
+}
+
+// set is one version that is held or on its way.
+type set struct {
+	manifest platform.Manifest
+	pieces   [][]byte
+	missing  int
+}
+
+// Store holds the pieces of the newest version of each model. Safe for
+// concurrent use.
+type Store struct {
+	mu   sync.Mutex
+	sets map[string]*set
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{sets: map[string]*set{}, changed: make(chan struct{})}
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Begin makes room for a version in place of an older one.
+func (s *Store) Begin(m platform.Manifest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.sets[m.Model]
+	if old != nil && old.manifest.Version >= m.Version {
+		return
+	}
+	s.sets[m.Model] = &set{manifest: m, pieces: make([][]byte, len(m.Digests)), missing: len(m.Digests)}
+	s.notify()
+}
+
+// get returns the set of a version, or nil. The caller holds the lock.
+func (s *Store) get(k Key) *set {
+	if found := s.sets[k.Model]; found != nil && found.manifest.Version == k.Version {
+		return found
+	}
+	return nil
+}
+
+// Manifest returns the manifest of a version; false where it is not known.
+func (s *Store) Manifest(k Key) (platform.Manifest, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if found := s.get(k); found != nil {
+		return found.manifest, true
+	}
+	return platform.Manifest{}, false
+}
+
+// Put verifies a piece and takes it in. It reports whether the bytes are right.
+func (s *Store) Put(k Key, piece int, data []byte) bool {
+	m, ok := s.Manifest(k)
+	if !ok || piece < 0 || piece >= len(m.Digests) || sha256.Sum256(data) != m.Digests[piece] {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.get(k)
+	if found == nil {
+		return false
+	}
+	if found.pieces[piece] == nil {
+		found.pieces[piece] = data
+		found.missing--
+		s.notify()
+	}
+	return true
+}
+
+// Piece returns a piece that is held, or nil.
+func (s *Store) Piece(k Key, piece int) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.get(k)
+	if found == nil || piece < 0 || piece >= len(found.pieces) {
+		return nil
+	}
+	return found.pieces[piece]
+}
+
+// Missing lists the pieces that are not held.
+func (s *Store) Missing(k Key) []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.get(k)
+	if found == nil {
+		return nil
+	}
+	var missing []int
+	for i, p := range found.pieces {
+		if p == nil {
+			missing = append(missing, i)
+		}
+	}
+	return missing
+}
+
+// Wait returns a piece once it is held, or nil when ctx ends before or a newer
+// version takes its place.
+func (s *Store) Wait(ctx context.Context, k Key, piece int) []byte {
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		newer := s.sets[k.Model] != nil && s.sets[k.Model].manifest.Version > k.Version
+		s.mu.Unlock()
+		if data := s.Piece(k, piece); data != nil || newer {
+			return data
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// WaitManifest returns a manifest once it is known; false when ctx ends before.
+func (s *Store) WaitManifest(ctx context.Context, k Key) (platform.Manifest, bool) {
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		if m, ok := s.Manifest(k); ok {
+			return m, true
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Manifest{}, false
+		case <-changed:
+		}
+	}
+}
