Streams: events pass on as they arrive; a read error stays

Cause: the chunk's closing bytes in the buffer were taken for more events, so the reader waited for the next chunk; after a timeout the chunk reader was read on and lost its place. Lateness is read from the caller's time only below 0.82 of the route's.

--- a/connection/backend/body.go
+++ b/connection/backend/body.go
@@ -85,6 +85,7 @@
 		if line, err := c.line(); err != nil || line != "" {
 			return errors.CombineErrors(err, errChunk)
 		}
+		c.open = false
 	}
 	line, err := c.line()
 	if err != nil {
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -286,8 +286,11 @@
 	return n, err
 }
 
+// frameBytes is what the end of one chunk and the line of the next take.
+const frameBytes = 8
+
 // Buffered reports whether a Read returns without waiting for the server.
-func (ex *Exchange) Buffered() bool { return ex.conn.r.Buffered() > 0 }
+func (ex *Exchange) Buffered() bool { return !ex.whole && ex.conn.r.Buffered() > frameBytes }
 
 // ReadBy sets the time at which reading fails; zero is never.
 func (ex *Exchange) ReadBy(t time.Time) { _ = ex.conn.SetReadDeadline(t) }
--- a/request/forward/events.go
+++ b/request/forward/events.go
@@ -36,8 +36,13 @@
 	// there is none.
 	last  int64
 	known bool
+	// ended is why the source gives no more.
+	ended error
 }
 
+// from begins to read from another source.
+func (e *eventReader) from(src source) { e.src, e.buf, e.ended = src, nil, nil }
+
 // next returns the bytes of one or more whole events, as many as are at hand.
 // It returns io.EOF at the stream's true end. What was read of an event that
 // broke off is dropped.
@@ -50,22 +55,19 @@
 		if len(e.buf) > maxEvent {
 			return nil, 0, errEventTooLong
 		}
-		if err := e.fill(); err != nil {
-			return e.atEnd(err)
+		if e.ended != nil {
+			return nil, 0, e.end()
 		}
+		e.ended = e.fill()
 	}
 }
 
-// atEnd returns what is left when reading ended with err.
-func (e *eventReader) atEnd(err error) ([]byte, int, error) {
-	events, count, takeErr := e.take()
-	if takeErr != nil || count > 0 {
-		return events, count, takeErr
-	}
-	if err == io.EOF && len(bytes.TrimSpace(e.buf)) > 0 { //nolint:errorlint // sources return io.EOF itself
-		return nil, 0, io.ErrUnexpectedEOF
+// end returns why the stream ended; one that ends inside an event broke off.
+func (e *eventReader) end() error {
+	if e.ended == io.EOF && len(bytes.TrimSpace(e.buf)) > 0 { //nolint:errorlint // sources return io.EOF itself
+		return io.ErrUnexpectedEOF
 	}
-	return nil, 0, err
+	return e.ended
 }
 
 func (e *eventReader) fill() error {
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -139,6 +139,10 @@
 }
 
 const (
+	// lateShare is the part of the route's timeout below which a caller's time
+	// has been spent on earlier attempts: the platform's callers begin with 0.85
+	// of it or more.
+	lateShare = 0.82
 	// defaultBodyBytes bounds bodies where the configuration states nothing.
 	defaultBodyBytes = 4 << 20
 	// startingRetry is told to callers before the first configuration is here.
@@ -189,7 +193,7 @@
 		left = j.route.Timeout
 	}
 	j.due = j.start.Add(left)
-	j.late = told && j.route.Timeout-left > j.route.Aim/2
+	j.late = told && left < time.Duration(lateShare*float64(j.route.Timeout))
 }
 
 func readBody(w http.ResponseWriter, j *job, limits deployment.Limits) error {
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -108,7 +108,7 @@
 
 // run passes events on until the stream ends, and sets the try's verdict.
 func (r *relay) run(t *try) {
-	r.events.src, r.events.buf = t.ex, nil
+	r.events.from(t.ex)
 	first := true
 	for {
 		t.ex.ReadBy(r.stallBy())
