Weights: engines that hold a version share it, beneath live requests

Cause: agents of engines that started with version 1 had no pieces, so added engines stayed empty until the next version.

--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -37,6 +37,8 @@
 	s       *Sidecar
 	fetcher *pieces.Fetcher
 	wake    chan struct{}
+	// shared is the version whose staged pieces were taken last.
+	shared pieces.Key
 
 	// mu guards the state that the dump shows.
 	mu     sync.Mutex
@@ -110,6 +112,7 @@
 		}
 		if holds(report, key) {
 			k.note(key, report, "held")
+			k.share(ctx, view, key)
 			continue
 		}
 		settled = false
@@ -124,6 +127,23 @@
 	return settled
 }
 
+// share takes what the engine has staged of the version that it holds, so that
+// other agents can have it from here.
+func (k *keeper) share(ctx context.Context, view *feed.View, key pieces.Key) {
+	if k.shared == key {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchLimit)
+	defer cancel()
+	if err := k.fetcher.FetchManifest(ctx, k.order(view, key)); err != nil {
+		k.s.Log.Info("manifest not had", "model", key.Model, "version", key.Version, "error", err)
+		return
+	}
+	k.reuseStaged(ctx, key)
+	k.shared = key
+	k.s.Log.Info("staged pieces shared", "model", key.Model, "version", key.Version, "missing", len(k.s.store.Missing(key)))
+}
+
 func holds(r platform.EngineReport, key pieces.Key) bool {
 	for _, w := range r.Held {
 		if w.Model == key.Model && w.Version >= key.Version {
@@ -189,7 +209,7 @@
 // order describes the transfer: the agents are those beside the service's
 // servers, known by their VM's address.
 func (k *keeper) order(view *feed.View, key pieces.Key) *pieces.Order {
-	o := &pieces.Order{Key: key, Peers: map[string]string{}}
+	o := &pieces.Order{Key: key, Peers: map[string]string{}, Holders: map[string]bool{}}
 	if origin := view.Config.Origin(); origin != nil {
 		o.Origin, o.Home = origin.Address, k.s.set.Regions[origin.Zone]
 	}
@@ -200,6 +220,7 @@
 		}
 		o.Nodes = append(o.Nodes, planner.Node{Name: host, Zone: e.Zone, Region: k.s.set.Regions[e.Zone]})
 		o.Peers[host] = k.s.set.PeerAddress(host)
+		o.Holders[host] = e.Holds(key.Model) == key.Version
 	}
 	return o
 }
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -21,6 +21,10 @@
 	"github.com/waxwingpost/waxwingpost/version/planner"
 )
 
+// transferShare is the part of the VM's link that weights may take while
+// events of live requests cross it as well.
+const transferShare = 0.6
+
 // Sidecar is the process beside a model engine.
 type Sidecar struct {
 	*base.Base
@@ -33,7 +37,7 @@
 
 // New returns a process that does nothing until Run.
 func New(set platform.Settings, b *base.Base) *Sidecar {
-	s := &Sidecar{Base: b, set: set, store: pieces.NewStore()}
+	s := &Sidecar{Base: b, set: set, store: pieces.NewStore(transferShare * set.LinkBytesPerSecond)}
 	s.client = backend.New(backend.Config{UnackedLimit: base.UnackedLimit, Scope: b.Scope})
 	dialer := &link.Dialer{Auth: b.Auth, Self: s.hello, Stats: b.Stats, Client: base.LinkClient()}
 	s.follower = feed.NewFollower(feed.FollowerConfig{
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -57,6 +57,8 @@
 	Home   string
 	Nodes  []planner.Node
 	Peers  map[string]string
+	// Holders names the agents whose engines hold the version already.
+	Holders map[string]bool
 }
 
 // Fetch brings in every piece that is missing. It returns when all are held, or
@@ -66,7 +68,7 @@
 	if err := f.FetchManifest(ctx, o); err != nil {
 		return err
 	}
-	plan := NewPlan(f.Self, o.Nodes, o.Home, o.Key)
+	plan := NewPlan(f.Self, o.Nodes, o.Home, o.Key, o.Holders)
 	lanes := map[Lane][]int{}
 	for _, piece := range f.Store.Missing(o.Key) {
 		_, lane := plan.Sources(piece)
@@ -106,7 +108,7 @@
 		m, err := platform.DecodeManifest(bytes.NewReader(data))
 		return f.begin(o, m, err)
 	}
-	for _, name := range NewPlan(f.Self, o.Nodes, o.Home, o.Key).arr.Owners(o.Home, 0) {
+	for _, name := range NewPlan(f.Self, o.Nodes, o.Home, o.Key, o.Holders).arr.Owners(o.Home, 0) {
 		if name == f.Self.Name || ctx.Err() != nil {
 			continue
 		}
--- a/version/pieces/plan.go
+++ b/version/pieces/plan.go
@@ -30,12 +30,15 @@
 	self planner.Node
 	home string
 	arr  *planner.Arrangement
+	// holders are the agents of the own region that hold the whole version.
+	holders []string
 }
 
 // NewPlan returns the plan of one agent. home is the origin's region; where no
 // agent is there, the first region takes its place. Agents with equal lists of
-// nodes make plans that fit together.
-func NewPlan(self planner.Node, nodes []planner.Node, home string, k Key) *Plan {
+// nodes make plans that fit together. holders names the agents whose engines
+// hold the version already.
+func NewPlan(self planner.Node, nodes []planner.Node, home string, k Key, holders map[string]bool) *Plan {
 	if !slices.ContainsFunc(nodes, func(n planner.Node) bool { return n.Name == self.Name }) {
 		nodes = append(slices.Clone(nodes), self)
 	}
@@ -48,7 +51,21 @@
 		}).Region
 	}
 	set := planner.Settings{Fetchers: len(nodes)}
-	return &Plan{self: self, home: home, arr: planner.Arrange(nodes, k.digest(), set)}
+	p := &Plan{self: self, home: home, arr: planner.Arrange(nodes, k.digest(), set)}
+	for _, n := range nodes {
+		if n.Region == self.Region && n.Name != self.Name && holders[n.Name] {
+			p.holders = append(p.holders, n.Name)
+		}
+	}
+	slices.Sort(p.holders)
+	return p
+}
+
+// fromHolders returns the holders of the region, each first for its share of
+// the pieces.
+func (p *Plan) fromHolders(piece int) []string {
+	at := piece % len(p.holders)
+	return append(slices.Clone(p.holders[at:]), p.holders[:at]...)
 }
 
 // digest seeds the arrangement of a version.
@@ -62,6 +79,8 @@
 	home := p.arr.Owners(p.home, piece)
 	region := p.arr.Owners(p.self.Region, piece)
 	switch {
+	case len(p.holders) > 0:
+		return append(append(p.fromHolders(piece), without(home, p.self.Name)...), Origin), FromNear
 	case len(home) > 0 && home[0] == p.self.Name:
 		return append([]string{Origin}, without(home, p.self.Name)...), FromOrigin
 	case p.self.Region == p.home:
--- a/version/pieces/serve.go
+++ b/version/pieces/serve.go
@@ -52,7 +52,30 @@
 		return
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	_, _ = w.Write(data) // the other agent asks elsewhere
+	s.send(r.Context(), w, data)
+}
+
+// sliceBytes is how much of a piece is sent at once: few milliseconds on the
+// platform's slowest links.
+const sliceBytes = 4 << 10
+
+// send writes a piece in paced slices. An agent that got no whole piece asks
+// elsewhere.
+func (s *Store) send(ctx context.Context, w http.ResponseWriter, data []byte) {
+	out := http.NewResponseController(w)
+	for len(data) > 0 {
+		n := min(sliceBytes, len(data))
+		if err := s.pace.WaitN(ctx, n); err != nil {
+			return
+		}
+		if _, err := w.Write(data[:n]); err != nil {
+			return
+		}
+		if err := out.Flush(); err != nil {
+			return
+		}
+		data = data[n:]
+	}
 }
 
 func (s *Store) encodedManifest(ctx context.Context, k Key) []byte {
--- a/version/pieces/store.go
+++ b/version/pieces/store.go
@@ -14,6 +14,8 @@
 	"crypto/sha256"
 	"sync"
 
+	"golang.org/x/time/rate"
+
 	"github.com/waxwingpost/waxwingpost/platform"
 )
 
@@ -37,11 +39,22 @@
 	sets map[string]*set
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// pace spreads what is sent to other agents: it shares the VM's link with
+	// the events of live requests.
+	pace *rate.Limiter
 }
 
-// NewStore returns an empty store.
-func NewStore() *Store {
-	return &Store{sets: map[string]*set{}, changed: make(chan struct{})}
+// NewStore returns an empty store that sends at most bytesPerSecond to other
+// agents; 0 is no limit.
+func NewStore(bytesPerSecond float64) *Store {
+	limit := rate.Inf
+	if bytesPerSecond > 0 {
+		limit = rate.Limit(bytesPerSecond)
+	}
+	return &Store{
+		sets: map[string]*set{}, changed: make(chan struct{}),
+		pace: rate.NewLimiter(limit, sliceBytes),
+	}
 }
 
 func (s *Store) notify() {
