Versions carry their age to entries that learn late

Ages come from the control processes' own clocks; one that restarted says that it does not know, and old weights are then not used. Pauses after refusals in a row double: an engine that loads refuses for seconds.

--- a/connection/wire/news.go
+++ b/connection/wire/news.go
@@ -22,6 +22,9 @@
 	Revision      uint64         `cbor:"1,keyasint,omitempty"`
 	ConfigVersion uint64         `cbor:"2,keyasint,omitempty"`
 	Weights       map[string]int `cbor:"3,keyasint,omitempty"`
+	// Ages tells how long ago, in milliseconds, each model's version was named.
+	// Models are missing whose version the sender learned after a restart.
+	Ages map[string]int64 `cbor:"10,keyasint,omitempty"`
 	// Servers have changed, Alive were heard without a change, Left are gone.
 	Servers []directory.Server `cbor:"4,keyasint,omitempty"`
 	Alive   []string           `cbor:"5,keyasint,omitempty"`
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -30,15 +30,36 @@
 	// forgetControl is how long a control process that nobody names is dialed:
 	// longer than the platform's slowest restart.
 	forgetControl = 30 * time.Second
+	// ageTolerance is the difference of two ages that is not news.
+	ageTolerance = 100 * time.Millisecond
 	// maxLinks bounds the control processes that an entry follows.
 	maxLinks = 9
 )
 
-// NamedVersion is the newest version of a model's weights, and since when this
-// process knows of it.
+// NamedVersion is the newest version of a model's weights.
 type NamedVersion struct {
 	Version int
-	Since   time.Time
+	// Since is when it was named, as far as this process knows. It is zero, long
+	// ago, while no control process can tell.
+	Since time.Time
+}
+
+// hear takes in that a version was named some time ago, and reports whether
+// that is news. Of two times the earlier one holds: a control process that was
+// down learns late.
+func (n *NamedVersion) hear(version int, since time.Time) bool {
+	switch {
+	case version < n.Version:
+		return false
+	case version > n.Version:
+		*n = NamedVersion{Version: version, Since: since}
+		return true
+	case since.IsZero() || !n.Since.IsZero() && !since.Before(n.Since.Add(-ageTolerance)):
+		return false
+	default:
+		n.Since = since
+		return true
+	}
 }
 
 // View is what a follower knows at one moment. It must not be changed.
@@ -290,11 +311,17 @@
 func (f *Follower) hearDesired(news wire.News) bool {
 	changed := false
 	for model, version := range news.Weights {
-		if version > f.weights[model].Version {
-			f.weights[model] = NamedVersion{Version: version, Since: f.clock.Now()}
+		var since time.Time
+		if age, told := news.Ages[model]; told {
+			since = f.clock.Now().Add(-time.Duration(age) * time.Millisecond)
+		}
+		named := f.weights[model]
+		if named.hear(version, since) {
+			f.weights[model] = named
 			f.fetch = true
 			changed = true
-			f.log.Info("weights named", "model", model, "version", version, "revision", news.Revision)
+			f.log.Info("weights named", "model", model, "version", version, "revision", news.Revision,
+				"age_told", !since.IsZero(), "age_ms", news.Ages[model])
 		}
 	}
 	if news.ConfigVersion > f.wanted {
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -28,6 +28,9 @@
 	// beatInterval is the pause between messages about signs of life and
 	// demand: under half of the platform's pause between heartbeats.
 	beatInterval = 500 * time.Millisecond
+	// settleTime is how long after the start news may be old: a replica first
+	// catches up on what it missed.
+	settleTime = 3 * time.Second
 	// demandAge is how long what an entry told of its demand is counted.
 	demandAge = 3 * time.Second
 )
@@ -61,6 +64,9 @@
 	alive   map[string]bool
 	relayed map[string]bool
 	state   desired.State
+	// named holds when each model's version was first seen; models are missing
+	// where that may have been long after it was named.
+	named map[string]time.Time
 }
 
 // NewHub returns a hub without servers.
@@ -68,7 +74,7 @@
 	return &Hub{
 		clock: clock, log: log, peers: p, start: clock.Now(), controls: controls,
 		table: directory.NewTable(), followers: map[*link.Conn]*follower{},
-		alive: map[string]bool{}, relayed: map[string]bool{},
+		alive: map[string]bool{}, relayed: map[string]bool{}, named: map[string]time.Time{},
 	}
 }
 
@@ -214,6 +220,15 @@
 	if s.Revision <= h.state.Revision {
 		return
 	}
+	for model, version := range s.Weights {
+		if version <= h.state.Weights[model] {
+			continue
+		}
+		delete(h.named, model)
+		if h.now() > settleTime {
+			h.named[model] = h.clock.Now()
+		}
+	}
 	h.state = s
 	h.log.Info("desired state changed", "revision", s.Revision, "config_version", s.ConfigVersion, "weights", s.Weights)
 	news := h.desired()
@@ -223,7 +238,13 @@
 }
 
 func (h *Hub) desired() wire.News {
-	return wire.News{Revision: h.state.Revision, ConfigVersion: h.state.ConfigVersion, Weights: h.state.Weights}
+	ages := map[string]int64{}
+	for model, since := range h.named {
+		ages[model] = h.clock.Since(since).Milliseconds()
+	}
+	return wire.News{
+		Revision: h.state.Revision, ConfigVersion: h.state.ConfigVersion, Weights: h.state.Weights, Ages: ages,
+	}
 }
 
 // Document returns the configuration document that is in force here.
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -12,8 +12,10 @@
 	minLeftOut = 700 * time.Millisecond
 	maxLeftOut = 6 * time.Second
 	// fullPause is how long a server that refused is left alone: about a pass
-	// of its engine.
-	fullPause = 100 * time.Millisecond
+	// of its engine. It doubles with each refusal in a row up to maxFullPause,
+	// as an engine that loads weights refuses for seconds.
+	fullPause    = 100 * time.Millisecond
+	maxFullPause = 400 * time.Millisecond
 	// unheldPause is how long a server is left alone that lacked the weights:
 	// until news of it can have arrived.
 	unheldPause = 500 * time.Millisecond
@@ -33,8 +35,9 @@
 	until    time.Time
 	// trial is set while one request finds out whether a server works again.
 	trial bool
-	// fullUntil ends a pause after a refusal.
+	// fullUntil ends a pause after a refusal; refusals counts those in a row.
 	fullUntil time.Time
+	refusals  int
 	gone      bool
 }
 
@@ -47,6 +50,7 @@
 	switch o {
 	case Served:
 		s.streak = 0
+		s.refusals = 0
 		s.failures *= 1 - failureWeight
 		s.trial = false
 		if s.failures < failureShare/4 {
@@ -59,7 +63,12 @@
 			s.leaveOut(now)
 		}
 	case Full:
-		s.fullUntil = now.Add(fullPause)
+		if now.Before(s.fullUntil) {
+			// Refused together with the one before.
+			return
+		}
+		s.fullUntil = now.Add(min(fullPause<<s.refusals, maxFullPause))
+		s.refusals = min(s.refusals+1, 4)
 	case Unheld:
 		s.fullUntil = now.Add(unheldPause)
 	case Abandoned:
