--- a/connection/wire/news.go
+++ b/connection/wire/news.go
@@ -22,9 +22,9 @@
 	Revision      uint64         `cbor:"1,keyasint,omitempty"`
 	ConfigVersion uint64         `cbor:"2,keyasint,omitempty"`
 	Weights       map[string]int `cbor:"3,keyasint,omitempty"`
-	// Ages tells how long ago, in milliseconds, each model's version was named.
-	// Models are missing whose version the sender learned after a restart.
-	Ages map[string]int64 `cbor:"10,keyasint,omitempty"`
+	// Ages tells how long ago the latest versions of each model were named.
+	// Versions are missing that the sender learned after a restart.
+	Ages map[string][]VersionAge `cbor:"10,keyasint,omitempty"`
 	// Servers have changed, Alive were heard without a change, Left are gone.
 	Servers []directory.Server `cbor:"4,keyasint,omitempty"`
 	Alive   []string           `cbor:"5,keyasint,omitempty"`
@@ -37,6 +37,12 @@
 	Entries int `cbor:"9,keyasint,omitempty"`
 }
 
+// VersionAge tells how many milliseconds ago a version was named.
+type VersionAge struct {
+	Version int   `cbor:"1,keyasint"`
+	Age     int64 `cbor:"2,keyasint"`
+}
+
 // DocumentQuery asks for the configuration document of a version or later.
 type DocumentQuery struct {
 	Version uint64 `cbor:"1,keyasint"`
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -30,43 +30,15 @@
 	// forgetControl is how long a control process that nobody names is dialed:
 	// longer than the platform's slowest restart.
 	forgetControl = 30 * time.Second
-	// ageTolerance is the difference of two ages that is not news.
-	ageTolerance = 100 * time.Millisecond
 	// maxLinks bounds the control processes that an entry follows.
 	maxLinks = 9
 )
 
-// NamedVersion is the newest version of a model's weights.
-type NamedVersion struct {
-	Version int
-	// Since is when it was named, as far as this process knows. It is zero, long
-	// ago, while no control process can tell.
-	Since time.Time
-}
-
-// hear takes in that a version was named some time ago, and reports whether
-// that is news. Of two times the earlier one holds: a control process that was
-// down learns late.
-func (n *NamedVersion) hear(version int, since time.Time) bool {
-	switch {
-	case version < n.Version:
-		return false
-	case version > n.Version:
-		*n = NamedVersion{Version: version, Since: since}
-		return true
-	case since.IsZero() || !n.Since.IsZero() && !since.Before(n.Since.Add(-ageTolerance)):
-		return false
-	default:
-		n.Since = since
-		return true
-	}
-}
-
 // View is what a follower knows at one moment. It must not be changed.
 type View struct {
 	// Config is nil before the first configuration.
 	Config  *deployment.Config
-	Weights map[string]NamedVersion
+	Weights map[string]Named
 	// Servers lists the servers that are in use, by service: neither gone nor
 	// replaced at their address.
 	Servers map[string][]directory.Entry
@@ -108,7 +80,7 @@
 	table *directory.Table
 	// controls holds when each control process was last told of.
 	controls map[string]time.Time
-	weights  map[string]NamedVersion
+	weights  map[string]Named
 	config   *deployment.Config
 	// wanted is the highest configuration version heard of.
 	wanted  uint64
@@ -121,7 +93,7 @@
 func NewFollower(cfg FollowerConfig, dialer *link.Dialer, clock clockwork.Clock, log *slog.Logger) *Follower {
 	f := &Follower{
 		cfg: cfg, clock: clock, log: log, start: clock.Now(), wake: make(chan struct{}, 1),
-		table: directory.NewTable(), controls: map[string]time.Time{}, weights: map[string]NamedVersion{},
+		table: directory.NewTable(), controls: map[string]time.Time{}, weights: map[string]Named{},
 	}
 	for _, seed := range cfg.Seeds {
 		f.controls[seed] = f.start
@@ -311,18 +283,18 @@
 func (f *Follower) hearDesired(news wire.News) bool {
 	changed := false
 	for model, version := range news.Weights {
-		var since time.Time
-		if age, told := news.Ages[model]; told {
-			since = f.clock.Now().Add(-time.Duration(age) * time.Millisecond)
-		}
 		named := f.weights[model]
-		if named.hear(version, since) {
-			f.weights[model] = named
+		if named.hearNewest(version) {
 			f.fetch = true
 			changed = true
-			f.log.Info("weights named", "model", model, "version", version, "revision", news.Revision,
-				"age_told", !since.IsZero(), "age_ms", news.Ages[model])
+			f.log.Info("weights named", "model", model, "version", version, "revision", news.Revision, "ages", news.Ages[model])
+		}
+		for _, age := range news.Ages[model] {
+			if named.hearAge(age.Version, f.clock.Now().Add(-time.Duration(age.Age)*time.Millisecond)) {
+				changed = true
+			}
 		}
+		f.weights[model] = named
 	}
 	if news.ConfigVersion > f.wanted {
 		f.wanted = news.ConfigVersion
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -64,9 +64,9 @@
 	alive   map[string]bool
 	relayed map[string]bool
 	state   desired.State
-	// named holds when each model's version was first seen; models are missing
-	// where that may have been long after it was named.
-	named map[string]time.Time
+	// named holds when each model's versions were first seen; those are missing
+	// for which that may have been long after they were named.
+	named map[string]Named
 }
 
 // NewHub returns a hub without servers.
@@ -74,7 +74,7 @@
 	return &Hub{
 		clock: clock, log: log, peers: p, start: clock.Now(), controls: controls,
 		table: directory.NewTable(), followers: map[*link.Conn]*follower{},
-		alive: map[string]bool{}, relayed: map[string]bool{}, named: map[string]time.Time{},
+		alive: map[string]bool{}, relayed: map[string]bool{}, named: map[string]Named{},
 	}
 }
 
@@ -224,10 +224,11 @@
 		if version <= h.state.Weights[model] {
 			continue
 		}
-		delete(h.named, model)
+		named := h.named[model]
 		if h.now() > settleTime {
-			h.named[model] = h.clock.Now()
+			named.hearAge(version, h.clock.Now())
 		}
+		h.named[model] = named
 	}
 	h.state = s
 	h.log.Info("desired state changed", "revision", s.Revision, "config_version", s.ConfigVersion, "weights", s.Weights)
@@ -238,9 +239,11 @@
 }
 
 func (h *Hub) desired() wire.News {
-	ages := map[string]int64{}
-	for model, since := range h.named {
-		ages[model] = h.clock.Since(since).Milliseconds()
+	ages := map[string][]wire.VersionAge{}
+	for model, named := range h.named {
+		for _, v := range named.versions {
+			ages[model] = append(ages[model], wire.VersionAge{Version: v.Version, Age: h.clock.Since(v.Since).Milliseconds()})
+		}
 	}
 	return wire.News{
 		Revision: h.state.Revision, ConfigVersion: h.state.ConfigVersion, Weights: h.state.Weights, Ages: ages,
--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -28,6 +28,9 @@
 	engineLimit = 1500 * time.Millisecond
 	// fetchLimit bounds one round of fetching, after which plans are made anew.
 	fetchLimit = 10 * time.Second
+	// nearlyWhole is the part of the pieces that may be missing of a version
+	// that is fetched to its end although a newer one was named.
+	nearlyWhole = 0.4
 	// firstVersion is the version that models have before one was named.
 	firstVersion = 1
 )
@@ -94,7 +97,7 @@
 	}
 	var keys []pieces.Key
 	for _, model := range service.Engine.Models {
-		keys = append(keys, pieces.Key{Model: model, Version: max(v.Weights[model].Version, firstVersion)})
+		keys = append(keys, pieces.Key{Model: model, Version: max(v.Weights[model].Newest(), firstVersion)})
 	}
 	return keys
 }
@@ -183,7 +186,9 @@
 	return k.load(ctx, key)
 }
 
-// stopWhenOvertaken cancels a fetch once a newer version was named.
+// stopWhenOvertaken cancels a fetch that is far from its end once a newer
+// version can be had. One that is nearly whole goes on: each version has a bound
+// of its own, and a newer one may be out of reach.
 func (k *keeper) stopWhenOvertaken(ctx context.Context, cancel context.CancelFunc, key pieces.Key) func() {
 	done := make(chan struct{})
 	go func() {
@@ -195,17 +200,29 @@
 				return
 			case <-k.s.Clock.After(busyPause):
 			}
-			for _, now := range k.targets(k.s.follower.View()) {
-				if now.Model == key.Model && now.Version > key.Version {
-					cancel()
-					return
-				}
+			if k.overtaken(ctx, key) {
+				cancel()
+				return
 			}
 		}
 	}()
 	return func() { close(done) }
 }
 
+func (k *keeper) overtaken(ctx context.Context, key pieces.Key) bool {
+	view := k.s.follower.View()
+	for _, now := range k.targets(view) {
+		if now.Model != key.Model || now.Version <= key.Version {
+			continue
+		}
+		m, _ := k.s.store.Manifest(key)
+		missing := len(k.s.store.Missing(key))
+		return float64(missing) > nearlyWhole*float64(len(m.Digests)) &&
+			k.fetcher.FetchManifest(ctx, k.order(view, now)) == nil
+	}
+	return false
+}
+
 // order describes the transfer: the agents are those beside the service's
 // servers, known by their VM's address.
 func (k *keeper) order(view *feed.View, key pieces.Key) *pieces.Order {
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -23,7 +23,7 @@
 
 // transferShare is the part of the VM's link that weights may take while
 // events of live requests cross it as well.
-const transferShare = 0.6
+const transferShare = 0.75
 
 // Sidecar is the process beside a model engine.
 type Sidecar struct {
--- a/request/forward/desk.go
+++ b/request/forward/desk.go
@@ -128,11 +128,7 @@
 	}
 	for _, model := range s.Engine.Models {
 		held := e.Holds(model)
-		newest := d.view.Weights[model]
-		if held == 0 {
-			return false
-		}
-		if held < newest.Version && now.Sub(newest.Since) > d.cfg.VersionWithin-versionMargin {
+		if held == 0 || held < d.view.Weights[model].Floor(now, d.cfg.VersionWithin-versionMargin) {
 			return false
 		}
 	}
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -22,9 +22,19 @@
 )
 
 const (
-	// attemptLimit bounds one request for a piece, the wait at the other agent
-	// included.
-	attemptLimit = 3 * time.Second
+	// attemptLimit bounds the wait for the first bytes of a piece: until it has
+	// arrived at the other agent, and those asked for before have gone out.
+	attemptLimit = 4 * time.Second
+	// stallLimit bounds the wait for further bytes.
+	stallLimit = 1500 * time.Millisecond
+	// readSize is how much is read at once.
+	readSize = 8 << 10
+	// manifestLimit bounds a request for a manifest, which is short and not
+	// waited for.
+	manifestLimit = 800 * time.Millisecond
+	// manifestPeers is how many agents are asked for a manifest where the origin
+	// does not give it.
+	manifestPeers = 3
 	// avoidFor is how long an agent that failed is asked last.
 	avoidFor = 3 * time.Second
 	// retryPause is the wait after every source of a piece failed.
@@ -70,7 +80,7 @@
 	}
 	plan := NewPlan(f.Self, o.Nodes, o.Home, o.Key, o.Holders)
 	lanes := map[Lane][]int{}
-	for _, piece := range f.Store.Missing(o.Key) {
+	for _, piece := range plan.Order(f.Store.Missing(o.Key)) {
 		_, lane := plan.Sources(piece)
 		lanes[lane] = append(lanes[lane], piece)
 	}
@@ -103,16 +113,16 @@
 	if _, ok := f.Store.Manifest(o.Key); ok {
 		return nil
 	}
-	data, err := f.get(ctx, o.Origin, platform.ManifestPath(o.Key.Model, o.Key.Version))
+	data, err := f.get(ctx, o.Origin, manifestLimit, platform.ManifestPath(o.Key.Model, o.Key.Version))
 	if err == nil {
 		m, err := platform.DecodeManifest(bytes.NewReader(data))
 		return f.begin(o, m, err)
 	}
-	for _, name := range NewPlan(f.Self, o.Nodes, o.Home, o.Key, o.Holders).arr.Owners(o.Home, 0) {
-		if name == f.Self.Name || ctx.Err() != nil {
-			continue
+	for _, name := range f.manifestSources(o) {
+		if ctx.Err() != nil {
+			break
 		}
-		if data, peerErr := f.get(ctx, o.Peers[name], path(o.Key, manifestName)); peerErr == nil {
+		if data, peerErr := f.get(ctx, o.Peers[name], manifestLimit, path(o.Key, manifestName)); peerErr == nil {
 			m, err := decodeManifest(data)
 			return f.begin(o, m, err)
 		}
@@ -120,6 +130,17 @@
 	return err
 }
 
+// manifestSources returns some other agents, another choice each time.
+func (f *Fetcher) manifestSources(o *Order) []string {
+	var names []string
+	for name := range o.Peers { // in random order
+		if name != f.Self.Name && len(names) < manifestPeers {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (f *Fetcher) begin(o *Order, m platform.Manifest, err error) error {
 	if err == nil && (m.Model != o.Key.Model || m.Version != o.Key.Version) {
 		err = result.New(result.ManifestInvalid, "the manifest is of %s version %d", m.Model, m.Version)
@@ -158,7 +179,7 @@
 	if address == "" {
 		return false
 	}
-	data, err := f.get(ctx, address, target)
+	data, err := f.get(ctx, address, attemptLimit, target)
 	if err == nil && !f.Store.Put(o.Key, piece, data) {
 		err = result.New(result.ChunkCorrupt, "the bytes do not have the piece's digest")
 	}
@@ -212,21 +233,30 @@
 }
 
 // get asks an address for a body.
-func (f *Fetcher) get(ctx context.Context, address, target string) ([]byte, error) {
-	by := time.Now().Add(attemptLimit)
+func (f *Fetcher) get(ctx context.Context, address string, limit time.Duration, target string) ([]byte, error) {
+	by := time.Now().Add(limit)
 	ex, err := f.Client.Do(ctx, address, &backend.Request{Method: http.MethodGet, Target: target, Host: address, HeadBy: by})
 	if err != nil {
 		return nil, result.New(result.SourceFailed, "%v", err)
 	}
 	defer ex.Close()
-	ex.ReadBy(by)
-	data, err := io.ReadAll(ex)
-	switch {
-	case err != nil:
-		return nil, result.New(result.SourceFailed, "read: %v", err)
-	case ex.Status != http.StatusOK:
-		return nil, result.New(result.SourceFailed, "status %d", ex.Status)
-	default:
-		return data, nil
+	var data []byte
+	for {
+		ex.ReadBy(time.Now().Add(stallLimit))
+		n := len(data)
+		data = slices.Grow(data, readSize)[:n+readSize]
+		got, err := ex.Read(data[n:])
+		data = data[:n+got]
+		switch {
+		case err == io.EOF && ex.Status == http.StatusOK: //nolint:errorlint // Read returns io.EOF itself
+			return data, nil
+		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
+			return nil, result.New(result.SourceFailed, "status %d", ex.Status)
+		case err != nil || len(data) > maxPiece:
+			return nil, result.New(result.SourceFailed, "read of %d bytes: %v", len(data), err)
+		}
 	}
 }
+
+// maxPiece bounds what is read as a piece or manifest.
+const maxPiece = 16 << 20
--- a/version/pieces/plan.go
+++ b/version/pieces/plan.go
@@ -73,11 +73,23 @@
 	return manifest.Digest(sha256.Sum256(binary.BigEndian.AppendUint64([]byte(k.Model+"\x00"), uint64(k.Version))))
 }
 
+// inCharge returns a region's agents in the order in which they are in charge
+// of a piece. Each is first for an equal part of the pieces: all links are
+// equally narrow, and the fullest one decides when the last agent is served.
+func (p *Plan) inCharge(region string, piece int) []string {
+	ring := p.arr.Fetchers(region)
+	if len(ring) == 0 {
+		return nil
+	}
+	at := piece % len(ring)
+	return append(slices.Clone(ring[at:]), ring[:at]...)
+}
+
 // Sources returns whom to ask for a piece, in order. The origin is last, but
 // for the agent in charge of the piece.
 func (p *Plan) Sources(piece int) ([]string, Lane) {
-	home := p.arr.Owners(p.home, piece)
-	region := p.arr.Owners(p.self.Region, piece)
+	home := p.inCharge(p.home, piece)
+	region := p.inCharge(p.self.Region, piece)
 	switch {
 	case len(p.holders) > 0:
 		return append(append(p.fromHolders(piece), without(home, p.self.Name)...), Origin), FromNear
@@ -92,6 +104,17 @@
 	}
 }
 
+// Order returns the pieces in the order in which this agent asks for them: each
+// begins elsewhere, so that they don't all ask the same agent first.
+func (p *Plan) Order(pieces []int) []int {
+	if len(pieces) == 0 {
+		return nil
+	}
+	ring := p.arr.Fetchers(p.self.Region)
+	at := max(slices.Index(ring, p.self.Name), 0) * len(pieces) / max(len(ring), 1)
+	return append(slices.Clone(pieces[at:]), pieces[:at]...)
+}
+
 func without(names []string, name string) []string {
 	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
 }
--- a/version/pieces/serve.go
+++ b/version/pieces/serve.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	var data []byte
 	if parts[2] == manifestName {
-		data = s.encodedManifest(ctx, k)
+		data = s.encodedManifest(k)
 	} else if piece, err := strconv.Atoi(parts[2]); err == nil {
 		data = s.Wait(ctx, k, piece)
 	}
@@ -62,6 +62,12 @@
 // send writes a piece in paced slices. An agent that got no whole piece asks
 // elsewhere.
 func (s *Store) send(ctx context.Context, w http.ResponseWriter, data []byte) {
+	select {
+	case s.sending <- struct{}{}:
+		defer func() { <-s.sending }()
+	case <-ctx.Done():
+		return
+	}
 	out := http.NewResponseController(w)
 	for len(data) > 0 {
 		n := min(sliceBytes, len(data))
@@ -78,8 +84,8 @@
 	}
 }
 
-func (s *Store) encodedManifest(ctx context.Context, k Key) []byte {
-	m, ok := s.WaitManifest(ctx, k)
+func (s *Store) encodedManifest(k Key) []byte {
+	m, ok := s.Manifest(k)
 	if !ok {
 		return nil
 	}
--- a/version/pieces/store.go
+++ b/version/pieces/store.go
@@ -32,16 +32,20 @@
 	missing  int
 }
 
-// Store holds the pieces of the newest version of each model. Safe for
-// concurrent use.
+// Store holds the pieces of the two newest versions of each model: others may
+// still want the older one while the newer is on its way. Safe for concurrent
+// use.
 type Store struct {
 	mu   sync.Mutex
-	sets map[string]*set
+	sets map[Key]*set
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	// pace spreads what is sent to other agents: it shares the VM's link with
 	// the events of live requests.
 	pace *rate.Limiter
+	// sending lets one piece go out at a time: halves of many pieces are of no
+	// use to anybody.
+	sending chan struct{}
 }
 
 // NewStore returns an empty store that sends at most bytesPerSecond to other
@@ -52,8 +56,8 @@
 		limit = rate.Limit(bytesPerSecond)
 	}
 	return &Store{
-		sets: map[string]*set{}, changed: make(chan struct{}),
-		pace: rate.NewLimiter(limit, sliceBytes),
+		sets: map[Key]*set{}, changed: make(chan struct{}),
+		pace: rate.NewLimiter(limit, sliceBytes), sending: make(chan struct{}, 1),
 	}
 }
 
@@ -62,31 +66,43 @@
 	s.changed = make(chan struct{})
 }
 
-// Begin makes room for a version in place of an older one.
+// keptVersions is how many versions of a model are held.
+const keptVersions = 2
+
+// Begin makes room for a version. Versions that are older than the newest two
+// are dropped.
 func (s *Store) Begin(m platform.Manifest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old := s.sets[m.Model]
-	if old != nil && old.manifest.Version >= m.Version {
+	k := Key{Model: m.Model, Version: m.Version}
+	if s.sets[k] != nil {
 		return
 	}
-	s.sets[m.Model] = &set{manifest: m, pieces: make([][]byte, len(m.Digests)), missing: len(m.Digests)}
+	s.sets[k] = &set{manifest: m, pieces: make([][]byte, len(m.Digests)), missing: len(m.Digests)}
+	for old := range s.sets {
+		if old.Model == k.Model && s.newer(old) >= keptVersions {
+			delete(s.sets, old)
+		}
+	}
 	s.notify()
 }
 
-// get returns the set of a version, or nil. The caller holds the lock.
-func (s *Store) get(k Key) *set {
-	if found := s.sets[k.Model]; found != nil && found.manifest.Version == k.Version {
-		return found
+// newer counts the versions of the model above k. The caller holds the lock.
+func (s *Store) newer(k Key) int {
+	n := 0
+	for other := range s.sets {
+		if other.Model == k.Model && other.Version > k.Version {
+			n++
+		}
 	}
-	return nil
+	return n
 }
 
 // Manifest returns the manifest of a version; false where it is not known.
 func (s *Store) Manifest(k Key) (platform.Manifest, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if found := s.get(k); found != nil {
+	if found := s.sets[k]; found != nil {
 		return found.manifest, true
 	}
 	return platform.Manifest{}, false
@@ -100,7 +116,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := s.get(k)
+	found := s.sets[k]
 	if found == nil {
 		return false
 	}
@@ -116,7 +132,7 @@
 func (s *Store) Piece(k Key, piece int) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := s.get(k)
+	found := s.sets[k]
 	if found == nil || piece < 0 || piece >= len(found.pieces) {
 		return nil
 	}
@@ -127,7 +143,7 @@
 func (s *Store) Missing(k Key) []int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := s.get(k)
+	found := s.sets[k]
 	if found == nil {
 		return nil
 	}
@@ -140,15 +156,15 @@
 	return missing
 }
 
-// Wait returns a piece once it is held, or nil when ctx ends before or a newer
-// version takes its place.
+// Wait returns a piece once it is held, or nil when ctx ends before or newer
+// versions take its place.
 func (s *Store) Wait(ctx context.Context, k Key, piece int) []byte {
 	for {
 		s.mu.Lock()
 		changed := s.changed
-		newer := s.sets[k.Model] != nil && s.sets[k.Model].manifest.Version > k.Version
+		overtaken := s.newer(k) >= keptVersions
 		s.mu.Unlock()
-		if data := s.Piece(k, piece); data != nil || newer {
+		if data := s.Piece(k, piece); data != nil || overtaken {
 			return data
 		}
 		select {
@@ -158,20 +174,3 @@
 		}
 	}
 }
-
-// WaitManifest returns a manifest once it is known; false when ctx ends before.
-func (s *Store) WaitManifest(ctx context.Context, k Key) (platform.Manifest, bool) {
-	for {
-		s.mu.Lock()
-		changed := s.changed
-		s.mu.Unlock()
-		if m, ok := s.Manifest(k); ok {
-			return m, true
-		}
-		select {
-		case <-ctx.Done():
-			return platform.Manifest{}, false
-		case <-changed:
-		}
-	}
-}
