--- /dev/null
+++ b/connection/backend/client_test.go
@@ -0,0 +1,287 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// script serves each connection with a function.
+func script(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) (address string, conns *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	conns = &atomic.Int32{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+// readRequest reads one request and returns its id and body.
+func readRequest(r *bufio.Reader) (id, body string, err error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", "", err
+	}
+	data, err := io.ReadAll(req.Body)
+	return req.Header.Get("Request-Id"), string(data), err
+}
+
+func newClient() *Client { return New(Config{Scope: tally.NoopScope}) }
+
+func request(id string) *Request {
+	return &Request{
+		Method: http.MethodPost, Target: "/a?b=c", Host: "h.example", Header: http.Header{"Request-Id": {id}},
+		Body: []byte("body"), ID: id, EchoHeader: "Request-Id", HeadBy: time.Now().Add(2 * time.Second),
+	}
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// get sends a request and returns the whole body.
+func get(t *testing.T, c *Client, address, id string) (string, error) {
+	t.Helper()
+	ex, err := c.Do(t.Context(), address, request(id))
+	if err != nil {
+		return "", err
+	}
+	defer ex.Close()
+	data, err := io.ReadAll(ex)
+	return string(data), err
+}
+
+func TestConnectionIsKeptAfterAWholeAnswer(t *testing.T) {
+	address, conns := script(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, body, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, body))
+		}
+	})
+	c := newClient()
+	for i := range 3 {
+		if body, err := get(t, c, address, fmt.Sprint(i)); err != nil || body != "body" {
+			t.Fatalf("request %d: %q, %v", i, body, err)
+		}
+	}
+	if n := conns.Load(); n != 1 {
+		t.Errorf("%d connections were opened", n)
+	}
+}
+
+func TestAnswerOfAnotherRequestIsSkipped(t *testing.T) {
+	address, _ := script(t, func(c net.Conn, r *bufio.Reader) {
+		id, _, _ := readRequest(r)
+		_, _ = io.WriteString(c, answer("stranger", "wrong")+answer(id, "right"))
+	})
+	if body, err := get(t, newClient(), address, "1"); err != nil || body != "right" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	address, conns := script(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, "right")+answer(id, "again"))
+		}
+	})
+	c := newClient()
+	for i := range 2 {
+		if body, err := get(t, c, address, fmt.Sprint(i)); err != nil || body != "right" {
+			t.Fatalf("request %d: %q, %v", i, body, err)
+		}
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections were opened for two requests", n)
+	}
+}
+
+func TestLateBytesOnAnIdleConnectionEndIt(t *testing.T) {
+	late := make(chan struct{})
+	address, conns := script(t, func(c net.Conn, r *bufio.Reader) {
+		id, _, _ := readRequest(r)
+		_, _ = io.WriteString(c, answer(id, "right"))
+		_, _ = io.WriteString(c, answer(id, "extra"))
+		close(late)
+		_, _, _ = readRequest(r)
+	})
+	c := newClient()
+	if _, err := get(t, c, address, "1"); err != nil {
+		t.Fatal(err)
+	}
+	<-late
+	time.Sleep(20 * time.Millisecond) // the bytes cross the loopback interface
+	if k := c.take(address, time.Now()); k != nil {
+		t.Error("a connection with stray bytes was handed out")
+	}
+	if n := conns.Load(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	address, conns := script(t, func(c net.Conn, r *bufio.Reader) {
+		id, _, _ := readRequest(r)
+		_, _ = io.WriteString(c, answer(id, "x"))
+	})
+	c := newClient()
+	for i := range 2 {
+		if _, err := get(t, c, address, fmt.Sprint(i)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond) // the close crosses the loopback interface
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+func TestFailureSaysWhetherTheRequestWasSent(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := gone.Addr().String()
+	_ = gone.Close()
+	reading, _ := script(t, func(_ net.Conn, r *bufio.Reader) { _, _, _ = readRequest(r) })
+	for address, want := range map[string]Sent{refusing: NotSent, reading: MaybeRun} {
+		_, err := get(t, newClient(), address, "1")
+		var failure *Error
+		if !errors.As(err, &failure) || failure.Sent != want {
+			t.Errorf("%s: %v, want sent=%d", address, err, want)
+		}
+	}
+}
+
+func TestBodyThatEndsEarlyIsAnError(t *testing.T) {
+	for name, text := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunk":  "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"digits": "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhalf\r\n",
+	} {
+		address, _ := script(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = readRequest(r)
+			_, _ = io.WriteString(c, text)
+		})
+		if body, err := get(t, newClient(), address, "1"); err == nil {
+			t.Errorf("%s: %q passed as whole", name, body)
+		}
+	}
+}
+
+func TestChunksArePassedOnAsTheyArrive(t *testing.T) {
+	next := make(chan struct{})
+	address, _ := script(t, func(c net.Conn, r *bufio.Reader) {
+		id, _, _ := readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n")
+		<-next
+		_, _ = io.WriteString(c, "3\r\ntwo\r\n0\r\n\r\n")
+	})
+	ex, err := newClient().Do(t.Context(), address, request("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ex.Close()
+	buf := make([]byte, 64)
+	n, err := ex.Read(buf)
+	if err != nil || string(buf[:n]) != "one" || ex.Buffered() {
+		t.Fatalf("first read %q, %v, more at hand: %v", buf[:n], err, ex.Buffered())
+	}
+	close(next)
+	rest, err := io.ReadAll(ex)
+	if err != nil || string(rest) != "two" {
+		t.Errorf("rest %q, %v", rest, err)
+	}
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	address, _ := script(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _, _ = readRequest(r)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		cancel()
+	}()
+	if _, err := newClient().Do(ctx, address, request("1")); err == nil {
+		t.Error("the request was answered")
+	}
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the server's connection stayed open")
+	}
+}
+
+func TestAnswerBeforeALongBodyWasReadEndsTheConnection(t *testing.T) {
+	address, conns := script(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer(req.Header.Get("Request-Id"), "early"))
+		time.Sleep(100 * time.Millisecond)
+	})
+	c := newClient()
+	for i := range 2 {
+		req := request(fmt.Sprint(i))
+		req.Body = []byte(strings.Repeat("x", 32<<20))
+		ex, err := c.Do(t.Context(), address, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(ex); err != nil || string(body) != "early" {
+			t.Errorf("got %q, %v", body, err)
+		}
+		ex.Close()
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections for two requests whose body was not read", n)
+	}
+}
+
+func TestIdleLimitStaysBelowTheServers(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"timeout=10": 10*time.Second - idleMargin, "timeout=10, max=5": 10*time.Second - idleMargin,
+		"": defaultIdle - idleMargin, "max=3": defaultIdle - idleMargin,
+	} {
+		if got := idleLimit(header); got != want {
+			t.Errorf("%q: %v, want %v", header, got, want)
+		}
+	}
+}
--- a/request/forward/desk.go
+++ b/request/forward/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +19,7 @@
 const (
 	// versionMargin is how long before the bound old weights get nothing new:
 	// news of a version and a request under way take a fraction of it.
-	versionMargin = 700 * time.Millisecond
+	versionMargin = time.Second
 	// demandWeight is the weight of the last half second in the demand.
 	demandWeight = 0.3
 	// budgetCaution is the part of the shared retry budget that entries use
@@ -114,7 +115,8 @@
 		}
 		servers = append(servers, placement.Server{
 			ID: e.ID, Address: e.Address, Zone: e.Zone, Slots: slots,
-			Usable: e.State == directory.Ready && d.holdsWeights(s, e, now),
+			Usable:   e.State == directory.Ready && d.holdsWeights(s, e, now),
+			Outdated: d.outdated(s, e),
 		})
 	}
 	return servers
@@ -135,6 +137,16 @@
 	return true
 }
 
+// outdated reports whether a server lacks the newest weights of a model.
+func (d *desk) outdated(s *deployment.Service, e *directory.Entry) bool {
+	if s.Engine == nil {
+		return false
+	}
+	return slices.ContainsFunc(s.Engine.Models, func(model string) bool {
+		return e.Holds(model) < d.view.Weights[model].Newest()
+	})
+}
+
 // offer counts the server time that a request asks for.
 func (d *desk) offer(j *job) {
 	d.mu.Lock()
@@ -225,7 +237,7 @@
 	d.mu.Lock()
 	c := d.counter(j.service, now)
 	req := placement.Request{
-		Prompt: j.tokens.Prompt, WaitUntil: waitUntil, Late: j.late, Priority: j.priority(), Avoid: j.tried,
+		Prompt: j.tokens.Prompt, WaitUntil: waitUntil, Late: j.late || now.Sub(j.start) > j.route.Aim, Priority: j.priority(), Avoid: j.tried,
 	}
 	if c.pool.Waiting() == 0 || !j.late {
 		if l := c.pool.Take(now, req); l != nil {
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -78,7 +78,7 @@
 	now := r.h.clock.Now()
 	until := r.j.start.Add(time.Duration(float64(r.j.route.Aim) * firstEventWait))
 	switch {
-	case r.begun:
+	case r.begun || r.ran > 0:
 		until = now.Add(resumeWait)
 	case r.j.late || len(r.j.tried) > 0:
 		until = now.Add(lateWait)
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -41,8 +41,14 @@
 	gone      bool
 }
 
+// rested reports whether the server may get a request as far as its failures
+// go. One whose weights are outdated is not tried again: a request could reach
+// it late, after they may not be used any more.
 func (s *server) rested(now time.Time) bool {
-	return !now.Before(s.until) && !now.Before(s.fullUntil) && !(s.trial && s.own > 0)
+	if s.trial && (s.own > 0 || s.Outdated) {
+		return false
+	}
+	return !now.Before(s.until) && !now.Before(s.fullUntil)
 }
 
 // learn takes in how a request ended.
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -22,6 +22,9 @@
 	// Usable is unset for servers that leave or lack the weights. They get
 	// nothing new.
 	Usable bool
+	// Outdated is set for a server whose weights are not the newest: soon it may
+	// not be used any more, and what is on its way then must not reach it.
+	Outdated bool
 	// Silent is set for a server that was not heard for long: it is used where
 	// no other can be.
 	Silent bool
