--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -81,6 +81,12 @@
 		select {
 		case <-ctx.Done():
 		case <-k.wake:
+			// Changes come in groups, and each look costs a call to the engine.
+			pause = busyPause
+			select {
+			case <-ctx.Done():
+			case <-k.s.Clock.After(pause):
+			}
 		case <-k.s.Clock.After(pause):
 		}
 	}
@@ -177,7 +183,8 @@
 		return err
 	}
 	k.reuseStaged(ctx, key)
-	if err := k.fetcher.Fetch(fetchCtx, order); err != nil {
+	current := func() *pieces.Order { return k.order(k.s.follower.View(), key) }
+	if err := k.fetcher.Fetch(fetchCtx, current); err != nil {
 		return err
 	}
 	if err := k.stage(ctx, key); err != nil {
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,7 +26,7 @@
 const (
 	// attemptLimit bounds the wait for the first bytes of a piece: until it has
 	// arrived at the other agent, and those asked for before have gone out.
-	attemptLimit = 4 * time.Second
+	attemptLimit = holdFor + 700*time.Millisecond
 	// stallLimit bounds the wait for further bytes.
 	stallLimit = 1500 * time.Millisecond
 	// readSize is how much is read at once.
@@ -36,7 +38,7 @@
 	// does not give it.
 	manifestPeers = 3
 	// avoidFor is how long an agent that failed is asked last.
-	avoidFor = 3 * time.Second
+	avoidFor = 4 * time.Second
 	// retryPause is the wait after every source of a piece failed.
 	retryPause = 150 * time.Millisecond
 )
@@ -57,6 +59,9 @@
 	// mu guards avoided: when agents that failed may be asked first again.
 	mu      sync.Mutex
 	avoided map[string]time.Time
+	// plan is the last plan, made for nodes and holders as planFor tells.
+	plan    *Plan
+	planFor string
 }
 
 // Order is what a fetch needs to know. Peers maps the names of agents to the
@@ -71,39 +76,53 @@
 	Holders map[string]bool
 }
 
+// currentPlan returns the plan for an order; a new one only where the agents or
+// what they hold have changed.
+func (f *Fetcher) currentPlan(o *Order) *Plan {
+	names := make([]string, 0, len(o.Nodes))
+	for _, n := range o.Nodes {
+		name := n.Name
+		if o.Holders[name] {
+			name += "+"
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	key := fmt.Sprint(o.Key, o.Home, names)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.planFor != key {
+		f.plan, f.planFor = NewPlan(f.Self, o.Nodes, o.Home, o.Key, o.Holders), key
+	}
+	return f.plan
+}
+
 // Fetch brings in every piece that is missing. It returns when all are held, or
-// ctx ends.
-func (f *Fetcher) Fetch(ctx context.Context, o *Order) error {
+// ctx ends. current returns the order as it stands: agents come and go.
+func (f *Fetcher) Fetch(ctx context.Context, current func() *Order) error {
 	started := f.Clock.Now()
+	o := current()
 	if err := f.FetchManifest(ctx, o); err != nil {
 		return err
 	}
-	plan := NewPlan(f.Self, o.Nodes, o.Home, o.Key, o.Holders)
+	plan := f.currentPlan(o)
 	lanes := map[Lane][]int{}
 	for _, piece := range plan.Order(f.Store.Missing(o.Key)) {
-		_, lane := plan.Sources(piece)
+		_, lane := plan.Steps(piece, f.avoids)
 		lanes[lane] = append(lanes[lane], piece)
 	}
 	var wg sync.WaitGroup
 	for lane, pieces := range lanes {
-		work := make(chan int, len(pieces))
-		for _, p := range pieces {
-			work <- p
-		}
-		close(work)
+		work := newWork(pieces, started)
 		for range laneWorkers[lane] {
-			wg.Go(func() {
-				for piece := range work {
-					f.fetchPiece(ctx, o, plan, piece)
-				}
-			})
+			wg.Go(func() { f.runLane(ctx, work, current) })
 		}
 	}
 	wg.Wait()
 	missing := len(f.Store.Missing(o.Key))
 	f.Log.Info("pieces fetched", "model", o.Key.Model, "version", o.Key.Version, "missing", missing, "took", f.Clock.Since(started))
 	if missing > 0 {
-		return errors.CombineErrors(ctx.Err(), result.New(result.ChunkMissing, "%d pieces are missing", missing))
+		return result.New(result.ChunkMissing, "%d pieces are missing: %v", missing, ctx.Err())
 	}
 	return nil
 }
@@ -152,17 +171,38 @@
 	return nil
 }
 
-// fetchPiece asks the sources of a piece in turn until one gives it.
-func (f *Fetcher) fetchPiece(ctx context.Context, o *Order, plan *Plan, piece int) {
-	sources, _ := plan.Sources(piece)
-	for ctx.Err() == nil {
-		for _, name := range f.preferred(sources) {
-			if f.Store.Piece(o.Key, piece) != nil || ctx.Err() != nil {
-				return
-			}
-			if f.fetchFrom(ctx, o, name, piece) {
-				return
+// work holds the pieces of a lane that are still to be had. A piece that could
+// not be had goes to the end, so that it does not hold up the others.
+type work struct {
+	queue chan wanted
+	left  atomic.Int64
+}
+
+type wanted struct {
+	piece int
+	since time.Time
+}
+
+func newWork(pieces []int, now time.Time) *work {
+	w := &work{queue: make(chan wanted, len(pieces))}
+	for _, piece := range pieces {
+		w.queue <- wanted{piece: piece, since: now}
+	}
+	w.left.Store(int64(len(pieces)))
+	return w
+}
+
+// runLane fetches pieces until none is left or ctx ends.
+func (f *Fetcher) runLane(ctx context.Context, w *work, current func() *Order) {
+	for ctx.Err() == nil && w.left.Load() > 0 {
+		select {
+		case next := <-w.queue:
+			if f.tryPiece(ctx, current(), next) {
+				w.left.Add(-1)
+				continue
 			}
+			w.queue <- next
+		default:
 		}
 		select {
 		case <-ctx.Done():
@@ -171,8 +211,32 @@
 	}
 }
 
-func (f *Fetcher) fetchFrom(ctx context.Context, o *Order, name string, piece int) bool {
+// tryPiece asks the sources of a piece in turn until one gives it.
+func (f *Fetcher) tryPiece(ctx context.Context, o *Order, next wanted) bool {
+	steps, _ := f.currentPlan(o).Steps(next.piece, f.avoids)
+	for _, step := range steps {
+		if f.Store.Piece(o.Key, next.piece) != nil {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		if f.Clock.Since(next.since) < step.After || f.avoids(step.From) {
+			continue
+		}
+		if f.fetchFrom(ctx, o, step, next.piece) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fetcher) fetchFrom(ctx context.Context, o *Order, step Step, piece int) bool {
+	name := step.From
 	address, target := o.Peers[name], path(o.Key, strconv.Itoa(piece))
+	if step.Wait {
+		target += "?" + waitQuery
+	}
 	if name == Origin {
 		address, target = o.Origin, platform.PiecePath(o.Key.Model, o.Key.Version, piece)
 	}
@@ -183,6 +247,9 @@
 	if err == nil && !f.Store.Put(o.Key, piece, data) {
 		err = result.New(result.ChunkCorrupt, "the bytes do not have the piece's digest")
 	}
+	if errors.Is(err, errNotHad) {
+		return false
+	}
 	if err != nil {
 		f.avoid(name)
 		f.Scope.Counter("pieces_failed").Inc(1)
@@ -212,25 +279,15 @@
 	}
 }
 
-// preferred puts the agents that failed lately behind the others, and leaves
-// the origin last.
-func (f *Fetcher) preferred(sources []string) []string {
+// avoids reports whether an agent failed lately. The origin is always asked.
+func (f *Fetcher) avoids(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.Clock.Now()
-	order := slices.Clone(sources)
-	slices.SortStableFunc(order, func(a, b string) int {
-		return avoidRank(f.avoided[a], now) - avoidRank(f.avoided[b], now)
-	})
-	return order
+	return f.Clock.Now().Before(f.avoided[name])
 }
 
-func avoidRank(until, now time.Time) int {
-	if now.Before(until) {
-		return 1
-	}
-	return 0
-}
+// errNotHad tells that an agent does not have a piece yet.
+var errNotHad = errors.New("the agent does not have the piece")
 
 // get asks an address for a body.
 func (f *Fetcher) get(ctx context.Context, address string, limit time.Duration, target string) ([]byte, error) {
@@ -250,6 +307,8 @@
 		switch {
 		case err == io.EOF && ex.Status == http.StatusOK: //nolint:errorlint // Read returns io.EOF itself
 			return data, nil
+		case err == io.EOF && ex.Status == http.StatusNotFound: //nolint:errorlint // Read returns io.EOF itself
+			return nil, errNotHad
 		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
 			return nil, result.New(result.SourceFailed, "status %d", ex.Status)
 		case err != nil || len(data) > maxPiece:
--- a/version/pieces/plan.go
+++ b/version/pieces/plan.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"slices"
+	"strings"
+	"time"
 
 	"github.com/waxwingpost/waxwingpost/version/manifest"
 	"github.com/waxwingpost/waxwingpost/version/planner"
@@ -25,13 +27,36 @@
 	FromNear
 )
 
+// Step is one source of a piece.
+type Step struct {
+	// From is an agent's name, or Origin.
+	From string
+	// Wait asks the agent to answer once it has the piece: it is in charge.
+	Wait bool
+	// After is how long the piece must have been tried for before this source is
+	// asked.
+	After time.Duration
+}
+
+const (
+	// takeOver is the time after which a piece is sought from agents that are not
+	// in charge of it: a little more than one request may take.
+	takeOver = 2500 * time.Millisecond
+	// perRank spreads the agents further down the order, so that few of them turn
+	// to the origin before the piece has spread from there.
+	perRank = 700 * time.Millisecond
+	// maxProbes bounds the agents that are asked whether they have the piece.
+	maxProbes = 6
+)
+
 // Plan tells where an agent takes each piece from.
 type Plan struct {
 	self planner.Node
 	home string
 	arr  *planner.Arrangement
-	// holders are the agents of the own region that hold the whole version.
-	holders []string
+	// near and far are the agents, of the own region and of others, whose
+	// engines hold the whole version.
+	near, far []string
 }
 
 // NewPlan returns the plan of one agent. home is the origin's region; where no
@@ -43,65 +68,96 @@
 		nodes = append(slices.Clone(nodes), self)
 	}
 	if !slices.ContainsFunc(nodes, func(n planner.Node) bool { return n.Region == home }) {
-		home = slices.MinFunc(nodes, func(a, b planner.Node) int {
-			if a.Region < b.Region {
-				return -1
-			}
-			return 1
-		}).Region
+		home = slices.MinFunc(nodes, func(a, b planner.Node) int { return strings.Compare(a.Region, b.Region) }).Region
 	}
 	set := planner.Settings{Fetchers: len(nodes)}
 	p := &Plan{self: self, home: home, arr: planner.Arrange(nodes, k.digest(), set)}
 	for _, n := range nodes {
-		if n.Region == self.Region && n.Name != self.Name && holders[n.Name] {
-			p.holders = append(p.holders, n.Name)
+		switch {
+		case n.Name == self.Name || !holders[n.Name]:
+		case n.Region == self.Region:
+			p.near = append(p.near, n.Name)
+		default:
+			p.far = append(p.far, n.Name)
 		}
 	}
-	slices.Sort(p.holders)
+	slices.Sort(p.near)
+	slices.Sort(p.far)
 	return p
 }
 
-// fromHolders returns the holders of the region, each first for its share of
-// the pieces.
-func (p *Plan) fromHolders(piece int) []string {
-	at := piece % len(p.holders)
-	return append(slices.Clone(p.holders[at:]), p.holders[:at]...)
-}
-
 // digest seeds the arrangement of a version.
 func (k Key) digest() manifest.Digest {
 	return manifest.Digest(sha256.Sum256(binary.BigEndian.AppendUint64([]byte(k.Model+"\x00"), uint64(k.Version))))
 }
 
-// inCharge returns a region's agents in the order in which they are in charge
-// of a piece. Each is first for an equal part of the pieces: all links are
-// equally narrow, and the fullest one decides when the last agent is served.
-func (p *Plan) inCharge(region string, piece int) []string {
-	ring := p.arr.Fetchers(region)
-	if len(ring) == 0 {
+// turned returns a list that begins elsewhere for each piece.
+func turned(list []string, piece int) []string {
+	if len(list) == 0 {
 		return nil
 	}
-	at := piece % len(ring)
-	return append(slices.Clone(ring[at:]), ring[:at]...)
+	at := piece % len(list)
+	return append(slices.Clone(list[at:]), list[:at]...)
+}
+
+// inCharge returns a region's agents in the order in which they are in charge
+// of a piece, those that failed lately last. Each is first for an equal part of
+// the pieces: all links are equally narrow, and the fullest one decides when the
+// last agent is served.
+func (p *Plan) inCharge(region string, piece int, failed func(name string) bool) []string {
+	order := turned(p.arr.Fetchers(region), piece)
+	slices.SortStableFunc(order, func(a, b string) int { return rankOf(failed(a)) - rankOf(failed(b)) })
+	return order
+}
+
+func rankOf(failed bool) int {
+	if failed {
+		return 1
+	}
+	return 0
+}
+
+// Steps returns the sources of a piece in the order in which they are asked,
+// and the link that the first of them is behind. failed tells which agents
+// failed lately: the next in the order takes their place.
+func (p *Plan) Steps(piece int, failed func(name string) bool) ([]Step, Lane) {
+	region := p.inCharge(p.self.Region, piece, failed)
+	rank := slices.Index(region, p.self.Name)
+	steps, lane := p.first(piece, region, rank, failed)
+	// What others may have by now, also where they are not in charge.
+	for _, name := range without(region, p.self.Name)[:min(maxProbes, len(region)-1)] {
+		steps = append(steps, Step{From: name, After: takeOver})
+	}
+	after := takeOver + time.Duration(rank)*perRank
+	if p.self.Region != p.home {
+		after += takeOver
+	}
+	return append(steps, Step{From: Origin, After: after}), lane
+}
+
+// first returns the steps that a transfer without failures takes.
+func (p *Plan) first(piece int, region []string, rank int, failed func(string) bool) ([]Step, Lane) {
+	if len(p.near) > 0 {
+		return each(turned(p.near, piece), false), FromNear
+	}
+	if rank > 0 {
+		return each(region[:1], true), FromNear
+	}
+	if len(p.far) > 0 {
+		return each(turned(p.far, piece), false), FromFar
+	}
+	if p.self.Region == p.home {
+		return []Step{{From: Origin}}, FromOrigin
+	}
+	return each(p.inCharge(p.home, piece, failed)[:1], true), FromFar
 }
 
-// Sources returns whom to ask for a piece, in order. The origin is last, but
-// for the agent in charge of the piece.
-func (p *Plan) Sources(piece int) ([]string, Lane) {
-	home := p.inCharge(p.home, piece)
-	region := p.inCharge(p.self.Region, piece)
-	switch {
-	case len(p.holders) > 0:
-		return append(append(p.fromHolders(piece), without(home, p.self.Name)...), Origin), FromNear
-	case len(home) > 0 && home[0] == p.self.Name:
-		return append([]string{Origin}, without(home, p.self.Name)...), FromOrigin
-	case p.self.Region == p.home:
-		return append(without(home, p.self.Name), Origin), FromNear
-	case len(region) > 0 && region[0] == p.self.Name:
-		return append(slices.Clone(home), Origin), FromFar
-	default:
-		return append(append(without(region, p.self.Name), home...), Origin), FromNear
+func each(names []string, wait bool) []Step {
+	steps := make([]Step, len(names))
+	for i, name := range names {
+		steps[i] = Step{From: name, Wait: wait}
 	}
+	return steps
 }
 
 // Order returns the pieces in the order in which this agent asks for them: each
--- a/version/pieces/plan_test.go
+++ b/version/pieces/plan_test.go
@@ -19,13 +19,16 @@
 
 const pieceCount = 64
 
+// sound is a fleet in which no agent failed.
+func sound(string) bool { return false }
+
 func TestPieceLeavesTheOriginOnceAndEntersEachRegionOnce(t *testing.T) {
 	nodes := fleet(map[string]int{"a": 4, "b": 4, "c": 3})
 	origin, far := 0, map[string]int{}
 	for _, self := range nodes {
 		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil)
 		for piece := range pieceCount {
-			switch _, lane := plan.Sources(piece); lane {
+			switch _, lane := plan.Steps(piece, sound); lane {
 			case FromOrigin:
 				origin++
 			case FromFar:
@@ -44,8 +47,8 @@
 	for _, self := range nodes {
 		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil)
 		for piece := range pieceCount {
-			sources, _ := plan.Sources(piece)
-			asked[sources[0]]++
+			steps, _ := plan.Steps(piece, sound)
+			asked[steps[0].From]++
 		}
 	}
 	for _, n := range nodes {
@@ -63,10 +66,10 @@
 	plan := NewPlan(self, nodes, "a", Key{"m", 1}, map[string]bool{"a0": true, "a1": true, "b0": true})
 	first := map[string]int{}
 	for piece := range pieceCount {
-		sources, _ := plan.Sources(piece)
-		first[sources[0]]++
-		if sources[len(sources)-1] != Origin {
-			t.Fatalf("the origin is not the last resort: %v", sources)
+		steps, _ := plan.Steps(piece, sound)
+		first[steps[0].From]++
+		if last := steps[len(steps)-1]; last.From != Origin || last.After == 0 {
+			t.Fatalf("the origin is not the last resort: %v", steps)
 		}
 	}
 	if first["a0"] != pieceCount/2 || first["a1"] != pieceCount/2 {
@@ -80,7 +83,7 @@
 	for _, self := range nodes {
 		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil)
 		for piece := range pieceCount {
-			if _, lane := plan.Sources(piece); lane == FromOrigin {
+			if _, lane := plan.Steps(piece, sound); lane == FromOrigin {
 				origin++
 			}
 		}
@@ -89,3 +92,27 @@
 		t.Errorf("%d pieces leave the origin", origin)
 	}
 }
+
+func TestNextAgentTakesTheTurnOfOneThatFailed(t *testing.T) {
+	nodes := fleet(map[string]int{"a": 4, "b": 2})
+	failed := func(name string) bool { return name == "a1" }
+	origin := map[string]int{}
+	for _, self := range nodes {
+		if failed(self.Name) {
+			continue
+		}
+		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil)
+		for piece := range pieceCount {
+			steps, lane := plan.Steps(piece, failed)
+			if lane == FromOrigin {
+				origin[self.Name]++
+			}
+			if steps[0].From == "a1" {
+				t.Errorf("%s asks the agent that failed first", self.Name)
+			}
+		}
+	}
+	if sum := origin["a0"] + origin["a2"] + origin["a3"]; sum != pieceCount {
+		t.Errorf("%v leave the origin", origin)
+	}
+}
--- a/version/pieces/serve.go
+++ b/version/pieces/serve.go
@@ -17,7 +17,9 @@
 	// Prefix begins the paths that agents serve each other.
 	Prefix = "/v1/pieces/"
 	// holdFor is how long a request waits for a piece that is on its way.
-	holdFor = 2500 * time.Millisecond
+	holdFor = 1500 * time.Millisecond
+	// waitQuery asks to wait.
+	waitQuery = "wait"
 	// manifestName takes the place of a piece's number in the manifest's path.
 	manifestName = "manifest"
 )
@@ -39,13 +41,11 @@
 		return
 	}
 	k := Key{Model: parts[0], Version: version}
-	ctx, cancel := context.WithTimeout(r.Context(), holdFor)
-	defer cancel()
 	var data []byte
 	if parts[2] == manifestName {
 		data = s.encodedManifest(k)
 	} else if piece, err := strconv.Atoi(parts[2]); err == nil {
-		data = s.Wait(ctx, k, piece)
+		data = s.find(r.Context(), k, piece, r.URL.Query().Has(waitQuery))
 	}
 	if data == nil {
 		http.NotFound(w, r)
@@ -55,6 +55,16 @@
 	s.send(r.Context(), w, data)
 }
 
+// find returns a piece that is held, or one that arrives soon if asked to wait.
+func (s *Store) find(ctx context.Context, k Key, piece int, wait bool) []byte {
+	if !wait {
+		return s.Piece(k, piece)
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdFor)
+	defer cancel()
+	return s.Wait(ctx, k, piece)
+}
+
 // sliceBytes is how much of a piece is sent at once: few milliseconds on the
 // platform's slowest links.
 const sliceBytes = 4 << 10
