Slow servers get one request at a time; pieces come from any agent that has them

A server whose first events come later than three quarters of the aim, or that owes one, gets one request at a time; agents tell with each answer what they hold, and one that takes no part loses its turn.

--- a/request/forward/desk.go
+++ b/request/forward/desk.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// versionMargin is how long before the bound old weights get nothing new:
-	// news of a version and a request under way take a fraction of it.
-	versionMargin = time.Second
+	// versionMargin is how long before the bound old weights get nothing new: a
+	// request may be under way that long behind a narrow link.
+	versionMargin = 2 * time.Second
 	// demandWeight is the weight of the last half second in the demand.
 	demandWeight = 0.3
 	// budgetCaution is the part of the shared retry budget that entries use
@@ -237,7 +237,7 @@
 	d.mu.Lock()
 	c := d.counter(j.service, now)
 	req := placement.Request{
-		Prompt: j.tokens.Prompt, WaitUntil: waitUntil, Late: j.late || now.Sub(j.start) > j.route.Aim, Priority: j.priority(), Avoid: j.tried,
+		Prompt: j.tokens.Prompt, Aim: j.eventAim(), WaitUntil: waitUntil, Late: j.late || now.Sub(j.start) > j.route.Aim, Priority: j.priority(), Avoid: j.tried,
 	}
 	if c.pool.Waiting() == 0 || !j.late {
 		if l := c.pool.Take(now, req); l != nil {
@@ -279,6 +279,15 @@
 	return result.Refuse(result.QueueFull, comeBack, "no place is free in time")
 }
 
+// eventAim is the time within which the first event is on time; 0 where the
+// answer is no stream.
+func (j *job) eventAim() time.Duration {
+	if j.route.Kind != deployment.Stream {
+		return 0
+	}
+	return j.route.Aim
+}
+
 func (j *job) priority() int {
 	if j.account != nil && j.account.HasPriority {
 		return j.account.Priority
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -99,7 +99,11 @@
 	s.reading += req.Prompt
 	p.own++
 	p.turn++
-	return &Lease{Server: &s.Server, state: s, req: req, at: now, reading: true}
+	l := &Lease{Server: &s.Server, state: s, req: req, at: now, reading: true}
+	if req.Aim > 0 {
+		s.pending = append(s.pending, l)
+	}
+	return l
 }
 
 // choose returns the server with the smallest part of its places taken.
@@ -108,6 +112,10 @@
 	var bestKey float64
 	for i := range p.order {
 		s := p.order[(i+p.turn)%len(p.order)]
+		if s.slow(now, req.Aim) && (s.own > 0 || s.Outdated) {
+			// One request at a time finds out whether the server is still slow.
+			continue
+		}
 		if !s.Usable || !s.rested(now) || slices.Contains(req.Avoid, s.ID) || !p.fits(s, req) {
 			continue
 		}
@@ -153,15 +161,24 @@
 	if l.reading {
 		l.reading = false
 		l.state.reading -= l.req.Prompt
+		l.state.began(now, l, p.readingTime(l.req))
 		p.pump(now)
 	}
 }
 
+func (p *Pool) readingTime(req Request) time.Duration {
+	if !p.cfg.generates() {
+		return 0
+	}
+	return time.Duration(float64(req.Prompt) / p.cfg.ReadPerSecond * float64(time.Second))
+}
+
 // Done gives a place back.
 func (p *Pool) Done(now time.Time, l *Lease, o Outcome) {
 	if l.reading {
 		l.reading = false
 		l.state.reading -= l.req.Prompt
+		l.state.forget(l)
 	}
 	l.state.own--
 	p.own--
--- a/request/placement/pool_test.go
+++ b/request/placement/pool_test.go
@@ -145,6 +145,41 @@
 	}
 }
 
+func TestSlowServerGetsOneRequestAtATime(t *testing.T) {
+	const aim = 400 * time.Millisecond
+	p := newPool(engines, servers(2, 16), 1)
+	now := at(0)
+	serve := func(took map[string]time.Duration) map[string]int {
+		seen := map[string]int{}
+		for range 8 {
+			l := p.Take(now, Request{Prompt: 100, Aim: aim})
+			seen[l.Server.ID]++
+			now = now.Add(took[l.Server.ID])
+			p.Began(now, l)
+			p.Done(now, l, Served)
+		}
+		return seen
+	}
+	serve(map[string]time.Duration{"s0": 900 * time.Millisecond, "s1": 100 * time.Millisecond})
+	for _, l := range takeAll(p, now, Request{Prompt: 100, Aim: aim}) {
+		defer p.Done(now, l, Served)
+		if l.Server.ID == "s0" && l.state.own > 1 {
+			t.Fatal("a slow server got several requests")
+		}
+	}
+}
+
+func TestServerWithAnOverdueEventGetsNothingMore(t *testing.T) {
+	const aim = 400 * time.Millisecond
+	p := newPool(engines, servers(1, 16), 1)
+	if p.Take(at(0), Request{Aim: aim}) == nil || p.Take(at(100), Request{Aim: aim}) == nil {
+		t.Fatal("a sound server got nothing")
+	}
+	if p.Take(at(700), Request{Aim: aim}) != nil {
+		t.Error("a server that sent no event for long got another request")
+	}
+}
+
 func TestWaitingRequestsGetFreedPlaces(t *testing.T) {
 	p := newPool(engines, servers(1, 2), 1)
 	leases := takeAll(p, at(0), Request{})
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// failureWeight is the weight of the last outcome in the share of failures.
@@ -19,6 +22,13 @@
 	// unheldPause is how long a server is left alone that lacked the weights:
 	// until news of it can have arrived.
 	unheldPause = 500 * time.Millisecond
+	// slowShare is the mean delay, in quarters of the aim, from which on a server
+	// is slow; overdueShare the same for a request that has no event yet, its
+	// reading included. Reading takes 50 to 150 ms of the platform's 400.
+	slowShare    = 3
+	overdueShare = 6
+	// delayWeight is the weight of the last first event in the mean delay.
+	delayWeight = 0.3
 )
 
 // server is what this entry knows of a server by its own requests.
@@ -38,7 +48,12 @@
 	// fullUntil ends a pause after a refusal; refusals counts those in a row.
 	fullUntil time.Time
 	refusals  int
-	gone      bool
+	// delay is the moving mean of the time to the first event beyond the reading
+	// of the prompt.
+	delay time.Duration
+	// pending are the requests that no event has followed yet, oldest first.
+	pending []*Lease
+	gone    bool
 }
 
 // rested reports whether the server may get a request as far as its failures
@@ -51,6 +66,37 @@
 	return !now.Before(s.until) && !now.Before(s.fullUntil)
 }
 
+// slow reports whether the server's first events come too late for the aim: by
+// those seen last, or by one that is overdue. The platform narrows links and
+// slows engines without a word.
+func (s *server) slow(now time.Time, aim time.Duration) bool {
+	if aim <= 0 {
+		return false
+	}
+	if len(s.pending) > 0 && now.Sub(s.pending[0].at) > overdueShare*aim/4 {
+		return true
+	}
+	return s.delay > slowShare*aim/4
+}
+
+// began takes in that the first event of a request has arrived.
+func (s *server) began(now time.Time, l *Lease, reading time.Duration) {
+	s.forget(l)
+	sample := max(now.Sub(l.at)-reading, 0)
+	if s.delay == 0 {
+		s.delay = sample
+		return
+	}
+	s.delay += time.Duration(delayWeight * float64(sample-s.delay))
+}
+
+// forget takes a request out of those that wait for their first event.
+func (s *server) forget(l *Lease) {
+	if at := slices.Index(s.pending, l); at >= 0 {
+		s.pending = slices.Delete(s.pending, at, at+1)
+	}
+}
+
 // learn takes in how a request ended.
 func (s *server) learn(o Outcome, now time.Time) {
 	switch o {
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -51,6 +51,9 @@
 	// Prompt and Output are token counts: to be read, and expected.
 	Prompt int
 	Output int
+	// Aim is the time within which the first event is on time; 0 for requests
+	// without events.
+	Aim time.Duration
 	// WaitUntil is until when waiting for a server is of use.
 	WaitUntil time.Time
 	// Late is set where the answer can't be on time any more.
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"log/slog"
@@ -59,6 +60,9 @@
 	// mu guards avoided: when agents that failed may be asked first again.
 	mu      sync.Mutex
 	avoided map[string]time.Time
+	// held is what others were known to hold of the version heldOf.
+	held   map[string]planner.Bits
+	heldOf Key
 	// plan is the last plan, made for nodes and holders as planFor tells.
 	plan    *Plan
 	planFor string
@@ -108,7 +112,7 @@
 	plan := f.currentPlan(o)
 	lanes := map[Lane][]int{}
 	for _, piece := range plan.Order(f.Store.Missing(o.Key)) {
-		_, lane := plan.Steps(piece, f.avoids)
+		_, lane := plan.Steps(piece, f.known(o.Key))
 		lanes[lane] = append(lanes[lane], piece)
 	}
 	var wg sync.WaitGroup
@@ -132,7 +136,7 @@
 	if _, ok := f.Store.Manifest(o.Key); ok {
 		return nil
 	}
-	data, err := f.get(ctx, o.Origin, manifestLimit, platform.ManifestPath(o.Key.Model, o.Key.Version))
+	data, _, err := f.get(ctx, o.Origin, manifestLimit, platform.ManifestPath(o.Key.Model, o.Key.Version))
 	if err == nil {
 		m, err := platform.DecodeManifest(bytes.NewReader(data))
 		return f.begin(o, m, err)
@@ -141,7 +145,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if data, peerErr := f.get(ctx, o.Peers[name], manifestLimit, path(o.Key, manifestName)); peerErr == nil {
+		if data, _, peerErr := f.get(ctx, o.Peers[name], manifestLimit, path(o.Key, manifestName)); peerErr == nil {
 			m, err := decodeManifest(data)
 			return f.begin(o, m, err)
 		}
@@ -213,7 +217,7 @@
 
 // tryPiece asks the sources of a piece in turn until one gives it.
 func (f *Fetcher) tryPiece(ctx context.Context, o *Order, next wanted) bool {
-	steps, _ := f.currentPlan(o).Steps(next.piece, f.avoids)
+	steps, _ := f.currentPlan(o).Steps(next.piece, f.known(o.Key))
 	for _, step := range steps {
 		if f.Store.Piece(o.Key, next.piece) != nil {
 			return true
@@ -243,11 +247,18 @@
 	if address == "" {
 		return false
 	}
-	data, err := f.get(ctx, address, attemptLimit, target)
+	data, header, err := f.get(ctx, address, attemptLimit, target)
+	if m, ok := f.Store.Manifest(o.Key); ok && name != Origin {
+		f.noteHeld(name, o.Key, header.Get(headerHeld), len(m.Digests))
+	}
 	if err == nil && !f.Store.Put(o.Key, piece, data) {
 		err = result.New(result.ChunkCorrupt, "the bytes do not have the piece's digest")
 	}
 	if errors.Is(err, errNotHad) {
+		if step.Wait && header.Get(headerHeld) == "" {
+			// The agent takes no part in this version.
+			f.avoid(name)
+		}
 		return false
 	}
 	if err != nil {
@@ -279,6 +290,29 @@
 	}
 }
 
+// known returns what was learned of the other agents.
+func (f *Fetcher) known(k Key) Known {
+	return Known{Failed: f.avoids, Has: func(name string, piece int) bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.heldOf == k && f.held[name].Has(piece)
+	}}
+}
+
+// noteHeld takes in what an agent told of what it holds.
+func (f *Fetcher) noteHeld(name string, k Key, header string, pieces int) {
+	data, err := hex.DecodeString(header)
+	if err != nil || len(data) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.heldOf != k {
+		f.held, f.heldOf = map[string]planner.Bits{}, k
+	}
+	f.held[name] = planner.BitsFrom(data, pieces)
+}
+
 // avoids reports whether an agent failed lately. The origin is always asked.
 func (f *Fetcher) avoids(name string) bool {
 	f.mu.Lock()
@@ -286,15 +320,15 @@
 	return f.Clock.Now().Before(f.avoided[name])
 }
 
-// errNotHad tells that an agent does not have a piece yet.
-var errNotHad = errors.New("the agent does not have the piece")
+// errNotHad tells that an agent does not have a piece yet, or can't send it soon.
+var errNotHad = errors.New("the agent does not give the piece now")
 
-// get asks an address for a body.
-func (f *Fetcher) get(ctx context.Context, address string, limit time.Duration, target string) ([]byte, error) {
+// get asks an address for a body and returns it with the answer's headers.
+func (f *Fetcher) get(ctx context.Context, address string, limit time.Duration, target string) ([]byte, http.Header, error) {
 	by := time.Now().Add(limit)
 	ex, err := f.Client.Do(ctx, address, &backend.Request{Method: http.MethodGet, Target: target, Host: address, HeadBy: by})
 	if err != nil {
-		return nil, result.New(result.SourceFailed, "%v", err)
+		return nil, nil, result.New(result.SourceFailed, "%v", err)
 	}
 	defer ex.Close()
 	var data []byte
@@ -306,13 +340,13 @@
 		data = data[:n+got]
 		switch {
 		case err == io.EOF && ex.Status == http.StatusOK: //nolint:errorlint // Read returns io.EOF itself
-			return data, nil
-		case err == io.EOF && ex.Status == http.StatusNotFound: //nolint:errorlint // Read returns io.EOF itself
-			return nil, errNotHad
+			return data, ex.Header, nil
+		case err == io.EOF && (ex.Status == http.StatusNotFound || ex.Status == http.StatusServiceUnavailable): //nolint:errorlint // Read returns io.EOF itself
+			return nil, ex.Header, errNotHad
 		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
-			return nil, result.New(result.SourceFailed, "status %d", ex.Status)
+			return nil, nil, result.New(result.SourceFailed, "status %d", ex.Status)
 		case err != nil || len(data) > maxPiece:
-			return nil, result.New(result.SourceFailed, "read of %d bytes: %v", len(data), err)
+			return nil, nil, result.New(result.SourceFailed, "read of %d bytes: %v", len(data), err)
 		}
 	}
 }
--- a/version/pieces/plan.go
+++ b/version/pieces/plan.go
@@ -117,19 +117,38 @@
 	return 0
 }
 
+// Known is what an agent has learned of the others in the transfer.
+type Known struct {
+	// Failed tells which agents failed lately: the next in the order takes their
+	// place.
+	Failed func(name string) bool
+	// Has tells whether an agent is known to hold a piece.
+	Has func(name string, piece int) bool
+}
+
 // Steps returns the sources of a piece in the order in which they are asked,
-// and the link that the first of them is behind. failed tells which agents
-// failed lately: the next in the order takes their place.
-func (p *Plan) Steps(piece int, failed func(name string) bool) ([]Step, Lane) {
-	region := p.inCharge(p.self.Region, piece, failed)
+// and the link that the first of them is behind.
+func (p *Plan) Steps(piece int, known Known) ([]Step, Lane) {
+	region := p.inCharge(p.self.Region, piece, known.Failed)
 	rank := slices.Index(region, p.self.Name)
-	steps, lane := p.first(piece, region, rank, failed)
-	// What others may have by now, also where they are not in charge.
-	for _, name := range without(region, p.self.Name)[:min(maxProbes, len(region)-1)] {
+	first, lane := p.first(piece, region, rank, known.Failed)
+	others := without(region, p.self.Name)
+	var steps []Step
+	// Each turns to another of those that have the piece.
+	for _, name := range turned(others, piece+rank) {
+		if known.Has(name, piece) {
+			steps = append(steps, Step{From: name})
+		}
+	}
+	steps = append(steps, first...)
+	for _, name := range others[:min(maxProbes, len(others))] {
 		steps = append(steps, Step{From: name, After: takeOver})
 	}
 	after := takeOver + time.Duration(rank)*perRank
 	if p.self.Region != p.home {
+		for _, name := range p.inCharge(p.home, piece, known.Failed)[:1] {
+			steps = append(steps, Step{From: name, After: after})
+		}
 		after += takeOver
 	}
 	return append(steps, Step{From: Origin, After: after}), lane
--- a/version/pieces/plan_test.go
+++ b/version/pieces/plan_test.go
@@ -19,8 +19,11 @@
 
 const pieceCount = 64
 
-// sound is a fleet in which no agent failed.
-func sound(string) bool { return false }
+// sound is a fleet in which no agent failed and nothing is known of pieces.
+var sound = Known{
+	Failed: func(string) bool { return false },
+	Has:    func(string, int) bool { return false },
+}
 
 func TestPieceLeavesTheOriginOnceAndEntersEachRegionOnce(t *testing.T) {
 	nodes := fleet(map[string]int{"a": 4, "b": 4, "c": 3})
@@ -103,7 +106,7 @@
 		}
 		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil)
 		for piece := range pieceCount {
-			steps, lane := plan.Steps(piece, failed)
+			steps, lane := plan.Steps(piece, Known{Failed: failed, Has: sound.Has})
 			if lane == FromOrigin {
 				origin[self.Name]++
 			}
@@ -116,3 +119,19 @@
 		t.Errorf("%v leave the origin", origin)
 	}
 }
+
+func TestPiecesAreTakenFromAnyAgentThatHasThem(t *testing.T) {
+	nodes := fleet(map[string]int{"a": 8})
+	known := Known{Failed: sound.Failed, Has: func(name string, _ int) bool { return name != "a0" }}
+	first := map[string]int{}
+	for _, self := range nodes {
+		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil)
+		for piece := range pieceCount {
+			steps, _ := plan.Steps(piece, known)
+			first[steps[0].From]++
+		}
+	}
+	if first["a0"] > 0 || first["a1"] < pieceCount/2 || first["a1"] > 2*pieceCount {
+		t.Errorf("asked first: %v", first)
+	}
+}
--- a/version/pieces/serve.go
+++ b/version/pieces/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -18,6 +19,13 @@
 	Prefix = "/v1/pieces/"
 	// holdFor is how long a request waits for a piece that is on its way.
 	holdFor = 1500 * time.Millisecond
+	// newsLimit is the same where the version is not known.
+	newsLimit = 300 * time.Millisecond
+	// turnLimit bounds the wait for the turn to send: an agent behind a narrow
+	// link sends others to those that have the piece by now.
+	turnLimit = 500 * time.Millisecond
+	// headerHeld tells with each answer which pieces of the version are held.
+	headerHeld = "Waxwingpost-Held"
 	// waitQuery asks to wait.
 	waitQuery = "wait"
 	// manifestName takes the place of a piece's number in the manifest's path.
@@ -47,10 +55,19 @@
 	} else if piece, err := strconv.Atoi(parts[2]); err == nil {
 		data = s.find(r.Context(), k, piece, r.URL.Query().Has(waitQuery))
 	}
+	// An agent without the manifest takes no part and tells nothing.
+	if held := s.Held(k); held != nil {
+		w.Header().Set(headerHeld, hex.EncodeToString(held.Bytes()))
+	}
 	if data == nil {
 		http.NotFound(w, r)
 		return
 	}
+	if !s.begin(r.Context()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.sending }()
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	s.send(r.Context(), w, data)
 }
@@ -60,11 +77,28 @@
 	if !wait {
 		return s.Piece(k, piece)
 	}
-	ctx, cancel := context.WithTimeout(ctx, holdFor)
+	limit := holdFor
+	if s.Held(k) == nil {
+		// News of the version may be on its way here.
+		limit = newsLimit
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return s.Wait(ctx, k, piece)
 }
 
+// begin waits for the turn to send and reports whether it came soon enough.
+func (s *Store) begin(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, turnLimit)
+	defer cancel()
+	select {
+	case s.sending <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // sliceBytes is how much of a piece is sent at once: few milliseconds on the
 // platform's slowest links.
 const sliceBytes = 4 << 10
@@ -72,12 +106,6 @@
 // send writes a piece in paced slices. An agent that got no whole piece asks
 // elsewhere.
 func (s *Store) send(ctx context.Context, w http.ResponseWriter, data []byte) {
-	select {
-	case s.sending <- struct{}{}:
-		defer func() { <-s.sending }()
-	case <-ctx.Done():
-		return
-	}
 	out := http.NewResponseController(w)
 	for len(data) > 0 {
 		n := min(sliceBytes, len(data))
--- a/version/pieces/store.go
+++ b/version/pieces/store.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/version/planner"
 )
 
 // Key names a version of a model's weights.
@@ -139,6 +140,23 @@
 	return found.pieces[piece]
 }
 
+// Held returns which pieces are held.
+func (s *Store) Held(k Key) planner.Bits {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.sets[k]
+	if found == nil {
+		return nil
+	}
+	held := planner.NewBits(len(found.pieces))
+	for i, p := range found.pieces {
+		if p != nil {
+			held.Set(i)
+		}
+	}
+	return held
+}
+
 // Missing lists the pieces that are not held.
 func (s *Store) Missing(k Key) []int {
 	s.mu.Lock()
