--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -82,9 +82,7 @@
 	keep  bool
 }
 
-var (
-	errForeignAnswer = errors.New("the answer belongs to another request")
-)
+var errForeignAnswer = errors.New("the answer belongs to another request")
 
 const (
 	// writeInline is the size up to which a request is written before the
@@ -280,7 +278,7 @@
 		return 0, io.EOF
 	}
 	n, err := ex.body.Read(p)
-	if err == io.EOF { //nolint:errorlint // readers of this package return io.EOF itself
+	if err == io.EOF {
 		ex.whole = true
 	}
 	return n, err
--- a/request/forward/desk.go
+++ b/request/forward/desk.go
@@ -25,8 +25,6 @@
 	// budgetCaution is the part of the shared retry budget that entries use
 	// together: what they know of each other lags.
 	budgetCaution = 0.7
-	// silence is how long a server may not be heard before others are preferred.
-	silence = 4 * time.Second
 )
 
 // counter is what the desk keeps of one service.
--- a/request/forward/events_test.go
+++ b/request/forward/events_test.go
@@ -49,7 +49,7 @@
 	if len(src.parts) != 1 {
 		t.Error("the reader read on although an event was whole")
 	}
-	if rest, err := readAll(e); rest != "id: 2\ndata: b\n\n" || err != io.EOF {
+	if rest, err := readAll(e); rest != "id: 2\ndata: b\n\n" || !errors.Is(err, io.EOF) {
 		t.Errorf("rest %q, %v", rest, err)
 	}
 }
@@ -79,7 +79,7 @@
 		t.Fatalf("first server: %q", got)
 	}
 	e.from(&parts{parts: []string{"id: 2\n\nid: 3\n\nid: 4\n\n"}, err: io.EOF})
-	if got, err := readAll(e); got != "id: 3\n\nid: 4\n\n" || err != io.EOF {
+	if got, err := readAll(e); got != "id: 3\n\nid: 4\n\n" || !errors.Is(err, io.EOF) {
 		t.Errorf("second server: %q, %v", got, err)
 	}
 }
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -120,9 +120,6 @@
 			continue
 		}
 		key := p.load(s)
-		if s.Silent {
-			key += 100
-		}
 		if s.Zone != p.cfg.Zone {
 			// Between equals the nearer one is taken: bytes between zones cost.
 			key += 1e-3
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -25,9 +25,6 @@
 	// Outdated is set for a server whose weights are not the newest: soon it may
 	// not be used any more, and what is on its way then must not reach it.
 	Outdated bool
-	// Silent is set for a server that was not heard for long: it is used where
-	// no other can be.
-	Silent bool
 }
 
 // Config describes one service at one entry.
