Placement: no more than the slots, short reading, waits as long as useful, newest first

Slots were overfilled by 6%, prompts of 250 ms were sent to a server at once by each entry, requests waited a fixed part of the aim, and the oldest went first, so that all were served at the end of their time. Ruled out by trials: loads told by servers with answers (no gain), rounding a server's places down (worse), waiting less (1.6 of the mean delay, no gain).

--- a/request/forward/desk.go
+++ b/request/forward/desk.go
@@ -228,7 +228,8 @@
 	d.counter(service, now).pool.Done(now, l, o)
 }
 
-// place finds a server for a request, at once or by waiting until waitUntil.
+// place finds a server for a request, at once or by waiting until waitUntil. A
+// zero time stands for as long as the answer can still be on time.
 func (d *desk) place(ctx context.Context, j *job, waitUntil time.Time) (*placement.Lease, error) {
 	granted := make(chan *placement.Lease, 1)
 	now := d.clock.Now()
@@ -237,6 +238,10 @@
 	req := placement.Request{
 		Prompt: j.tokens.Prompt, Aim: j.eventAim(), WaitUntil: waitUntil, Late: j.late || now.Sub(j.start) > j.route.Aim, Priority: j.priority(), Avoid: j.tried,
 	}
+	if waitUntil.IsZero() {
+		req.WaitUntil = c.pool.UsefulUntil(j.start, req)
+		waitUntil = req.WaitUntil
+	}
 	if c.pool.Waiting() == 0 || !j.late {
 		if l := c.pool.Take(now, req); l != nil {
 			d.mu.Unlock()
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -15,9 +15,6 @@
 	// stallLimit is how long a server may send nothing before another one goes
 	// on: callers leave after two seconds or more.
 	stallLimit = 1500 * time.Millisecond
-	// firstEventWait is the part of the aim that a request may wait for a place;
-	// the rest is for reading its prompt and the first event.
-	firstEventWait = 0.4
 	// resumeWait bounds the wait for a place in the middle of a stream: the
 	// pause must stay below what callers bear.
 	resumeWait = 400 * time.Millisecond
@@ -74,14 +71,18 @@
 	}
 }
 
+// waitUntil returns until when the request may wait for a place; zero leaves it
+// to the pool.
 func (r *relay) waitUntil() time.Time {
 	now := r.h.clock.Now()
-	until := r.j.start.Add(time.Duration(float64(r.j.route.Aim) * firstEventWait))
+	var until time.Time
 	switch {
 	case r.begun || r.ran > 0:
 		until = now.Add(resumeWait)
 	case r.j.late || len(r.j.tried) > 0:
 		until = now.Add(lateWait)
+	default:
+		return until
 	}
 	if limit := r.j.due.Add(-2 * answerMargin); until.After(limit) {
 		return limit
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -9,12 +9,18 @@
 	// maxReading bounds the time that a server spends on prompts between two
 	// events of a stream. The platform calls a stream late after a pause of
 	// 400 ms; the events themselves take 50 to 60 ms.
-	maxReading = 250 * time.Millisecond
+	maxReading = 80 * time.Millisecond
 	// overfill is the share of slots that requests may fill beyond a server's
 	// own, so that a request is there when a slot is freed.
-	overfill = 0.06
+	overfill = 0.0
 	// plainQueue is how many requests may wait at a server that is no engine.
 	plainQueue = 4
+	// delaySpread is the part above the mean delay of first events that is
+	// reckoned with: three of four come within it.
+	delaySpread = 1.25
+	// minWait is how long any request may wait: one pass of an engine frees some
+	// places.
+	minWait = 25 * time.Millisecond
 	// rateWeight is the weight of the last pause in the rate of grants.
 	rateWeight = 0.1
 )
@@ -163,6 +169,25 @@
 	}
 }
 
+// UsefulUntil returns until when a request may wait for a place and still be on
+// time: the rest of its aim is for reading its prompt and for the delay that
+// first events have had lately.
+func (p *Pool) UsefulUntil(start time.Time, req Request) time.Time {
+	var sum time.Duration
+	n := 0
+	for _, s := range p.order {
+		if s.Usable && s.delay > 0 && !s.slow(start, req.Aim) {
+			sum += s.delay
+			n++
+		}
+	}
+	wait := req.Aim - p.readingTime(req)
+	if n > 0 {
+		wait -= time.Duration(delaySpread * float64(sum) / float64(n))
+	}
+	return start.Add(max(wait, minWait))
+}
+
 func (p *Pool) readingTime(req Request) time.Duration {
 	if !p.cfg.generates() {
 		return 0
@@ -233,7 +258,7 @@
 	if a.Req.Priority != b.Req.Priority {
 		return a.Req.Priority < b.Req.Priority
 	}
-	return a.Req.WaitUntil.Before(b.Req.WaitUntil)
+	return b.Req.WaitUntil.Before(a.Req.WaitUntil)
 }
 
 // Withdraw takes a waiter out and reports whether it still waited.
