--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -21,7 +21,8 @@
 	// minWait is how long any request may wait: one pass of an engine frees some
 	// places.
 	minWait = 25 * time.Millisecond
-	// rateWeight is the weight of the last pause in the rate of grants.
+	// rateWeight is the weight of the last sample in the means of pauses between
+	// places and of the time that one is kept.
 	rateWeight = 0.1
 )
 
@@ -37,7 +38,9 @@
 	// pause is the mean time between two places that became free.
 	pause time.Duration
 	freed time.Time
-	turn  int
+	// held is the mean time that a request keeps its place.
+	held time.Duration
+	turn int
 }
 
 // NewPool returns a pool without servers.
@@ -209,6 +212,9 @@
 		delete(p.servers, l.state.ID)
 	}
 	p.noteFreed(now)
+	if o == Served {
+		p.held += time.Duration(rateWeight * float64(now.Sub(l.at)-p.held))
+	}
 	p.pump(now)
 }
 
@@ -296,12 +302,11 @@
 	}
 }
 
-// ComeBackIn returns when a refused request has a better chance: after the
-// queue has moved once, and not before half a second, in which the mean
-// request ends.
+// ComeBackIn returns when a refused request has a better chance: after about the
+// time in which the places that are taken now have all been given anew.
 func (p *Pool) ComeBackIn() time.Duration {
-	const shortest, longest = 500 * time.Millisecond, 3 * time.Second
-	return min(max(time.Duration(len(p.waiting)+1)*p.pause, shortest), longest)
+	const shortest, longest = 300 * time.Millisecond, 3 * time.Second
+	return min(max(p.held, shortest), longest)
 }
 
 // Load returns how many requests this entry has at the servers, and may have.
--- a/request/placement/pool_test.go
+++ b/request/placement/pool_test.go
@@ -222,9 +222,22 @@
 	if admitted < 2 || admitted > 4 {
 		t.Errorf("%d requests wait where three places become free in time", admitted)
 	}
+}
+
+func TestRefusedRequestsComeBackAfterPlacesTurnedOver(t *testing.T) {
+	p := newPool(engines, servers(1, 2), 1)
 	if back := p.ComeBackIn(); back <= 0 {
 		t.Errorf("told to come back in %v", back)
 	}
+	now := at(0)
+	for range 60 {
+		l := p.Take(now, Request{})
+		now = now.Add(1700 * time.Millisecond)
+		p.Done(now, l, Served)
+	}
+	if back := p.ComeBackIn(); back < 1600*time.Millisecond || back > 1700*time.Millisecond {
+		t.Errorf("places are kept for 1.7 s, told to come back in %v", back)
+	}
 }
 
 func TestNothingWaitsWithoutAServer(t *testing.T) {
