Agents tell of loads before the engine's heartbeat; old weights end by each server's delay

Cause: engines refuse while they load and are known again only with their next heartbeat, up to 1.2 s later; a fixed margin of 2 s before the bound left sound servers unused.

--- a/connection/wire/news.go
+++ b/connection/wire/news.go
@@ -9,6 +9,17 @@
 	Relay bool `cbor:"1,keyasint,omitempty"`
 }
 
+// EngineState is what an agent tells of the engine on its VM before the engine's
+// next heartbeat does.
+type EngineState struct {
+	// Address is the engine's, as in its heartbeats.
+	Address string `cbor:"1,keyasint"`
+	// Loading is set while the engine takes nothing new because it loads weights.
+	Loading bool `cbor:"2,keyasint,omitempty"`
+	// Held lists the weights that it holds once it has loaded.
+	Held []directory.Weights `cbor:"3,keyasint,omitempty"`
+}
+
 // Left tells that a server deregistered. Born is 0 where it was not told.
 type Left struct {
 	ID   string `cbor:"1,keyasint"`
@@ -29,6 +40,8 @@
 	Servers []directory.Server `cbor:"4,keyasint,omitempty"`
 	Alive   []string           `cbor:"5,keyasint,omitempty"`
 	Left    []Left             `cbor:"6,keyasint,omitempty"`
+	// Engines tells what agents said of engines.
+	Engines []EngineState `cbor:"11,keyasint,omitempty"`
 	// Controls are the peer addresses of the control processes.
 	Controls []string `cbor:"7,keyasint,omitempty"`
 	// Demand is the sum of what all entries told, by service.
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -36,6 +36,7 @@
 	KindNews      Kind = 21 // control to follower or control: News
 	KindDocument  Kind = 22 // follower to control: DocumentQuery, answered by Document
 	KindDemand    Kind = 23 // entry to control: Demand
+	KindEngine    Kind = 24 // agent to control: EngineState
 )
 
 // Envelope frames every message. ID joins a call with its reply; a
--- a/process/controller/links.go
+++ b/process/controller/links.go
@@ -46,6 +46,11 @@
 		if c.decode(l, kind, body, &news) {
 			c.hub.Relay(news)
 		}
+	case kind == wire.KindEngine:
+		var state wire.EngineState
+		if c.decode(l, kind, body, &state) {
+			c.hub.Engine(state)
+		}
 	case kind == wire.KindDemand:
 		var demand wire.Demand
 		if c.decode(l, kind, body, &demand) {
--- a/process/directory/table.go
+++ b/process/directory/table.go
@@ -10,6 +10,9 @@
 	// forgetGone is how long a server that left is remembered, so that late
 	// messages don't bring it back. The platform delays messages by seconds.
 	forgetGone = 60 * time.Second
+	// longestLoad is how long a server is taken to load weights when nothing more
+	// is heard of that: the end of its longest requests, and the load itself.
+	longestLoad = 6 * time.Second
 	// maxServers bounds the table: letter 1's fleet has 1,400 servers.
 	maxServers = 8192
 )
@@ -19,6 +22,9 @@
 	Server
 	// Heard is the time, on the caller's steady clock, of the last message.
 	Heard time.Duration
+	// LoadingUntil is until when the server takes nothing new because it loads
+	// weights, on the caller's steady clock; 0 where it does not.
+	LoadingUntil time.Duration
 }
 
 // Table holds the servers by id.
@@ -70,7 +76,11 @@
 		}
 	}
 	same := old.SameAs(&s)
-	*old = Entry{Server: s, Heard: now}
+	next := Entry{Server: s, Heard: now}
+	if old.Born == s.Born {
+		next.LoadingUntil = old.LoadingUntil
+	}
+	*old = next
 	t.occupy(old)
 	if same {
 		return Renewed
@@ -108,6 +118,29 @@
 	return true
 }
 
+// NoteLoad takes in what is known from elsewhere of the server at an address:
+// whether it loads weights, and what it then holds. It reports whether that is
+// news.
+func (t *Table) NoteLoad(address string, loading bool, held []Weights, now time.Duration) bool {
+	e := t.servers[t.holders[address]]
+	if e == nil || e.State == Gone {
+		return false
+	}
+	changed := loading != (now < e.LoadingUntil)
+	e.LoadingUntil = 0
+	if loading {
+		e.LoadingUntil = now + longestLoad
+		return changed
+	}
+	for _, w := range held {
+		if e.Holds(w.Model) < w.Version {
+			e.Held = held
+			return true
+		}
+	}
+	return changed
+}
+
 // Get returns a server, or nil.
 func (t *Table) Get(id string) *Entry { return t.servers[id] }
 
--- a/process/directory/table_test.go
+++ b/process/directory/table_test.go
@@ -77,3 +77,28 @@
 		t.Error("never forgotten")
 	}
 }
+
+func TestAgentsNewsComesBeforeTheHeartbeat(t *testing.T) {
+	table := NewTable()
+	s := beat("a", 1, 1, Ready)
+	s.Held = []Weights{{Model: "m", Version: 1}}
+	table.Hear(s, 0)
+	if !table.NoteLoad(s.Address, true, nil, time.Second) || table.Get("a").LoadingUntil <= time.Second {
+		t.Error("the load is not known")
+	}
+	s.Seq = 2
+	table.Hear(s, 2*time.Second)
+	if table.Get("a").LoadingUntil <= 2*time.Second {
+		t.Error("a heartbeat ended the load")
+	}
+	newer := []Weights{{Model: "m", Version: 2}}
+	if !table.NoteLoad(s.Address, false, newer, 3*time.Second) || table.Get("a").Holds("m") != 2 || table.Get("a").LoadingUntil != 0 {
+		t.Error("the end of the load is not known")
+	}
+	if table.NoteLoad(s.Address, false, s.Held, 3*time.Second) || table.Get("a").Holds("m") != 2 {
+		t.Error("older news took the weights back")
+	}
+	if table.NoteLoad("10.9.9.9:1", true, nil, 0) {
+		t.Error("news of an unknown server")
+	}
+}
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -45,6 +45,8 @@
 	// Demand is the sum over all entries, by service; Entries counts them.
 	Demand  map[string]float64
 	Entries int
+	// At is when the view was made, on the clock of the servers' times.
+	At time.Duration
 }
 
 // FollowerConfig describes a follower.
@@ -271,6 +273,12 @@
 			f.log.Info("server left", "server", l.ID, "born", l.Born)
 		}
 	}
+	for _, s := range news.Engines {
+		if f.table.NoteLoad(s.Address, s.Loading, s.Held, now) {
+			changed = true
+			f.log.Info("engine told of by its agent", "address", s.Address, "loading", s.Loading, "held", s.Held)
+		}
+	}
 	for _, id := range news.Alive {
 		if e := f.table.Get(id); e != nil {
 			e.Heard = now
@@ -331,7 +339,7 @@
 func (f *Follower) build() *View {
 	v := &View{
 		Config: f.config, Weights: maps.Clone(f.weights), Servers: map[string][]directory.Entry{},
-		Demand: f.demand, Entries: f.entries,
+		Demand: f.demand, Entries: f.entries, At: f.clock.Since(f.start),
 	}
 	for _, e := range f.table.All() {
 		if e.State != directory.Gone && !f.table.Superseded(e) {
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -124,6 +124,16 @@
 	}
 }
 
+// Engine takes in what an agent told of its engine.
+func (h *Hub) Engine(s wire.EngineState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table.NoteLoad(s.Address, s.Loading, s.Held, h.now()) {
+		h.log.Info("engine told of by its agent", "address", s.Address, "loading", s.Loading, "held", s.Held)
+		h.tell(wire.News{Engines: []wire.EngineState{s}}, true)
+	}
+}
+
 // Relay takes in news of another control process.
 func (h *Hub) Relay(news wire.News) {
 	h.mu.Lock()
@@ -140,13 +150,18 @@
 			onward.Left = append(onward.Left, l)
 		}
 	}
+	for _, s := range news.Engines {
+		if h.table.NoteLoad(s.Address, s.Loading, s.Held, now) {
+			onward.Engines = append(onward.Engines, s)
+		}
+	}
 	for _, id := range news.Alive {
 		if e := h.table.Get(id); e != nil {
 			e.Heard = now
 			h.relayed[id] = true
 		}
 	}
-	if len(onward.Servers)+len(onward.Left) > 0 {
+	if len(onward.Servers)+len(onward.Left)+len(onward.Engines) > 0 {
 		h.tell(onward, false)
 	}
 }
--- a/process/feed/named.go
+++ b/process/feed/named.go
@@ -30,24 +30,22 @@
 // Newest returns the highest version that was named, or 0.
 func (n Named) Newest() int { return n.newest }
 
-// Floor returns the lowest version that may still be used: the highest one that
-// was named at least bound ago. Where the age of the newest version is not
-// known, it may be old.
-func (n Named) Floor(now time.Time, bound time.Duration) int {
-	if !n.known(n.newest) {
-		return n.newest
+// UsableUntil returns until when a version may be used: for bound after the
+// next version was named. It is never for the newest version, and over where
+// the age of a newer one is not known: that may be old.
+func (n Named) UsableUntil(version int, bound time.Duration) (until time.Time, never bool) {
+	if version >= n.newest {
+		return time.Time{}, true
 	}
-	// What came before the oldest remembered version may be old as well.
-	floor := 0
-	if len(n.versions) > 0 {
-		floor = n.versions[0].Version - 1
+	if !n.known(n.newest) || version < n.versions[0].Version-1 {
+		return time.Time{}, false
 	}
 	for _, v := range n.versions {
-		if now.Sub(v.Since) >= bound {
-			floor = max(floor, v.Version)
+		if v.Version > version && (until.IsZero() || v.Since.Add(bound).Before(until)) {
+			until = v.Since.Add(bound)
 		}
 	}
-	return floor
+	return until, false
 }
 
 func (n Named) known(version int) bool {
--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/connection/backend"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -120,7 +121,9 @@
 			return true
 		}
 		if holds(report, key) {
-			k.note(key, report, "held")
+			if k.note(key, report, "held") {
+				k.tell(wire.EngineState{Held: report.Held})
+			}
 			k.share(ctx, view, key)
 			continue
 		}
@@ -162,14 +165,23 @@
 	return false
 }
 
-func (k *keeper) note(key pieces.Key, r platform.EngineReport, step string) {
+// tell tells the control processes of the engine before its next heartbeat.
+func (k *keeper) tell(s wire.EngineState) {
+	s.Address = k.s.set.BackendAddress
+	k.s.follower.Tell(wire.KindEngine, s)
+}
+
+// note keeps what was seen and reports whether that is news.
+func (k *keeper) note(key pieces.Key, r platform.EngineReport, step string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.target != key || k.step != step {
+	news := k.target != key || k.step != step
+	if news {
 		k.s.Log.Info("engine looked at", "model", key.Model, "version", key.Version, "step", step,
 			"held", r.Held, "busy", r.Busy, "orders", r.Orders)
 	}
 	k.report, k.target, k.step = r, key, step
+	return news
 }
 
 // bring fetches, stages, verifies and loads a version.
@@ -298,7 +310,11 @@
 	if err != nil {
 		return err
 	}
+	k.tell(wire.EngineState{Loading: true})
 	_, err = k.call(ctx, http.MethodPost, platform.PathOrder, body)
+	if err != nil {
+		k.tell(wire.EngineState{})
+	}
 	k.s.Log.Info("load ordered", "model", key.Model, "version", key.Version, "error", err)
 	return err
 }
--- a/request/forward/desk.go
+++ b/request/forward/desk.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,9 +16,6 @@
 )
 
 const (
-	// versionMargin is how long before the bound old weights get nothing new: a
-	// request may be under way that long behind a narrow link.
-	versionMargin = 2 * time.Second
 	// demandWeight is the weight of the last half second in the demand.
 	demandWeight = 0.3
 	// budgetCaution is the part of the shared retry budget that entries use
@@ -41,8 +37,10 @@
 	cfg   Config
 	clock clockwork.Clock
 
-	mu       sync.Mutex
-	view     *feed.View
+	mu   sync.Mutex
+	view *feed.View
+	// viewed is when the view was taken in.
+	viewed   time.Time
 	services map[string]*counter
 	asked    time.Time
 }
@@ -54,7 +52,7 @@
 func (d *desk) update(v *feed.View) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.view = v
+	d.view, d.viewed = v, d.clock.Now()
 	d.refresh()
 }
 
@@ -111,38 +109,37 @@
 		if slots == 0 && s.Engine != nil {
 			slots = s.Engine.Slots
 		}
+		held, until := d.weights(s, e)
+		loading := e.LoadingUntil > d.view.At+now.Sub(d.viewed)
 		servers = append(servers, placement.Server{
-			ID: e.ID, Address: e.Address, Zone: e.Zone, Slots: slots,
-			Usable:   e.State == directory.Ready && d.holdsWeights(s, e, now),
-			Outdated: d.outdated(s, e),
+			ID: e.ID, Address: e.Address, Zone: e.Zone, Slots: slots, Until: until,
+			Usable: e.State == directory.Ready && held && !loading,
 		})
 	}
 	return servers
 }
 
-// holdsWeights reports whether a server may run requests with what it holds: the
-// newest weights, or older ones while that is still allowed.
-func (d *desk) holdsWeights(s *deployment.Service, e *directory.Entry, now time.Time) bool {
+// weights reports whether a server holds the weights of all models of its
+// service, and until when they may be used; zero is without end.
+func (d *desk) weights(s *deployment.Service, e *directory.Entry) (held bool, until time.Time) {
 	if s.Engine == nil {
-		return true
+		return true, time.Time{}
 	}
 	for _, model := range s.Engine.Models {
-		held := e.Holds(model)
-		if held == 0 || held < d.view.Weights[model].Floor(now, d.cfg.VersionWithin-versionMargin) {
-			return false
+		version := e.Holds(model)
+		if version == 0 {
+			return false, until
+		}
+		end, never := d.view.Weights[model].UsableUntil(version, d.cfg.VersionWithin)
+		switch {
+		case never:
+		case end.IsZero():
+			return false, until
+		case until.IsZero() || end.Before(until):
+			until = end
 		}
 	}
-	return true
-}
-
-// outdated reports whether a server lacks the newest weights of a model.
-func (d *desk) outdated(s *deployment.Service, e *directory.Entry) bool {
-	if s.Engine == nil {
-		return false
-	}
-	return slices.ContainsFunc(s.Engine.Models, func(model string) bool {
-		return e.Holds(model) < d.view.Weights[model].Newest()
-	})
+	return true, until
 }
 
 // offer counts the server time that a request asks for.
@@ -250,7 +247,7 @@
 	}
 	waiter := &placement.Waiter{Req: req, Grant: func(l *placement.Lease) { granted <- l }}
 	waits := c.pool.Wait(now, waiter)
-	usable, comeBack := c.pool.Usable(), c.pool.ComeBackIn()
+	usable, comeBack := c.pool.Usable(now), c.pool.ComeBackIn()
 	d.mu.Unlock()
 	if !waits {
 		return nil, refusal(usable, comeBack)
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -121,7 +121,7 @@
 	var bestKey float64
 	for i := range p.order {
 		s := p.order[(i+p.turn)%len(p.order)]
-		if s.slow(now, req.Aim) && (s.own > 0 || s.Outdated) {
+		if s.slow(now, req.Aim) && (s.own > 0 || !s.Until.IsZero()) || s.expiring(now) {
 			// One request at a time finds out whether the server is still slow.
 			continue
 		}
@@ -227,15 +227,15 @@
 }
 
 // Usable reports whether any server could run a request at all.
-func (p *Pool) Usable() bool {
-	return slices.ContainsFunc(p.order, func(s *server) bool { return s.Usable })
+func (p *Pool) Usable(now time.Time) bool {
+	return slices.ContainsFunc(p.order, func(s *server) bool { return s.Usable && !s.expiring(now) })
 }
 
 // Wait queues a request. It returns false where waiting is of no use: the
 // places that will become free in time go to those before it.
 func (p *Pool) Wait(now time.Time, w *Waiter) bool {
 	useful := w.Req.WaitUntil.Sub(now)
-	if useful <= 0 || !p.Usable() {
+	if useful <= 0 || !p.Usable(now) {
 		return false
 	}
 	if time.Duration(p.ahead(w))*p.pause > useful {
--- a/request/placement/pool_test.go
+++ b/request/placement/pool_test.go
@@ -132,13 +132,13 @@
 
 func TestOutdatedServerThatStalledIsNotTriedAgain(t *testing.T) {
 	list := servers(1, 16)
-	list[0].Outdated = true
+	list[0].Until = at(0).Add(time.Hour)
 	p := newPool(engines, list, 1)
 	p.Done(at(0), p.Take(at(0), Request{}), Stalled)
 	if p.Take(at(0).Add(2*maxLeftOut), Request{}) != nil {
 		t.Error("a request could reach old weights after they may not be used any more")
 	}
-	list[0].Outdated = false
+	list[0].Until = time.Time{}
 	p.Update(at(0), engines, list, 1)
 	if p.Take(at(0).Add(2*maxLeftOut), Request{}) == nil {
 		t.Error("the server is not tried with the newest weights")
@@ -180,6 +180,23 @@
 	}
 }
 
+func TestNothingIsSentThatCouldBeginOnExpiredWeights(t *testing.T) {
+	list := servers(1, 16)
+	list[0].Until = at(8000)
+	p := newPool(engines, list, 1)
+	if p.Take(at(6500), Request{}) == nil {
+		t.Error("a sound server is not used well before the end")
+	}
+	if p.Take(at(7500), Request{}) != nil || p.Usable(at(7500)) {
+		t.Error("a request could begin after the end")
+	}
+	slow := p.Take(at(0), Request{Aim: 2 * time.Second})
+	p.Began(at(500), slow)
+	if p.Take(at(6500), Request{}) != nil {
+		t.Error("a request could begin after the end behind a narrow link")
+	}
+}
+
 func TestWaitingRequestsGetFreedPlaces(t *testing.T) {
 	p := newPool(engines, servers(1, 2), 1)
 	leases := takeAll(p, at(0), Request{})
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -27,6 +27,11 @@
 	// reading included. Reading takes 50 to 150 ms of the platform's 400.
 	slowShare    = 3
 	overdueShare = 6
+	// beginMargin and beginDelays bound the time in which a request begins: a
+	// part for news and a queue at the server, and several times the delay that
+	// its first events had lately, as links narrow without a word.
+	beginMargin = 900 * time.Millisecond
+	beginDelays = 4
 	// delayWeight is the weight of the last first event in the mean delay.
 	delayWeight = 0.3
 )
@@ -60,12 +65,18 @@
 // go. One whose weights are outdated is not tried again: a request could reach
 // it late, after they may not be used any more.
 func (s *server) rested(now time.Time) bool {
-	if s.trial && (s.own > 0 || s.Outdated) {
+	if s.trial && (s.own > 0 || !s.Until.IsZero()) {
 		return false
 	}
 	return !now.Before(s.until) && !now.Before(s.fullUntil)
 }
 
+// expiring reports whether a request that is sent now could begin after the
+// server's weights may not be used any more.
+func (s *server) expiring(now time.Time) bool {
+	return !s.Until.IsZero() && now.Add(beginMargin+beginDelays*s.delay).After(s.Until)
+}
+
 // slow reports whether the server's first events come too late for the aim: by
 // those seen last, or by one that is overdue. The platform narrows links and
 // slows engines without a word.
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -22,9 +22,9 @@
 	// Usable is unset for servers that leave or lack the weights. They get
 	// nothing new.
 	Usable bool
-	// Outdated is set for a server whose weights are not the newest: soon it may
-	// not be used any more, and what is on its way then must not reach it.
-	Outdated bool
+	// Until is when the server's weights may not be used any more: nothing that
+	// is on its way then may begin there. Zero is never.
+	Until time.Time
 }
 
 // Config describes one service at one entry.
