Requests are not sent on a connection that opened too late

A lease tells by when its request must be on its way; connections that take over half a second are given up, and a request of which no byte was sent costs no retry budget.

--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// dialTimeout bounds a new connection: between VMs of the platform one
-	// takes a few milliseconds, and a lost opening packet is sent again after
-	// one second.
-	dialTimeout = 1200 * time.Millisecond
+	// dialTimeout bounds a new connection. Between VMs of the platform one takes
+	// a few milliseconds; a lost opening packet is sent again after one second,
+	// and another server answers sooner.
+	dialTimeout = 500 * time.Millisecond
 	// defaultIdle is how long a connection is kept whose server names no limit.
 	defaultIdle = 4 * time.Second
 	// idleMargin is how much earlier than the server a connection is closed.
--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -285,3 +285,24 @@
 		}
 	}
 }
+
+func TestOverdueRequestIsNotSent(t *testing.T) {
+	served := make(chan struct{}, 1)
+	address, _ := script(t, func(_ net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err == nil {
+			served <- struct{}{}
+		}
+	})
+	req := request("1")
+	req.SendBy = time.Now().Add(-time.Millisecond)
+	_, err := newClient().Do(t.Context(), address, req)
+	var failure *Error
+	if !errors.As(err, &failure) || failure.Sent != NotSent {
+		t.Errorf("got %v", err)
+	}
+	select {
+	case <-served:
+		t.Error("the request reached the server")
+	case <-time.After(50 * time.Millisecond):
+	}
+}
--- a/connection/backend/conn.go
+++ b/connection/backend/conn.go
@@ -12,10 +12,8 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
-	address string
-	r       *bufio.Reader
-	// used is set once a request was answered on the connection.
-	used      bool
+	address   string
+	r         *bufio.Reader
 	idleLimit time.Duration
 	idleUntil time.Time
 }
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -27,6 +27,9 @@
 	EchoHeader string
 	// HeadBy is when the head of the answer must be in.
 	HeadBy time.Time
+	// SendBy, where not zero, is when the request must be on its way: a lost
+	// packet of a new connection is sent again after a second.
+	SendBy time.Time
 	// Fresh asks for a new connection.
 	Fresh bool
 }
@@ -45,10 +48,7 @@
 // Error is a failed exchange.
 type Error struct {
 	Sent Sent
-	// Reused is set where the request was the first byte sent on a kept
-	// connection that turned out to be closed.
-	Reused bool
-	Err    error
+	Err  error
 }
 
 // Error returns the text of the failure.
@@ -82,6 +82,8 @@
 	keep  bool
 }
 
+var errOverdue = errors.New("the connection was opened too late for the request")
+
 var errForeignAnswer = errors.New("the answer belongs to another request")
 
 const (
@@ -102,27 +104,40 @@
 	if !req.Fresh {
 		k = c.take(address, time.Now())
 	}
-	reused := k != nil
 	if k == nil {
-		dialCtx, cancel := context.WithDeadline(ctx, req.HeadBy)
-		defer cancel()
-		fresh, err := c.connect(dialCtx, address)
+		fresh, err := c.connectBy(ctx, address, req)
 		if err != nil {
 			return nil, &Error{Sent: NotSent, Err: errors.Wrap(err, "connect")}
 		}
 		k = fresh
 	}
+	if req.overdue() {
+		k.close()
+		return nil, &Error{Sent: NotSent, Err: errOverdue}
+	}
 	ex := &Exchange{client: c, conn: k, stop: context.AfterFunc(ctx, k.close)}
 	_ = k.SetDeadline(req.HeadBy)
 	if err := ex.exchange(req); err != nil {
 		ex.abandon()
-		err.Reused = reused && err.Sent == MaybeRun
 		return nil, err
 	}
-	k.used = true
 	return ex, nil
 }
 
+// overdue reports whether it is too late to send the request.
+func (r *Request) overdue() bool { return !r.SendBy.IsZero() && time.Now().After(r.SendBy) }
+
+// connectBy opens a connection within the request's limits.
+func (c *Client) connectBy(ctx context.Context, address string, req *Request) (*conn, error) {
+	by := req.HeadBy
+	if !req.SendBy.IsZero() && req.SendBy.Before(by) {
+		by = req.SendBy
+	}
+	ctx, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
+	return c.connect(ctx, address)
+}
+
 func (ex *Exchange) exchange(req *Request) *Error {
 	if err := ex.write(req); err != nil {
 		return err
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -39,8 +39,8 @@
 	ex      *backend.Exchange
 	verdict verdict
 	outcome placement.Outcome
-	// reused is set where a kept connection was closed by the server.
-	reused bool
+	// unsent is set where no byte of the request was sent.
+	unsent bool
 	err    error
 }
 
@@ -53,7 +53,7 @@
 	t.ex, t.err = h.client.Do(ctx, l.Server.Address, &backend.Request{
 		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host,
 		Header: h.header(j, l, resumeAt), Body: j.body,
-		ID: j.id, EchoHeader: platform.HeaderRequestID, HeadBy: headBy,
+		ID: j.id, EchoHeader: platform.HeaderRequestID, HeadBy: headBy, SendBy: l.SendBy(),
 	})
 	if t.err != nil {
 		t.judgeFailure(ctx)
@@ -67,11 +67,10 @@
 	t.outcome, t.verdict = placement.Failed, unknown
 	var failure *backend.Error
 	if errors.As(t.err, &failure) {
-		t.reused = failure.Reused
 		if failure.Sent == backend.NotSent {
-			t.verdict = notRun
+			t.verdict, t.unsent = notRun, true
 		}
-		if failure.Timeout() {
+		if failure.Timeout() && !t.unsent {
 			t.outcome = placement.Stalled
 		}
 	}
@@ -151,7 +150,7 @@
 	if t.verdict != notRun && (!repeatable || ran >= max(j.route.MaxServers, 1)) {
 		return false
 	}
-	if !h.desk.repeat(j.service) {
+	if !t.unsent && !h.desk.repeat(j.service) {
 		return false
 	}
 	h.metrics.retried.Inc(1)
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -31,6 +31,8 @@
 	// part for news and a queue at the server, and several times the delay that
 	// its first events had lately, as links narrow without a word.
 	beginMargin = 900 * time.Millisecond
+	// sendMargin is the part of it that is left once a connection is open.
+	sendMargin  = 700 * time.Millisecond
 	beginDelays = 4
 	// delayWeight is the weight of the last first event in the mean delay.
 	delayWeight = 0.3
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -80,6 +80,15 @@
 	Stalled
 )
 
+// SendBy returns when a request that was given the place must be on its way;
+// zero where there is no limit.
+func (l *Lease) SendBy() time.Time {
+	if l.Server.Until.IsZero() {
+		return time.Time{}
+	}
+	return l.Server.Until.Add(-sendMargin)
+}
+
 // Lease is a request's place at a server. Pool.Done must be called once.
 type Lease struct {
 	Server *Server
