--- /dev/null
+++ b/version/pieces/fetch_test.go
@@ -0,0 +1,188 @@
+package pieces
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/connection/backend"
+	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/version/planner"
+)
+
+const testPieces, testPieceBytes = 24, 2048
+
+// origin is a stand-in of the origin of weights.
+type origin struct {
+	*httptest.Server
+	sent atomic.Int64
+	dark atomic.Bool
+	// spoil makes the first answer for each piece wrong.
+	spoil atomic.Bool
+	asked [testPieces]atomic.Int64
+}
+
+func content(piece int) []byte { return bytes.Repeat([]byte{byte(piece + 1)}, testPieceBytes) }
+
+func newOrigin(t *testing.T) *origin {
+	t.Helper()
+	o := &origin{}
+	o.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if o.dark.Load() {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		if strings.Contains(r.URL.Path, "manifest") {
+			var digests []string
+			for i := range testPieces {
+				sum := sha256.Sum256(content(i))
+				digests = append(digests, `"`+hex.EncodeToString(sum[:])+`"`)
+			}
+			_, _ = fmt.Fprintf(w, `{"model":"m","version":2,"chunkBytes":%d,"digests":[%s]}`, testPieceBytes, strings.Join(digests, ","))
+			return
+		}
+		var piece int
+		_, _ = fmt.Sscan(r.URL.Query().Get("num"), &piece)
+		o.sent.Add(1)
+		data := content(piece)
+		if o.asked[piece].Add(1) == 1 && o.spoil.Load() {
+			data[7]++
+		}
+		_, _ = w.Write(data)
+	}))
+	t.Cleanup(o.Close)
+	return o
+}
+
+// agents is a fleet of agents on loopback.
+type agents struct {
+	origin   *origin
+	nodes    []planner.Node
+	peers    map[string]string
+	fetchers []*Fetcher
+	holders  map[string]bool
+}
+
+func newAgents(t *testing.T, perRegion map[string]int) *agents {
+	t.Helper()
+	f := &agents{origin: newOrigin(t), nodes: fleet(perRegion), peers: map[string]string{}, holders: map[string]bool{}}
+	for _, n := range f.nodes {
+		store := NewStore(0)
+		srv := httptest.NewServer(store)
+		t.Cleanup(srv.Close)
+		f.peers[n.Name] = srv.Listener.Addr().String()
+		f.fetchers = append(f.fetchers, &Fetcher{
+			Self: n, Store: store, Client: backend.New(backend.Config{Scope: tally.NoopScope}),
+			Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		})
+	}
+	return f
+}
+
+func (f *agents) order() *Order {
+	return &Order{
+		Key: Key{"m", 2}, Origin: f.origin.Listener.Addr().String(), Home: "a",
+		Nodes: f.nodes, Peers: f.peers, Holders: f.holders,
+	}
+}
+
+// fetch lets all but the named agents fetch, and waits for them.
+func (f *agents) fetch(t *testing.T, but ...string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	ended := make(chan error)
+	running := 0
+	for _, fetcher := range f.fetchers {
+		if len(but) > 0 && fetcher.Self.Name == but[0] {
+			continue
+		}
+		running++
+		go func() { ended <- fetcher.Fetch(ctx, f.order) }()
+	}
+	for range running {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestEveryAgentGetsTheWholeVersionAndTheOriginSendsItOnce(t *testing.T) {
+	f := newAgents(t, map[string]int{"a": 4, "b": 3, "c": 2})
+	f.fetch(t)
+	for _, fetcher := range f.fetchers {
+		for piece := range testPieces {
+			if !bytes.Equal(fetcher.Store.Piece(Key{"m", 2}, piece), content(piece)) {
+				t.Fatalf("%s holds a wrong piece %d", fetcher.Self.Name, piece)
+			}
+		}
+	}
+	if n := f.origin.sent.Load(); n != testPieces {
+		t.Errorf("the origin sent %d pieces of %d", n, testPieces)
+	}
+}
+
+func TestSpoiltPieceIsAskedForAgain(t *testing.T) {
+	f := newAgents(t, map[string]int{"a": 2})
+	f.origin.spoil.Store(true)
+	f.fetch(t)
+	for _, fetcher := range f.fetchers {
+		if len(fetcher.Store.Missing(Key{"m", 2})) > 0 {
+			t.Errorf("%s lacks pieces", fetcher.Self.Name)
+		}
+	}
+}
+
+func TestTransferEndsWithoutAnAgentThatTakesNoPart(t *testing.T) {
+	f := newAgents(t, map[string]int{"a": 3, "b": 2})
+	f.fetch(t, "a1")
+	for _, fetcher := range f.fetchers {
+		if fetcher.Self.Name != "a1" && len(fetcher.Store.Missing(Key{"m", 2})) > 0 {
+			t.Errorf("%s lacks pieces", fetcher.Self.Name)
+		}
+	}
+}
+
+func TestHoldersReplaceADarkOrigin(t *testing.T) {
+	f := newAgents(t, map[string]int{"a": 3})
+	f.fetch(t, "a2")
+	f.origin.dark.Store(true)
+	f.holders["a0"], f.holders["a1"] = true, true
+	f.fetch(t)
+	for _, fetcher := range f.fetchers {
+		if len(fetcher.Store.Missing(Key{"m", 2})) > 0 {
+			t.Errorf("%s lacks pieces", fetcher.Self.Name)
+		}
+	}
+}
+
+func TestStoreKeepsTwoVersionsAndRefusesWrongBytes(t *testing.T) {
+	s := NewStore(0)
+	for version := 1; version <= 3; version++ {
+		s.Begin(platform.Manifest{Model: "m", Version: version, Digests: [][32]byte{sha256.Sum256(content(version))}})
+	}
+	if _, kept := s.Manifest(Key{"m", 1}); kept {
+		t.Error("a third version is kept")
+	}
+	if s.Put(Key{"m", 3}, 0, content(2)) || s.Piece(Key{"m", 3}, 0) != nil {
+		t.Error("bytes of another version were taken")
+	}
+	if !s.Put(Key{"m", 2}, 0, content(2)) || !s.Put(Key{"m", 3}, 0, content(3)) {
+		t.Error("right bytes were refused")
+	}
+	if s.Put(Key{"m", 3}, 1, content(3)) || s.Put(Key{"m", 3}, -1, content(3)) {
+		t.Error("a piece beyond the version was taken")
+	}
+}
