Manifests are sought like pieces; the origin's connections are shared

Ruled out: the pieces, which nobody asked for. One agent in charge asks now, the others wait at it; tries back off with jitter; connections to the origin end with the transfer.

--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/waxwingpost/waxwingpost/connection/backend"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
@@ -25,6 +27,9 @@
 	// must be brought to the newest weights within seconds.
 	idlePause = 700 * time.Millisecond
 	busyPause = 150 * time.Millisecond
+	// maxBusyPause is what busyPause grows to, by random steps, so that a fleet
+	// does not try again in step.
+	maxBusyPause = 600 * time.Millisecond
 	// engineLimit bounds a call to the engine on the same VM.
 	engineLimit = 1500 * time.Millisecond
 	// fetchLimit bounds one round of fetching, after which plans are made anew.
@@ -74,10 +79,14 @@
 }
 
 func (k *keeper) run(ctx context.Context) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = busyPause, maxBusyPause
 	for ctx.Err() == nil {
 		pause := idlePause
 		if !k.look(ctx) {
-			pause = busyPause
+			pause = retry.NextBackOff()
+		} else {
+			retry.Reset()
 		}
 		select {
 		case <-ctx.Done():
@@ -247,7 +256,7 @@
 func (k *keeper) order(view *feed.View, key pieces.Key) *pieces.Order {
 	o := &pieces.Order{Key: key, Peers: map[string]string{}, Holders: map[string]bool{}}
 	if origin := view.Config.Origin(); origin != nil {
-		o.Origin, o.Home = origin.Address, k.s.set.Regions[origin.Zone]
+		o.Origin, o.OriginConns, o.Home = origin.Address, origin.MaxConns, k.s.set.Regions[origin.Zone]
 	}
 	for _, e := range view.Servers[k.s.set.BackendService] {
 		host, _, err := net.SplitHostPort(e.Address)
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -32,12 +32,11 @@
 	stallLimit = 1500 * time.Millisecond
 	// readSize is how much is read at once.
 	readSize = 8 << 10
-	// manifestLimit bounds a request for a manifest, which is short and not
-	// waited for.
+	// manifestLimit bounds a request for a manifest, which is short, where it is
+	// not waited for.
 	manifestLimit = 800 * time.Millisecond
-	// manifestPeers is how many agents are asked for a manifest where the origin
-	// does not give it.
-	manifestPeers = 3
+	// manifestPiece is the piece whose sources are those of the manifest.
+	manifestPiece = 0
 	// avoidFor is how long an agent that failed is asked last.
 	avoidFor = 4 * time.Second
 	// retryPause is the wait after every source of a piece failed.
@@ -63,6 +62,9 @@
 	// held is what others were known to hold of the version heldOf.
 	held   map[string]planner.Bits
 	heldOf Key
+	// since is when the manifest of the version sought was sought first.
+	since  time.Time
+	sought Key
 	// plan is the last plan, made for nodes and holders as planFor tells.
 	plan    *Plan
 	planFor string
@@ -73,9 +75,12 @@
 type Order struct {
 	Key    Key
 	Origin string
-	Home   string
-	Nodes  []planner.Node
-	Peers  map[string]string
+	// OriginConns bounds the connections of all agents to the origin; 0 is not
+	// told.
+	OriginConns int
+	Home        string
+	Nodes       []planner.Node
+	Peers       map[string]string
 	// Holders names the agents whose engines hold the version already.
 	Holders map[string]bool
 }
@@ -118,11 +123,13 @@
 	var wg sync.WaitGroup
 	for lane, pieces := range lanes {
 		work := newWork(pieces, started)
-		for range laneWorkers[lane] {
+		for range f.workers(lane, o, plan) {
 			wg.Go(func() { f.runLane(ctx, work, current) })
 		}
 	}
 	wg.Wait()
+	// The origin takes few connections: others need them now.
+	f.Client.Sweep(f.Clock.Now(), func(address string) bool { return address != o.Origin })
 	missing := len(f.Store.Missing(o.Key))
 	f.Log.Info("pieces fetched", "model", o.Key.Model, "version", o.Key.Version, "missing", missing, "took", f.Clock.Since(started))
 	if missing > 0 {
@@ -131,50 +138,77 @@
 	return nil
 }
 
-// FetchManifest brings in the manifest of a version. It asks the origin first: its answer is authoritative and short.
+// FetchManifest brings in the manifest of a version, once: it is sought like a
+// piece, so that a large fleet does not turn to the origin at once.
 func (f *Fetcher) FetchManifest(ctx context.Context, o *Order) error {
 	if _, ok := f.Store.Manifest(o.Key); ok {
 		return nil
 	}
-	data, _, err := f.get(ctx, o.Origin, manifestLimit, platform.ManifestPath(o.Key.Model, o.Key.Version))
-	if err == nil {
-		m, err := platform.DecodeManifest(bytes.NewReader(data))
-		return f.begin(o, m, err)
-	}
-	for _, name := range f.manifestSources(o) {
-		if ctx.Err() != nil {
-			break
+	elapsed := f.Clock.Since(f.soughtSince(o.Key))
+	steps, _ := f.currentPlan(o).Steps(manifestPiece, f.known(o.Key))
+	err := error(errNotHad)
+	for _, step := range steps {
+		if elapsed < step.After || f.avoids(step.From) || ctx.Err() != nil {
+			continue
+		}
+		var m platform.Manifest
+		if m, err = f.manifestFrom(ctx, o, step); err == nil {
+			return f.begin(o, m)
 		}
-		if data, _, peerErr := f.get(ctx, o.Peers[name], manifestLimit, path(o.Key, manifestName)); peerErr == nil {
-			m, err := decodeManifest(data)
-			return f.begin(o, m, err)
+		if step.From != Origin && !errors.Is(err, errNotHad) {
+			f.avoid(step.From)
 		}
 	}
 	return err
 }
 
-// manifestSources returns some other agents, another choice each time.
-func (f *Fetcher) manifestSources(o *Order) []string {
-	var names []string
-	for name := range o.Peers { // in random order
-		if name != f.Self.Name && len(names) < manifestPeers {
-			names = append(names, name)
-		}
+// soughtSince returns when the manifest of a version was sought first.
+func (f *Fetcher) soughtSince(k Key) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sought != k {
+		f.sought, f.since = k, f.Clock.Now()
 	}
-	return names
+	return f.since
 }
 
-func (f *Fetcher) begin(o *Order, m platform.Manifest, err error) error {
-	if err == nil && (m.Model != o.Key.Model || m.Version != o.Key.Version) {
-		err = result.New(result.ManifestInvalid, "the manifest is of %s version %d", m.Model, m.Version)
+func (f *Fetcher) manifestFrom(ctx context.Context, o *Order, step Step) (platform.Manifest, error) {
+	if step.From == Origin {
+		data, _, err := f.get(ctx, o.Origin, manifestLimit, platform.ManifestPath(o.Key.Model, o.Key.Version))
+		if err != nil {
+			return platform.Manifest{}, err
+		}
+		return platform.DecodeManifest(bytes.NewReader(data))
 	}
+	target, limit := path(o.Key, manifestName), manifestLimit
+	if step.Wait {
+		target, limit = target+"?"+waitQuery, attemptLimit
+	}
+	data, _, err := f.get(ctx, o.Peers[step.From], limit, target)
 	if err != nil {
-		return err
+		return platform.Manifest{}, err
+	}
+	return decodeManifest(data)
+}
+
+func (f *Fetcher) begin(o *Order, m platform.Manifest) error {
+	if m.Model != o.Key.Model || m.Version != o.Key.Version {
+		return result.New(result.ManifestInvalid, "the manifest is of %s version %d", m.Model, m.Version)
 	}
 	f.Store.Begin(m)
 	return nil
 }
 
+// workers returns how many requests of a lane are under way at once: at the
+// origin half of its connections, shared by the agents of its region.
+func (f *Fetcher) workers(lane Lane, o *Order, plan *Plan) int {
+	n := laneWorkers[lane]
+	if lane == FromOrigin && o.OriginConns > 0 {
+		n = max(1, min(n, o.OriginConns/2/max(plan.homeAgents(), 1)))
+	}
+	return n
+}
+
 // work holds the pieces of a lane that are still to be had. A piece that could
 // not be had goes to the end, so that it does not hold up the others.
 type work struct {
--- a/version/pieces/plan.go
+++ b/version/pieces/plan.go
@@ -190,6 +190,9 @@
 	return append(slices.Clone(pieces[at:]), pieces[:at]...)
 }
 
+// homeAgents counts the agents of the origin's region.
+func (p *Plan) homeAgents() int { return len(p.arr.Fetchers(p.home)) }
+
 func without(names []string, name string) []string {
 	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
 }
--- a/version/pieces/serve.go
+++ b/version/pieces/serve.go
@@ -51,7 +51,7 @@
 	k := Key{Model: parts[0], Version: version}
 	var data []byte
 	if parts[2] == manifestName {
-		data = s.encodedManifest(k)
+		data = s.encodedManifest(r.Context(), k, r.URL.Query().Has(waitQuery))
 	} else if piece, err := strconv.Atoi(parts[2]); err == nil {
 		data = s.find(r.Context(), k, piece, r.URL.Query().Has(waitQuery))
 	}
@@ -122,8 +122,15 @@
 	}
 }
 
-func (s *Store) encodedManifest(k Key) []byte {
+// encodedManifest returns a manifest that is known, or one that arrives soon if
+// asked to wait; nil otherwise.
+func (s *Store) encodedManifest(ctx context.Context, k Key, wait bool) []byte {
 	m, ok := s.Manifest(k)
+	if !ok && wait {
+		ctx, cancel := context.WithTimeout(ctx, holdFor)
+		defer cancel()
+		m, ok = s.WaitManifest(ctx, k)
+	}
 	if !ok {
 		return nil
 	}
--- a/version/pieces/store.go
+++ b/version/pieces/store.go
@@ -192,3 +192,20 @@
 		}
 	}
 }
+
+// WaitManifest returns a manifest once it is known; false when ctx ends before.
+func (s *Store) WaitManifest(ctx context.Context, k Key) (platform.Manifest, bool) {
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		if m, ok := s.Manifest(k); ok {
+			return m, true
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Manifest{}, false
+		case <-changed:
+		}
+	}
+}
