--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -112,8 +112,16 @@
 	c.seeds = feed.PeerAddresses(&set)
 }
 
-// Run serves until ctx ends, then stops gracefully.
+// Run serves until ctx ends, then stops gracefully. Its metrics are served
+// besides.
 func (c *Controller) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.ServeMetrics(ctx, c.set.IP, platform.MetricsPort) })
+	group.Go(func() error { return c.run(ctx) })
+	return base.IgnoreCanceled(group.Wait())
+}
+
+func (c *Controller) run(ctx context.Context) error {
 	operators, err := net.Listen("tcp", c.set.OperatorAddress)
 	if err != nil {
 		return err
@@ -131,7 +139,6 @@
 	group.Go(func() error { return base.Serve(linkServer, links) })
 	group.Go(func() error { c.runReplica(groupCtx); return nil })
 	group.Go(func() error { c.runFeed(groupCtx); return nil })
-	group.Go(func() error { return c.ServeMetrics(groupCtx, c.set.IP, platform.MetricsPort) })
 	<-groupCtx.Done()
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopBudget)
 	defer cancel()
--- /dev/null
+++ b/process/controller/controller_test.go
@@ -0,0 +1,224 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/connection/link"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/base"
+	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/process/directory"
+	"github.com/waxwingpost/waxwingpost/process/feed"
+	"github.com/waxwingpost/waxwingpost/process/obs"
+)
+
+// The control processes of a test listen on addresses of their own, as on VMs.
+const (
+	vms          = 3
+	operatorPort = 18460
+	peerPort     = 18470
+	// patience bounds the waits; a cluster is ready within a second or two.
+	patience = 20 * time.Second
+)
+
+func testBase() *base.Base {
+	return &base.Base{
+		Auth: link.Authenticator{Open: true}, Clock: clockwork.NewRealClock(),
+		Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Stats: &link.Stats{}, Dump: &obs.State{},
+	}
+}
+
+func ip(vm int) string { return fmt.Sprintf("127.0.81.%d", vm+1) }
+
+func settings(t *testing.T, vm int, first bool) platform.Settings {
+	t.Helper()
+	set := platform.Settings{
+		VM: fmt.Sprint("core-", vm), IP: ip(vm), PeerPort: peerPort, FirstStart: first, DataDir: t.TempDir(), Tolerance: 1,
+		OperatorAddress: net.JoinHostPort(ip(vm), fmt.Sprint(operatorPort)),
+	}
+	for seed := range vms {
+		set.Seeds = append(set.Seeds, net.JoinHostPort(ip(seed), fmt.Sprint(operatorPort)))
+	}
+	return set
+}
+
+// start runs a control process until the test ends or stop is called.
+func start(t *testing.T, set platform.Settings) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	c := New(set, testBase())
+	ended := make(chan error, 1)
+	go func() { ended <- c.run(ctx) }()
+	stopped := false
+	stop = func() {
+		if !stopped {
+			stopped = true
+			cancel()
+			if err := <-ended; err != nil {
+				t.Errorf("%s: %v", set.VM, err)
+			}
+		}
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+func call(t *testing.T, vm int, method, path, body string) (int, string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	url := "http://" + net.JoinHostPort(ip(vm), fmt.Sprint(operatorPort)) + path
+	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+// until repeats a call until it has the wanted status.
+func until(t *testing.T, vm int, method, path, body string, want int) string {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		status, text := call(t, vm, method, path, body)
+		if status == want {
+			return text
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s %s at %d: status %d, want %d: %s", method, path, vm, status, want, text)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func configuration(version int, prefix string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","pathPrefix":%q,"type":"safe","timeoutMs":1000,"service":"s"}],
+"services":[{"name":"s"}]}`, version, prefix)
+}
+
+func TestConfigurationsAreDurableAndNeverGoBack(t *testing.T) {
+	var sets []platform.Settings
+	var stops []func()
+	for vm := range vms {
+		sets = append(sets, settings(t, vm, true))
+		stops = append(stops, start(t, sets[vm]))
+	}
+	until(t, 0, http.MethodPost, platform.PathPutConfig, configuration(7, "/seven/"), http.StatusOK)
+	for vm := range vms {
+		if got := until(t, vm, http.MethodGet, platform.PathGetConfig, "", http.StatusOK); got != configuration(7, "/seven/") {
+			t.Errorf("%d reads %s", vm, got)
+		}
+	}
+	// Resent, older and raced changes are acknowledged and change nothing.
+	for _, text := range []string{configuration(7, "/seven/"), configuration(5, "/five/"), configuration(7, "/other/")} {
+		until(t, 1, http.MethodPost, platform.PathPutConfig, text, http.StatusOK)
+	}
+	for _, text := range []string{`{"version":9`, configuration(9, "noslash"), `{"version":9,"routes":[{"host":"h","pathPrefix":"/","type":"safe","timeoutMs":1,"service":"x"}]}`} {
+		if status, _ := call(t, 2, http.MethodPost, platform.PathPutConfig, text); status != http.StatusBadRequest {
+			t.Errorf("status %d for %s", status, text)
+		}
+	}
+	until(t, 2, http.MethodPost, platform.PathPutVersion, `{"model":"m","version":2}`, http.StatusOK)
+	// All stop and start again with what their disks hold.
+	for _, stop := range stops {
+		stop()
+	}
+	for vm := range vms {
+		sets[vm].FirstStart = false
+		start(t, sets[vm])
+	}
+	if got := until(t, 2, http.MethodGet, platform.PathGetConfig, "", http.StatusOK); got != configuration(7, "/seven/") {
+		t.Errorf("after the restart: %s", got)
+	}
+}
+
+func TestReadsWithoutAQuorumAreRefused(t *testing.T) {
+	stops := make([]func(), vms)
+	for vm := range vms {
+		stops[vm] = start(t, settings(t, vm, true))
+	}
+	until(t, 0, http.MethodPost, platform.PathPutConfig, configuration(1, "/a/"), http.StatusOK)
+	stops[1]()
+	stops[2]()
+	until(t, 0, http.MethodGet, platform.PathGetConfig, "", http.StatusServiceUnavailable)
+	if status, _ := call(t, 0, http.MethodPost, platform.PathPutConfig, configuration(2, "/b/")); status != http.StatusServiceUnavailable {
+		t.Errorf("a change without a quorum has status %d", status)
+	}
+}
+
+func TestEmptyDiskNeverFoundsACluster(t *testing.T) {
+	for vm := range vms {
+		start(t, settings(t, vm, false))
+	}
+	time.Sleep(time.Second) // a cluster would be founded by then
+	if status, _ := call(t, 0, http.MethodPost, platform.PathPutConfig, configuration(1, "/a/")); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d from processes that lost everything", status)
+	}
+}
+
+func TestFollowersHearOfServersConfigurationsAndVersions(t *testing.T) {
+	for vm := range vms {
+		start(t, settings(t, vm, true))
+	}
+	set := settings(t, 0, true)
+	dialer := &link.Dialer{Auth: link.Authenticator{Open: true}, Self: func() wire.Hello {
+		return wire.Hello{Name: "entry-1", Role: wire.RoleEntry}
+	}}
+	follower := feed.NewFollower(feed.FollowerConfig{
+		Seeds: feed.PeerAddresses(&set),
+		Decode: func(document []byte) (*deployment.Config, error) {
+			c, err := platform.DecodeConfig(document)
+			if err != nil {
+				return nil, err
+			}
+			return c, c.Validate()
+		},
+	}, dialer, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	go follower.Run(t.Context())
+	until(t, 0, http.MethodPost, platform.PathPutConfig, configuration(3, "/c/"), http.StatusOK)
+	until(t, 1, http.MethodPost, platform.PathPutVersion, `{"model":"m","version":4}`, http.StatusOK)
+	beat := func(state string, seq int) string {
+		text, _ := json.Marshal(map[string]any{"service": "s", "addr": "10.0.0.1:1", "state": state, "seq": seq, "born": 9, "slots": 4})
+		return string(text)
+	}
+	until(t, 2, http.MethodPost, platform.PathHeartbeat+"i-1", beat("ready", 1), http.StatusOK)
+	await(t, "everything", func() bool {
+		v := follower.View()
+		return v.Config != nil && v.Config.Version == 3 && v.Weights["m"].Newest() == 4 && len(v.Servers["s"]) == 1
+	})
+	if status, _ := call(t, 0, http.MethodPost, platform.PathHeartbeat+"i-2", `{"service":"s"`); status != http.StatusBadRequest {
+		t.Errorf("an unreadable heartbeat has status %d", status)
+	}
+	until(t, 0, http.MethodPost, platform.PathHeartbeat+"i-1", beat("draining", 2), http.StatusOK)
+	await(t, "the drain", func() bool { return follower.View().Servers["s"][0].State == directory.Draining })
+	until(t, 1, http.MethodPost, platform.PathLeave+"i-1", "", http.StatusOK)
+	await(t, "the leave", func() bool { return len(follower.View().Servers["s"]) == 0 })
+}
+
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the follower never heard of %s", what)
+		}
+	}
+}
