--- a/process/control/node/members_test.go
+++ b/process/control/node/members_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/waxwingpost/waxwingpost/process/control/raft"
@@ -70,6 +71,35 @@
 	}
 }
 
+func TestSilentVoterIsReplacedWhereEnoughOthersAnswer(t *testing.T) {
+	voter := func(name string, silent uint64) testMember {
+		return testMember{id: strings.ToLower(name), name: name, voter: true, match: 1000, silent: silent}
+	}
+	const lost, away = 500, 50
+	for _, x := range []struct {
+		name      string
+		tolerance int
+		members   []testMember
+		want      string
+	}{
+		{"every replica becomes a voter", 2, []testMember{voter("A", 0), voter("B", 0), voter("C", 0), {id: "d", name: "D", match: 1000}}, "A/a*,B/b*,C/c*,D/d*"},
+		{"one of five is lost", 2, []testMember{voter("A", 0), voter("B", 0), voter("C", 0), voter("D", 0), voter("E", lost)}, ""},
+		{"its successor votes", 2, []testMember{voter("A", 0), voter("B", 0), voter("C", 0), voter("D", 0), voter("E", lost), voter("F", 0)}, "A/a*,B/b*,C/c*,D/d*,F/f*"},
+		{"it is away for a moment", 2, []testMember{voter("A", 0), voter("B", 0), voter("C", 0), voter("D", 0), voter("E", away), voter("F", 0)}, ""},
+		{"tolerance is not told", 0, []testMember{voter("A", 0), voter("B", 0), voter("C", 0), voter("D", lost)}, ""},
+	} {
+		v := viewOf(nil, x.members...)
+		v.tolerance, v.forgetVoter = x.tolerance, 100
+		got := ""
+		if next, ok := v.nextChange(); ok {
+			got = next.String()
+		}
+		if got != x.want {
+			t.Errorf("%s: %q, want %q", x.name, got, x.want)
+		}
+	}
+}
+
 func TestAdmitGivesANameToOneReplica(t *testing.T) {
 	v := viewOf(nil, testMember{id: "a", name: "A", voter: true}, testMember{id: "b", name: "B", silent: 50, successor: true})
 	if _, err := admit(v.members, v.peers, raft.Member{ID: "a2", Name: "A"}, 10); err == nil {
--- a/process/control/raft/raft_test.go
+++ b/process/control/raft/raft_test.go
@@ -293,6 +293,47 @@
 	}
 }
 
+// With three voters a majority is two; where two disks may be lost at once an
+// entry must be on three, and a learner's disk counts.
+func TestEntryIsCommittedOnceEnoughDisksHoldIt(t *testing.T) {
+	ack := func(r *Raft, from string) {
+		r.Step(Message{Kind: AppendReply, From: from, To: "r0", Term: r.term, Index: 2})
+	}
+	lead := func(copies int, learners ...Member) *Raft {
+		g := newGroup(3, 0)
+		r := g.peers[0].core
+		r.cfg.MinCopies = copies
+		for _, m := range learners {
+			r.members[0].members = r.members[0].members.With(m)
+		}
+		r.term, r.role, r.leader = 4, Leader, "r0"
+		r.progress = map[string]*progress{}
+		r.push(Entry{Index: 2, Term: 4})
+		r.log.stable = 2
+		r.progress["r0"].match = 2
+		return r
+	}
+	r := lead(0)
+	if ack(r, "r1"); r.log.committed != 2 {
+		t.Error("without a bound a majority commits")
+	}
+	r = lead(3)
+	if ack(r, "r1"); r.log.committed != 1 {
+		t.Error("committed on two disks of three")
+	}
+	if ack(r, "r2"); r.log.committed != 2 {
+		t.Error("not committed on three disks")
+	}
+	r = lead(3, Member{ID: "r3"}, Member{ID: "r4", Volatile: true})
+	ack(r, "r1")
+	if ack(r, "r4"); r.log.committed != 1 {
+		t.Error("a member without a disk counts")
+	}
+	if ack(r, "r3"); r.log.committed != 2 {
+		t.Error("the disk of a learner does not count")
+	}
+}
+
 func TestMembershipChangesOneVoterAtATime(t *testing.T) {
 	g := newGroup(3, 1)
 	r := g.elect(t, 0)
