--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -155,7 +155,7 @@
 		if m, err = f.manifestFrom(ctx, o, step); err == nil {
 			return f.begin(o, m)
 		}
-		if step.From != Origin && !errors.Is(err, errNotHad) {
+		if step.From != Origin && !errors.Is(err, errNotHad) && ctx.Err() == nil {
 			f.avoid(step.From)
 		}
 	}
@@ -295,6 +295,10 @@
 		}
 		return false
 	}
+	if ctx.Err() != nil {
+		// The transfer was ended here; that tells nothing of the source.
+		return false
+	}
 	if err != nil {
 		f.avoid(name)
 		f.Scope.Counter("pieces_failed").Inc(1)
--- a/version/pieces/fetch_test.go
+++ b/version/pieces/fetch_test.go
@@ -198,3 +198,21 @@
 		t.Error("a piece beyond the version was taken")
 	}
 }
+
+func TestTransferThatWasEndedBlamesNobody(t *testing.T) {
+	f := newAgents(t, map[string]int{"a": 2})
+	f.origin.dark.Store(true)
+	// The agent that is not in charge waits at the other for what never comes.
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	for _, fetcher := range f.fetchers {
+		_ = fetcher.Fetch(ctx, f.order)
+	}
+	for _, fetcher := range f.fetchers {
+		for _, n := range f.nodes {
+			if fetcher.avoids(n.Name) {
+				t.Errorf("%s takes %s for one that failed", fetcher.Self.Name, n.Name)
+			}
+		}
+	}
+}
