--- a/request/placement/pool_test.go
+++ b/request/placement/pool_test.go
@@ -184,15 +184,15 @@
 	list := servers(1, 16)
 	list[0].Until = at(8000)
 	p := newPool(engines, list, 1)
-	if p.Take(at(6500), Request{}) == nil {
+	if p.Take(at(5900), Request{}) == nil {
 		t.Error("a sound server is not used well before the end")
 	}
-	if p.Take(at(7500), Request{}) != nil || p.Usable(at(7500)) {
+	if p.Take(at(6100), Request{}) != nil || p.Usable(at(6100)) {
 		t.Error("a request could begin after the end")
 	}
 	slow := p.Take(at(0), Request{Aim: 2 * time.Second})
 	p.Began(at(500), slow)
-	if p.Take(at(6500), Request{}) != nil {
+	if p.Take(at(5500), Request{}) != nil {
 		t.Error("a request could begin after the end behind a narrow link")
 	}
 }
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -27,13 +27,15 @@
 	// reading included. Reading takes 50 to 150 ms of the platform's 400.
 	slowShare    = 3
 	overdueShare = 6
-	// beginMargin and beginDelays bound the time in which a request begins: a
-	// part for news and a queue at the server, and several times the delay that
-	// its first events had lately, as links narrow without a word.
-	beginMargin = 900 * time.Millisecond
-	// sendMargin is the part of it that is left once a connection is open.
-	sendMargin  = 700 * time.Millisecond
+	// beginMargin and beginDelays bound the time in which a request begins: a link
+	// that has just narrowed holds one up for two seconds, and several times what
+	// the server's first events came later than usual is added.
+	beginMargin = 2 * time.Second
 	beginDelays = 4
+	// usualDelay is the mean delay of first events at a server with full slots.
+	usualDelay = 200 * time.Millisecond
+	// sendMargin is the part of beginMargin that is left once a connection is open.
+	sendMargin = 1500 * time.Millisecond
 	// delayWeight is the weight of the last first event in the mean delay.
 	delayWeight = 0.3
 )
@@ -76,7 +78,8 @@
 // expiring reports whether a request that is sent now could begin after the
 // server's weights may not be used any more.
 func (s *server) expiring(now time.Time) bool {
-	return !s.Until.IsZero() && now.Add(beginMargin+beginDelays*s.delay).After(s.Until)
+	extra := beginDelays * max(s.delay-usualDelay, 0)
+	return !s.Until.IsZero() && now.Add(beginMargin+extra).After(s.Until)
 }
 
 // slow reports whether the server's first events come too late for the aim: by
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -44,8 +44,9 @@
 )
 
 // laneWorkers is how many requests are under way at once: enough to fill a
-// link while answers travel, few enough to share the origin's connections.
-var laneWorkers = map[Lane]int{FromOrigin: 2, FromFar: 3, FromNear: 6}
+// link while answers travel, few enough to share the origin's connections, and
+// not to fill the queue of a narrow link before live requests.
+var laneWorkers = map[Lane]int{FromOrigin: 2, FromFar: 2, FromNear: 4}
 
 // Fetcher brings the pieces of a version into a store.
 type Fetcher struct {
