--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -106,13 +106,6 @@
 	}
 }
 
-// Idle counts the kept connections to a server.
-func (c *Client) Idle(address string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.idle[address])
-}
-
 func (c *Client) connect(ctx context.Context, address string) (*conn, error) {
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -30,8 +30,6 @@
 	// SendBy, where not zero, is when the request must be on its way: a lost
 	// packet of a new connection is sent again after a second.
 	SendBy time.Time
-	// Fresh asks for a new connection.
-	Fresh bool
 }
 
 // Sent says what is known of a request that failed.
@@ -100,10 +98,7 @@
 // ends the connection is closed, which makes the server stop. Failures are of
 // type *Error.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Exchange, error) {
-	var k *conn
-	if !req.Fresh {
-		k = c.take(address, time.Now())
-	}
+	k := c.take(address, time.Now())
 	if k == nil {
 		fresh, err := c.connectBy(ctx, address, req)
 		if err != nil {
--- a/process/controller/controller_test.go
+++ b/process/controller/controller_test.go
@@ -19,7 +19,6 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/base"
-	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/obs"
@@ -185,13 +184,6 @@
 	}}
 	follower := feed.NewFollower(feed.FollowerConfig{
 		Seeds: feed.PeerAddresses(&set),
-		Decode: func(document []byte) (*deployment.Config, error) {
-			c, err := platform.DecodeConfig(document)
-			if err != nil {
-				return nil, err
-			}
-			return c, c.Validate()
-		},
 	}, dialer, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
 	go follower.Run(t.Context())
 	until(t, 0, http.MethodPost, platform.PathPutConfig, configuration(3, "/c/"), http.StatusOK)
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -15,6 +15,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/mesh"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
@@ -57,8 +58,6 @@
 	Relay bool
 	// Order sorts addresses by preference; it may be nil.
 	Order func(addresses []string) []string
-	// Decode decodes and validates a configuration document.
-	Decode func(document []byte) (*deployment.Config, error)
 	// Changed is called after each new view, not concurrently; it may be nil.
 	Changed func(*View)
 	// Lazy asks for a configuration only at first and when weights were named.
@@ -397,7 +396,7 @@
 }
 
 func (f *Follower) takeDocument(doc wire.Document) bool {
-	config, err := f.decode(doc)
+	config, err := decodeDocument(doc)
 	if err != nil {
 		f.log.Error("configuration unreadable", "version", doc.Version, "code", int(result.CodeOf(err)), "error", err)
 		return true
@@ -417,10 +416,14 @@
 	return true
 }
 
-func (f *Follower) decode(doc wire.Document) (*deployment.Config, error) {
+func decodeDocument(doc wire.Document) (*deployment.Config, error) {
 	document, err := desired.Expand(doc.Content)
 	if err != nil {
 		return nil, err
 	}
-	return f.cfg.Decode(document)
+	config, err := platform.DecodeConfig(document)
+	if err != nil {
+		return nil, err
+	}
+	return config, config.Validate()
 }
--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -17,7 +17,6 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/base"
-	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/forward"
@@ -63,7 +62,7 @@
 	f.client = backend.New(backend.Config{UnackedLimit: base.UnackedLimit, Scope: b.Scope})
 	dialer := &link.Dialer{Auth: b.Auth, Self: f.hello, Stats: b.Stats, Client: base.LinkClient()}
 	f.follower = feed.NewFollower(feed.FollowerConfig{
-		Seeds: feed.PeerAddresses(&set), Order: feed.Spread(set.IP), Decode: decodeConfig,
+		Seeds: feed.PeerAddresses(&set), Order: feed.Spread(set.IP),
 		Changed: func(v *feed.View) { f.handler.Update(v) },
 	}, dialer, b.Clock, b.Log)
 	f.handler = forward.New(forward.Config{
@@ -75,14 +74,6 @@
 	return f
 }
 
-func decodeConfig(document []byte) (*deployment.Config, error) {
-	c, err := platform.DecodeConfig(document)
-	if err != nil {
-		return nil, err
-	}
-	return c, c.Validate()
-}
-
 func (f *Frontend) hello() wire.Hello {
 	return wire.Hello{
 		Name: f.set.VM, Role: wire.RoleEntry, Zone: f.set.Zone, Region: f.set.Region,
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -14,7 +14,6 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/base"
-	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/version/pieces"
@@ -42,7 +41,6 @@
 	dialer := &link.Dialer{Auth: b.Auth, Self: s.hello, Stats: b.Stats, Client: base.LinkClient()}
 	s.follower = feed.NewFollower(feed.FollowerConfig{
 		Seeds: feed.PeerAddresses(&set), Relay: true, Lazy: true, Order: feed.Spread(set.IP),
-		Decode: decodeConfig,
 		Changed: func(*feed.View) {
 			s.keeper.poke()
 		},
@@ -52,14 +50,6 @@
 	return s
 }
 
-func decodeConfig(document []byte) (*deployment.Config, error) {
-	c, err := platform.DecodeConfig(document)
-	if err != nil {
-		return nil, err
-	}
-	return c, c.Validate()
-}
-
 func (s *Sidecar) hello() wire.Hello {
 	return wire.Hello{
 		Name: s.set.VM, Role: wire.RoleAgent, Zone: s.set.Zone, Region: s.set.Region,
--- a/request/forward/desk.go
+++ b/request/forward/desk.go
@@ -86,7 +86,7 @@
 func poolConfig(zone string, s *deployment.Service) placement.Config {
 	cfg := placement.Config{Zone: zone}
 	if e := s.Engine; e != nil {
-		cfg.ReadPerSecond, cfg.Stride, cfg.Step = e.ReadPerSecond, e.Stride, e.Step
+		cfg.ReadPerSecond = e.ReadPerSecond
 	}
 	return cfg
 }
--- a/request/forward/handler_test.go
+++ b/request/forward/handler_test.go
@@ -114,7 +114,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	})
 	e := newEntry(t, route(deployment.Unrepeatable, longEnough), a)
-	if resp, _, err := e.ask(t, nil); err != nil || resp.StatusCode != 500 || resp.Header.Get("Signature") == "" {
+	if resp, _, err := e.ask(t, nil); err != nil || resp.StatusCode != http.StatusInternalServerError || resp.Header.Get("Signature") == "" {
 		t.Errorf("%v %v", resp, err)
 	}
 }
--- a/request/placement/pool_test.go
+++ b/request/placement/pool_test.go
@@ -11,7 +11,7 @@
 func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
 // engines is a service of model engines as the platform's sites have them.
-var engines = Config{Zone: "a", ReadPerSecond: 19100, Stride: 5, Step: 9 * time.Millisecond}
+var engines = Config{Zone: "a", ReadPerSecond: 19100}
 
 func servers(n, slots int) []Server {
 	var list []Server
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -34,10 +34,6 @@
 	// ReadPerSecond is the number of prompt tokens that a server reads in a
 	// second; 0 for a service that generates nothing.
 	ReadPerSecond float64
-	// Stride is the number of output tokens of an event.
-	Stride int
-	// Step is the time of one token step.
-	Step time.Duration
 }
 
 // generates reports whether the service's servers are model engines.
@@ -45,9 +41,8 @@
 
 // Request is what a decision rests on.
 type Request struct {
-	// Prompt and Output are token counts: to be read, and expected.
+	// Prompt is the number of prompt tokens to be read.
 	Prompt int
-	Output int
 	// Aim is the time within which the first event is on time; 0 for requests
 	// without events.
 	Aim time.Duration
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -147,7 +147,7 @@
 	}
 	elapsed := f.Clock.Since(f.soughtSince(o.Key))
 	steps, _ := f.currentPlan(o).Steps(manifestPiece, f.known(o.Key))
-	err := error(errNotHad)
+	err := errNotHad
 	for _, step := range steps {
 		if elapsed < step.After || f.avoids(step.From) || ctx.Err() != nil {
 			continue
