--- a/request/forward/handler_test.go
+++ b/request/forward/handler_test.go
@@ -119,6 +119,18 @@
 	}
 }
 
+func TestServersOwnFailureIsPassedOnWhereNoOtherCanBeAsked(t *testing.T) {
+	a := newStandIn(t, "s1", func(s *standIn, w http.ResponseWriter, r *http.Request) {
+		s.run(w, r)
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write([]byte("why"))
+	})
+	e := newEntry(t, route(deployment.Repeatable, longEnough), a)
+	if resp, body, err := e.ask(t, nil); err != nil || resp.StatusCode != http.StatusInternalServerError || body != "why" {
+		t.Errorf("%v %q %v", resp, body, err)
+	}
+}
+
 func TestTimeoutIsAnsweredInTime(t *testing.T) {
 	e := newEntry(t, route(deployment.Unrepeatable, 400*time.Millisecond), newStandIn(t, "s1", mute))
 	started := time.Now()
--- a/request/forward/plain.go
+++ b/request/forward/plain.go
@@ -34,9 +34,15 @@
 	// ran counts the servers that may have run the request.
 	ran := 0
 	var last *try
+	var lastBody []byte
 	for {
 		l, err := h.desk.place(j.request.Context(), j, h.plainWait(j))
 		if err != nil {
+			if last != nil && last.verdict == failing {
+				// The server's own failure is an answer; ours would tell less.
+				h.finish(w, j, last, lastBody, ran)
+				return
+			}
 			h.giveUp(w, j, last, ran, err)
 			return
 		}
@@ -61,7 +67,7 @@
 			h.finish(w, j, t, body, ran)
 			return
 		}
-		last = t
+		last, lastBody = t, body
 	}
 }
 
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -92,6 +92,7 @@
 		t.verdict, t.outcome = answered, placement.Served
 	case ex.Status < 300 || !signed:
 		t.verdict, t.outcome = unknown, placement.Failed
+		t.err = errors.Newf("status %d, signed %v, type %.40q", ex.Status, signed, ex.Header.Get("Content-Type"))
 	case ex.Status >= 500:
 		t.verdict, t.outcome = failing, placement.Failed
 	default:
