A lease keeps its own copy of the server; the platform's names stay out of tests

Cause: read while reviewing the change: a lease pointed at a server that the next view overwrites under a lock which its readers do not hold.

--- a/process/controller/controller_test.go
+++ b/process/controller/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	_ "embed"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -109,9 +110,16 @@
 	}
 }
 
+// The platform's own documents are in files: their names are not the project's.
+var (
+	//go:embed testdata/configuration.json
+	configurationFormat string
+	//go:embed testdata/unknown-service.json
+	unknownService string
+)
+
 func configuration(version int, prefix string) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","pathPrefix":%q,"type":"safe","timeoutMs":1000,"service":"s"}],
-"services":[{"name":"s"}]}`, version, prefix)
+	return fmt.Sprintf(configurationFormat, version, prefix)
 }
 
 func TestConfigurationsAreDurableAndNeverGoBack(t *testing.T) {
@@ -131,7 +139,7 @@
 	for _, text := range []string{configuration(7, "/seven/"), configuration(5, "/five/"), configuration(7, "/other/")} {
 		until(t, 1, http.MethodPost, platform.PathPutConfig, text, http.StatusOK)
 	}
-	for _, text := range []string{`{"version":9`, configuration(9, "noslash"), `{"version":9,"routes":[{"host":"h","pathPrefix":"/","type":"safe","timeoutMs":1,"service":"x"}]}`} {
+	for _, text := range []string{`{"version":9`, configuration(9, "noslash"), unknownService} {
 		if status, _ := call(t, 2, http.MethodPost, platform.PathPutConfig, text); status != http.StatusBadRequest {
 			t.Errorf("status %d for %s", status, text)
 		}
--- a/request/forward/harness_test.go
+++ b/request/forward/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingpost/waxwingpost/connection/backend"
+	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
@@ -45,7 +46,7 @@
 		s.mu.Lock()
 		s.seen = append(s.seen, r)
 		s.mu.Unlock()
-		if want := r.Header.Get("Expect-Instance"); want != s.id {
+		if want := r.Header.Get(platform.HeaderExpectServer); want != s.id {
 			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -10,9 +11,6 @@
 	// events of a stream. The platform calls a stream late after a pause of
 	// 400 ms; the events themselves take 50 to 60 ms.
 	maxReading = 80 * time.Millisecond
-	// overfill is the share of slots that requests may fill beyond a server's
-	// own, so that a request is there when a slot is freed.
-	overfill = 0.0
 	// plainQueue is how many requests may wait at a server that is no engine.
 	plainQueue = 4
 	// delaySpread is the part above the mean delay of first events that is
@@ -77,14 +75,13 @@
 	if !p.cfg.generates() {
 		return max(s.Slots, 1) + plainQueue
 	}
-	fill := float64(s.Slots) * (1 + overfill)
-	return max(1, min(int(fill*p.share+0.999), int(fill)))
+	return max(1, min(int(math.Ceil(float64(s.Slots)*p.share)), s.Slots))
 }
 
 // budget returns how many requests the entry may have at all servers.
 func (p *Pool) budget() int {
 	if !p.cfg.generates() {
-		return int(^uint(0) >> 1)
+		return math.MaxInt
 	}
 	slots := 0
 	for _, s := range p.order {
@@ -92,7 +89,7 @@
 			slots += s.Slots
 		}
 	}
-	return max(1, int(float64(slots)*(1+overfill)*p.share+0.5))
+	return max(1, int(math.Round(float64(slots)*p.share)))
 }
 
 // Take gives a request a place at once, or returns nil.
@@ -108,7 +105,7 @@
 	s.reading += req.Prompt
 	p.own++
 	p.turn++
-	l := &Lease{Server: &s.Server, state: s, req: req, at: now, reading: true}
+	l := &Lease{Server: s.Server, state: s, req: req, at: now, reading: true}
 	if req.Aim > 0 {
 		s.pending = append(s.pending, l)
 	}
--- a/request/placement/pool_test.go
+++ b/request/placement/pool_test.go
@@ -43,14 +43,14 @@
 func TestEntriesShareTheSlots(t *testing.T) {
 	const count, slots = 11, 16
 	whole := len(takeAll(newPool(engines, servers(count, slots), 1), at(0), Request{Prompt: 100}))
-	if limit := count * slots * (1 + overfill); whole < count*slots || float64(whole) > limit {
+	if whole != count*slots {
 		t.Errorf("one entry filled %d places of %d", whole, count*slots)
 	}
 	sum := 0
 	for _, share := range []float64{0.15, 0.25, 0.3, 0.3} {
 		sum += len(takeAll(newPool(engines, servers(count, slots), share), at(0), Request{Prompt: 100}))
 	}
-	if limit := count*slots*(1+overfill) + 4; float64(sum) > limit {
+	if sum > count*slots+2 {
 		t.Errorf("four entries filled %d places of %d", sum, count*slots)
 	}
 }
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -86,7 +86,8 @@
 
 // Lease is a request's place at a server. Pool.Done must be called once.
 type Lease struct {
-	Server *Server
+	// Server is the server as it was known when the place was given.
+	Server Server
 	state  *server
 	req    Request
 	at     time.Time
