Read over: fields and metrics that nobody reads are gone, one name for each thing

Behaviour is unchanged. A waiter's time, a set's count of missing pieces and two metrics that always told 0 were written and never read; a configuration was decoded and validated in two places, the order of control processes computed in two, and the members' names and the beat's pause had two names each. Two comments had fallen behind the code.

--- a/process/control/node/enter.go
+++ b/process/control/node/enter.go
@@ -36,7 +36,7 @@
 func (n *Node) peers() []string {
 	seen := map[string]bool{n.cfg.Name: true}
 	var names []string
-	for _, list := range [][]string{n.cfg.Peers, n.cfg.Bootstrap, n.memberNames()} {
+	for _, list := range [][]string{n.cfg.Peers, n.cfg.Bootstrap, n.MemberNames()} {
 		for _, name := range list {
 			if !seen[name] {
 				seen[name] = true
@@ -47,8 +47,9 @@
 	return names
 }
 
-// memberNames returns the names of the members as this replica knows them.
-func (n *Node) memberNames() []string {
+// MemberNames returns the names of the members' VMs as this replica knows them,
+// this one's included.
+func (n *Node) MemberNames() []string {
 	var names []string
 	for _, m := range n.current().core.Members {
 		names = append(names, m.Name)
--- a/process/control/node/node.go
+++ b/process/control/node/node.go
@@ -309,9 +309,6 @@
 // Leader returns the name of the leader's VM; empty when not known.
 func (n *Node) Leader() string { return n.current().leader }
 
-// MemberNames returns the names of all members' VMs, this one's included.
-func (n *Node) MemberNames() []string { return n.memberNames() }
-
 // Replica returns the identity of this replica.
 func (n *Node) Replica() string { return n.current().identity.Replica }
 
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -184,7 +184,7 @@
 
 // runFeed passes what is desired to the hub and keeps the links.
 func (c *Controller) runFeed(ctx context.Context) {
-	ticker := c.Clock.NewTicker(feed.BeatInterval())
+	ticker := c.Clock.NewTicker(feed.BeatInterval)
 	defer ticker.Stop()
 	var changed <-chan struct{}
 	for {
--- a/process/controller/operators.go
+++ b/process/controller/operators.go
@@ -18,6 +18,7 @@
 	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
@@ -58,13 +59,10 @@
 	if err != nil || len(raw) > maxDocument {
 		return nil, result.New(result.BadRequest, "read configuration of %d bytes: %v", len(raw), err)
 	}
-	config, err := platform.DecodeConfig(raw)
+	config, err := feed.ReadConfig(raw)
 	if err != nil {
 		return nil, err
 	}
-	if err := config.Validate(); err != nil {
-		return nil, err
-	}
 	return document{raw: raw, config: config}, nil
 }
 
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -166,12 +166,7 @@
 // targets returns the addresses to link to. A relaying follower stays with a
 // link that works and tries all others where it has none.
 func (f *Follower) targets(kept map[string]context.CancelFunc) []string {
-	f.mu.Lock()
-	all := slices.Sorted(maps.Keys(f.controls))
-	f.mu.Unlock()
-	if f.cfg.Order != nil {
-		all = f.cfg.Order(all)
-	}
+	all := f.preferred()
 	if !f.cfg.Relay {
 		return all[:min(len(all), maxLinks)]
 	}
@@ -183,6 +178,17 @@
 	return all
 }
 
+// preferred returns the control processes that are known, preferred ones first.
+func (f *Follower) preferred() []string {
+	f.mu.Lock()
+	all := slices.Sorted(maps.Keys(f.controls))
+	f.mu.Unlock()
+	if f.cfg.Order != nil {
+		all = f.cfg.Order(all)
+	}
+	return all
+}
+
 func (f *Follower) poke() {
 	select {
 	case f.wake <- struct{}{}:
@@ -371,13 +377,7 @@
 
 // askDocument asks each linked control process in turn, preferred ones first.
 func (f *Follower) askDocument(ctx context.Context, wanted uint64) bool {
-	f.mu.Lock()
-	order := slices.Sorted(maps.Keys(f.controls))
-	f.mu.Unlock()
-	if f.cfg.Order != nil {
-		order = f.cfg.Order(order)
-	}
-	for _, address := range order {
+	for _, address := range f.preferred() {
 		c := f.mesh.Conn(address)
 		if c == nil {
 			continue
@@ -396,7 +396,11 @@
 }
 
 func (f *Follower) takeDocument(doc wire.Document) bool {
-	config, err := decodeDocument(doc)
+	document, err := desired.Expand(doc.Content)
+	var config *deployment.Config
+	if err == nil {
+		config, err = ReadConfig(document)
+	}
 	if err != nil {
 		f.log.Error("configuration unreadable", "version", doc.Version, "code", int(result.CodeOf(err)), "error", err)
 		return true
@@ -416,11 +420,8 @@
 	return true
 }
 
-func decodeDocument(doc wire.Document) (*deployment.Config, error) {
-	document, err := desired.Expand(doc.Content)
-	if err != nil {
-		return nil, err
-	}
+// ReadConfig decodes and validates a configuration document.
+func ReadConfig(document []byte) (*deployment.Config, error) {
 	config, err := platform.DecodeConfig(document)
 	if err != nil {
 		return nil, err
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -25,9 +25,9 @@
 )
 
 const (
-	// beatInterval is the pause between messages about signs of life and
-	// demand: under half of the platform's pause between heartbeats.
-	beatInterval = 500 * time.Millisecond
+	// BeatInterval is the pause between two calls of Hub.Beat: under half of the
+	// platform's pause between heartbeats.
+	BeatInterval = 500 * time.Millisecond
 	// settleTime is how long after the start news may be old: a replica first
 	// catches up on what it missed.
 	settleTime = 3 * time.Second
@@ -318,6 +318,3 @@
 	}
 	return list
 }
-
-// BeatInterval is the pause between two calls of Beat.
-func BeatInterval() time.Duration { return beatInterval }
--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -92,10 +92,9 @@
 		case <-ctx.Done():
 		case <-k.wake:
 			// Changes come in groups, and each look costs a call to the engine.
-			pause = busyPause
 			select {
 			case <-ctx.Done():
-			case <-k.s.Clock.After(pause):
+			case <-k.s.Clock.After(busyPause):
 			}
 		case <-k.s.Clock.After(pause):
 		}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -53,8 +53,8 @@
 }
 
 type metrics struct {
-	requests, served, refused, failed, gone, retried, resumed tally.Counter
-	took, first, waited                                       tally.Timer
+	requests, served, refused, failed, gone, retried tally.Counter
+	took, first                                      tally.Timer
 }
 
 // New returns a handler that serves by the view that view returns.
@@ -66,8 +66,8 @@
 		metrics: metrics{
 			requests: scope.Counter("received"), served: scope.Counter("served"), refused: scope.Counter("refused"),
 			failed: scope.Counter("failed"), gone: scope.Counter("callers_gone"),
-			retried: scope.Counter("sent_again"), resumed: scope.Counter("streams_resumed"),
-			took: scope.Timer("duration"), first: scope.Timer("first_byte"), waited: scope.Timer("wait"),
+			retried: scope.Counter("sent_again"),
+			took:    scope.Timer("duration"), first: scope.Timer("first_byte"),
 		},
 	}
 }
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -67,7 +67,7 @@
 			delete(p.servers, id)
 		}
 	}
-	p.pump(now)
+	p.Pump(now)
 }
 
 // capacity returns how many requests the entry may have at a server.
@@ -165,7 +165,7 @@
 		l.reading = false
 		l.state.reading -= l.req.Prompt
 		l.state.began(now, l, p.readingTime(l.req))
-		p.pump(now)
+		p.Pump(now)
 	}
 }
 
@@ -212,7 +212,7 @@
 	if o == Served {
 		p.held += time.Duration(rateWeight * float64(now.Sub(l.at)-p.held))
 	}
-	p.pump(now)
+	p.Pump(now)
 }
 
 func (p *Pool) noteFreed(now time.Time) {
@@ -238,7 +238,6 @@
 	if time.Duration(p.ahead(w))*p.pause > useful {
 		return false
 	}
-	w.since = now
 	p.waiting = append(p.waiting, w)
 	return true
 }
@@ -279,9 +278,7 @@
 
 // Pump gives free places to those that wait; pauses after refusals end with
 // time alone.
-func (p *Pool) Pump(now time.Time) { p.pump(now) }
-
-func (p *Pool) pump(now time.Time) {
+func (p *Pool) Pump(now time.Time) {
 	for len(p.waiting) > 0 {
 		best := 0
 		for i, w := range p.waiting {
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -97,9 +97,8 @@
 
 // Waiter is a request that waits for a server.
 type Waiter struct {
-	Req   Request
-	since time.Time
-	// Grant is called once, from a method of the Pool, with the place; with nil
-	// when waiting is of no more use.
+	Req Request
+	// Grant is called once, from a method of the Pool, with the place. It is not
+	// called where the waiter was withdrawn before.
 	Grant func(*Lease)
 }
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -37,7 +37,7 @@
 	manifestLimit = 800 * time.Millisecond
 	// manifestPiece is the piece whose sources are those of the manifest.
 	manifestPiece = 0
-	// avoidFor is how long an agent that failed is asked last.
+	// avoidFor is how long an agent that failed is not asked.
 	avoidFor = 4 * time.Second
 	// retryPause is the wait after every source of a piece failed.
 	retryPause = 150 * time.Millisecond
@@ -57,8 +57,9 @@
 	Log    *slog.Logger
 	Scope  tally.Scope
 
-	// mu guards avoided: when agents that failed may be asked first again.
-	mu      sync.Mutex
+	// mu guards the fields below.
+	mu sync.Mutex
+	// avoided holds when agents that failed may be asked again.
 	avoided map[string]time.Time
 	// held is what others were known to hold of the version heldOf.
 	held   map[string]planner.Bits
--- a/version/pieces/store.go
+++ b/version/pieces/store.go
@@ -30,7 +30,6 @@
 type set struct {
 	manifest platform.Manifest
 	pieces   [][]byte
-	missing  int
 }
 
 // Store holds the pieces of the two newest versions of each model: others may
@@ -79,7 +78,7 @@
 	if s.sets[k] != nil {
 		return
 	}
-	s.sets[k] = &set{manifest: m, pieces: make([][]byte, len(m.Digests)), missing: len(m.Digests)}
+	s.sets[k] = &set{manifest: m, pieces: make([][]byte, len(m.Digests))}
 	for old := range s.sets {
 		if old.Model == k.Model && s.newer(old) >= keptVersions {
 			delete(s.sets, old)
@@ -123,7 +122,6 @@
 	}
 	if found.pieces[piece] == nil {
 		found.pieces[piece] = data
-		found.missing--
 		s.notify()
 	}
 	return true
