Agents hear that servers are alive

A fault, not a matter of form: the hub gathered the signs of life for agents and sent them only the list of control processes. The test fails without it.

--- a/process/controller/controller_test.go
+++ b/process/controller/controller_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
@@ -23,6 +24,7 @@
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/obs"
+	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
 // The control processes of a test listen on addresses of their own, as on VMs.
@@ -222,3 +224,56 @@
 		}
 	}
 }
+
+// newsOf gathers the signs of life that a follower is sent.
+type newsOf struct{ alive chan string }
+
+func (n newsOf) Notify(_ *link.Conn, _ wire.Kind, body cbor.RawMessage) {
+	var news wire.News
+	if cbor.Unmarshal(body, &news) != nil {
+		return
+	}
+	for _, id := range news.Alive {
+		select {
+		case n.alive <- id:
+		default:
+		}
+	}
+}
+
+func (n newsOf) Call(context.Context, *link.Conn, wire.Kind, cbor.RawMessage) (any, error) {
+	return nil, result.New(result.BadMessage, "not served")
+}
+
+// A follower forgets servers of which it hears nothing for long, also an agent.
+func TestFollowersHearThatServersAreAlive(t *testing.T) {
+	for vm := range vms {
+		start(t, settings(t, vm, true))
+	}
+	text := `{"service":"s","addr":"10.0.0.1:1","state":"ready","seq":1,"born":9,"slots":4}`
+	until(t, 0, http.MethodPost, platform.PathHeartbeat+"i-1", text, http.StatusOK)
+	for role, relay := range map[string]bool{wire.RoleEntry: false, wire.RoleAgent: true} {
+		handler := newsOf{alive: make(chan string, 1)}
+		dialer := &link.Dialer{Auth: link.Authenticator{Open: true}, Handler: handler, Self: func() wire.Hello {
+			return wire.Hello{Name: role, Role: role}
+		}}
+		c, err := dialer.Dial(t.Context(), net.JoinHostPort(ip(0), fmt.Sprint(peerPort)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if err := c.Call(t.Context(), wire.KindFollow, wire.Follow{Relay: relay}, nil); err != nil {
+			t.Fatal(err)
+		}
+		// The same heartbeat again: nothing has changed but that the server lives.
+		until(t, 0, http.MethodPost, platform.PathHeartbeat+"i-1", text, http.StatusOK)
+		select {
+		case id := <-handler.alive:
+			if id != "i-1" {
+				t.Errorf("%s heard of %s", role, id)
+			}
+		case <-time.After(5 * feed.BeatInterval):
+			t.Errorf("%s does not hear that the server is alive", role)
+		}
+	}
+}
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -290,10 +290,10 @@
 	entry.Controls, entry.Demand, entry.Entries = relay.Controls, h.demand(), h.entries()
 	for _, f := range h.followers {
 		switch {
-		case f.conn.Peer().Role == wire.RoleEntry:
+		case !f.relay:
 			_ = f.conn.Notify(wire.KindNews, entry)
 		case len(relay.Alive) > 0:
-			_ = f.conn.Notify(wire.KindNews, wire.News{Controls: relay.Controls})
+			_ = f.conn.Notify(wire.KindNews, relay)
 		}
 	}
 }
