--- a/process/obs/log.go
+++ b/process/obs/log.go
@@ -15,13 +15,18 @@
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		return nil, err
 	}
-	h := slog.NewTextHandler(w, &slog.HandlerOptions{Level: l, ReplaceAttr: utcTime})
+	h := slog.NewTextHandler(w, &slog.HandlerOptions{Level: l, ReplaceAttr: plainAttr})
 	return slog.New(h).With("process", process), nil
 }
 
-func utcTime(groups []string, a slog.Attr) slog.Attr {
+// plainAttr writes times in UTC and errors as one line: the errors of the
+// project's library print their stack where they are formatted in full.
+func plainAttr(groups []string, a slog.Attr) slog.Attr {
 	if len(groups) == 0 && a.Key == slog.TimeKey {
 		a.Value = slog.StringValue(a.Value.Time().UTC().Format(time.RFC3339Nano))
 	}
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
 	return a
 }
--- a/process/obs/obs_test.go
+++ b/process/obs/obs_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
@@ -58,3 +60,15 @@
 		t.Errorf("status %d", w.Code)
 	}
 }
+
+func TestErrorsAreLoggedWithoutTheirStack(t *testing.T) {
+	var out bytes.Buffer
+	log, err := NewLogger(&out, "info", "p")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Info("event", "error", errors.Wrap(errors.New("inner"), "outer"))
+	if line := out.String(); !strings.Contains(line, `error="outer: inner"`) || strings.Contains(line, "obs_test.go") {
+		t.Errorf("logged %q", line)
+	}
+}
