--- a/process/feed/named.go
+++ b/process/feed/named.go
@@ -30,6 +30,10 @@
 // Newest returns the highest version that was named, or 0.
 func (n Named) Newest() int { return n.newest }
 
+// Known returns the versions whose age is known, oldest first. They must not be
+// changed.
+func (n Named) Known() []NamedVersion { return n.versions }
+
 // UsableUntil returns until when a version may be used: for bound after the
 // next version was named. It is never for the newest version, and over where
 // the age of a newer one is not known: that may be old.
@@ -52,6 +56,13 @@
 	return slices.ContainsFunc(n.versions, func(v NamedVersion) bool { return v.Version == version })
 }
 
+// Hear takes in that a version was named, and when. It reports whether that is
+// news.
+func (n *Named) Hear(version int, since time.Time) bool {
+	newest := n.hearNewest(version)
+	return n.hearAge(version, since) || newest
+}
+
 // hearNewest takes in the highest version and reports whether that is news.
 func (n *Named) hearNewest(version int) bool {
 	if version <= n.newest {
--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -3,10 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
 	"io"
-	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,10 +14,10 @@
 	"github.com/waxwingpost/waxwingpost/connection/backend"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/version/pieces"
-	"github.com/waxwingpost/waxwingpost/version/planner"
 )
 
 const (
@@ -34,9 +33,12 @@
 	engineLimit = 1500 * time.Millisecond
 	// fetchLimit bounds one round of fetching, after which plans are made anew.
 	fetchLimit = 10 * time.Second
-	// nearlyWhole is the part of the pieces that may be missing of a version
-	// that is fetched to its end although a newer one was named.
-	nearlyWhole = 0.4
+	// stallAfter is how long a transfer may bring nothing before another version
+	// is tried: a request that is not answered.
+	stallAfter = 900 * time.Millisecond
+	// idleLooks bounds the looks, one each busyPause, at an engine that carries
+	// out another order: the end of its longest requests, and the load.
+	idleLooks = 40
 	// firstVersion is the version that models have before one was named.
 	firstVersion = 1
 )
@@ -46,11 +48,15 @@
 	s       *Sidecar
 	fetcher *pieces.Fetcher
 	wake    chan struct{}
-	// shared is the version whose staged pieces were taken last.
-	shared pieces.Key
+	// shared is the version whose staged pieces were taken last, ordered the one
+	// that the engine was last told to load.
+	shared  pieces.Key
+	ordered pieces.Key
 
-	// mu guards the state that the dump shows.
+	// mu guards the state that the dump shows or that transfers look at.
 	mu     sync.Mutex
+	held   map[string]int
+	stalls stalls
 	report platform.EngineReport
 	target pieces.Key
 	step   string
@@ -58,7 +64,7 @@
 
 func newKeeper(s *Sidecar) *keeper {
 	return &keeper{
-		s: s, wake: make(chan struct{}, 1),
+		s: s, wake: make(chan struct{}, 1), held: map[string]int{}, stalls: stalls{},
 		fetcher: &pieces.Fetcher{
 			Self: s.node(), Store: s.store, Client: s.client, Clock: s.Clock, Log: s.Log, Scope: s.Scope.SubScope("weights"),
 		},
@@ -91,6 +97,9 @@
 		select {
 		case <-ctx.Done():
 		case <-k.wake:
+			if k.named() {
+				continue
+			}
 			// Changes come in groups, and each look costs a call to the engine.
 			select {
 			case <-ctx.Done():
@@ -101,8 +110,24 @@
 	}
 }
 
-// targets returns what the engine is to hold.
-func (k *keeper) targets(v *feed.View) []pieces.Key {
+// named reports whether a version was named that was not looked at yet.
+func (k *keeper) named() bool {
+	view := k.s.follower.View()
+	engine := k.engine(view)
+	if engine == nil {
+		return false
+	}
+	k.mu.Lock()
+	target := k.target
+	k.mu.Unlock()
+	return slices.ContainsFunc(engine.Models, func(model string) bool {
+		return target.Model == model && target.Version < k.newest(view, model).Version
+	})
+}
+
+// engine returns the engine settings of the service beside, or nil where no
+// weights are to be brought.
+func (k *keeper) engine(v *feed.View) *deployment.Engine {
 	if v.Config == nil {
 		return nil
 	}
@@ -110,43 +135,99 @@
 	if service == nil || service.Engine == nil || service.Engine.Pieces == 0 {
 		return nil
 	}
-	var keys []pieces.Key
-	for _, model := range service.Engine.Models {
-		keys = append(keys, pieces.Key{Model: model, Version: max(v.Weights[model].Newest(), firstVersion)})
+	return service.Engine
+}
+
+// newest returns what the engine is to hold in the end.
+func (k *keeper) newest(v *feed.View, model string) pieces.Key {
+	return pieces.Key{Model: model, Version: max(v.Weights[model].Newest(), firstVersion)}
+}
+
+// outlook returns what the choice of a version of a model rests on.
+func (k *keeper) outlook(v *feed.View, model string) *outlook {
+	k.mu.Lock()
+	held := k.held[model]
+	k.mu.Unlock()
+	return &outlook{
+		named: v.Weights[model], held: held, now: k.s.Clock.Now(),
+		bound: k.s.set.Bounds.VersionWithin, exit: k.originTime(v),
+		begun: func(version int) bool {
+			return k.s.store.Held(pieces.Key{Model: model, Version: version}).Count() > 0
+		},
 	}
-	return keys
+}
+
+// versions returns the versions of a model that are worth bringing now.
+func (k *keeper) versions(v *feed.View, model string) []int { return k.outlook(v, model).wanted() }
+
+func (k *keeper) chosen(model string, versions []int) pieces.Key {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stalls.choose(model, versions)
 }
 
 // look compares what the engine holds with what it should, and acts. It
 // reports whether nothing is left to do.
 func (k *keeper) look(ctx context.Context) bool {
 	view := k.s.follower.View()
+	engine := k.engine(view)
+	if engine == nil {
+		return true
+	}
 	settled := true
-	for _, key := range k.targets(view) {
+	for _, model := range engine.Models {
+		newest := k.newest(view, model)
 		report, err := k.engineReport(ctx)
 		if err != nil {
-			k.note(key, report, "engine does not answer")
+			k.note(newest, report, "engine does not answer")
 			return true
 		}
-		if holds(report, key) {
-			if k.note(key, report, "held") {
-				k.tell(wire.EngineState{Held: report.Held})
-			}
-			k.share(ctx, view, key)
+		k.noteHeld(model, report)
+		if holds(report, newest) {
+			k.note(newest, report, "held")
+			k.share(ctx, view, newest)
 			continue
 		}
 		settled = false
-		if report.Busy {
+		key := k.chosen(model, k.versions(view, model))
+		if report.Busy && k.ordered == key {
 			k.note(key, report, "engine is busy")
 			continue
 		}
 		if err := k.bring(ctx, view, key); err != nil && ctx.Err() == nil {
+			k.noteStall(key)
 			k.s.Log.Warn("weights not brought", "model", key.Model, "version", key.Version, "code", int(result.CodeOf(err)), "error", err)
 		}
 	}
 	return settled
 }
 
+// noteStall takes in that a transfer came to a stop.
+func (k *keeper) noteStall(key pieces.Key) {
+	versions := k.versions(k.s.follower.View(), key.Model)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stalls.note(key, k.s.Clock.Now(), versions)
+}
+
+// noteHeld takes in which version the engine holds and tells the control
+// processes where that is news.
+func (k *keeper) noteHeld(model string, r platform.EngineReport) {
+	version := 0
+	for _, w := range r.Held {
+		if w.Model == model {
+			version = w.Version
+		}
+	}
+	k.mu.Lock()
+	news := version != k.held[model]
+	k.held[model] = version
+	k.mu.Unlock()
+	if news && version > 0 {
+		k.tell(wire.EngineState{Held: r.Held})
+	}
+}
+
 // share takes what the engine has staged of the version that it holds, so that
 // other agents can have it from here.
 func (k *keeper) share(ctx context.Context, view *feed.View, key pieces.Key) {
@@ -179,152 +260,15 @@
 	k.s.follower.Tell(wire.KindEngine, s)
 }
 
-// note keeps what was seen and reports whether that is news.
-func (k *keeper) note(key pieces.Key, r platform.EngineReport, step string) bool {
+// note keeps what was seen and logs it where it is news.
+func (k *keeper) note(key pieces.Key, r platform.EngineReport, step string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	news := k.target != key || k.step != step
-	if news {
+	if k.target != key || k.step != step {
 		k.s.Log.Info("engine looked at", "model", key.Model, "version", key.Version, "step", step,
 			"held", r.Held, "busy", r.Busy, "orders", r.Orders)
 	}
 	k.report, k.target, k.step = r, key, step
-	return news
-}
-
-// bring fetches, stages, verifies and loads a version.
-func (k *keeper) bring(ctx context.Context, view *feed.View, key pieces.Key) error {
-	order := k.order(view, key)
-	fetchCtx, cancel := context.WithTimeout(ctx, fetchLimit)
-	defer cancel()
-	stop := k.stopWhenOvertaken(fetchCtx, cancel, key)
-	defer stop()
-	if err := k.fetcher.FetchManifest(fetchCtx, order); err != nil {
-		return err
-	}
-	k.reuseStaged(ctx, key)
-	current := func() *pieces.Order { return k.order(k.s.follower.View(), key) }
-	if err := k.fetcher.Fetch(fetchCtx, current); err != nil {
-		return err
-	}
-	if err := k.stage(ctx, key); err != nil {
-		return err
-	}
-	return k.load(ctx, key)
-}
-
-// stopWhenOvertaken cancels a fetch that is far from its end once a newer
-// version can be had. One that is nearly whole goes on: each version has a bound
-// of its own, and a newer one may be out of reach.
-func (k *keeper) stopWhenOvertaken(ctx context.Context, cancel context.CancelFunc, key pieces.Key) func() {
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-ctx.Done():
-				return
-			case <-k.s.Clock.After(busyPause):
-			}
-			if k.overtaken(ctx, key) {
-				cancel()
-				return
-			}
-		}
-	}()
-	return func() { close(done) }
-}
-
-func (k *keeper) overtaken(ctx context.Context, key pieces.Key) bool {
-	view := k.s.follower.View()
-	for _, now := range k.targets(view) {
-		if now.Model != key.Model || now.Version <= key.Version {
-			continue
-		}
-		m, _ := k.s.store.Manifest(key)
-		missing := len(k.s.store.Missing(key))
-		return float64(missing) > nearlyWhole*float64(len(m.Digests)) &&
-			k.fetcher.FetchManifest(ctx, k.order(view, now)) == nil
-	}
-	return false
-}
-
-// order describes the transfer: the agents are those beside the service's
-// servers, known by their VM's address.
-func (k *keeper) order(view *feed.View, key pieces.Key) *pieces.Order {
-	o := &pieces.Order{Key: key, Peers: map[string]string{}, Holders: map[string]bool{}}
-	if origin := view.Config.Origin(); origin != nil {
-		o.Origin, o.OriginConns, o.Home = origin.Address, origin.MaxConns, k.s.set.Regions[origin.Zone]
-	}
-	for _, e := range view.Servers[k.s.set.BackendService] {
-		host, _, err := net.SplitHostPort(e.Address)
-		if err != nil || o.Peers[host] != "" {
-			continue
-		}
-		o.Nodes = append(o.Nodes, planner.Node{Name: host, Zone: e.Zone, Region: k.s.set.Regions[e.Zone]})
-		o.Peers[host] = k.s.set.PeerAddress(host)
-		o.Holders[host] = e.Holds(key.Model) == key.Version
-	}
-	return o
-}
-
-// reuseStaged takes pieces that the engine still has staged from before a
-// restart of this process.
-func (k *keeper) reuseStaged(ctx context.Context, key pieces.Key) {
-	for _, piece := range k.s.store.Missing(key) {
-		data, err := k.call(ctx, http.MethodGet, platform.StageGetPath(key.Model, piece), nil)
-		if err != nil || !k.s.store.Put(key, piece, data) {
-			// What is staged is of another version, or nothing.
-			return
-		}
-	}
-}
-
-// stage puts every piece into the engine's staging and reads it back: what
-// lies there may have turned bad.
-func (k *keeper) stage(ctx context.Context, key pieces.Key) error {
-	m, ok := k.s.store.Manifest(key)
-	if !ok {
-		return result.New(result.ChunkMissing, "version %d was replaced", key.Version)
-	}
-	started := k.s.Clock.Now()
-	put := 0
-	for piece, digest := range m.Digests {
-		staged, err := k.call(ctx, http.MethodGet, platform.StageGetPath(key.Model, piece), nil)
-		if err == nil && sha256.Sum256(staged) == digest {
-			continue
-		}
-		data := k.s.store.Piece(key, piece)
-		if data == nil {
-			return result.New(result.ChunkMissing, "version %d was replaced", key.Version)
-		}
-		if _, err := k.call(ctx, http.MethodPut, platform.StagePutPath(key.Model, piece), data); err != nil {
-			return err
-		}
-		put++
-	}
-	if put > 0 {
-		// What was put is read back as well before the engine loads it.
-		k.s.Log.Info("pieces staged", "model", key.Model, "version", key.Version, "put", put, "took", k.s.Clock.Since(started))
-		return k.stage(ctx, key)
-	}
-	return nil
-}
-
-// load orders the engine to load what is staged.
-func (k *keeper) load(ctx context.Context, key pieces.Key) error {
-	body, err := platform.EncodeLoadOrder(key.Model, key.Version)
-	if err != nil {
-		return err
-	}
-	k.tell(wire.EngineState{Loading: true})
-	_, err = k.call(ctx, http.MethodPost, platform.PathOrder, body)
-	if err != nil {
-		k.tell(wire.EngineState{})
-	}
-	k.s.Log.Info("load ordered", "model", key.Model, "version", key.Version, "error", err)
-	return err
 }
 
 func (k *keeper) engineReport(ctx context.Context) (platform.EngineReport, error) {
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -20,9 +20,9 @@
 	"github.com/waxwingpost/waxwingpost/version/planner"
 )
 
-// transferShare is the part of the VM's link that weights may take while
-// events of live requests cross it as well.
-const transferShare = 0.75
+// transferShare is the part of the VM's link that weights may take. The events
+// of a full engine's streams take 6 to 8 in 100 of the platform's narrow links.
+const transferShare = 0.9
 
 // Sidecar is the process beside a model engine.
 type Sidecar struct {
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,9 +24,9 @@
 )
 
 const (
-	// attemptLimit bounds the wait for the first bytes of a piece: until it has
-	// arrived at the other agent, and those asked for before have gone out.
-	attemptLimit = holdFor + 700*time.Millisecond
+	// attemptLimit bounds the wait for the first bytes of a piece: until its turn
+	// has come at the other agent, and a crossing of a narrow link.
+	attemptLimit = holdFor + 900*time.Millisecond
 	// stallLimit bounds the wait for further bytes.
 	stallLimit = 1500 * time.Millisecond
 	// readSize is how much is read at once.
@@ -39,15 +38,8 @@
 	manifestPiece = 0
 	// avoidFor is how long an agent that failed is not asked.
 	avoidFor = 4 * time.Second
-	// retryPause is the wait after every source of a piece failed.
-	retryPause = 150 * time.Millisecond
 )
 
-// laneWorkers is how many requests are under way at once: enough to fill a
-// link while answers travel, few enough to share the origin's connections, and
-// not to fill the queue of a narrow link before live requests.
-var laneWorkers = map[Lane]int{FromOrigin: 2, FromFar: 2, FromNear: 4}
-
 // Fetcher brings the pieces of a version into a store.
 type Fetcher struct {
 	Self   planner.Node
@@ -61,6 +53,8 @@
 	mu sync.Mutex
 	// avoided holds when agents that failed may be asked again.
 	avoided map[string]time.Time
+	// broken holds the sources that failed last time.
+	broken map[string]bool
 	// held is what others were known to hold of the version heldOf.
 	held   map[string]planner.Bits
 	heldOf Key
@@ -80,9 +74,12 @@
 	// OriginConns bounds the connections of all agents to the origin; 0 is not
 	// told.
 	OriginConns int
-	Home        string
-	Nodes       []planner.Node
-	Peers       map[string]string
+	// OriginTime is the time in which the version leaves the origin; 0 is not
+	// known.
+	OriginTime time.Duration
+	Home       string
+	Nodes      []planner.Node
+	Peers      map[string]string
 	// Holders names the agents whose engines hold the version already.
 	Holders map[string]bool
 }
@@ -103,7 +100,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.planFor != key {
-		f.plan, f.planFor = NewPlan(f.Self, o.Nodes, o.Home, o.Key, o.Holders), key
+		f.plan, f.planFor = NewPlan(f.Self, o.Nodes, o.Home, o.Key, o.Holders, o.OriginTime), key
 	}
 	return f.plan
 }
@@ -116,20 +113,7 @@
 	if err := f.FetchManifest(ctx, o); err != nil {
 		return err
 	}
-	plan := f.currentPlan(o)
-	lanes := map[Lane][]int{}
-	for _, piece := range plan.Order(f.Store.Missing(o.Key)) {
-		_, lane := plan.Steps(piece, f.known(o.Key))
-		lanes[lane] = append(lanes[lane], piece)
-	}
-	var wg sync.WaitGroup
-	for lane, pieces := range lanes {
-		work := newWork(pieces, started)
-		for range f.workers(lane, o, plan) {
-			wg.Go(func() { f.runLane(ctx, work, current) })
-		}
-	}
-	wg.Wait()
+	f.exchange(ctx, started, current)
 	// The origin takes few connections: others need them now.
 	f.Client.Sweep(f.Clock.Now(), func(address string) bool { return address != o.Origin })
 	missing := len(f.Store.Missing(o.Key))
@@ -140,6 +124,41 @@
 	return nil
 }
 
+// exchange asks for pieces until none is missing or ctx ends.
+func (f *Fetcher) exchange(ctx context.Context, started time.Time, current func() *Order) {
+	type answer struct {
+		ask *Ask
+		got bool
+	}
+	first := current()
+	m, _ := f.Store.Manifest(first.Key)
+	sched := newSchedule(len(m.Digests), f.originAsks(first, f.currentPlan(first)))
+	answers := make(chan answer, maxAsks)
+	open := 0
+	for ctx.Err() == nil {
+		o := current()
+		missing := f.Store.Missing(o.Key)
+		if len(missing) == 0 {
+			break
+		}
+		if ask := sched.next(f.Clock.Since(started), f.currentPlan(o), missing, f.known(o.Key)); ask != nil {
+			open++
+			go func() { answers <- answer{ask, f.ask(ctx, o, ask)} }()
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case a := <-answers:
+			open--
+			sched.done(f.Clock.Since(started), a.ask, a.got)
+		case <-f.Clock.After(retryPause):
+		}
+	}
+	for ; open > 0; open-- {
+		<-answers
+	}
+}
+
 // FetchManifest brings in the manifest of a version, once: it is sought like a
 // piece, so that a large fleet does not turn to the origin at once.
 func (f *Fetcher) FetchManifest(ctx context.Context, o *Order) error {
@@ -147,7 +166,7 @@
 		return nil
 	}
 	elapsed := f.Clock.Since(f.soughtSince(o.Key))
-	steps, _ := f.currentPlan(o).Steps(manifestPiece, f.known(o.Key))
+	steps := f.currentPlan(o).Steps(manifestPiece, f.known(o.Key))
 	err := errNotHad
 	for _, step := range steps {
 		if elapsed < step.After || f.avoids(step.From) || ctx.Err() != nil {
@@ -201,99 +220,35 @@
 	return nil
 }
 
-// workers returns how many requests of a lane are under way at once: at the
-// origin half of its connections, shared by the agents of its region.
-func (f *Fetcher) workers(lane Lane, o *Order, plan *Plan) int {
-	n := laneWorkers[lane]
-	if lane == FromOrigin && o.OriginConns > 0 {
-		n = max(1, min(n, o.OriginConns/2/max(plan.homeAgents(), 1)))
-	}
-	return n
-}
-
-// work holds the pieces of a lane that are still to be had. A piece that could
-// not be had goes to the end, so that it does not hold up the others.
-type work struct {
-	queue chan wanted
-	left  atomic.Int64
-}
-
-type wanted struct {
-	piece int
-	since time.Time
-}
-
-func newWork(pieces []int, now time.Time) *work {
-	w := &work{queue: make(chan wanted, len(pieces))}
-	for _, piece := range pieces {
-		w.queue <- wanted{piece: piece, since: now}
+// originAsks returns how many requests to the origin are under way at once: half
+// of its connections are shared by the agents of its region.
+func (f *Fetcher) originAsks(o *Order, plan *Plan) int {
+	if o.OriginConns <= 0 {
+		return originAsks
 	}
-	w.left.Store(int64(len(pieces)))
-	return w
+	return max(1, min(originAsks, o.OriginConns/2/max(plan.homeAgents(), 1)))
 }
 
-// runLane fetches pieces until none is left or ctx ends.
-func (f *Fetcher) runLane(ctx context.Context, w *work, current func() *Order) {
-	for ctx.Err() == nil && w.left.Load() > 0 {
-		select {
-		case next := <-w.queue:
-			if f.tryPiece(ctx, current(), next) {
-				w.left.Add(-1)
-				continue
-			}
-			w.queue <- next
-		default:
-		}
-		select {
-		case <-ctx.Done():
-		case <-f.Clock.After(retryPause):
-		}
-	}
-}
-
-// tryPiece asks the sources of a piece in turn until one gives it.
-func (f *Fetcher) tryPiece(ctx context.Context, o *Order, next wanted) bool {
-	steps, _ := f.currentPlan(o).Steps(next.piece, f.known(o.Key))
-	for _, step := range steps {
-		if f.Store.Piece(o.Key, next.piece) != nil {
-			return true
-		}
-		if ctx.Err() != nil {
-			return false
-		}
-		if f.Clock.Since(next.since) < step.After || f.avoids(step.From) {
-			continue
-		}
-		if f.fetchFrom(ctx, o, step, next.piece) {
-			return true
-		}
-	}
-	return false
-}
-
-func (f *Fetcher) fetchFrom(ctx context.Context, o *Order, step Step, piece int) bool {
-	name := step.From
-	address, target := o.Peers[name], path(o.Key, strconv.Itoa(piece))
-	if step.Wait {
-		target += "?" + waitQuery
-	}
-	if name == Origin {
-		address, target = o.Origin, platform.PiecePath(o.Key.Model, o.Key.Version, piece)
+// ask makes a request and reports whether it brought a piece.
+func (f *Fetcher) ask(ctx context.Context, o *Order, a *Ask) bool {
+	address, target := o.Peers[a.From], askPath(o.Key, a)
+	if a.From == Origin {
+		address, target = o.Origin, platform.PiecePath(o.Key.Model, o.Key.Version, a.Pieces.First())
 	}
 	if address == "" {
 		return false
 	}
 	data, header, err := f.get(ctx, address, attemptLimit, target)
-	if m, ok := f.Store.Manifest(o.Key); ok && name != Origin {
-		f.noteHeld(name, o.Key, header.Get(headerHeld), len(m.Digests))
+	if m, ok := f.Store.Manifest(o.Key); ok && a.From != Origin {
+		f.noteHeld(a.From, o.Key, header.Get(headerHeld), len(m.Digests))
 	}
-	if err == nil && !f.Store.Put(o.Key, piece, data) {
-		err = result.New(result.ChunkCorrupt, "the bytes do not have the piece's digest")
+	if err == nil {
+		err = f.take(o.Key, a, header, data)
 	}
 	if errors.Is(err, errNotHad) {
-		if step.Wait && header.Get(headerHeld) == "" {
+		if a.Wait && header.Get(headerHeld) == "" {
 			// The agent takes no part in this version.
-			f.avoid(name)
+			f.avoid(a.From)
 		}
 		return false
 	}
@@ -301,17 +256,47 @@
 		// The transfer was ended here; that tells nothing of the source.
 		return false
 	}
+	if f.note(a.From, err) {
+		f.Log.Warn("source of pieces changed", "model", o.Key.Model, "version", o.Key.Version, "from", sourceName(a.From),
+			"asked", a.Pieces.Count(), "code", int(result.CodeOf(err)), "error", err)
+	}
 	if err != nil {
-		f.avoid(name)
+		f.avoid(a.From)
 		f.Scope.Counter("pieces_failed").Inc(1)
-		f.Log.Warn("piece not had", "model", o.Key.Model, "version", o.Key.Version, "piece", piece, "from", sourceName(name),
-			"code", int(result.CodeOf(err)), "error", err)
 		return false
 	}
-	f.Scope.Tagged(map[string]string{"from": sourceName(name)}).Counter("pieces_fetched").Inc(1)
+	f.Scope.Tagged(map[string]string{"from": sourceName(a.From)}).Counter("pieces_fetched").Inc(1)
 	return true
 }
 
+// note takes in whether a source gave a piece, and reports whether that is news:
+// one that fails is told of once, until it works again.
+func (f *Fetcher) note(from string, err error) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	was := f.broken[from]
+	if f.broken == nil {
+		f.broken = map[string]bool{}
+	}
+	f.broken[from] = err != nil
+	return was != (err != nil)
+}
+
+// take verifies a piece that answers a request and stores it.
+func (f *Fetcher) take(k Key, a *Ask, header http.Header, data []byte) error {
+	piece := a.Pieces.First()
+	if a.From != Origin {
+		var err error
+		if piece, err = strconv.Atoi(header.Get(headerPiece)); err != nil {
+			return result.New(result.SourceFailed, "the answer names no piece: %v", err)
+		}
+	}
+	if !f.Store.Put(k, piece, data) {
+		return result.New(result.ChunkCorrupt, "the bytes do not have the digest of piece %d", piece)
+	}
+	return nil
+}
+
 func sourceName(name string) string {
 	if name == Origin {
 		return "origin"
--- a/version/pieces/plan.go
+++ b/version/pieces/plan.go
@@ -14,23 +14,12 @@
 // Origin is the name of the origin among the sources of a piece.
 const Origin = ""
 
-// Lane says which link a piece comes over first.
-type Lane uint8
-
-// Lanes.
-const (
-	// FromOrigin is the origin's link.
-	FromOrigin Lane = iota
-	// FromFar is the link between two regions.
-	FromFar
-	// FromNear is the link of another VM in the region.
-	FromNear
-)
-
 // Step is one source of a piece.
 type Step struct {
 	// From is an agent's name, or Origin.
 	From string
+	// Holder is set for an agent that is known to hold the piece.
+	Holder bool
 	// Wait asks the agent to answer once it has the piece: it is in charge.
 	Wait bool
 	// After is how long the piece must have been tried for before this source is
@@ -39,12 +28,18 @@
 }
 
 const (
-	// takeOver is the time after which a piece is sought from agents that are not
-	// in charge of it: a little more than one request may take.
-	takeOver = 2500 * time.Millisecond
+	// usualExit is the time in which a version leaves an origin whose rate is not
+	// told, as on the platform's sites.
+	usualExit = 2 * time.Second
+	// exitMargin is added to the time in which a version leaves the origin: the
+	// start of the transfer, and the way of the last piece.
+	exitMargin = 600 * time.Millisecond
 	// perRank spreads the agents further down the order, so that few of them turn
-	// to the origin before the piece has spread from there.
-	perRank = 700 * time.Millisecond
+	// to the origin before the piece has spread from there. It takes 45 ms to
+	// cross the platform's narrow links, and some agents wait for each.
+	perRank = 400 * time.Millisecond
+	// crossing is how much longer a piece may take into another region.
+	crossing = 1500 * time.Millisecond
 	// maxProbes bounds the agents that are asked whether they have the piece.
 	maxProbes = 6
 )
@@ -53,6 +48,10 @@
 type Plan struct {
 	self planner.Node
 	home string
+	// exit is the time after which every piece should have left the origin; one
+	// that nobody is known to hold then is sought from others than the agent in
+	// charge.
+	exit time.Duration
 	arr  *planner.Arrangement
 	// near and far are the agents, of the own region and of others, whose
 	// engines hold the whole version.
@@ -62,8 +61,9 @@
 // NewPlan returns the plan of one agent. home is the origin's region; where no
 // agent is there, the first region takes its place. Agents with equal lists of
 // nodes make plans that fit together. holders names the agents whose engines
-// hold the version already.
-func NewPlan(self planner.Node, nodes []planner.Node, home string, k Key, holders map[string]bool) *Plan {
+// hold the version already. exit is the time in which the version leaves the
+// origin; 0 is not known.
+func NewPlan(self planner.Node, nodes []planner.Node, home string, k Key, holders map[string]bool, exit time.Duration) *Plan {
 	if !slices.ContainsFunc(nodes, func(n planner.Node) bool { return n.Name == self.Name }) {
 		nodes = append(slices.Clone(nodes), self)
 	}
@@ -71,7 +71,10 @@
 		home = slices.MinFunc(nodes, func(a, b planner.Node) int { return strings.Compare(a.Region, b.Region) }).Region
 	}
 	set := planner.Settings{Fetchers: len(nodes)}
-	p := &Plan{self: self, home: home, arr: planner.Arrange(nodes, k.digest(), set)}
+	if exit == 0 {
+		exit = usualExit
+	}
+	p := &Plan{self: self, home: home, exit: exit + exitMargin, arr: planner.Arrange(nodes, k.digest(), set)}
 	for _, n := range nodes {
 		switch {
 		case n.Name == self.Name || !holders[n.Name]:
@@ -126,49 +129,48 @@
 	Has func(name string, piece int) bool
 }
 
-// Steps returns the sources of a piece in the order in which they are asked,
-// and the link that the first of them is behind.
-func (p *Plan) Steps(piece int, known Known) ([]Step, Lane) {
+// Steps returns the sources of a piece in the order in which they are asked.
+func (p *Plan) Steps(piece int, known Known) []Step {
 	region := p.inCharge(p.self.Region, piece, known.Failed)
 	rank := slices.Index(region, p.self.Name)
-	first, lane := p.first(piece, region, rank, known.Failed)
+	first := p.first(piece, region, rank, known.Failed)
 	others := without(region, p.self.Name)
 	var steps []Step
 	// Each turns to another of those that have the piece.
 	for _, name := range turned(others, piece+rank) {
 		if known.Has(name, piece) {
-			steps = append(steps, Step{From: name})
+			steps = append(steps, Step{From: name, Holder: true})
 		}
 	}
 	steps = append(steps, first...)
 	for _, name := range others[:min(maxProbes, len(others))] {
-		steps = append(steps, Step{From: name, After: takeOver})
+		steps = append(steps, Step{From: name, After: p.exit})
 	}
-	after := takeOver + time.Duration(rank)*perRank
+	after := p.exit + time.Duration(rank)*perRank
 	if p.self.Region != p.home {
 		for _, name := range p.inCharge(p.home, piece, known.Failed)[:1] {
 			steps = append(steps, Step{From: name, After: after})
 		}
-		after += takeOver
+		after += crossing
 	}
-	return append(steps, Step{From: Origin, After: after}), lane
+	return append(steps, Step{From: Origin, After: after})
 }
 
 // first returns the steps that a transfer without failures takes.
-func (p *Plan) first(piece int, region []string, rank int, failed func(string) bool) ([]Step, Lane) {
+func (p *Plan) first(piece int, region []string, rank int, failed func(string) bool) []Step {
 	if len(p.near) > 0 {
-		return each(turned(p.near, piece), false), FromNear
+		return each(turned(p.near, piece), false)
 	}
 	if rank > 0 {
-		return each(region[:1], true), FromNear
+		return each(region[:1], true)
 	}
 	if len(p.far) > 0 {
-		return each(turned(p.far, piece), false), FromFar
+		return each(turned(p.far, piece), false)
 	}
 	if p.self.Region == p.home {
-		return []Step{{From: Origin}}, FromOrigin
+		return []Step{{From: Origin}}
 	}
-	return each(p.inCharge(p.home, piece, failed)[:1], true), FromFar
+	return each(p.inCharge(p.home, piece, failed)[:1], true)
 }
 
 func each(names []string, wait bool) []Step {
@@ -190,6 +192,11 @@
 	return append(slices.Clone(pieces[at:]), pieces[:at]...)
 }
 
+// isFar reports whether an agent is in another region.
+func (p *Plan) isFar(name string) bool {
+	return name != Origin && !slices.Contains(p.arr.Fetchers(p.self.Region), name)
+}
+
 // homeAgents counts the agents of the origin's region.
 func (p *Plan) homeAgents() int { return len(p.arr.Fetchers(p.home)) }
 
--- a/version/pieces/plan_test.go
+++ b/version/pieces/plan_test.go
@@ -29,12 +29,12 @@
 	nodes := fleet(map[string]int{"a": 4, "b": 4, "c": 3})
 	origin, far := 0, map[string]int{}
 	for _, self := range nodes {
-		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil)
+		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil, 0)
 		for piece := range pieceCount {
-			switch _, lane := plan.Steps(piece, sound); lane {
-			case FromOrigin:
+			switch first := plan.Steps(piece, sound)[0].From; {
+			case first == Origin:
 				origin++
-			case FromFar:
+			case first[:1] != self.Region:
 				far[self.Region]++
 			}
 		}
@@ -48,9 +48,9 @@
 	nodes := fleet(map[string]int{"a": 13, "b": 8, "c": 7})
 	asked := map[string]int{}
 	for _, self := range nodes {
-		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil)
+		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil, 0)
 		for piece := range pieceCount {
-			steps, _ := plan.Steps(piece, sound)
+			steps := plan.Steps(piece, sound)
 			asked[steps[0].From]++
 		}
 	}
@@ -66,10 +66,10 @@
 func TestAddedAgentAsksThoseThatHoldTheVersion(t *testing.T) {
 	nodes := fleet(map[string]int{"a": 4, "b": 2})
 	self := planner.Node{Name: "a9", Zone: "a", Region: "a"}
-	plan := NewPlan(self, nodes, "a", Key{"m", 1}, map[string]bool{"a0": true, "a1": true, "b0": true})
+	plan := NewPlan(self, nodes, "a", Key{"m", 1}, map[string]bool{"a0": true, "a1": true, "b0": true}, 0)
 	first := map[string]int{}
 	for piece := range pieceCount {
-		steps, _ := plan.Steps(piece, sound)
+		steps := plan.Steps(piece, sound)
 		first[steps[0].From]++
 		if last := steps[len(steps)-1]; last.From != Origin || last.After == 0 {
 			t.Fatalf("the origin is not the last resort: %v", steps)
@@ -84,9 +84,9 @@
 	nodes := fleet(map[string]int{"b": 2, "c": 2})
 	origin := 0
 	for _, self := range nodes {
-		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil)
+		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil, 0)
 		for piece := range pieceCount {
-			if _, lane := plan.Steps(piece, sound); lane == FromOrigin {
+			if plan.Steps(piece, sound)[0].From == Origin {
 				origin++
 			}
 		}
@@ -104,10 +104,10 @@
 		if failed(self.Name) {
 			continue
 		}
-		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil)
+		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil, 0)
 		for piece := range pieceCount {
-			steps, lane := plan.Steps(piece, Known{Failed: failed, Has: sound.Has})
-			if lane == FromOrigin {
+			steps := plan.Steps(piece, Known{Failed: failed, Has: sound.Has})
+			if steps[0].From == Origin {
 				origin[self.Name]++
 			}
 			if steps[0].From == "a1" {
@@ -125,9 +125,9 @@
 	known := Known{Failed: sound.Failed, Has: func(name string, _ int) bool { return name != "a0" }}
 	first := map[string]int{}
 	for _, self := range nodes {
-		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil)
+		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil, 0)
 		for piece := range pieceCount {
-			steps, _ := plan.Steps(piece, known)
+			steps := plan.Steps(piece, known)
 			first[steps[0].From]++
 		}
 	}
--- /dev/null
+++ b/version/pieces/schedule.go
@@ -0,0 +1,148 @@
+package pieces
+
+import (
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/version/planner"
+)
+
+const (
+	// maxAsks bounds the requests that are under way at once. An agent asks all
+	// others of its region at the same time, as it can't know whose pieces arrive
+	// first.
+	maxAsks = 24
+	// originAsks is how many requests to the origin are under way at once: the
+	// next one travels while the last is answered.
+	originAsks = 2
+	// retryPause is how long a source is left alone that did not have what it was
+	// asked for. It doubles with each failure in a row, maxRetryDoublings times.
+	retryPause        = 150 * time.Millisecond
+	maxRetryDoublings = 2
+	// silentAfter is how long an agent may leave a request without an answer
+	// before the next in the order takes its place: a little longer than it waits.
+	silentAfter = holdFor + 250*time.Millisecond
+)
+
+// Ask is one request. Any one of the pieces answers it.
+type Ask struct {
+	From   string
+	Pieces planner.Bits
+	// Wait asks the agent to answer once it has one of the pieces.
+	Wait bool
+	// Far is set where the agent is in another region.
+	Far bool
+	at  time.Duration
+}
+
+// schedule decides which pieces an agent asks of whom next, so that all links
+// are busy from the first pieces on: an agent in charge is asked for whichever
+// of its pieces arrives first. It has no clock: times are counted from the start
+// of the transfer. Not safe for concurrent use.
+type schedule struct {
+	pieces int
+	open   map[*Ask]bool
+	// rests holds until when sources are left alone, failures how often in a row
+	// they gave nothing.
+	rests    map[string]time.Duration
+	failures map[string]int
+	// originAsks bounds the open requests to the origin.
+	originAsks int
+}
+
+func newSchedule(pieces, originAsks int) *schedule {
+	return &schedule{pieces: pieces, open: map[*Ask]bool{}, rests: map[string]time.Duration{}, failures: map[string]int{}, originAsks: originAsks}
+}
+
+// next returns the request to make now, or nil. done must be called for each.
+func (s *schedule) next(now time.Duration, plan *Plan, missing []int, known Known) *Ask {
+	if len(s.open) >= maxAsks {
+		return nil
+	}
+	known = s.withSilent(now, known)
+	var ask *Ask
+	for _, piece := range plan.Order(missing) {
+		if s.asked(piece) {
+			continue
+		}
+		step, found := s.choose(now, plan, piece, known)
+		switch {
+		case !found || ask != nil && (step.From != ask.From || ask.From == Origin):
+			continue
+		case ask == nil:
+			ask = &Ask{From: step.From, Pieces: planner.NewBits(s.pieces), Far: plan.isFar(step.From), at: now}
+		}
+		ask.Pieces.Set(piece)
+		ask.Wait = ask.Wait || step.Wait
+	}
+	if ask != nil {
+		s.open[ask] = true
+	}
+	return ask
+}
+
+// withSilent adds the agents that do not answer to those that failed.
+func (s *schedule) withSilent(now time.Duration, known Known) Known {
+	silent := map[string]bool{}
+	for a := range s.open {
+		if a.From != Origin && now-a.at > silentAfter {
+			silent[a.From] = true
+		}
+	}
+	failed := known.Failed
+	known.Failed = func(name string) bool { return silent[name] || failed(name) }
+	return known
+}
+
+// asked reports whether an open request covers a piece.
+func (s *schedule) asked(piece int) bool {
+	for a := range s.open {
+		if a.Pieces.Has(piece) {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the first source of a piece that may be asked now.
+func (s *schedule) choose(now time.Duration, plan *Plan, piece int, known Known) (Step, bool) {
+	held := false
+	for _, step := range plan.Steps(piece, known) {
+		held = held || step.Holder && !known.Failed(step.From)
+		switch {
+		case now < step.After || step.From != Origin && known.Failed(step.From) || s.busy(now, step.From):
+		case held && step.After > 0:
+			// A holder is busy; it comes from there.
+			return Step{}, false
+		default:
+			return step, true
+		}
+	}
+	return Step{}, false
+}
+
+func (s *schedule) busy(now time.Duration, from string) bool {
+	if now < s.rests[from] {
+		return true
+	}
+	open, most := 0, 1
+	if from == Origin {
+		most = s.originAsks
+	}
+	for a := range s.open {
+		if a.From == from {
+			open++
+		}
+	}
+	return open >= most
+}
+
+// done ends a request. A source that gave nothing rests.
+func (s *schedule) done(now time.Duration, a *Ask, got bool) {
+	delete(s.open, a)
+	if got {
+		s.failures[a.From] = 0
+		return
+	}
+	s.rests[a.From] = now + retryPause<<min(s.failures[a.From], maxRetryDoublings)
+	s.failures[a.From]++
+}
--- a/version/pieces/serve.go
+++ b/version/pieces/serve.go
@@ -12,30 +12,50 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/version/planner"
 )
 
 const (
 	// Prefix begins the paths that agents serve each other.
 	Prefix = "/v1/pieces/"
-	// holdFor is how long a request waits for a piece that is on its way.
-	holdFor = 1500 * time.Millisecond
+	// holdFor is how long a request waits for a piece that is on its way, and for
+	// its turn: a dozen others are served before at the platform's narrow links.
+	// An agent that does not answer for longer has failed.
+	holdFor = 700 * time.Millisecond
 	// newsLimit is the same where the version is not known.
 	newsLimit = 300 * time.Millisecond
-	// turnLimit bounds the wait for the turn to send: an agent behind a narrow
-	// link sends others to those that have the piece by now.
-	turnLimit = 500 * time.Millisecond
+	// turnLimit is the same where the request does not ask to wait: an agent
+	// behind a narrow link sends others to those that have the piece by now.
+	turnLimit = 300 * time.Millisecond
 	// headerHeld tells with each answer which pieces of the version are held.
 	headerHeld = "Waxwingpost-Held"
-	// waitQuery asks to wait.
-	waitQuery = "wait"
-	// manifestName takes the place of a piece's number in the manifest's path.
-	manifestName = "manifest"
+	// headerPiece tells which piece an answer holds.
+	headerPiece = "Waxwingpost-Piece"
+	// waitQuery asks to wait; ofQuery lists the pieces, any of which will do;
+	// farQuery tells that the agent is in another region.
+	waitQuery, ofQuery, farQuery = "wait", "of", "far"
+	// maxWanted bounds the list of pieces, in bytes.
+	maxWanted = 8 << 10
+	// manifestName and anyName end the paths of a manifest and of a piece.
+	manifestName, anyName = "manifest", "any"
 )
 
 func path(k Key, name string) string {
 	return Prefix + url.PathEscape(k.Model) + "/" + strconv.Itoa(k.Version) + "/" + name
 }
 
+// askPath returns the path that asks for any of some pieces.
+func askPath(k Key, a *Ask) string {
+	target := path(k, anyName) + "?" + ofQuery + "=" + hex.EncodeToString(a.Pieces.Bytes())
+	if a.Wait {
+		target += "&" + waitQuery
+	}
+	if a.Far {
+		target += "&" + farQuery
+	}
+	return target
+}
+
 // ServeHTTP serves pieces and manifests to other agents.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, Prefix), "/")
@@ -49,12 +69,27 @@
 		return
 	}
 	k := Key{Model: parts[0], Version: version}
-	var data []byte
+	query := r.URL.Query()
 	if parts[2] == manifestName {
-		data = s.encodedManifest(r.Context(), k, r.URL.Query().Has(waitQuery))
-	} else if piece, err := strconv.Atoi(parts[2]); err == nil {
-		data = s.find(r.Context(), k, piece, r.URL.Query().Has(waitQuery))
+		s.serveManifest(w, r, k, query.Has(waitQuery))
+		return
+	}
+	wanted, err := hex.DecodeString(query.Get(ofQuery))
+	if err != nil || len(wanted) > maxWanted {
+		http.Error(w, "unreadable list of pieces", http.StatusBadRequest)
+		return
 	}
+	wait, limit := query.Has(waitQuery), turnLimit
+	if wait {
+		limit = holdFor
+		if s.Held(k) == nil {
+			// News of the version may be on its way here.
+			limit = newsLimit
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), limit)
+	defer cancel()
+	piece, data := s.take(ctx, &waiter{key: k, wanted: planner.BitsFrom(wanted, 8*len(wanted)), far: query.Has(farQuery)}, wait)
 	// An agent without the manifest takes no part and tells nothing.
 	if held := s.Held(k); held != nil {
 		w.Header().Set(headerHeld, hex.EncodeToString(held.Bytes()))
@@ -63,41 +98,15 @@
 		http.NotFound(w, r)
 		return
 	}
-	if !s.begin(r.Context()) {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	defer func() { <-s.sending }()
+	defer s.release()
+	w.Header().Set(headerPiece, strconv.Itoa(piece))
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	s.send(r.Context(), w, data)
 }
 
-// find returns a piece that is held, or one that arrives soon if asked to wait.
-func (s *Store) find(ctx context.Context, k Key, piece int, wait bool) []byte {
-	if !wait {
-		return s.Piece(k, piece)
-	}
-	limit := holdFor
-	if s.Held(k) == nil {
-		// News of the version may be on its way here.
-		limit = newsLimit
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	return s.Wait(ctx, k, piece)
-}
-
-// begin waits for the turn to send and reports whether it came soon enough.
-func (s *Store) begin(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, turnLimit)
-	defer cancel()
-	select {
-	case s.sending <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+// sendLimit bounds the sending of a piece, by about the rate of a link that was
+// narrowed to a tenth.
+const sendLimit = time.Second
 
 // sliceBytes is how much of a piece is sent at once: few milliseconds on the
 // platform's slowest links.
@@ -107,6 +116,8 @@
 // elsewhere.
 func (s *Store) send(ctx context.Context, w http.ResponseWriter, data []byte) {
 	out := http.NewResponseController(w)
+	_ = out.SetWriteDeadline(time.Now().Add(sendLimit)) // without one the server's own limits hold
+	defer func() { _ = out.SetWriteDeadline(time.Time{}) }()
 	for len(data) > 0 {
 		n := min(sliceBytes, len(data))
 		if err := s.pace.WaitN(ctx, n); err != nil {
@@ -122,6 +133,15 @@
 	}
 }
 
+func (s *Store) serveManifest(w http.ResponseWriter, r *http.Request, k Key, wait bool) {
+	data := s.encodedManifest(r.Context(), k, wait)
+	if data == nil {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(data) // the agent asks again
+}
+
 // encodedManifest returns a manifest that is known, or one that arrives soon if
 // asked to wait; nil otherwise.
 func (s *Store) encodedManifest(ctx context.Context, k Key, wait bool) []byte {
--- /dev/null
+++ b/version/pieces/sim_test.go
@@ -0,0 +1,289 @@
+package pieces
+
+import (
+	"container/heap"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/version/planner"
+)
+
+// The links of the platform's smaller deployments.
+const (
+	simPieceBytes   = 32768
+	simAgentRate    = 0.9 * 7.6e6 / 8
+	simOriginRate   = 9.9e6 / 8
+	simLatency      = time.Millisecond
+	simAnswerWithin = attemptLimit
+)
+
+// fleetSim plays a transfer by the schedules of all agents over virtual links:
+// an agent sends one piece at a time, the origin as well.
+type fleetSim struct {
+	now    time.Duration
+	events eventHeap
+	agents map[string]*agentSim
+	origin []func()
+	// originBusy is set while the origin sends; dark from when on it does not.
+	originBusy bool
+	dark       time.Duration
+	originSent int
+}
+
+type agentSim struct {
+	name     string
+	fleet    *fleetSim
+	plan     *Plan
+	schedule *schedule
+	store    *set
+	known    map[string]planner.Bits
+	failed   map[string]time.Duration
+	// frozen is from when on the agent neither asks nor answers.
+	frozen  time.Duration
+	waiting []*waitingAsk
+	sending bool
+	whole   time.Duration
+}
+
+type waitingAsk struct {
+	waiter
+	answer func(piece int)
+	ended  bool
+}
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int           { return len(h) }
+func (h eventHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h eventHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)        { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+const never = time.Hour
+
+func newFleetSim(perRegion map[string]int) *fleetSim {
+	f := &fleetSim{agents: map[string]*agentSim{}, dark: never}
+	nodes := fleet(perRegion)
+	for _, n := range nodes {
+		exit := pieceCount * (sendTime(simOriginRate) - simLatency)
+		f.agents[n.Name] = &agentSim{
+			name: n.Name, fleet: f, plan: NewPlan(n, nodes, "a", Key{"m", 2}, nil, exit),
+			schedule: newSchedule(pieceCount, originAsks), frozen: never,
+			store: &set{pieces: make([][]byte, pieceCount), given: make([]int, pieceCount)},
+			known: map[string]planner.Bits{}, failed: map[string]time.Duration{},
+		}
+	}
+	return f
+}
+
+func (f *fleetSim) after(d time.Duration, run func()) { heap.Push(&f.events, event{f.now + d, run}) }
+
+// run plays until no event is left or the limit has passed, and returns when the
+// last agent that is not frozen had the whole version.
+func (f *fleetSim) run(limit time.Duration) time.Duration {
+	for _, name := range slices.Sorted(maps.Keys(f.agents)) {
+		a := f.agents[name]
+		f.after(0, a.tick)
+	}
+	for len(f.events) > 0 && f.now < limit {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.run()
+	}
+	last := time.Duration(0)
+	for _, a := range f.agents {
+		switch {
+		case a.frozen < never:
+		case a.whole == 0:
+			return limit
+		default:
+			last = max(last, a.whole)
+		}
+	}
+	return last
+}
+
+func (a *agentSim) missing() []int {
+	var list []int
+	for i, p := range a.store.pieces {
+		if p == nil {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// tick is the agent's timer.
+func (a *agentSim) tick() {
+	if a.whole == 0 && a.fleet.now < a.frozen {
+		a.askAll()
+		a.fleet.after(retryPause, a.tick)
+	}
+}
+
+func (a *agentSim) askAll() {
+	known := Known{
+		Failed: func(name string) bool { return a.fleet.now < a.failed[name] },
+		Has:    func(name string, piece int) bool { return a.known[name].Has(piece) },
+	}
+	for a.fleet.now < a.frozen {
+		ask := a.schedule.next(a.fleet.now, a.plan, a.missing(), known)
+		if ask == nil {
+			return
+		}
+		if ask.From == Origin {
+			a.fleet.after(simLatency, func() { a.fleet.askOrigin(a, ask) })
+			continue
+		}
+		a.fleet.after(simLatency, func() { a.fleet.agents[ask.From].receive(ask, a) })
+	}
+}
+
+// receive takes in a request of another agent.
+func (a *agentSim) receive(ask *Ask, from *agentSim) {
+	f := a.fleet
+	w := &waitingAsk{waiter: waiter{wanted: ask.Pieces, far: ask.Far}}
+	end := func(piece int) {
+		if w.ended {
+			return
+		}
+		w.ended = true
+		from.got(ask, piece, a)
+	}
+	w.answer = end
+	f.after(simAnswerWithin, func() {
+		if !w.ended {
+			from.failed[a.name] = f.now + avoidFor
+		}
+		end(-1)
+	})
+	if f.now >= a.frozen {
+		return
+	}
+	a.waiting = append(a.waiting, w)
+	f.after(holdFor, func() {
+		if at := slices.Index(a.waiting, w); at >= 0 && f.now < a.frozen {
+			a.waiting = slices.Delete(a.waiting, at, at+1)
+			end(-1)
+		}
+	})
+	a.pump()
+}
+
+func (a *agentSim) pump() {
+	if a.sending || a.fleet.now >= a.frozen {
+		return
+	}
+	waiters := make([]*waiter, len(a.waiting))
+	for i, w := range a.waiting {
+		waiters[i] = &w.waiter
+	}
+	at, piece := next(waiters, map[Key]*set{{}: a.store})
+	if at < 0 {
+		return
+	}
+	w := a.waiting[at]
+	a.store.given[piece]++
+	a.sending = true
+	a.waiting = slices.Delete(a.waiting, at, at+1)
+	a.fleet.after(sendTime(simAgentRate), func() {
+		a.sending = false
+		if a.fleet.now < a.frozen {
+			w.answer(piece)
+			a.pump()
+		}
+	})
+}
+
+func sendTime(rate float64) time.Duration {
+	return simLatency + time.Duration(simPieceBytes/rate*float64(time.Second))
+}
+
+func (a *agentSim) got(ask *Ask, piece int, from *agentSim) {
+	a.schedule.done(a.fleet.now, ask, piece >= 0)
+	if from != nil && a.fleet.now < from.frozen {
+		held := planner.NewBits(pieceCount)
+		for i, p := range from.store.pieces {
+			if p != nil {
+				held.Set(i)
+			}
+		}
+		a.known[from.name] = held
+	}
+	if piece >= 0 {
+		a.store.pieces[piece] = []byte{1}
+		if a.whole == 0 && len(a.missing()) == 0 {
+			a.whole = a.fleet.now
+		}
+		a.pump()
+	}
+	a.askAll()
+}
+
+func (f *fleetSim) askOrigin(a *agentSim, ask *Ask) {
+	f.origin = append(f.origin, func() {
+		f.originBusy = true
+		f.after(sendTime(simOriginRate), func() {
+			f.originBusy = false
+			f.originSent++
+			a.got(ask, ask.Pieces.First(), nil)
+			f.pumpOrigin()
+		})
+	})
+	if f.now >= f.dark {
+		a.got(ask, -1, nil)
+		return
+	}
+	f.pumpOrigin()
+}
+
+func (f *fleetSim) pumpOrigin() {
+	if !f.originBusy && len(f.origin) > 0 && f.now < f.dark {
+		next := f.origin[0]
+		f.origin = f.origin[1:]
+		next()
+	}
+}
+
+func TestTransferTakesLittleLongerThanTheLinksDo(t *testing.T) {
+	for _, regions := range []map[string]int{
+		{"a": 8, "b": 6, "c": 5}, {"a": 14, "b": 13, "c": 13}, {"a": 15, "b": 15, "c": 14, "d": 14},
+	} {
+		f := newFleetSim(regions)
+		took := f.run(20 * time.Second)
+		// An agent of the origin's region sends its part to all others there and
+		// once to each other region.
+		n := regions["a"]
+		sends := float64(pieceCount*(n-1+len(regions)-1)) / float64(n)
+		bound := time.Duration(sends * simPieceBytes / simAgentRate * float64(time.Second))
+		t.Logf("%v: %v, the links take %v, the origin sent %d", regions, took, bound, f.originSent)
+		if took > bound*13/10 {
+			t.Errorf("%v: the transfer took %v where the links take %v", regions, took, bound)
+		}
+		if f.originSent != pieceCount {
+			t.Errorf("%v: the origin sent %d pieces of %d", regions, f.originSent, pieceCount)
+		}
+	}
+}
+
+func TestFrozenAgentDoesNotLeavePiecesAtTheOrigin(t *testing.T) {
+	for _, name := range []string{"a0", "a3", "b1"} {
+		f := newFleetSim(map[string]int{"a": 8, "b": 6, "c": 5})
+		f.agents[name].frozen = 450 * time.Millisecond
+		f.dark = 2300 * time.Millisecond
+		if took := f.run(20 * time.Second); took > 5*time.Second {
+			t.Errorf("%s froze, and the transfer took %v", name, took)
+		}
+	}
+}
--- a/version/pieces/store.go
+++ b/version/pieces/store.go
@@ -4,9 +4,11 @@
 //
 // Each piece leaves the origin once, to the agent in charge of it in the
 // origin's region; it enters each other region once, to the agent in charge
-// there; all others take it from the one in charge in their region. An agent
-// that is asked for a piece which is on its way answers when it has arrived.
-// Where an agent fails, the next in the order is asked, and the origin last.
+// there; all others take it from the one in charge in their region, or from one
+// that has it. A request names all pieces that the agent asked is in charge of,
+// and is answered with whichever of them arrives first, so that every link is
+// busy from the first pieces on. Where an agent fails or does not answer, the
+// next in the order takes its place, and the origin is asked last.
 package pieces
 
 import (
@@ -30,6 +32,8 @@
 type set struct {
 	manifest platform.Manifest
 	pieces   [][]byte
+	// given counts how often each piece was sent to other agents.
+	given []int
 }
 
 // Store holds the pieces of the two newest versions of each model: others may
@@ -43,9 +47,8 @@
 	// pace spreads what is sent to other agents: it shares the VM's link with
 	// the events of live requests.
 	pace *rate.Limiter
-	// sending lets one piece go out at a time: halves of many pieces are of no
-	// use to anybody.
-	sending chan struct{}
+	// queue holds the requests that wait for a piece or for their turn.
+	queue queue
 }
 
 // NewStore returns an empty store that sends at most bytesPerSecond to other
@@ -57,13 +60,15 @@
 	}
 	return &Store{
 		sets: map[Key]*set{}, changed: make(chan struct{}),
-		pace: rate.NewLimiter(limit, sliceBytes), sending: make(chan struct{}, 1),
+		pace: rate.NewLimiter(limit, sliceBytes),
 	}
 }
 
+// notify tells those that wait of a change. The caller holds the lock.
 func (s *Store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
+	s.queue.pump(s.sets)
 }
 
 // keptVersions is how many versions of a model are held.
@@ -78,7 +83,7 @@
 	if s.sets[k] != nil {
 		return
 	}
-	s.sets[k] = &set{manifest: m, pieces: make([][]byte, len(m.Digests))}
+	s.sets[k] = &set{manifest: m, pieces: make([][]byte, len(m.Digests)), given: make([]int, len(m.Digests))}
 	for old := range s.sets {
 		if old.Model == k.Model && s.newer(old) >= keptVersions {
 			delete(s.sets, old)
@@ -172,25 +177,6 @@
 	return missing
 }
 
-// Wait returns a piece once it is held, or nil when ctx ends before or newer
-// versions take its place.
-func (s *Store) Wait(ctx context.Context, k Key, piece int) []byte {
-	for {
-		s.mu.Lock()
-		changed := s.changed
-		overtaken := s.newer(k) >= keptVersions
-		s.mu.Unlock()
-		if data := s.Piece(k, piece); data != nil || overtaken {
-			return data
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
-		}
-	}
-}
-
 // WaitManifest returns a manifest once it is known; false when ctx ends before.
 func (s *Store) WaitManifest(ctx context.Context, k Key) (platform.Manifest, bool) {
 	for {
--- a/version/planner/bits.go
+++ b/version/planner/bits.go
@@ -32,6 +32,16 @@
 	return n
 }
 
+// First returns the lowest index in the set, or -1.
+func (b Bits) First() int {
+	for w, word := range b {
+		if word != 0 {
+			return w*wordBits + bits.TrailingZeros64(word)
+		}
+	}
+	return -1
+}
+
 func (b Bits) empty() bool {
 	for _, w := range b {
 		if w != 0 {
