--- a/version/pieces/schedule.go
+++ b/version/pieces/schedule.go
@@ -34,6 +34,9 @@
 	at  time.Duration
 }
 
+// silent reports whether an agent should have answered by now.
+func (a *Ask) silent(now time.Duration) bool { return a.From != Origin && now-a.at > silentAfter }
+
 // schedule decides which pieces an agent asks of whom next, so that all links
 // are busy from the first pieces on: an agent in charge is asked for whichever
 // of its pieces arrives first. It has no clock: times are counted from the start
@@ -61,7 +64,7 @@
 	known = s.withSilent(now, known)
 	var ask *Ask
 	for _, piece := range plan.Order(missing) {
-		if s.asked(piece) {
+		if s.asked(now, piece) {
 			continue
 		}
 		step, found := s.choose(now, plan, piece, known)
@@ -84,7 +87,7 @@
 func (s *schedule) withSilent(now time.Duration, known Known) Known {
 	silent := map[string]bool{}
 	for a := range s.open {
-		if a.From != Origin && now-a.at > silentAfter {
+		if a.silent(now) {
 			silent[a.From] = true
 		}
 	}
@@ -93,10 +96,11 @@
 	return known
 }
 
-// asked reports whether an open request covers a piece.
-func (s *schedule) asked(piece int) bool {
+// asked reports whether an open request, that may still be answered, covers a
+// piece.
+func (s *schedule) asked(now time.Duration, piece int) bool {
 	for a := range s.open {
-		if a.Pieces.Has(piece) {
+		if a.Pieces.Has(piece) && !a.silent(now) {
 			return true
 		}
 	}
--- a/version/pieces/serve.go
+++ b/version/pieces/serve.go
@@ -21,7 +21,7 @@
 	// holdFor is how long a request waits for a piece that is on its way, and for
 	// its turn: a dozen others are served before at the platform's narrow links.
 	// An agent that does not answer for longer has failed.
-	holdFor = 700 * time.Millisecond
+	holdFor = 500 * time.Millisecond
 	// newsLimit is the same where the version is not known.
 	newsLimit = 300 * time.Millisecond
 	// turnLimit is the same where the request does not ask to wait: an agent
--- a/version/pieces/sim_test.go
+++ b/version/pieces/sim_test.go
@@ -280,8 +280,8 @@
 func TestFrozenAgentDoesNotLeavePiecesAtTheOrigin(t *testing.T) {
 	for _, name := range []string{"a0", "a3", "b1"} {
 		f := newFleetSim(map[string]int{"a": 8, "b": 6, "c": 5})
-		f.agents[name].frozen = 450 * time.Millisecond
-		f.dark = 2300 * time.Millisecond
+		f.agents[name].frozen = 650 * time.Millisecond
+		f.dark = 2250 * time.Millisecond
 		if took := f.run(20 * time.Second); took > 5*time.Second {
 			t.Errorf("%s froze, and the transfer took %v", name, took)
 		}
