--- a/process/base/base.go
+++ b/process/base/base.go
@@ -126,12 +126,6 @@
 // a VM without power answers nothing, and a cut link loses what it held.
 const UnackedLimit = 2 * time.Second
 
-// LinkClient returns the client that links between processes are dialed with.
-func LinkClient() *http.Client {
-	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableCompression: true}}
-}
-
 // ExplainNothing answers explain requests in processes that keep their records
 // in the log alone.
 func ExplainNothing(string) (any, error) {
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -47,6 +47,8 @@
 	mesh *mesh.Mesh
 	// replica is nil while the data folder can't be used.
 	replica atomic.Pointer[replica]
+	// reopened is sent to when a replica was opened.
+	reopened chan struct{}
 	// entriesSeen is the highest number of entries that followed at once.
 	entriesSeen atomic.Int64
 
@@ -65,7 +67,7 @@
 
 // New returns a control process that does nothing until Run.
 func New(set platform.Settings, b *base.Base) *Controller {
-	c := &Controller{Base: b, set: set, self: set.PeerAddress(set.IP), kept: map[string]context.CancelFunc{}, seeds: feed.PeerAddresses(&set)}
+	c := &Controller{Base: b, set: set, self: set.PeerAddress(set.IP), kept: map[string]context.CancelFunc{}, seeds: feed.PeerAddresses(&set), reopened: make(chan struct{}, 1)}
 	dialer := &link.Dialer{Auth: b.Auth, Self: c.hello, Handler: c, Stats: b.Stats, Client: base.LinkClient()}
 	c.mesh = mesh.New(mesh.Config{Opened: c.opened}, dialer, b.Log)
 	c.hub = feed.NewHub(b.Clock, b.Log, c.mesh, c.controls)
@@ -179,6 +181,10 @@
 		return err
 	}
 	c.replica.Store(&replica{node: n, machine: machine})
+	select {
+	case c.reopened <- struct{}{}:
+	default:
+	}
 	return n.Run(ctx)
 }
 
@@ -198,6 +204,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-c.reopened:
 		case <-ticker.Chan():
 			c.hub.Beat()
 		}
