Agents leave a control process that lacks the configuration

An agent in charge that does not take part in a version loses its turn for the manifest as it does for pieces. TestAgentLeavesAControlProcessThatLacksTheConfiguration fails without it.

--- a/process/controller/controller_test.go
+++ b/process/controller/controller_test.go
@@ -277,3 +277,30 @@
 		}
 	}
 }
+
+func TestAgentLeavesAControlProcessThatLacksTheConfiguration(t *testing.T) {
+	var stops []func()
+	for vm := range vms {
+		stops = append(stops, start(t, settings(t, vm, true)))
+	}
+	until(t, 0, http.MethodPost, platform.PathPutConfig, configuration(3, "/c/"), http.StatusOK)
+	stops[2]()
+	empty := settings(t, 2, false)
+	// It does not find the others, and so stays without the configuration.
+	empty.Seeds = []string{net.JoinHostPort(ip(8), fmt.Sprint(operatorPort))}
+	start(t, empty)
+	set := settings(t, 0, true)
+	dialer := &link.Dialer{Auth: link.Authenticator{Open: true}, Self: func() wire.Hello {
+		return wire.Hello{Name: "agent-1", Role: wire.RoleAgent}
+	}}
+	follower := feed.NewFollower(feed.FollowerConfig{
+		Seeds: []string{set.PeerAddress(ip(2))}, Relay: true, Lazy: true,
+	}, dialer, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	go follower.Run(t.Context())
+	// The link may be given up again at once.
+	for i := 0; i < 100 && follower.Links() == 0; i++ {
+		time.Sleep(10 * time.Millisecond)
+	}
+	follower.AddControls([]string{set.PeerAddress(ip(0)), set.PeerAddress(ip(1))})
+	await(t, "the configuration", func() bool { return follower.View().Config != nil })
+}
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -33,6 +33,10 @@
 	forgetControl = 30 * time.Second
 	// maxLinks bounds the control processes that an entry follows.
 	maxLinks = 9
+	// leaveBehind is how long a control process is not linked to that lacks the
+	// configuration, by a follower of one: about the time in which a replica with
+	// an empty disk catches up.
+	leaveBehind = 2 * time.Second
 )
 
 // View is what a follower knows at one moment. It must not be changed.
@@ -81,8 +85,11 @@
 	table *directory.Table
 	// controls holds when each control process was last told of.
 	controls map[string]time.Time
-	weights  map[string]Named
-	config   *deployment.Config
+	// behind holds until when control processes are left that lack the
+	// configuration.
+	behind  map[string]time.Time
+	weights map[string]Named
+	config  *deployment.Config
 	// wanted is the highest configuration version heard of.
 	wanted  uint64
 	fetch   bool
@@ -94,7 +101,7 @@
 func NewFollower(cfg FollowerConfig, dialer *link.Dialer, clock clockwork.Clock, log *slog.Logger) *Follower {
 	f := &Follower{
 		cfg: cfg, clock: clock, log: log, start: clock.Now(), wake: make(chan struct{}, 1),
-		table: directory.NewTable(), controls: map[string]time.Time{}, weights: map[string]Named{},
+		table: directory.NewTable(), controls: map[string]time.Time{}, behind: map[string]time.Time{}, weights: map[string]Named{},
 	}
 	for _, seed := range cfg.Seeds {
 		f.controls[seed] = f.start
@@ -132,11 +139,14 @@
 	defer wg.Wait()
 	for ctx.Err() == nil {
 		f.reconcile(ctx, kept, &wg)
-		f.fetchDocument(ctx)
+		pause := time.Second
+		if !f.fetchDocument(ctx) {
+			pause = retryPause
+		}
 		select {
 		case <-ctx.Done():
 		case <-f.wake:
-		case <-f.clock.After(time.Second):
+		case <-f.clock.After(pause):
 		}
 	}
 	for _, cancel := range kept {
@@ -164,12 +174,16 @@
 }
 
 // targets returns the addresses to link to. A relaying follower stays with a
-// link that works and tries all others where it has none.
+// link that works, to a control process that is not behind, and tries all others
+// where it has none.
 func (f *Follower) targets(kept map[string]context.CancelFunc) []string {
 	all := f.preferred()
 	if !f.cfg.Relay {
 		return all[:min(len(all), maxLinks)]
 	}
+	if current := slices.DeleteFunc(slices.Clone(all), f.isBehind); len(current) > 0 {
+		all = current
+	}
 	for _, address := range all {
 		if kept[address] != nil && f.mesh.Conn(address) != nil {
 			return []string{address}
@@ -178,6 +192,19 @@
 	return all
 }
 
+func (f *Follower) isBehind(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock.Now().Before(f.behind[address])
+}
+
+// noteBehind takes in that a control process lacks the configuration.
+func (f *Follower) noteBehind(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.behind[address] = f.clock.Now().Add(leaveBehind)
+}
+
 // preferred returns the control processes that are known, preferred ones first.
 func (f *Follower) preferred() []string {
 	f.mu.Lock()
@@ -207,6 +234,10 @@
 			c.Close()
 			return
 		}
+		if news.ConfigVersion == 0 {
+			f.noteBehind(c.Peer().Name)
+			f.poke()
+		}
 		f.hear(news)
 	}()
 }
@@ -354,25 +385,17 @@
 	return v
 }
 
-// fetchDocument asks the linked control processes for the wanted
-// configuration until one has it.
-func (f *Follower) fetchDocument(ctx context.Context) {
-	for ctx.Err() == nil {
-		f.mu.Lock()
-		due := f.fetch && (f.config == nil || f.config.Version < f.wanted)
-		wanted := f.wanted
-		if !due {
-			f.fetch = false
-		}
-		f.mu.Unlock()
-		if !due || f.askDocument(ctx, wanted) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-f.clock.After(retryPause):
-		}
+// fetchDocument asks the linked control processes for the configuration, where a
+// newer one is wanted. It reports whether nothing is left to fetch.
+func (f *Follower) fetchDocument(ctx context.Context) bool {
+	f.mu.Lock()
+	due := f.fetch && (f.config == nil || f.config.Version < f.wanted)
+	wanted := f.wanted
+	if !due {
+		f.fetch = false
 	}
+	f.mu.Unlock()
+	return !due || f.askDocument(ctx, wanted)
 }
 
 // askDocument asks each linked control process in turn, preferred ones first.
@@ -388,6 +411,7 @@
 		cancel()
 		if err != nil || doc.Version < wanted {
 			f.log.Info("configuration not had", "control", address, "wanted", wanted, "had", doc.Version, "error", err)
+			f.noteBehind(address)
 			continue
 		}
 		return f.takeDocument(doc)
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -176,7 +176,8 @@
 		if m, err = f.manifestFrom(ctx, o, step); err == nil {
 			return f.begin(o, m)
 		}
-		if step.From != Origin && !errors.Is(err, errNotHad) && ctx.Err() == nil {
+		if step.From != Origin && (step.Wait || !errors.Is(err, errNotHad)) && ctx.Err() == nil {
+			// It failed, or takes no part in this version: another is in charge.
 			f.avoid(step.From)
 		}
 	}
