An origin that comes back is asked by the agents in charge alone

Now those times count from the last failure of the origin; an agent counts as absent only after a second; one that is asked for a version that it does not know looks for the manifest at once; the schedule of a version goes on when its transfer is begun again, and is not given up for a stall without an alternative.

--- a/process/sidecar/bring.go
+++ b/process/sidecar/bring.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// watch cancels a transfer that stalls, or whose version is not the one to be
-// brought any more.
+// watch cancels a transfer that stalls while another version could be brought,
+// or whose version is not the one to be brought any more.
 func (k *keeper) watch(ctx context.Context, cancel context.CancelFunc, key pieces.Key) (stop func()) {
 	done := make(chan struct{})
 	go func() {
@@ -81,7 +81,7 @@
 				missing, since = n, now
 			}
 			versions := k.versions(k.s.follower.View(), key.Model)
-			stalled := now.Sub(since) >= stallAfter
+			stalled := len(versions) > 1 && now.Sub(since) >= stallAfter
 			if stalled || len(versions) > 0 && k.chosen(key.Model, versions) != key {
 				k.s.Log.Info("transfer given up for another version", "model", key.Model, "version", key.Version,
 					"missing", missing, "stalled", stalled, "versions", versions)
--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -28,7 +28,7 @@
 	busyPause = 150 * time.Millisecond
 	// maxBusyPause is what busyPause grows to, by random steps, so that a fleet
 	// does not try again in step.
-	maxBusyPause = 600 * time.Millisecond
+	maxBusyPause = 300 * time.Millisecond
 	// engineLimit bounds a call to the engine on the same VM.
 	engineLimit = 1500 * time.Millisecond
 	// fetchLimit bounds one round of fetching, after which plans are made anew.
@@ -105,6 +105,8 @@
 			case <-ctx.Done():
 			case <-k.s.Clock.After(busyPause):
 			}
+		case <-k.s.store.News():
+			// Others have a manifest that is sought here.
 		case <-k.s.Clock.After(pause):
 		}
 	}
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -38,6 +38,9 @@
 	manifestPiece = 0
 	// avoidFor is how long an agent that failed is not asked.
 	avoidFor = 4 * time.Second
+	// absentAfter is how long an agent may know nothing of a version before it
+	// counts as one that takes no part: news of it and the manifest take less.
+	absentAfter = time.Second
 )
 
 // Fetcher brings the pieces of a version into a store.
@@ -53,6 +56,8 @@
 	mu sync.Mutex
 	// avoided holds when agents that failed may be asked again.
 	avoided map[string]time.Time
+	// absent holds since when agents have known nothing of the version sought.
+	absent map[string]time.Time
 	// broken holds the sources that failed last time.
 	broken map[string]bool
 	// held is what others were known to hold of the version heldOf.
@@ -61,6 +66,10 @@
 	// since is when the manifest of the version sought was sought first.
 	since  time.Time
 	sought Key
+	// sched is the schedule of the version schedFor, which was begun at schedSince.
+	sched      *schedule
+	schedFor   Key
+	schedSince time.Time
 	// plan is the last plan, made for nodes and holders as planFor tells.
 	plan    *Plan
 	planFor string
@@ -113,7 +122,7 @@
 	if err := f.FetchManifest(ctx, o); err != nil {
 		return err
 	}
-	f.exchange(ctx, started, current)
+	f.exchange(ctx, current)
 	// The origin takes few connections: others need them now.
 	f.Client.Sweep(f.Clock.Now(), func(address string) bool { return address != o.Origin })
 	missing := len(f.Store.Missing(o.Key))
@@ -125,14 +134,13 @@
 }
 
 // exchange asks for pieces until none is missing or ctx ends.
-func (f *Fetcher) exchange(ctx context.Context, started time.Time, current func() *Order) {
+func (f *Fetcher) exchange(ctx context.Context, current func() *Order) {
 	type answer struct {
 		ask *Ask
 		got bool
 	}
-	first := current()
-	m, _ := f.Store.Manifest(first.Key)
-	sched := newSchedule(len(m.Digests), f.originAsks(first, f.currentPlan(first)))
+	o := current()
+	sched, started := f.scheduleOf(o)
 	answers := make(chan answer, maxAsks)
 	open := 0
 	for ctx.Err() == nil {
@@ -157,6 +165,20 @@
 	for ; open > 0; open-- {
 		<-answers
 	}
+	sched.drop()
+}
+
+// scheduleOf returns the schedule of a version, which goes on where the last
+// fetch of it ended, and when that began.
+func (f *Fetcher) scheduleOf(o *Order) (*schedule, time.Time) {
+	m, _ := f.Store.Manifest(o.Key)
+	asks := f.originAsks(o, f.currentPlan(o))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sched == nil || f.schedFor != o.Key {
+		f.sched, f.schedFor, f.schedSince = newSchedule(len(m.Digests), asks), o.Key, f.Clock.Now()
+	}
+	return f.sched, f.schedSince
 }
 
 // FetchManifest brings in the manifest of a version, once: it is sought like a
@@ -176,8 +198,11 @@
 		if m, err = f.manifestFrom(ctx, o, step); err == nil {
 			return f.begin(o, m)
 		}
-		if step.From != Origin && (step.Wait || !errors.Is(err, errNotHad)) && ctx.Err() == nil {
-			// It failed, or takes no part in this version: another is in charge.
+		switch {
+		case step.From == Origin || ctx.Err() != nil:
+		case errors.Is(err, errNotHad):
+			f.noteAbsent(step.From, step.Wait)
+		default:
 			f.avoid(step.From)
 		}
 	}
@@ -189,7 +214,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.sought != k {
-		f.sought, f.since = k, f.Clock.Now()
+		f.sought, f.since, f.absent = k, f.Clock.Now(), map[string]time.Time{}
 	}
 	return f.since
 }
@@ -242,15 +267,12 @@
 	data, header, err := f.get(ctx, address, attemptLimit, target)
 	if m, ok := f.Store.Manifest(o.Key); ok && a.From != Origin {
 		f.noteHeld(a.From, o.Key, header.Get(headerHeld), len(m.Digests))
+		f.noteAbsent(a.From, a.Wait && errors.Is(err, errNotHad) && header.Get(headerHeld) == "")
 	}
 	if err == nil {
 		err = f.take(o.Key, a, header, data)
 	}
 	if errors.Is(err, errNotHad) {
-		if a.Wait && header.Get(headerHeld) == "" {
-			// The agent takes no part in this version.
-			f.avoid(a.From)
-		}
 		return false
 	}
 	if ctx.Err() != nil {
@@ -316,6 +338,26 @@
 	}
 }
 
+// noteAbsent takes in whether an agent knows nothing of the version sought. One
+// that does so for long takes no part in it.
+func (f *Fetcher) noteAbsent(name string, absent bool) {
+	f.mu.Lock()
+	since, was := f.absent[name]
+	switch {
+	case !absent:
+		delete(f.absent, name)
+	case !was:
+		if f.absent == nil {
+			f.absent = map[string]time.Time{}
+		}
+		f.absent[name] = f.Clock.Now()
+	}
+	f.mu.Unlock()
+	if absent && was && f.Clock.Since(since) >= absentAfter {
+		f.avoid(name)
+	}
+}
+
 // known returns what was learned of the other agents.
 func (f *Fetcher) known(k Key) Known {
 	return Known{Failed: f.avoids, Has: func(name string, piece int) bool {
--- a/version/pieces/fetch_test.go
+++ b/version/pieces/fetch_test.go
@@ -216,3 +216,29 @@
 		}
 	}
 }
+
+func TestLateAgentHearsOfAVersionByBeingAskedForIt(t *testing.T) {
+	f := newAgents(t, map[string]int{"a": 2})
+	late := f.fetchers[1]
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- f.fetchers[0].Fetch(ctx, f.order) }()
+	select {
+	case <-late.Store.News():
+	case <-ctx.Done():
+		t.Fatal("the agent that was asked does not hear of the version")
+	}
+	if err := late.Fetch(ctx, f.order); err != nil {
+		t.Error(err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if f.fetchers[0].avoids(late.Self.Name) {
+		t.Error("an agent that was late by little counts as failed")
+	}
+	if n := f.origin.sent.Load(); n != testPieces {
+		t.Errorf("the origin sent %d pieces of %d", n, testPieces)
+	}
+}
--- a/version/pieces/schedule.go
+++ b/version/pieces/schedule.go
@@ -50,6 +50,10 @@
 	failures map[string]int
 	// originAsks bounds the open requests to the origin.
 	originAsks int
+	// since is the time from which on pieces should have left the origin, dark is
+	// set while it gives nothing.
+	since time.Duration
+	dark  bool
 }
 
 func newSchedule(pieces, originAsks int) *schedule {
@@ -113,7 +117,7 @@
 	for _, step := range plan.Steps(piece, known) {
 		held = held || step.Holder && !known.Failed(step.From)
 		switch {
-		case now < step.After || step.From != Origin && known.Failed(step.From) || s.busy(now, step.From):
+		case now < s.since+step.After || step.From != Origin && known.Failed(step.From) || s.busy(now, step.From):
 		case held && step.After > 0:
 			// A holder is busy; it comes from there.
 			return Step{}, false
@@ -140,9 +144,16 @@
 	return open >= most
 }
 
-// done ends a request. A source that gave nothing rests.
+// drop forgets the open requests of a transfer that was ended.
+func (s *schedule) drop() { clear(s.open) }
+
+// done ends a request. A source that gave nothing rests. Those that are not in
+// charge of a piece leave an origin that comes back to those that are.
 func (s *schedule) done(now time.Duration, a *Ask, got bool) {
 	delete(s.open, a)
+	if a.From == Origin && (!got || s.dark) {
+		s.since, s.dark = now, !got
+	}
 	if got {
 		s.failures[a.From] = 0
 		return
--- a/version/pieces/serve.go
+++ b/version/pieces/serve.go
@@ -85,6 +85,10 @@
 		if s.Held(k) == nil {
 			// News of the version may be on its way here.
 			limit = newsLimit
+			select {
+			case s.news <- struct{}{}:
+			default:
+			}
 		}
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), limit)
--- a/version/pieces/sim_test.go
+++ b/version/pieces/sim_test.go
@@ -26,9 +26,9 @@
 	events eventHeap
 	agents map[string]*agentSim
 	origin []func()
-	// originBusy is set while the origin sends; dark from when on it does not.
+	// originBusy is set while the origin sends; it refuses from dark to back.
 	originBusy bool
-	dark       time.Duration
+	dark, back time.Duration
 	originSent int
 }
 
@@ -73,7 +73,7 @@
 const never = time.Hour
 
 func newFleetSim(perRegion map[string]int) *fleetSim {
-	f := &fleetSim{agents: map[string]*agentSim{}, dark: never}
+	f := &fleetSim{agents: map[string]*agentSim{}, dark: never, back: never}
 	nodes := fleet(perRegion)
 	for _, n := range nodes {
 		exit := pieceCount * (sendTime(simOriginRate) - simLatency)
@@ -231,8 +231,15 @@
 	a.askAll()
 }
 
+func (f *fleetSim) isDark() bool { return f.now >= f.dark && f.now < f.back }
+
 func (f *fleetSim) askOrigin(a *agentSim, ask *Ask) {
 	f.origin = append(f.origin, func() {
+		if f.isDark() {
+			a.got(ask, -1, nil)
+			f.pumpOrigin()
+			return
+		}
 		f.originBusy = true
 		f.after(sendTime(simOriginRate), func() {
 			f.originBusy = false
@@ -241,15 +248,11 @@
 			f.pumpOrigin()
 		})
 	})
-	if f.now >= f.dark {
-		a.got(ask, -1, nil)
-		return
-	}
 	f.pumpOrigin()
 }
 
 func (f *fleetSim) pumpOrigin() {
-	if !f.originBusy && len(f.origin) > 0 && f.now < f.dark {
+	if !f.originBusy && len(f.origin) > 0 {
 		next := f.origin[0]
 		f.origin = f.origin[1:]
 		next()
@@ -287,3 +290,16 @@
 		}
 	}
 }
+
+func TestOriginThatComesBackIsNotAskedByAllAtOnce(t *testing.T) {
+	f := newFleetSim(map[string]int{"a": 9, "b": 9, "c": 9})
+	f.dark, f.back = 300*time.Millisecond, 6300*time.Millisecond
+	took := f.run(20*time.Second) - f.back
+	t.Logf("%v after the origin came back; it sent %d pieces", took, f.originSent)
+	if took > 4500*time.Millisecond {
+		t.Errorf("the transfer took %v once the origin was back", took)
+	}
+	if f.originSent > pieceCount*5/4 {
+		t.Errorf("the origin sent %d pieces of %d", f.originSent, pieceCount)
+	}
+}
--- a/version/pieces/store.go
+++ b/version/pieces/store.go
@@ -49,6 +49,9 @@
 	pace *rate.Limiter
 	// queue holds the requests that wait for a piece or for their turn.
 	queue queue
+	// news is sent to when another agent asks for a version that is not known
+	// here: its manifest can be had.
+	news chan struct{}
 }
 
 // NewStore returns an empty store that sends at most bytesPerSecond to other
@@ -60,7 +63,7 @@
 	}
 	return &Store{
 		sets: map[Key]*set{}, changed: make(chan struct{}),
-		pace: rate.NewLimiter(limit, sliceBytes),
+		pace: rate.NewLimiter(limit, sliceBytes), news: make(chan struct{}, 1),
 	}
 }
 
@@ -103,6 +106,9 @@
 	return n
 }
 
+// News receives when another agent asks for a version that is not known here.
+func (s *Store) News() <-chan struct{} { return s.news }
+
 // Manifest returns the manifest of a version; false where it is not known.
 func (s *Store) Manifest(k Key) (platform.Manifest, bool) {
 	s.mu.Lock()
