Streams that have begun get freed places first

Cause: a stream that goes on at another server after a failure was ranked as late, behind all new requests, with 400 ms for its next event; under load it was lost with what had been done for it.

--- a/request/forward/desk.go
+++ b/request/forward/desk.go
@@ -233,13 +233,14 @@
 	d.mu.Lock()
 	c := d.counter(j.service, now)
 	req := placement.Request{
-		Prompt: j.tokens.Prompt, Aim: j.eventAim(), WaitUntil: waitUntil, Late: j.late || now.Sub(j.start) > j.route.Aim, Priority: j.priority(), Avoid: j.tried,
+		Prompt: j.tokens.Prompt, Aim: j.eventAim(), WaitUntil: waitUntil, Late: j.late || now.Sub(j.start) > j.route.Aim,
+		Begun: j.events > 0, Priority: j.priority(), Avoid: j.tried,
 	}
 	if waitUntil.IsZero() {
 		req.WaitUntil = c.pool.UsefulUntil(j.start, req)
 		waitUntil = req.WaitUntil
 	}
-	if c.pool.Waiting() == 0 || !j.late {
+	if c.pool.Waiting() == 0 || !j.late || req.Begun {
 		if l := c.pool.Take(now, req); l != nil {
 			d.mu.Unlock()
 			return l, nil
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -254,6 +254,9 @@
 
 // before reports whether a is served before b.
 func before(a, b *Waiter) bool {
+	if a.Req.Begun != b.Req.Begun {
+		return a.Req.Begun
+	}
 	if a.Req.Late != b.Req.Late {
 		return b.Req.Late
 	}
--- a/request/placement/pool_test.go
+++ b/request/placement/pool_test.go
@@ -219,6 +219,25 @@
 	}
 }
 
+func TestBegunStreamsGetFreedPlacesFirst(t *testing.T) {
+	p := newPool(engines, servers(1, 1), 1)
+	l := p.Take(at(0), Request{})
+	var order []string
+	for name, req := range map[string]Request{
+		"new": {WaitUntil: at(300)}, "urgent": {WaitUntil: at(300), Priority: -1},
+		"begun": {WaitUntil: at(400), Begun: true, Late: true},
+	} {
+		w := &Waiter{Req: req, Grant: func(*Lease) { order = append(order, name) }}
+		if !p.Wait(at(0), w) {
+			t.Fatalf("%s was refused", name)
+		}
+	}
+	p.Done(at(1), l, Served)
+	if len(order) != 1 || order[0] != "begun" {
+		t.Errorf("the freed place went to %v", order)
+	}
+}
+
 func TestRequestThatCantBeServedInTimeIsRefusedAtOnce(t *testing.T) {
 	p := newPool(engines, servers(1, 2), 1)
 	now := at(0)
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -50,6 +50,9 @@
 	WaitUntil time.Time
 	// Late is set where the answer can't be on time any more.
 	Late bool
+	// Begun is set where the caller has a part of the answer: it goes before all
+	// others, as what was done for it would be lost.
+	Begun bool
 	// Priority ranks requests, 0 first.
 	Priority int
 	// Avoid lists the servers that were tried.
