--- a/process/directory/table.go
+++ b/process/directory/table.go
@@ -157,15 +157,19 @@
 	return all
 }
 
-// Sweep forgets servers that left, or were silent, for long.
-func (t *Table) Sweep(now time.Duration) {
+// Sweep forgets servers that left, or were silent, for long. It reports whether
+// there were any.
+func (t *Table) Sweep(now time.Duration) bool {
+	swept := false
 	for id, e := range t.servers {
 		if now-e.Heard < forgetGone {
 			continue
 		}
+		swept = true
 		delete(t.servers, id)
 		if t.holders[e.Address] == id {
 			delete(t.holders, e.Address)
 		}
 	}
+	return swept
 }
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -265,7 +265,8 @@
 	f.publish.Lock()
 	defer f.publish.Unlock()
 	f.mu.Lock()
-	changed := f.hearServers(news)
+	servers := f.hearServers(news)
+	changed := servers
 	if f.hearDesired(news) {
 		changed = true
 	}
@@ -277,7 +278,7 @@
 	}
 	var view *View
 	if changed {
-		view = f.build()
+		view = f.build(servers)
 	}
 	f.mu.Unlock()
 	f.show(view)
@@ -320,8 +321,7 @@
 			e.Heard = now
 		}
 	}
-	f.table.Sweep(now)
-	return changed
+	return f.table.Sweep(now) || changed
 }
 
 func (f *Follower) hearDesired(news wire.News) bool {
@@ -371,12 +371,18 @@
 	}
 }
 
-// build makes a view. The caller holds f.mu.
-func (f *Follower) build() *View {
+// build makes a view. Most news is about other things than servers, of which
+// there may be thousands: their lists are made anew only where they changed. The
+// caller holds f.publish and f.mu.
+func (f *Follower) build(servers bool) *View {
 	v := &View{
-		Config: f.config, Weights: maps.Clone(f.weights), Servers: map[string][]directory.Entry{},
+		Config: f.config, Weights: maps.Clone(f.weights), Servers: f.view.Load().Servers,
 		Demand: f.demand, Entries: f.entries, At: f.clock.Since(f.start),
 	}
+	if !servers {
+		return v
+	}
+	v.Servers = map[string][]directory.Entry{}
 	for _, e := range f.table.All() {
 		if e.State != directory.Gone && !f.table.Superseded(e) {
 			v.Servers[e.Service] = append(v.Servers[e.Service], *e)
@@ -437,7 +443,7 @@
 		return true
 	}
 	f.config = config
-	view := f.build()
+	view := f.build(false)
 	f.mu.Unlock()
 	f.log.Info("configuration in force", "version", config.Version, "routes", len(config.Routes), "accounts", len(config.Accounts))
 	f.show(view)
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -3,8 +3,9 @@
 //
 // A control process holds a Hub. It takes in heartbeats, passes changes on to
 // its followers and to the other control processes at once, and joins the mere
-// signs of life into one message a beat. Entries follow all control processes,
-// agents one. A follower keeps what it knows while no control process answers.
+// signs of life into one message each ten seconds. Entries follow all control
+// processes, agents one. A follower keeps what it knows while no control process
+// answers.
 //
 // Lock order: Hub.mu and Follower.mu are leaves. Messages are queued without
 // blocking, also while the lock is held, so that followers see changes in the
@@ -13,6 +14,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,9 +27,12 @@
 )
 
 const (
-	// BeatInterval is the pause between two calls of Hub.Beat: under half of the
-	// platform's pause between heartbeats.
+	// BeatInterval is the pause between two calls of Hub.Beat: the time in which
+	// entries follow a change of what callers ask.
 	BeatInterval = 500 * time.Millisecond
+	// AliveInterval is the pause between two messages about servers that are merely
+	// alive. Those that are not heard of are forgotten after a minute.
+	AliveInterval = 10 * time.Second
 	// settleTime is how long after the start news may be old: a replica first
 	// catches up on what it missed.
 	settleTime = 3 * time.Second
@@ -63,7 +68,10 @@
 	// since the last message.
 	alive   map[string]bool
 	relayed map[string]bool
-	state   desired.State
+	// aliveAt is when that was, controlsTold what was told of control processes.
+	aliveAt      time.Time
+	controlsTold []string
+	state        desired.State
 	// named holds when each model's versions were first seen; those are missing
 	// for which that may have been long after they were named.
 	named map[string]Named
@@ -272,15 +280,27 @@
 	return wire.Document{Version: h.state.ConfigVersion, Content: h.state.Content}
 }
 
-// Beat sends signs of life, the sum of demand and the control processes.
+// Beat sends the sum of demand, and from time to time signs of life and the
+// control processes; those at once when they changed.
 func (h *Hub) Beat() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.table.Sweep(h.now())
-	first := wire.News{Alive: ids(h.alive)}
-	relay := wire.News{Alive: append(ids(h.relayed), first.Alive...), Controls: h.controls()}
-	clear(h.alive)
-	clear(h.relayed)
+	var first, relay wire.News
+	controls := h.controls()
+	now := h.clock.Now()
+	due := now.Sub(h.aliveAt) >= AliveInterval
+	if due {
+		h.aliveAt = now
+		first.Alive = ids(h.alive)
+		relay.Alive = append(ids(h.relayed), first.Alive...)
+		clear(h.alive)
+		clear(h.relayed)
+	}
+	if due || !slices.Equal(controls, h.controlsTold) {
+		h.controlsTold = controls
+		relay.Controls = controls
+	}
 	if len(first.Alive) > 0 {
 		for _, c := range h.peers.Conns() {
 			_ = c.Notify(wire.KindNews, first)
@@ -292,7 +312,7 @@
 		switch {
 		case !f.relay:
 			_ = f.conn.Notify(wire.KindNews, entry)
-		case len(relay.Alive) > 0:
+		case len(relay.Alive)+len(relay.Controls) > 0:
 			_ = f.conn.Notify(wire.KindNews, relay)
 		}
 	}
