--- a/connection/mesh/mesh_test.go
+++ b/connection/mesh/mesh_test.go
@@ -100,3 +100,37 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+func TestGroupFollowsTheSetOfProcesses(t *testing.T) {
+	m, opened := start(t, nil)
+	g := m.NewGroup()
+	defer g.Close()
+	var addresses []string
+	for range 2 {
+		// The address is the name, and known only once it is listened on.
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		_, stop := serve(t, address, address)
+		t.Cleanup(stop)
+		addresses = append(addresses, address)
+	}
+	g.Set(t.Context(), addresses, nil)
+	links := map[string]*link.Conn{}
+	for range addresses {
+		c := await(t, opened)
+		links[c.Peer().Name] = c
+	}
+	g.Set(t.Context(), addresses[1:], nil)
+	select {
+	case <-links[addresses[0]].Done():
+	case <-time.After(testTimeout):
+		t.Error("the link to a process that was left out stays open")
+	}
+	if g.Keeps(addresses[0]) || !g.Keeps(addresses[1]) || m.Conn(addresses[1]) == nil {
+		t.Error("the group keeps the wrong processes")
+	}
+}
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,10 +51,9 @@
 	// entriesSeen is the highest number of entries that followed at once.
 	entriesSeen atomic.Int64
 
-	// mu guards kept, the control processes that are dialed, and seeds, the
-	// peer addresses of those that the settings name.
+	// mu guards seeds, the peer addresses of the control processes that the
+	// settings name.
 	mu    sync.Mutex
-	kept  map[string]context.CancelFunc
 	seeds []string
 }
 
@@ -67,7 +65,7 @@
 
 // New returns a control process that does nothing until Run.
 func New(set platform.Settings, b *base.Base) *Controller {
-	c := &Controller{Base: b, set: set, self: set.PeerAddress(set.IP), kept: map[string]context.CancelFunc{}, seeds: feed.PeerAddresses(&set), reopened: make(chan struct{}, 1)}
+	c := &Controller{Base: b, set: set, self: set.PeerAddress(set.IP), seeds: feed.PeerAddresses(&set), reopened: make(chan struct{}, 1)}
 	dialer := &link.Dialer{Auth: b.Auth, Self: c.hello, Handler: c, Stats: b.Stats, Client: base.LinkClient()}
 	c.mesh = mesh.New(mesh.Config{Opened: c.opened}, dialer, b.Log)
 	c.hub = feed.NewHub(b.Clock, b.Log, c.mesh, c.controls)
@@ -192,9 +190,11 @@
 func (c *Controller) runFeed(ctx context.Context) {
 	ticker := c.Clock.NewTicker(feed.BeatInterval)
 	defer ticker.Stop()
+	links := c.mesh.NewGroup()
+	defer links.Close()
 	var changed <-chan struct{}
 	for {
-		c.dialControls(ctx)
+		links.Set(ctx, c.wantedLinks(), c.patience)
 		if r := c.replica.Load(); r != nil {
 			var s desired.State
 			s, changed = r.machine.Current()
@@ -211,32 +211,22 @@
 	}
 }
 
-// dialControls keeps links to the seeds and the members, and leaves others.
-func (c *Controller) dialControls(ctx context.Context) {
+// wantedLinks returns the control processes to be linked to: the members, and the
+// seeds where there are no links.
+func (c *Controller) wantedLinks() []string {
 	wanted := c.controls()
 	if len(c.mesh.Conns()) == 0 {
 		wanted = append(wanted, c.currentSeeds()...)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, cancel := range c.kept {
-		if !slices.Contains(wanted, address) {
-			cancel()
-			delete(c.kept, address)
-		}
-	}
-	for _, address := range wanted {
-		if address == c.self || c.kept[address] != nil {
-			continue
-		}
-		linkCtx, cancel := context.WithCancel(ctx)
-		c.kept[address] = cancel
-		patience := time.Duration(0)
-		if strings.Compare(c.self, address) > 0 {
-			patience = dialPatience
-		}
-		go c.mesh.Keep(linkCtx, address, address, patience)
+	return slices.DeleteFunc(wanted, func(address string) bool { return address == c.self })
+}
+
+// patience lets the process whose address sorts first dial.
+func (c *Controller) patience(address string) time.Duration {
+	if c.self > address {
+		return dialPatience
 	}
+	return 0
 }
 
 func (c *Controller) linkMux() http.Handler {
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -134,11 +134,10 @@
 
 // Run keeps the links and the configuration until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	kept := map[string]context.CancelFunc{}
-	var wg sync.WaitGroup
-	defer wg.Wait()
+	links := f.mesh.NewGroup()
+	defer links.Close()
 	for ctx.Err() == nil {
-		f.reconcile(ctx, kept, &wg)
+		links.Set(ctx, f.targets(links), nil)
 		pause := time.Second
 		if !f.fetchDocument(ctx) {
 			pause = retryPause
@@ -149,34 +148,12 @@
 		case <-f.clock.After(pause):
 		}
 	}
-	for _, cancel := range kept {
-		cancel()
-	}
-}
-
-// reconcile dials the control processes that are wanted and leaves the others.
-func (f *Follower) reconcile(ctx context.Context, kept map[string]context.CancelFunc, wg *sync.WaitGroup) {
-	wanted := f.targets(kept)
-	for address, cancel := range kept {
-		if !slices.Contains(wanted, address) {
-			cancel()
-			delete(kept, address)
-		}
-	}
-	for _, address := range wanted {
-		if kept[address] != nil {
-			continue
-		}
-		linkCtx, cancel := context.WithCancel(ctx)
-		kept[address] = cancel
-		wg.Go(func() { f.mesh.Keep(linkCtx, address, address, 0) })
-	}
 }
 
 // targets returns the addresses to link to. A relaying follower stays with a
 // link that works, to a control process that is not behind, and tries all others
 // where it has none.
-func (f *Follower) targets(kept map[string]context.CancelFunc) []string {
+func (f *Follower) targets(links *mesh.Group) []string {
 	all := f.preferred()
 	if !f.cfg.Relay {
 		return all[:min(len(all), maxLinks)]
@@ -185,7 +162,7 @@
 		all = current
 	}
 	for _, address := range all {
-		if kept[address] != nil && f.mesh.Conn(address) != nil {
+		if links.Keeps(address) && f.mesh.Conn(address) != nil {
 			return []string{address}
 		}
 	}
