Agents announce engines that no control process knows; readiness does not wait for a timer

And an entry counted as linked only with the next half second. An agent that finds its engine missing from the directory now asks it for its id by one health check, which it passes only while it does not leave, and tells a control process; what the engine says itself always counts as later. Ruled out: the configuration, the links. TestEngineIsDescribedAsItWouldItself, TestFollowersHearOfServersConfigurationsAndVersions.

--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -37,6 +37,7 @@
 	KindDocument  Kind = 22 // follower to control: DocumentQuery, answered by Document
 	KindDemand    Kind = 23 // entry to control: Demand
 	KindEngine    Kind = 24 // agent to control: EngineState
+	KindServer    Kind = 25 // agent to control: directory.Server
 )
 
 // Envelope frames every message. ID joins a call with its reply; a
--- a/process/controller/controller_test.go
+++ b/process/controller/controller_test.go
@@ -207,6 +207,25 @@
 		v := follower.View()
 		return v.Config != nil && v.Config.Version == 3 && v.Weights["m"].Newest() == 4 && len(v.Servers["s"]) == 1
 	})
+	agent := &link.Dialer{Auth: link.Authenticator{Open: true}, Handler: newsOf{}, Self: func() wire.Hello {
+		return wire.Hello{Name: "agent-1", Role: wire.RoleAgent}
+	}}
+	c, err := agent.Dial(t.Context(), set.PeerAddress(ip(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for id, born := range map[string]int64{"i-1": 8, "i-3": 1} {
+		announced := directory.Server{ID: id, Service: "s", Address: "10.0.0." + id[2:] + ":1", State: directory.Ready, Born: born}
+		if err := c.Notify(wire.KindServer, announced); err != nil {
+			t.Fatal(err)
+		}
+	}
+	await(t, "the announced server", func() bool { return len(follower.View().Servers["s"]) == 2 })
+	if first := follower.View().Servers["s"][0]; first.ID != "i-1" || first.Born != 9 {
+		t.Errorf("an announcement replaced what the server said later: %+v", first)
+	}
+	until(t, 1, http.MethodPost, platform.PathLeave+"i-3", "", http.StatusOK)
 	if status, _ := call(t, 0, http.MethodPost, platform.PathHeartbeat+"i-2", `{"service":"s"`); status != http.StatusBadRequest {
 		t.Errorf("an unreadable heartbeat has status %d", status)
 	}
--- a/process/controller/links.go
+++ b/process/controller/links.go
@@ -7,6 +7,7 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
@@ -51,6 +52,11 @@
 		if c.decode(l, kind, body, &state) {
 			c.hub.Engine(state)
 		}
+	case kind == wire.KindServer && l.Peer().Role == wire.RoleAgent:
+		var server directory.Server
+		if c.decode(l, kind, body, &server) && server.ID != "" {
+			c.hub.Hear(server)
+		}
 	case kind == wire.KindDemand:
 		var demand wire.Demand
 		if c.decode(l, kind, body, &demand) {
--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -88,7 +88,7 @@
 		return result.New(result.Draining, "stopping")
 	case f.follower.View().Config == nil:
 		return result.New(result.NotFound, "no configuration is known yet")
-	case f.Clock.Now().UnixNano()-f.linked.Load() > int64(cutOffAfter):
+	case f.follower.Links() == 0 && f.Clock.Now().UnixNano()-f.linked.Load() > int64(cutOffAfter):
 		return result.New(result.CutOff, "no control process is linked")
 	default:
 		return nil
--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -52,6 +52,9 @@
 	// that the engine was last told to load.
 	shared  pieces.Key
 	ordered pieces.Key
+	// announced is set once it was found out whether the control processes know
+	// the engine.
+	announced bool
 
 	// mu guards the state that the dump shows or that transfers look at.
 	mu     sync.Mutex
@@ -185,6 +188,7 @@
 			return true
 		}
 		k.noteHeld(model, report)
+		k.announce(ctx, view, report)
 		if holds(report, newest) {
 			k.note(newest, report, "held")
 			k.share(ctx, view, newest)
@@ -283,6 +287,12 @@
 
 // call calls the engine on this VM and returns the body of a success.
 func (k *keeper) call(ctx context.Context, method, target string, body []byte) ([]byte, error) {
+	data, _, err := k.exchange(ctx, method, target, body)
+	return data, err
+}
+
+// exchange is call with the answer's headers.
+func (k *keeper) exchange(ctx context.Context, method, target string, body []byte) ([]byte, http.Header, error) {
 	by := time.Now().Add(engineLimit)
 	req := &backend.Request{Method: method, Target: target, Host: k.s.set.BackendAddress, Body: body, HeadBy: by}
 	if body != nil {
@@ -294,17 +304,17 @@
 	}
 	ex, err := k.s.client.Do(ctx, k.s.set.BackendAddress, req)
 	if err != nil {
-		return nil, result.New(result.EngineUnreadable, "%s %s: %v", method, target, err)
+		return nil, nil, result.New(result.EngineUnreadable, "%s %s: %v", method, target, err)
 	}
 	defer ex.Close()
 	ex.ReadBy(by)
 	data, err := io.ReadAll(ex)
 	switch {
 	case err != nil:
-		return nil, result.New(result.EngineUnreadable, "%s %s: %v", method, target, err)
+		return nil, nil, result.New(result.EngineUnreadable, "%s %s: %v", method, target, err)
 	case ex.Status >= 300:
-		return nil, result.New(result.EngineRefused, "%s %s: status %d: %.100s", method, target, ex.Status, data)
+		return nil, nil, result.New(result.EngineRefused, "%s %s: status %d: %.100s", method, target, ex.Status, data)
 	default:
-		return data, nil
+		return data, ex.Header, nil
 	}
 }
