--- a/version/pieces/fetch_test.go
+++ b/version/pieces/fetch_test.go
@@ -242,3 +242,30 @@
 		t.Errorf("the origin sent %d pieces of %d", n, testPieces)
 	}
 }
+
+func TestUnreadableRequestsForPiecesAreRefused(t *testing.T) {
+	s := NewStore(0)
+	s.Begin(platform.Manifest{Model: "m", Version: 2, Digests: [][32]byte{sha256.Sum256(content(0))}})
+	s.Put(Key{"m", 2}, 0, content(0))
+	for target, want := range map[string]int{
+		Prefix + "m/2/any?of=01": http.StatusOK,
+		Prefix + "m/2/any?of=":   http.StatusNotFound,
+		Prefix + "m/2/any":       http.StatusNotFound,
+		Prefix + "m/2/any?of=zz": http.StatusBadRequest,
+		Prefix + "m/2/any?of=" + strings.Repeat("ff", maxWanted):    http.StatusOK,
+		Prefix + "m/2/any?of=" + strings.Repeat("f", 2*maxWanted+2): http.StatusBadRequest,
+		Prefix + "m/2/any?of=0000000000000080":                      http.StatusNotFound,
+		Prefix + "m/x/any?of=01":                                    http.StatusNotFound,
+		Prefix + "m/2":                                              http.StatusNotFound,
+		Prefix + "m/9/any?of=01":                                    http.StatusNotFound,
+	} {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, target, nil))
+		if w.Code != want {
+			t.Errorf("%.60s: status %d, want %d", target, w.Code, want)
+		}
+	}
+	if s.queue.sending != 0 || len(s.queue.waiting) != 0 {
+		t.Errorf("%d sends and %d requests are left", s.queue.sending, len(s.queue.waiting))
+	}
+}
