Bodies of a known length are read into memory of their size

Cause: pieces that agents keep lay in slices of up to twice their size, and each read of staged pieces grew a buffer from 512 bytes.

--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -82,6 +82,8 @@
 
 var errOverdue = errors.New("the connection was opened too late for the request")
 
+var errBodyTooLong = errors.New("the body is too long")
+
 var errForeignAnswer = errors.New("the answer belongs to another request")
 
 const (
@@ -294,6 +296,23 @@
 	return n, err
 }
 
+// ReadAll reads the body, of at most so many bytes, to its end.
+func (ex *Exchange) ReadAll(most int64) ([]byte, error) {
+	if ex.Length > most {
+		return nil, errBodyTooLong
+	}
+	if ex.Length >= 0 {
+		body := make([]byte, ex.Length)
+		_, err := io.ReadFull(ex, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(ex, most+1))
+	if err == nil && int64(len(body)) > most {
+		err = errBodyTooLong
+	}
+	return body, err
+}
+
 // frameBytes is what the end of one chunk and the line of the next take.
 const frameBytes = 8
 
--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -29,6 +28,8 @@
 	// maxBusyPause is what busyPause grows to, by random steps, so that a fleet
 	// does not try again in step.
 	maxBusyPause = 300 * time.Millisecond
+	// maxEngineBody bounds what is read of an engine's answer, a piece at most.
+	maxEngineBody = 16 << 20
 	// engineLimit bounds a call to the engine on the same VM.
 	engineLimit = 1500 * time.Millisecond
 	// fetchLimit bounds one round of fetching, after which plans are made anew.
@@ -308,7 +309,7 @@
 	}
 	defer ex.Close()
 	ex.ReadBy(by)
-	data, err := io.ReadAll(ex)
+	data, err := ex.ReadAll(maxEngineBody)
 	switch {
 	case err != nil:
 		return nil, nil, result.New(result.EngineUnreadable, "%s %s: %v", method, target, err)
--- a/request/forward/plain.go
+++ b/request/forward/plain.go
@@ -102,17 +102,11 @@
 	if t.ex.Length > maxBuffered {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(t.ex, maxBuffered+1))
-	if err != nil || len(body) > maxBuffered {
-		if err == nil {
-			err = errors.New("the answer does not tell its length and is too long")
-		}
+	body, err := t.ex.ReadAll(maxBuffered)
+	if err != nil {
 		t.err, t.verdict, t.outcome = err, unknown, placement.Failed
 		return nil
 	}
-	if body == nil {
-		body = []byte{}
-	}
 	return body
 }
 
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -406,12 +406,15 @@
 	}
 	defer ex.Close()
 	head := f.Clock.Now()
-	var data []byte
+	// Pieces are kept: their memory is of their size.
+	data := make([]byte, 0, min(max(ex.Length, readSize), maxPiece))
 	for {
 		ex.ReadBy(time.Now().Add(stallLimit))
 		n := len(data)
-		data = slices.Grow(data, readSize)[:n+readSize]
-		got, err := ex.Read(data[n:])
+		if n == cap(data) {
+			data = slices.Grow(data, readSize)
+		}
+		got, err := ex.Read(data[n:cap(data)])
 		data = data[:n+got]
 		switch {
 		case err == io.EOF && ex.Status == http.StatusOK: //nolint:errorlint // Read returns io.EOF itself
