A version that is sought is not given up at once; the origin is left to its region

A manifest is now sought for 1.8 s, an agent that does not answer for one loses its turn after 0.8 s instead of 1.4, and a version that is overtaken is loaded at once. TestTransferStallsWhenNothingComes, TestVersionThatIsOvertaken- IsLoadedAtOnce, TestAgentsOfOtherRegionsTurnToTheOriginWhereItsRegionHasFailed; the simulation of the origin's return now covers it (222 pieces with the first form).

--- a/process/sidecar/bring.go
+++ b/process/sidecar/bring.go
@@ -53,7 +53,7 @@
 	}
 	slices.Sort(names)
 	o := k.outlook(view, key.Model)
-	at := o.loadAt(max(slices.Index(names, k.s.set.IP), 0), len(names))
+	at := o.loadAt(key.Version, max(slices.Index(names, k.s.set.IP), 0), len(names))
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
@@ -67,7 +67,6 @@
 func (k *keeper) watch(ctx context.Context, cancel context.CancelFunc, key pieces.Key) (stop func()) {
 	done := make(chan struct{})
 	go func() {
-		missing, since := -1, k.s.Clock.Now()
 		for {
 			select {
 			case <-done:
@@ -76,15 +75,11 @@
 				return
 			case <-k.s.Clock.After(busyPause):
 			}
-			now := k.s.Clock.Now()
-			if n := k.missing(key); n != missing || n == 0 {
-				missing, since = n, now
-			}
 			versions := k.versions(k.s.follower.View(), key.Model)
-			stalled := len(versions) > 1 && now.Sub(since) >= stallAfter
+			stalled := k.stalled(key, k.s.Clock.Now()) && len(versions) > 1
 			if stalled || len(versions) > 0 && k.chosen(key.Model, versions) != key {
 				k.s.Log.Info("transfer given up for another version", "model", key.Model, "version", key.Version,
-					"missing", missing, "stalled", stalled, "versions", versions)
+					"missing", k.missing(key), "stalled", stalled, "versions", versions)
 				cancel()
 				return
 			}
--- a/process/sidecar/choose.go
+++ b/process/sidecar/choose.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// worthLoading is for how long a version that is not the newest must be of use
-	// to be loaded: some times the second or two in which an engine ends its work
-	// and loads.
+	// worthLoading is for how long a version that is not the newest must be usable
+	// to be loaded: endMargin, the one or two seconds in which an engine ends its
+	// work and loads, and some of service.
 	worthLoading = 4 * time.Second
 	// spreadTime is the time that pieces take from agent to agent after they have
 	// left the origin, measured on the platform's narrow links.
@@ -85,14 +85,51 @@
 // loadAt returns when an engine loads a version that is here: the agents, of
 // which this is the place-th of count, use the time that is left for it one after
 // the other, so that the others serve meanwhile.
-func (o *outlook) loadAt(place, count int) time.Time {
+//
+// A version that is not the newest is of use for a short time only: it is loaded
+// at once.
+func (o *outlook) loadAt(version, place, count int) time.Time {
 	left := o.end().Sub(o.now)
-	if o.held == 0 || left <= 0 || count == 0 {
+	if o.held == 0 || left <= 0 || count == 0 || version < o.named.Newest() {
 		return o.now
 	}
 	return o.now.Add(min(left, maxSpread) * time.Duration(place) / time.Duration(count))
 }
 
+const (
+	// stallAfter is how long a transfer may bring nothing before another version is
+	// tried: a request that is not answered.
+	stallAfter = 900 * time.Millisecond
+	// seekFor is the same for a manifest: two requests that are not answered, and
+	// the pauses between.
+	seekFor = 1800 * time.Millisecond
+)
+
+// progress tells whether a transfer stalls.
+type progress struct {
+	key pieces.Key
+	// missing is the number of pieces that lacked last, -1 before the manifest was
+	// known, and since when that was so.
+	missing int
+	since   time.Time
+}
+
+// note takes in how many pieces of a version are missing now.
+func (p *progress) note(key pieces.Key, missing int, now time.Time) {
+	if key != p.key || missing != p.missing || missing == 0 {
+		*p = progress{key: key, missing: missing, since: now}
+	}
+}
+
+// stalled reports whether the transfer has brought nothing for too long.
+func (p *progress) stalled(now time.Time) bool {
+	limit := stallAfter
+	if p.missing < 0 {
+		limit = seekFor
+	}
+	return now.Sub(p.since) >= limit
+}
+
 // stalls holds when the transfer of a version last came to a stop.
 type stalls map[pieces.Key]time.Time
 
--- a/process/sidecar/choose_test.go
+++ b/process/sidecar/choose_test.go
@@ -76,7 +76,7 @@
 	o := &outlook{named: namedAt(0), held: 1, now: start.Add(3 * time.Second), bound: testBound, exit: testExit}
 	var at []time.Time
 	for place := range count {
-		at = append(at, o.loadAt(place, count))
+		at = append(at, o.loadAt(2, place, count))
 	}
 	if last := at[count-1]; last.After(o.end()) {
 		t.Errorf("the last engine loads at %v, its weights end at %v", last, o.end())
@@ -96,11 +96,42 @@
 
 func TestEngineWithoutWeightsLoadsAtOnce(t *testing.T) {
 	o := &outlook{named: namedAt(0), held: 0, now: start, bound: testBound, exit: testExit}
-	if at := o.loadAt(19, 20); !at.Equal(start) {
+	if at := o.loadAt(2, 19, 20); !at.Equal(start) {
 		t.Errorf("it loads %v later", at.Sub(start))
 	}
 	late := &outlook{named: namedAt(0), held: 1, now: start.Add(testBound), bound: testBound, exit: testExit}
-	if at := late.loadAt(19, 20); !at.Equal(late.now) {
+	if at := late.loadAt(2, 19, 20); !at.Equal(late.now) {
 		t.Errorf("past the end of its weights it loads %v later", at.Sub(late.now))
 	}
 }
+
+func TestVersionThatIsOvertakenIsLoadedAtOnce(t *testing.T) {
+	o := &outlook{named: namedAt(0, 2), held: 1, now: start.Add(4 * time.Second), bound: testBound, exit: testExit}
+	if at := o.loadAt(2, 19, 20); !at.Equal(o.now) {
+		t.Errorf("it loads %v later", at.Sub(o.now))
+	}
+}
+
+func TestTransferStallsWhenNothingComes(t *testing.T) {
+	k := pieces.Key{Model: "m", Version: 2}
+	var p progress
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for _, step := range []struct {
+		ms, missing int
+		want        bool
+	}{
+		{0, -1, false}, {1000, -1, false}, {1900, -1, true}, // the manifest is sought for a while
+		{2000, 64, false}, {2800, 64, false}, {2950, 64, true},
+		{3000, 63, false}, {3800, 60, false}, {4750, 60, true},
+		{5000, 0, false}, {9000, 0, false}, // nothing is missing: it waits to be loaded
+	} {
+		p.note(k, step.missing, at(step.ms))
+		if got := p.stalled(at(step.ms)); got != step.want {
+			t.Errorf("at %d ms with %d missing: stalled %v", step.ms, step.missing, got)
+		}
+	}
+	p.note(pieces.Key{Model: "m", Version: 3}, -1, at(9100))
+	if p.stalled(at(9200)) {
+		t.Error("another version counts as stalled at once")
+	}
+}
--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -34,9 +34,6 @@
 	engineLimit = 1500 * time.Millisecond
 	// fetchLimit bounds one round of fetching, after which plans are made anew.
 	fetchLimit = 10 * time.Second
-	// stallAfter is how long a transfer may bring nothing before another version
-	// is tried: a request that is not answered.
-	stallAfter = 900 * time.Millisecond
 	// idleLooks bounds the looks, one each busyPause, at an engine that carries
 	// out another order: the end of its longest requests, and the load.
 	idleLooks = 40
@@ -58,12 +55,13 @@
 	announced bool
 
 	// mu guards the state that the dump shows or that transfers look at.
-	mu     sync.Mutex
-	held   map[string]int
-	stalls stalls
-	report platform.EngineReport
-	target pieces.Key
-	step   string
+	mu       sync.Mutex
+	held     map[string]int
+	stalls   stalls
+	progress progress
+	report   platform.EngineReport
+	target   pieces.Key
+	step     string
 }
 
 func newKeeper(s *Sidecar) *keeper {
@@ -202,19 +200,35 @@
 			continue
 		}
 		if err := k.bring(ctx, view, key); err != nil && ctx.Err() == nil {
-			k.noteStall(key)
+			k.noteFailure(key)
 			k.s.Log.Warn("weights not brought", "model", key.Model, "version", key.Version, "code", int(result.CodeOf(err)), "error", err)
 		}
 	}
 	return settled
 }
 
-// noteStall takes in that a transfer came to a stop.
-func (k *keeper) noteStall(key pieces.Key) {
+// noteFailure takes in that a version was not brought. Where its manifest is not
+// known yet, it is sought for a while before another version has its turn.
+func (k *keeper) noteFailure(key pieces.Key) {
 	versions := k.versions(k.s.follower.View(), key.Model)
+	missing := k.missing(key)
+	now := k.s.Clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.stalls.note(key, k.s.Clock.Now(), versions)
+	k.progress.note(key, missing, now)
+	if missing >= 0 || k.progress.stalled(now) {
+		k.stalls.note(key, now, versions)
+	}
+}
+
+// stalled takes in what is missing of a version and reports whether its transfer
+// stalls.
+func (k *keeper) stalled(key pieces.Key, now time.Time) bool {
+	missing := k.missing(key)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.progress.note(key, missing, now)
+	return k.progress.stalled(now)
 }
 
 // noteHeld takes in which version the engine holds and tells the control
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -31,9 +31,11 @@
 	stallLimit = 1500 * time.Millisecond
 	// readSize is how much is read at once.
 	readSize = 8 << 10
-	// manifestLimit bounds a request for a manifest, which is short, where it is
-	// not waited for.
-	manifestLimit = 800 * time.Millisecond
+	// manifestLimit bounds a request for a manifest, which is short, beyond the
+	// time in which the other agent waits for it.
+	manifestLimit = 300 * time.Millisecond
+	// originManifestLimit is the same for the origin, whose link may be busy.
+	originManifestLimit = 800 * time.Millisecond
 	// manifestPiece is the piece whose sources are those of the manifest.
 	manifestPiece = 0
 	// avoidFor is how long an agent that failed is not asked.
@@ -178,7 +180,7 @@
 // fetch of it ended, and when that began.
 func (f *Fetcher) scheduleOf(o *Order) (*schedule, time.Time) {
 	m, _ := f.Store.Manifest(o.Key)
-	asks := f.originAsks(o, f.currentPlan(o))
+	asks := f.currentPlan(o).originAsks(o.OriginConns)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.sched == nil || f.schedFor != o.Key {
@@ -227,7 +229,7 @@
 
 func (f *Fetcher) manifestFrom(ctx context.Context, o *Order, step Step) (platform.Manifest, error) {
 	if step.From == Origin {
-		data, _, _, err := f.get(ctx, o.Origin, manifestLimit, platform.ManifestPath(o.Key.Model, o.Key.Version))
+		data, _, _, err := f.get(ctx, o.Origin, originManifestLimit, platform.ManifestPath(o.Key.Model, o.Key.Version))
 		if err != nil {
 			return platform.Manifest{}, err
 		}
@@ -235,7 +237,7 @@
 	}
 	target, limit := path(o.Key, manifestName), manifestLimit
 	if step.Wait {
-		target, limit = target+"?"+waitQuery, attemptLimit
+		target, limit = target+"?"+waitQuery, holdFor+manifestLimit
 	}
 	data, _, _, err := f.get(ctx, o.Peers[step.From], limit, target)
 	if err != nil {
@@ -252,15 +254,6 @@
 	return nil
 }
 
-// originAsks returns how many requests to the origin are under way at once: half
-// of its connections are shared by the agents of its region.
-func (f *Fetcher) originAsks(o *Order, plan *Plan) int {
-	if o.OriginConns <= 0 {
-		return originAsks
-	}
-	return max(1, min(originAsks, o.OriginConns/2/max(plan.homeAgents(), 1)))
-}
-
 // ask makes a request and reports whether it brought a piece, and the time from
 // its first to its last byte.
 func (f *Fetcher) ask(ctx context.Context, o *Order, a *Ask) (got bool, took time.Duration) {
--- a/version/pieces/plan.go
+++ b/version/pieces/plan.go
@@ -22,6 +22,8 @@
 	Holder bool
 	// Wait asks the agent to answer once it has the piece: it is in charge.
 	Wait bool
+	// Paced is set where After is the turn of the piece at the origin.
+	Paced bool
 	// After is how long the piece must have been tried for before this source is
 	// asked.
 	After time.Duration
@@ -38,8 +40,9 @@
 	// to the origin before the piece has spread from there. It takes 45 ms to
 	// cross the platform's narrow links, and some agents wait for each.
 	perRank = 700 * time.Millisecond
-	// crossing is how much longer a piece may take into another region.
-	crossing = 1500 * time.Millisecond
+	// crossing is how much later agents of other regions turn to the origin. While
+	// those of its region answer, what they lack is theirs to bring.
+	crossing = 4 * time.Second
 	// originLead is how many pieces are under way from the origin at once. All that
 	// are asked for share its link, and none would be whole before all nearly are.
 	originLead = 6
@@ -179,9 +182,18 @@
 		return each(turned(p.far, piece), false)
 	}
 	if p.self.Region == p.home {
-		return []Step{{From: Origin, After: max(0, time.Duration(piece-originLead)*p.pieceTime)}}
+		return []Step{p.fromOrigin(piece)}
 	}
-	return each(p.inCharge(p.home, piece, failed)[:1], true)
+	if home := p.inCharge(p.home, piece, failed)[:1]; !failed(home[0]) {
+		return each(home, true)
+	}
+	// All agents of the origin's region have failed.
+	return []Step{p.fromOrigin(piece)}
+}
+
+// fromOrigin returns the step that takes a piece from the origin, in its turn.
+func (p *Plan) fromOrigin(piece int) Step {
+	return Step{From: Origin, Paced: true, After: max(0, time.Duration(piece-originLead)*p.pieceTime)}
 }
 
 func each(names []string, wait bool) []Step {
@@ -208,8 +220,19 @@
 	return name != Origin && !slices.Contains(p.arr.Fetchers(p.self.Region), name)
 }
 
-// homeAgents counts the agents of the origin's region.
-func (p *Plan) homeAgents() int { return len(p.arr.Fetchers(p.home)) }
+// originAsks returns how many requests to an origin that takes so many
+// connections, 0 is not known, the agent has under way at once: half of them are
+// shared by the agents of its region, others turn to it where all else fails.
+func (p *Plan) originAsks(conns int) int {
+	switch {
+	case p.self.Region != p.home:
+		return 1
+	case conns <= 0:
+		return originAsks
+	default:
+		return max(1, min(originAsks, conns/2/max(len(p.arr.Fetchers(p.home)), 1)))
+	}
+}
 
 func without(names []string, name string) []string {
 	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
--- a/version/pieces/plan_test.go
+++ b/version/pieces/plan_test.go
@@ -135,3 +135,23 @@
 		t.Errorf("asked first: %v", first)
 	}
 }
+
+func TestAgentsOfOtherRegionsTurnToTheOriginWhereItsRegionHasFailed(t *testing.T) {
+	nodes := fleet(map[string]int{"a": 3, "b": 3, "c": 2})
+	gone := Known{Failed: func(name string) bool { return name[0] == 'a' }, Has: sound.Has}
+	origin := map[string]int{}
+	for _, self := range nodes {
+		if gone.Failed(self.Name) {
+			continue
+		}
+		plan := NewPlan(self, nodes, "a", Key{"m", 2}, nil, 0, pieceCount)
+		for piece := range pieceCount {
+			if plan.Steps(piece, gone)[0].From == Origin {
+				origin[self.Region]++
+			}
+		}
+	}
+	if origin["b"] != pieceCount || origin["c"] != pieceCount {
+		t.Errorf("pieces sought at the origin first, by region: %v", origin)
+	}
+}
--- a/version/pieces/schedule.go
+++ b/version/pieces/schedule.go
@@ -22,6 +22,9 @@
 	// origin, over links that are not narrowed: by the simulation 1.5 s with eight
 	// agents in a region, 0.9 to 1.3 s with more and a slower origin.
 	spread = 1500 * time.Millisecond
+	// resumeGap is how long no piece came when a transfer is taken to begin anew:
+	// some times the pause between two.
+	resumeGap = time.Second
 	// silentAfter is how long an agent may leave a request without an answer
 	// before the next in the order takes its place: a little longer than it waits.
 	silentAfter = holdFor + 250*time.Millisecond
@@ -60,6 +63,8 @@
 	// set while it gives nothing.
 	since time.Duration
 	dark  bool
+	// lastGot is when the last piece came, resumed when one came after long.
+	lastGot, resumed time.Duration
 }
 
 func newSchedule(pieces, originAsks int) *schedule {
@@ -73,7 +78,7 @@
 	}
 	known = s.withUnfit(now, known)
 	// What is late is asked for piece by piece, of as many agents as have it.
-	single := now >= s.since+plan.exit+spread
+	single := now >= max(s.since, s.resumed)+plan.exit+spread
 	var ask *Ask
 	for _, piece := range plan.Order(missing) {
 		if s.asked(now, piece) {
@@ -131,8 +136,8 @@
 	for _, step := range plan.Steps(piece, known) {
 		held = held || step.Holder && !known.Failed(step.From)
 		switch {
-		case now < s.since+step.After || step.From != Origin && known.Failed(step.From) || s.busy(now, step.From):
-		case held && step.After > 0 && now < s.since+step.After+spread:
+		case now < s.due(step) || step.From != Origin && known.Failed(step.From) || s.busy(now, step.From):
+		case held && step.After > 0 && now < s.due(step)+spread:
 			// A holder is busy; it comes from there unless its link is narrow.
 			return Step{}, false
 		default:
@@ -142,6 +147,14 @@
 	return Step{}, false
 }
 
+// due returns from when on a source may be asked.
+func (s *schedule) due(step Step) time.Duration {
+	if step.Paced || step.After == 0 {
+		return s.since + step.After
+	}
+	return max(s.since, s.resumed) + step.After
+}
+
 func (s *schedule) busy(now time.Duration, from string) bool {
 	if now < s.rests[from] {
 		return true
@@ -172,6 +185,18 @@
 	if a.From == Origin && (!got || s.dark) {
 		s.since, s.dark = now, !got
 	}
+	if got {
+		gap := resumeGap
+		if s.lastGot == 0 {
+			// The first may take as long as the version takes to leave the origin.
+			gap = usualExit
+		}
+		if now-s.lastGot > gap {
+			// The origin gives again, to others.
+			s.resumed = now
+		}
+		s.lastGot = now
+	}
 	if got {
 		s.failures[a.From] = 0
 		return
--- a/version/pieces/sim_test.go
+++ b/version/pieces/sim_test.go
@@ -95,9 +95,9 @@
 	nodes := fleet(perRegion)
 	for _, n := range nodes {
 		exit := pieceCount * (sendTime(originRate) - simLatency)
+		plan := NewPlan(n, nodes, "a", Key{"m", 2}, nil, exit, pieceCount)
 		f.agents[n.Name] = &agentSim{
-			name: n.Name, fleet: f, plan: NewPlan(n, nodes, "a", Key{"m", 2}, nil, exit, pieceCount),
-			schedule: newSchedule(pieceCount, originAsks), frozen: never, rate: simAgentRate,
+			name: n.Name, fleet: f, plan: plan, schedule: newSchedule(pieceCount, plan.originAsks(0)), frozen: never, rate: simAgentRate,
 			store: &set{pieces: make([][]byte, pieceCount), given: make([]int, pieceCount)},
 			known: map[string]planner.Bits{}, took: timings{}, failed: map[string]time.Duration{},
 		}
