--- a/process/sidecar/bring.go
+++ b/process/sidecar/bring.go
@@ -88,8 +88,8 @@
 	return func() { close(done) }
 }
 
-// missing counts the pieces that are not held, all of them before the manifest
-// is known.
+// missing counts the pieces that are not held; it is -1 before the manifest is
+// known.
 func (k *keeper) missing(key pieces.Key) int {
 	if _, known := k.s.store.Manifest(key); !known {
 		return -1
--- a/process/sidecar/choose_test.go
+++ b/process/sidecar/choose_test.go
@@ -120,10 +120,17 @@
 		ms, missing int
 		want        bool
 	}{
-		{0, -1, false}, {1000, -1, false}, {1900, -1, true}, // the manifest is sought for a while
-		{2000, 64, false}, {2800, 64, false}, {2950, 64, true},
-		{3000, 63, false}, {3800, 60, false}, {4750, 60, true},
-		{5000, 0, false}, {9000, 0, false}, // nothing is missing: it waits to be loaded
+		{0, -1, false},
+		{1000, -1, false},
+		{1900, -1, true}, // the manifest is sought for a while
+		{2000, 64, false},
+		{2800, 64, false},
+		{2950, 64, true},
+		{3000, 63, false},
+		{3800, 60, false},
+		{4750, 60, true},
+		{5000, 0, false},
+		{9000, 0, false}, // nothing is missing: it waits to be loaded
 	} {
 		p.note(k, step.missing, at(step.ms))
 		if got := p.stalled(at(step.ms)); got != step.want {
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -97,8 +97,8 @@
 	Holders map[string]bool
 }
 
-// currentPlan returns the plan for an order; a new one only where the agents or
-// what they hold have changed.
+// currentPlan returns the plan for an order; a new one only where the agents,
+// what they hold, or the origin have changed.
 func (f *Fetcher) currentPlan(o *Order) *Plan {
 	names := make([]string, 0, len(o.Nodes))
 	for _, n := range o.Nodes {
@@ -109,7 +109,7 @@
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	key := fmt.Sprint(o.Key, o.Home, names)
+	key := fmt.Sprint(o.Key, o.Home, o.OriginTime, o.Pieces, names)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.planFor != key {
--- a/version/pieces/schedule.go
+++ b/version/pieces/schedule.go
@@ -68,7 +68,10 @@
 }
 
 func newSchedule(pieces, originAsks int) *schedule {
-	return &schedule{pieces: pieces, open: map[*Ask]bool{}, rests: map[string]time.Duration{}, failures: map[string]int{}, took: timings{}, originAsks: originAsks}
+	return &schedule{
+		pieces: pieces, originAsks: originAsks,
+		open: map[*Ask]bool{}, rests: map[string]time.Duration{}, failures: map[string]int{}, took: timings{},
+	}
 }
 
 // next returns the request to make now, or nil. done must be called for each.
@@ -179,28 +182,31 @@
 // the time from the first to the last byte of a piece.
 func (s *schedule) done(now time.Duration, a *Ask, got bool, took time.Duration) {
 	delete(s.open, a)
-	if got && a.From != Origin {
-		s.took[a.From] = took
-	}
 	if a.From == Origin && (!got || s.dark) {
 		s.since, s.dark = now, !got
 	}
-	if got {
-		gap := resumeGap
-		if s.lastGot == 0 {
-			// The first may take as long as the version takes to leave the origin.
-			gap = usualExit
-		}
-		if now-s.lastGot > gap {
-			// The origin gives again, to others.
-			s.resumed = now
-		}
-		s.lastGot = now
-	}
-	if got {
-		s.failures[a.From] = 0
+	if !got {
+		s.rests[a.From] = now + retryPause<<min(s.failures[a.From], maxRetryDoublings)
+		s.failures[a.From]++
 		return
 	}
-	s.rests[a.From] = now + retryPause<<min(s.failures[a.From], maxRetryDoublings)
-	s.failures[a.From]++
+	s.failures[a.From] = 0
+	if a.From != Origin {
+		s.took[a.From] = took
+	}
+	s.noteGot(now)
+}
+
+// noteGot takes in that a piece has come, which tells of an origin that gives
+// again, perhaps to others.
+func (s *schedule) noteGot(now time.Duration) {
+	gap := resumeGap
+	if s.lastGot == 0 {
+		// The first may take as long as the version takes to leave the origin.
+		gap = usualExit
+	}
+	if now-s.lastGot > gap {
+		s.resumed = now
+	}
+	s.lastGot = now
 }
