--- a/process/directory/types.go
+++ b/process/directory/types.go
@@ -59,8 +59,11 @@
 }
 
 // Holds returns the version of a model that the server holds whole, or 0.
-func (s *Server) Holds(model string) int {
-	for _, w := range s.Held {
+func (s *Server) Holds(model string) int { return VersionOf(s.Held, model) }
+
+// VersionOf returns the version of a model among the weights that are held, or 0.
+func VersionOf(held []Weights, model string) int {
+	for _, w := range held {
 		if w.Model == model {
 			return w.Version
 		}
--- a/process/sidecar/bring.go
+++ b/process/sidecar/bring.go
@@ -27,7 +27,15 @@
 		return err
 	}
 	k.reuseStaged(ctx, key)
-	current := func() *pieces.Order { return k.order(k.s.follower.View(), key) }
+	// It is asked for before each request; the fleet changes more rarely.
+	var seen *feed.View
+	var order *pieces.Order
+	current := func() *pieces.Order {
+		if v := k.s.follower.View(); v != seen {
+			seen, order = v, k.order(v, key)
+		}
+		return order
+	}
 	if err := k.fetcher.Fetch(fetchCtx, current); err != nil {
 		return err
 	}
--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -14,6 +14,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/version/pieces"
@@ -234,12 +235,7 @@
 // noteHeld takes in which version the engine holds and tells the control
 // processes where that is news.
 func (k *keeper) noteHeld(model string, r platform.EngineReport) {
-	version := 0
-	for _, w := range r.Held {
-		if w.Model == model {
-			version = w.Version
-		}
-	}
+	version := directory.VersionOf(r.Held, model)
 	k.mu.Lock()
 	news := version != k.held[model]
 	k.held[model] = version
@@ -267,12 +263,7 @@
 }
 
 func holds(r platform.EngineReport, key pieces.Key) bool {
-	for _, w := range r.Held {
-		if w.Model == key.Model && w.Version >= key.Version {
-			return true
-		}
-	}
-	return false
+	return directory.VersionOf(r.Held, key.Model) >= key.Version
 }
 
 // tell tells the control processes of the engine before its next heartbeat.
--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -119,7 +119,8 @@
 }
 
 // Fetch brings in every piece that is missing. It returns when all are held, or
-// ctx ends. current returns the order as it stands: agents come and go.
+// ctx ends. current returns the order as it stands: agents come and go. It is
+// called by one goroutine; an order that it has returned is not changed.
 func (f *Fetcher) Fetch(ctx context.Context, current func() *Order) error {
 	started := f.Clock.Now()
 	o := current()
@@ -146,20 +147,23 @@
 	}
 	o := current()
 	sched, started := f.scheduleOf(o)
+	plan := f.currentPlan(o)
 	answers := make(chan answer, maxAsks)
 	open := 0
 	for ctx.Err() == nil {
-		o := current()
+		if now := current(); now != o {
+			o, plan = now, f.currentPlan(now)
+		}
 		missing := f.Store.Missing(o.Key)
 		if len(missing) == 0 {
 			break
 		}
-		if ask := sched.next(f.Clock.Since(started), f.currentPlan(o), missing, f.known(o.Key)); ask != nil {
+		if ask := sched.next(f.Clock.Since(started), plan, missing, f.known(o.Key)); ask != nil {
 			open++
-			go func() {
+			go func(o *Order) {
 				got, took := f.ask(ctx, o, ask)
 				answers <- answer{ask, got, took}
-			}()
+			}(o)
 			continue
 		}
 		select {
