Versions expire while a VM is suspended

Callers' requests could begin on an older version after its time when the VM of an entry, agent or control process had been suspended: the age of a version was counted on the monotonic clock, which stops meanwhile, so that the process used the old version longer by the length of the suspension, also long after it was in touch again.

Package boottime has a clock on CLOCK_BOOTTIME and a type of its own for its times, so that they can't be mixed with time.Time. The ages of versions at the control processes, their times at entries and agents, the expiry of a server's weights in the pools and the time by which a request must be sent are on that clock. The pool reads it when a slot is assigned, only while weights expire. An age is sent rounded up, not down. Entries and agents log a suspension.

--- a/bench/bound/policies.go
+++ b/bench/bound/policies.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 )
 
@@ -54,7 +55,7 @@
 		servers = append(servers, placement.Server{ID: strconv.Itoa(i), Address: strconv.Itoa(i), Zone: "z", Slots: s.Engine.Slots, Usable: true})
 	}
 	for range s.Entries {
-		pool := placement.NewPool(cfg)
+		pool := placement.NewPool(cfg, boottime.System())
 		pool.Update(wall(0), cfg, servers, 1/float64(s.Entries))
 		b.pools = append(b.pools, pool)
 	}
--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 const (
@@ -29,12 +31,15 @@
 	// operating system closes the connection, if it supports that. Zero means the
 	// system's default.
 	UnackedTimeout time.Duration
-	Scope          tally.Scope
+	// AgeClock is the clock of Request.SendDeadline; by default the system's.
+	AgeClock boottime.Clock
+	Scope    tally.Scope
 }
 
 // Client holds idle connections to backend servers for reuse.
 type Client struct {
 	dialer      net.Dialer
+	ageClock    boottime.Clock
 	connsOpened tally.Counter
 	// strayResponses counts the responses that belonged to another request.
 	strayResponses tally.Counter
@@ -47,7 +52,11 @@
 
 // New returns a client without connections.
 func New(cfg Config) *Client {
+	if cfg.AgeClock == nil {
+		cfg.AgeClock = boottime.System()
+	}
 	c := &Client{
+		ageClock:       cfg.AgeClock,
 		dialer:         net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: userTimeoutControl(cfg.UnackedTimeout)},
 		connsOpened:    cfg.Scope.Counter("backend_connections_opened"),
 		strayResponses: cfg.Scope.Counter("backend_stray_bytes"),
--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 // serveConns listens on a loopback port and calls serve for each connection. It
@@ -295,7 +297,7 @@
 		}
 	})
 	req := newRequest("1")
-	req.SendDeadline = time.Now().Add(-time.Millisecond)
+	req.SendDeadline = boottime.System().Now().Add(-time.Millisecond)
 	_, err := newClient().Do(t.Context(), address, req)
 	var failure *Error
 	if !errors.As(err, &failure) || failure.Sent != NotSent {
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 // Request is one request to one server.
@@ -30,7 +32,7 @@
 	// SendDeadline, if not zero, is the deadline for starting to send the request.
 	// Opening a connection can take longer than expected: TCP retransmits a lost
 	// SYN after one second.
-	SendDeadline time.Time
+	SendDeadline boottime.Instant
 }
 
 // SendState is how far a failed request got.
@@ -115,7 +117,7 @@
 		}
 		k = fresh
 	}
-	if req.tooLate() {
+	if c.tooLate(req) {
 		k.close()
 		return nil, &Error{Sent: NotSent, Err: errSendDeadline}
 	}
@@ -128,14 +130,18 @@
 	return ex, nil
 }
 
-// tooLate reports whether the send deadline has passed.
-func (r *Request) tooLate() bool { return !r.SendDeadline.IsZero() && time.Now().After(r.SendDeadline) }
+// tooLate reports whether a request's send deadline has passed.
+func (c *Client) tooLate(req *Request) bool {
+	return !req.SendDeadline.IsZero() && c.ageClock.Now().After(req.SendDeadline)
+}
 
 // connectBefore opens a connection before the request's deadlines.
 func (c *Client) connectBefore(ctx context.Context, address string, req *Request) (*conn, error) {
 	deadline := req.HeadDeadline
-	if !req.SendDeadline.IsZero() && req.SendDeadline.Before(deadline) {
-		deadline = req.SendDeadline
+	if !req.SendDeadline.IsZero() {
+		if sendBy := time.Now().Add(req.SendDeadline.Sub(c.ageClock.Now())); sendBy.Before(deadline) {
+			deadline = sendBy
+		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
--- /dev/null
+++ b/process/boottime/system_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package boottime
+
+import "time"
+
+func readSystem() (time.Duration, bool) { return 0, false }
--- a/process/controller/controller_test.go
+++ b/process/controller/controller_test.go
@@ -20,6 +20,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -38,7 +39,7 @@
 
 func testRuntime() *runtime.Runtime {
 	return &runtime.Runtime{
-		Auth: link.Authenticator{AllowAll: true}, Clock: clockwork.NewRealClock(),
+		Auth: link.Authenticator{AllowAll: true}, Clock: clockwork.NewRealClock(), AgeClock: boottime.System(),
 		Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Stats: &link.Stats{}, Dump: &telemetry.State{},
 	}
 }
@@ -195,7 +196,7 @@
 	}}
 	follower := feed.NewFollower(feed.FollowerConfig{
 		Seeds: feed.PeerAddresses(&settings),
-	}, dialer, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	}, dialer, clockwork.NewRealClock(), boottime.System(), slog.New(slog.DiscardHandler))
 	go follower.Run(t.Context())
 	callUntil(t, 0, http.MethodPost, platform.PathPutConfig, configuration(3, "/c/"), http.StatusOK)
 	callUntil(t, 1, http.MethodPost, platform.PathPutVersion, `{"model":"m","version":4}`, http.StatusOK)
@@ -322,7 +323,7 @@
 	}}
 	follower := feed.NewFollower(feed.FollowerConfig{
 		Seeds: []string{settings.PeerAddress(ip(2))}, Relay: true, LazyConfig: true,
-	}, dialer, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	}, dialer, clockwork.NewRealClock(), boottime.System(), slog.New(slog.DiscardHandler))
 	go follower.Run(t.Context())
 	// The link may be closed again at once, so the wait is bounded.
 	for i := 0; i < 100 && follower.Links() == 0; i++ {
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/mesh"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
@@ -37,6 +38,8 @@
 	// the configuration: about the time in which a replica with an empty disk
 	// catches up.
 	behindBackoff = 2 * time.Second
+	// minLoggedSuspension is the shortest suspension of the VM that is logged.
+	minLoggedSuspension = 100 * time.Millisecond
 )
 
 // View is an immutable snapshot of a follower's state.
@@ -76,10 +79,12 @@
 type Follower struct {
 	cfg   FollowerConfig
 	clock clockwork.Clock
-	log   *slog.Logger
-	mesh  *mesh.Mesh
-	start time.Time
-	view  atomic.Pointer[View]
+	// ageClock is used for the ages of versions, which include suspensions.
+	ageClock boottime.Clock
+	log      *slog.Logger
+	mesh     *mesh.Mesh
+	start    time.Time
+	view     atomic.Pointer[View]
 	// wake makes Run check the links and the configuration.
 	wake chan struct{}
 	// publishMu serializes the publication of views; it is taken before mu.
@@ -103,9 +108,9 @@
 }
 
 // NewFollower returns a follower that dials nothing until Run.
-func NewFollower(cfg FollowerConfig, dialer *link.Dialer, clock clockwork.Clock, log *slog.Logger) *Follower {
+func NewFollower(cfg FollowerConfig, dialer *link.Dialer, clock clockwork.Clock, ageClock boottime.Clock, log *slog.Logger) *Follower {
 	f := &Follower{
-		cfg: cfg, clock: clock, log: log, start: clock.Now(), wake: make(chan struct{}, 1),
+		cfg: cfg, clock: clock, ageClock: ageClock, log: log, start: clock.Now(), wake: make(chan struct{}, 1),
 		table: directory.NewTable(), controlSeen: map[string]time.Time{}, behindUntil: map[string]time.Time{}, weights: map[string]VersionHistory{},
 	}
 	for _, seed := range cfg.Seeds {
@@ -141,7 +146,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	links := f.mesh.NewGroup()
 	defer links.Close()
+	var monitor boottime.Monitor
 	for ctx.Err() == nil {
+		logSuspension(f.log, monitor.Suspended(f.clock.Now(), f.ageClock.Now()))
 		links.Set(ctx, f.linkTargets(links), nil)
 		pause := time.Second
 		if !f.fetchPendingConfig(ctx) {
@@ -155,6 +162,14 @@
 	}
 }
 
+// logSuspension logs that the VM was suspended. Short gaps are those between the
+// readings of the two clocks.
+func logSuspension(log *slog.Logger, suspended time.Duration) {
+	if suspended >= minLoggedSuspension {
+		log.Warn("VM was suspended", "took", suspended)
+	}
+}
+
 // linkTargets returns the addresses to link to. A relay follower keeps an open link
 // to a control process that is not behind, and dials all others if it has none.
 func (f *Follower) linkTargets(links *mesh.Group) []string {
@@ -312,6 +327,7 @@
 // changed. The caller holds mu.
 func (f *Follower) applyDesired(update wire.Update) bool {
 	changed := false
+	now := f.ageClock.Now()
 	for model, version := range update.Weights {
 		history := f.weights[model]
 		if history.recordNewest(version) {
@@ -320,7 +336,7 @@
 			f.log.Info("weights version published", "model", model, "version", version, "revision", update.Revision, "ages", update.Ages[model])
 		}
 		for _, age := range update.Ages[model] {
-			if history.recordTime(age.Version, f.clock.Now().Add(-time.Duration(age.Age)*time.Millisecond)) {
+			if history.recordTime(age.Version, now.Add(-time.Duration(age.Age)*time.Millisecond)) {
 				changed = true
 			}
 		}
--- a/process/feed/follower_test.go
+++ b/process/feed/follower_test.go
@@ -10,11 +10,12 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 )
 
 func newTestFollower(clock clockwork.Clock) *Follower {
-	return NewFollower(FollowerConfig{}, &link.Dialer{}, clock, slog.New(slog.DiscardHandler))
+	return NewFollower(FollowerConfig{}, &link.Dialer{}, clock, boottime.NewFake(clock), slog.New(slog.DiscardHandler))
 }
 
 func updateWithServers(count int) wire.Update {
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -22,6 +22,7 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 )
@@ -56,9 +57,11 @@
 // Hub is the control process's side of the feed. It is safe for concurrent use.
 type Hub struct {
 	clock clockwork.Clock
-	log   *slog.Logger
-	peers peers
-	start time.Time
+	// ageClock is used for the ages of versions, which include suspensions.
+	ageClock boottime.Clock
+	log      *slog.Logger
+	peers    peers
+	start    time.Time
 	// controls returns the peer addresses of all control processes.
 	controls func() []string
 
@@ -80,9 +83,9 @@
 }
 
 // NewHub returns a hub without servers.
-func NewHub(clock clockwork.Clock, log *slog.Logger, p peers, controls func() []string) *Hub {
+func NewHub(clock clockwork.Clock, ageClock boottime.Clock, log *slog.Logger, p peers, controls func() []string) *Hub {
 	return &Hub{
-		clock: clock, log: log, peers: p, start: clock.Now(), controls: controls,
+		clock: clock, ageClock: ageClock, log: log, peers: p, start: clock.Now(), controls: controls,
 		table: directory.NewTable(), followers: map[*link.Conn]*follower{},
 		aliveLocal: map[string]bool{}, alivePeers: map[string]bool{}, histories: map[string]VersionHistory{},
 	}
@@ -258,7 +261,7 @@
 		}
 		history := h.histories[model]
 		if h.now() > catchUpTime {
-			history.recordTime(version, h.clock.Now())
+			history.recordTime(version, h.ageClock.Now())
 		}
 		h.histories[model] = history
 	}
@@ -272,10 +275,11 @@
 
 // desiredUpdate returns an update with the desired state. The caller holds mu.
 func (h *Hub) desiredUpdate() wire.Update {
+	now := h.ageClock.Now()
 	ages := map[string][]wire.VersionAge{}
 	for model, history := range h.histories {
 		for _, v := range history.versions {
-			ages[model] = append(ages[model], wire.VersionAge{Version: v.Version, Age: h.clock.Since(v.Since).Milliseconds()})
+			ages[model] = append(ages[model], wire.VersionAge{Version: v.Version, Age: ageMilliseconds(now.Sub(v.Since))})
 		}
 	}
 	return wire.Update{
@@ -283,6 +287,12 @@
 	}
 }
 
+// ageMilliseconds rounds an age up: a version that seems older than it is expires
+// early, never late.
+func ageMilliseconds(age time.Duration) int64 {
+	return int64((age + time.Millisecond - 1) / time.Millisecond)
+}
+
 // ConfigDocument returns the configuration document in force on this process.
 func (h *Hub) ConfigDocument() wire.ConfigDocument {
 	h.mu.Lock()
--- a/process/feed/versions.go
+++ b/process/feed/versions.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 const (
@@ -18,7 +20,7 @@
 // publication that this process knows.
 type PublishedVersion struct {
 	Version int
-	Since   time.Time
+	Since   boottime.Instant
 }
 
 // VersionHistory holds the latest published versions of a model's weights.
@@ -40,12 +42,12 @@
 // next version was published. For the newest version, noExpiry is true. If the time
 // of publication of a newer version is not known, it may be long ago, and until is
 // zero.
-func (h VersionHistory) UsableUntil(version int, grace time.Duration) (until time.Time, noExpiry bool) {
+func (h VersionHistory) UsableUntil(version int, grace time.Duration) (until boottime.Instant, noExpiry bool) {
 	if version >= h.newest {
-		return time.Time{}, true
+		return until, true
 	}
 	if !h.hasTime(h.newest) || version < h.versions[0].Version-1 {
-		return time.Time{}, false
+		return until, false
 	}
 	for _, v := range h.versions {
 		if v.Version > version && (until.IsZero() || v.Since.Add(grace).Before(until)) {
@@ -61,7 +63,7 @@
 
 // Record adds a version and its time of publication. It reports whether the
 // history changed.
-func (h *VersionHistory) Record(version int, since time.Time) bool {
+func (h *VersionHistory) Record(version int, since boottime.Instant) bool {
 	newest := h.recordNewest(version)
 	return h.recordTime(version, since) || newest
 }
@@ -78,7 +80,7 @@
 // recordTime sets a version's time of publication and reports whether the history
 // changed. The earlier of two times holds: a control process that was down sees a
 // version late.
-func (h *VersionHistory) recordTime(version int, since time.Time) bool {
+func (h *VersionHistory) recordTime(version int, since boottime.Instant) bool {
 	for i, v := range h.versions {
 		if v.Version == version {
 			if !since.Before(v.Since.Add(-ageTolerance)) {
--- a/process/feed/versions_test.go
+++ b/process/feed/versions_test.go
@@ -3,18 +3,20 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 func TestVersionIsUsableForGracePeriodAfterNextOne(t *testing.T) {
-	start := time.Unix(1000, 0)
+	start := boottime.Instant{}.Add(1000 * time.Second)
 	const grace = 8 * time.Second
 	var h VersionHistory
 	h.recordNewest(2)
 	h.recordTime(2, start)
 	h.recordNewest(3)
 	h.recordTime(3, start.Add(3*time.Second))
-	for version, want := range map[int]time.Time{0: {}, 1: start.Add(grace), 2: start.Add(3*time.Second + grace)} {
-		if until, noExpiry := h.UsableUntil(version, grace); noExpiry || !until.Equal(want) {
+	for version, want := range map[int]boottime.Instant{0: {}, 1: start.Add(grace), 2: start.Add(3*time.Second + grace)} {
+		if until, noExpiry := h.UsableUntil(version, grace); noExpiry || until != want {
 			t.Errorf("version %d is usable until %v, %v, want %v", version, until, noExpiry, want)
 		}
 	}
@@ -24,14 +26,14 @@
 }
 
 func TestVersionIsUnusableWhenNewerTimeIsUnknown(t *testing.T) {
-	now := time.Unix(1000, 0)
+	now := boottime.Instant{}.Add(1000 * time.Second)
 	var h VersionHistory
 	h.recordNewest(4)
 	if until, _ := h.UsableUntil(3, time.Second); !until.IsZero() {
 		t.Error("older weights are usable although the grace period may have passed")
 	}
 	h.recordTime(4, now)
-	if until, _ := h.UsableUntil(3, time.Second); !until.Equal(now.Add(time.Second)) {
+	if until, _ := h.UsableUntil(3, time.Second); until != now.Add(time.Second) {
 		t.Error("older weights are not usable within the grace period")
 	}
 	if until, _ := h.UsableUntil(2, time.Second); !until.IsZero() {
@@ -40,7 +42,7 @@
 }
 
 func TestEarlierTimeOfPublicationHolds(t *testing.T) {
-	now := time.Unix(1000, 0)
+	now := boottime.Instant{}.Add(1000 * time.Second)
 	var h VersionHistory
 	h.recordNewest(2)
 	h.recordTime(2, now)
@@ -50,7 +52,7 @@
 	if !h.recordTime(2, now.Add(-5*time.Second)) {
 		t.Error("an earlier time was not applied")
 	}
-	if until, _ := h.UsableUntil(1, 5*time.Second); !until.Equal(now) {
+	if until, _ := h.UsableUntil(1, 5*time.Second); until != now {
 		t.Errorf("version 1 is usable until %v", until)
 	}
 	if h.recordNewest(1) || h.Newest() != 2 {
--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -61,16 +61,16 @@
 // New returns a process that does nothing until Run.
 func New(settings platform.Settings, rt *runtime.Runtime) *Frontend {
 	f := &Frontend{Runtime: rt, settings: settings}
-	f.client = backend.New(backend.Config{UnackedTimeout: runtime.UnackedTimeout, Scope: rt.Scope})
+	f.client = backend.New(backend.Config{UnackedTimeout: runtime.UnackedTimeout, AgeClock: rt.AgeClock, Scope: rt.Scope})
 	dialer := &link.Dialer{Auth: rt.Auth, Self: f.hello, Stats: rt.Stats, Client: runtime.LinkClient()}
 	f.follower = feed.NewFollower(feed.FollowerConfig{
 		Seeds: feed.PeerAddresses(&settings), SortAddresses: feed.RendezvousOrder(settings.IP),
 		OnChange: func(v *feed.View) { f.handler.Update(v) },
-	}, dialer, rt.Clock, rt.Log)
+	}, dialer, rt.Clock, rt.AgeClock, rt.Log)
 	f.handler = forward.New(forward.Config{
 		Zone: settings.Zone, OldVersionGrace: settings.Bounds.OldVersionGrace, RetryShare: settings.Bounds.RetryShare,
 		RetryAllowance: settings.Bounds.RetryAllowance, RetryWindow: settings.Bounds.RetryWindow,
-	}, f.follower.View, f.client, rt.Clock, rt.Log, rt.Scope)
+	}, f.follower.View, f.client, rt.Clock, rt.AgeClock, rt.Log, rt.Scope)
 	rt.Dump.Add("pools", f.handler.Dump)
 	rt.Dump.Add("view", func() any { return f.follower.View() })
 	return f
--- a/process/runtime/runtime.go
+++ b/process/runtime/runtime.go
@@ -19,6 +19,7 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/process/settings"
 	"github.com/waxwingpost/waxwingpost/process/telemetry"
@@ -36,10 +37,12 @@
 type Runtime struct {
 	Auth  link.Authenticator
 	Clock clockwork.Clock
-	Log   *slog.Logger
-	Scope tally.Scope
-	Stats *link.Stats
-	Dump  *telemetry.State
+	// AgeClock also counts the time for which the VM is suspended.
+	AgeClock boottime.Clock
+	Log      *slog.Logger
+	Scope    tally.Scope
+	Stats    *link.Stats
+	Dump     *telemetry.State
 
 	metrics       http.Handler
 	metricsCloser io.Closer
@@ -56,6 +59,7 @@
 	return &Runtime{
 		Auth:          link.Authenticator{Key: cfg.JoinKey},
 		Clock:         clockwork.NewRealClock(),
+		AgeClock:      boottime.System(),
 		Log:           log,
 		Scope:         scope,
 		Stats:         &link.Stats{},
--- a/process/sidecar/announce_test.go
+++ b/process/sidecar/announce_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/runtime"
@@ -26,7 +27,7 @@
 		VM: "side-1", IP: "127.0.0.1", Zone: "z", BackendAddress: srv.Listener.Addr().String(), BackendService: "s",
 	}
 	return New(settings, &runtime.Runtime{
-		Auth: link.Authenticator{AllowAll: true}, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler),
+		Auth: link.Authenticator{AllowAll: true}, Clock: clockwork.NewRealClock(), AgeClock: boottime.System(), Log: slog.New(slog.DiscardHandler),
 		Scope: tally.NoopScope, Stats: &link.Stats{}, Dump: &telemetry.State{},
 	}).updater
 }
--- a/process/sidecar/selector.go
+++ b/process/sidecar/selector.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/version/pieces"
 )
@@ -30,7 +31,7 @@
 	history feed.VersionHistory
 	// heldVersion is the version that the engine holds, 0 for none.
 	heldVersion int
-	now         time.Time
+	now         boottime.Instant
 	// oldVersionGrace is how long a version may serve after the next one was
 	// published.
 	oldVersionGrace time.Duration
@@ -79,7 +80,7 @@
 }
 
 // usableUntil returns the time until which entries use the held version.
-func (s *versionSelector) usableUntil() time.Time {
+func (s *versionSelector) usableUntil() boottime.Instant {
 	until, _ := s.history.UsableUntil(s.heldVersion, s.oldVersionGrace)
 	return until.Add(-endMargin)
 }
@@ -90,7 +91,7 @@
 //
 // A version that is not the newest is usable only for a short time and is loaded at
 // once.
-func (s *versionSelector) loadTime(version, index, count int) time.Time {
+func (s *versionSelector) loadTime(version, index, count int) boottime.Instant {
 	remaining := s.usableUntil().Sub(s.now)
 	if s.heldVersion == 0 || remaining <= 0 || count == 0 || version < s.history.Newest() {
 		return s.now
--- a/process/sidecar/selector_test.go
+++ b/process/sidecar/selector_test.go
@@ -5,11 +5,17 @@
 	"testing"
 	"time"
 
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/version/pieces"
 )
 
-var start = time.Unix(1000, 0)
+// start is the instant at which versions are first published, and startTime the same
+// on the monotonic clock.
+var (
+	start     = boottime.Instant{}.Add(1000 * time.Second)
+	startTime = time.Unix(1000, 0)
+)
 
 const (
 	testGrace      = 8 * time.Second
@@ -60,12 +66,12 @@
 	for i := range 4 {
 		k := s.leastRecentlyStalled("m", versions)
 		order = append(order, k.Version)
-		s.record(k, start.Add(time.Duration(i)*time.Second), versions)
+		s.record(k, startTime.Add(time.Duration(i)*time.Second), versions)
 	}
 	if !slices.Equal(order, []int{3, 2, 3, 2}) {
 		t.Errorf("versions were tried in the order %v", order)
 	}
-	s.record(pieces.Key{Model: "m", Version: 4}, start, []int{4})
+	s.record(pieces.Key{Model: "m", Version: 4}, startTime, []int{4})
 	if len(s) != 1 {
 		t.Errorf("stalls of versions that are no candidates were kept: %v", s)
 	}
@@ -74,7 +80,7 @@
 func TestEngineLoadsAreSpreadOverRemainingTime(t *testing.T) {
 	const count, loadDuration = 20, 1500 * time.Millisecond
 	selector := &versionSelector{history: historyAt(0), heldVersion: 1, now: start.Add(3 * time.Second), oldVersionGrace: testGrace, originTime: testOriginTime}
-	var at []time.Time
+	var at []boottime.Instant
 	for index := range count {
 		at = append(at, selector.loadTime(2, index, count))
 	}
@@ -96,18 +102,18 @@
 
 func TestEngineWithoutWeightsLoadsAtOnce(t *testing.T) {
 	selector := &versionSelector{history: historyAt(0), heldVersion: 0, now: start, oldVersionGrace: testGrace, originTime: testOriginTime}
-	if at := selector.loadTime(2, 19, 20); !at.Equal(start) {
+	if at := selector.loadTime(2, 19, 20); at != start {
 		t.Errorf("engine without weights loads %v late", at.Sub(start))
 	}
 	late := &versionSelector{history: historyAt(0), heldVersion: 1, now: start.Add(testGrace), oldVersionGrace: testGrace, originTime: testOriginTime}
-	if at := late.loadTime(2, 19, 20); !at.Equal(late.now) {
+	if at := late.loadTime(2, 19, 20); at != late.now {
 		t.Errorf("engine with expired weights loads %v late", at.Sub(late.now))
 	}
 }
 
 func TestSupersededVersionLoadsAtOnce(t *testing.T) {
 	selector := &versionSelector{history: historyAt(0, 2), heldVersion: 1, now: start.Add(4 * time.Second), oldVersionGrace: testGrace, originTime: testOriginTime}
-	if at := selector.loadTime(2, 19, 20); !at.Equal(selector.now) {
+	if at := selector.loadTime(2, 19, 20); at != selector.now {
 		t.Errorf("superseded version loads %v late", at.Sub(selector.now))
 	}
 }
@@ -115,7 +121,7 @@
 func TestTransferStallsWithoutProgress(t *testing.T) {
 	k := pieces.Key{Model: "m", Version: 2}
 	var p transferProgress
-	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	at := func(ms int) time.Time { return startTime.Add(time.Duration(ms) * time.Millisecond) }
 	for _, step := range []struct {
 		ms, missing int
 		want        bool
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -39,14 +39,14 @@
 // New returns a process that does nothing until Run.
 func New(settings platform.Settings, rt *runtime.Runtime) *Sidecar {
 	s := &Sidecar{Runtime: rt, settings: settings, store: pieces.NewStore(transferShare * settings.LinkBytesPerSecond)}
-	s.client = backend.New(backend.Config{UnackedTimeout: runtime.UnackedTimeout, Scope: rt.Scope})
+	s.client = backend.New(backend.Config{UnackedTimeout: runtime.UnackedTimeout, AgeClock: rt.AgeClock, Scope: rt.Scope})
 	dialer := &link.Dialer{Auth: rt.Auth, Self: s.hello, Stats: rt.Stats, Client: runtime.LinkClient()}
 	s.follower = feed.NewFollower(feed.FollowerConfig{
 		Seeds: feed.PeerAddresses(&settings), Relay: true, LazyConfig: true, SortAddresses: feed.RendezvousOrder(settings.IP),
 		OnChange: func(*feed.View) {
 			s.updater.wakeUp()
 		},
-	}, dialer, rt.Clock, rt.Log)
+	}, dialer, rt.Clock, rt.AgeClock, rt.Log)
 	s.updater = newUpdater(s)
 	rt.Dump.Add("weights", s.updater.dump)
 	return s
--- a/process/sidecar/updater.go
+++ b/process/sidecar/updater.go
@@ -155,7 +155,7 @@
 	held := u.heldVersions[model]
 	u.mu.Unlock()
 	return &versionSelector{
-		history: v.Weights[model], heldVersion: held, now: u.sidecar.Clock.Now(),
+		history: v.Weights[model], heldVersion: held, now: u.sidecar.AgeClock.Now(),
 		oldVersionGrace: u.sidecar.settings.Bounds.OldVersionGrace, originTime: u.originTransferTime(v),
 		started: func(version int) bool {
 			return u.sidecar.store.Held(pieces.Key{Model: model, Version: version}).Count() > 0
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -18,6 +18,7 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/backend"
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -59,12 +60,13 @@
 	duration, firstByte                                     tally.Timer
 }
 
-// New returns a handler. view returns the current view of the deployment.
-func New(cfg Config, view func() *feed.View, client *backend.Client, clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *Handler {
+// New returns a handler. view returns the current view of the deployment. ageClock
+// must be the clock of the view's versions.
+func New(cfg Config, view func() *feed.View, client *backend.Client, clock clockwork.Clock, ageClock boottime.Clock, log *slog.Logger, scope tally.Scope) *Handler {
 	scope = scope.SubScope("requests")
 	return &Handler{
 		cfg: cfg, view: view, client: client, clock: clock, log: log,
-		scheduler: newScheduler(cfg, clock),
+		scheduler: newScheduler(cfg, clock, ageClock),
 		metrics: metrics{
 			requests: scope.Counter("received"), served: scope.Counter("served"), refused: scope.Counter("refused"),
 			failed: scope.Counter("failed"), callersGone: scope.Counter("callers_gone"),
--- a/request/forward/harness_test.go
+++ b/request/forward/harness_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/backend"
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
@@ -151,7 +152,7 @@
 	client := backend.New(backend.Config{Scope: tally.NoopScope})
 	h := New(Config{
 		RetryShare: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second, OldVersionGrace: 8 * time.Second,
-	}, func() *feed.View { return view }, client, clockwork.NewRealClock(), slog.New(slog.DiscardHandler), tally.NoopScope)
+	}, func() *feed.View { return view }, client, clockwork.NewRealClock(), boottime.System(), slog.New(slog.DiscardHandler), tally.NoopScope)
 	h.Update(view)
 	e := &testEntry{handler: h}
 	e.Server = httptest.NewServer(h)
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
@@ -38,8 +39,9 @@
 // scheduler holds the pools and retry budgets of all services. Its methods are
 // safe for concurrent use unless they say otherwise.
 type scheduler struct {
-	cfg   Config
-	clock clockwork.Clock
+	cfg      Config
+	clock    clockwork.Clock
+	ageClock boottime.Clock
 
 	// mu guards the fields below.
 	mu   sync.Mutex
@@ -50,8 +52,10 @@
 	demandSampled time.Time
 }
 
-func newScheduler(cfg Config, clock clockwork.Clock) *scheduler {
-	return &scheduler{cfg: cfg, clock: clock, view: &feed.View{}, services: map[string]*serviceState{}, demandSampled: clock.Now()}
+func newScheduler(cfg Config, clock clockwork.Clock, ageClock boottime.Clock) *scheduler {
+	return &scheduler{
+		cfg: cfg, clock: clock, ageClock: ageClock, view: &feed.View{}, services: map[string]*serviceState{}, demandSampled: clock.Now(),
+	}
 }
 
 // update replaces the view.
@@ -84,7 +88,7 @@
 	st := sc.services[name]
 	if st == nil {
 		st = &serviceState{
-			pool:        placement.NewPool(placement.Config{Zone: sc.cfg.Zone}),
+			pool:        placement.NewPool(placement.Config{Zone: sc.cfg.Zone}, sc.ageClock),
 			retryBudget: retry.NewWindow(sc.cfg.RetryWindow, now),
 		}
 		sc.services[name] = st
@@ -134,9 +138,9 @@
 // usableWeights reports whether a server holds usable weights for all models of
 // its service, and when the first of them expires; zero means no expiry. The
 // caller holds mu.
-func (sc *scheduler) usableWeights(s *deployment.Service, record *directory.Record) (allHeld bool, until time.Time) {
+func (sc *scheduler) usableWeights(s *deployment.Service, record *directory.Record) (allHeld bool, until boottime.Instant) {
 	if s.Engine == nil {
-		return true, time.Time{}
+		return true, until
 	}
 	for _, model := range s.Engine.Models {
 		version := record.HeldVersion(model)
@@ -270,7 +274,7 @@
 	}
 	waiter := &placement.Waiter{Request: req, Grant: func(l *placement.Lease) { granted <- l }}
 	queued := st.pool.Enqueue(now, waiter)
-	usable, retryAfter := st.pool.HasUsable(now), st.pool.RetryAfter()
+	usable, retryAfter := st.pool.HasUsable(), st.pool.RetryAfter()
 	sc.mu.Unlock()
 	if !queued {
 		return nil, refusalError(usable, retryAfter)
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 const (
@@ -30,11 +32,15 @@
 // queues those that find no free slot.
 type Pool struct {
 	cfg Config
+	// ageClock is used for the expiry of weights, which includes suspensions.
+	ageClock boottime.Clock
 	// servers holds the current servers, and removed ones until their last
 	// request has ended.
 	servers map[string]*server
 	// active lists the servers of the last update.
 	active []*server
+	// expiring is set if the weights of an active server expire.
+	expiring bool
 	// share is the fraction of the servers' slots that this entry may use.
 	share    float64
 	inFlight int
@@ -50,8 +56,8 @@
 }
 
 // NewPool returns an empty pool; Update sets its servers.
-func NewPool(cfg Config) *Pool {
-	return &Pool{cfg: cfg, servers: map[string]*server{}, share: 1}
+func NewPool(cfg Config, ageClock boottime.Clock) *Pool {
+	return &Pool{cfg: cfg, ageClock: ageClock, servers: map[string]*server{}, share: 1}
 }
 
 // Update replaces the configuration, the servers of the service and the share
@@ -62,7 +68,7 @@
 	for _, s := range p.servers {
 		s.removed = true
 	}
-	p.active = p.active[:0]
+	p.active, p.expiring = p.active[:0], false
 	for _, listed := range servers {
 		s := p.servers[listed.ID]
 		if s == nil {
@@ -71,6 +77,7 @@
 		}
 		s.Server, s.removed = listed, false
 		p.active = append(p.active, s)
+		p.expiring = p.expiring || !s.WeightsUntil.IsZero()
 	}
 	for id, s := range p.servers {
 		if s.removed && s.inFlight == 0 {
@@ -128,9 +135,10 @@
 func (p *Pool) pickServer(now time.Time, req Request) *server {
 	var best *server
 	var bestKey float64
+	ageNow := p.ageNow()
 	for i := range p.active {
 		s := p.active[(i+p.rotation)%len(p.active)]
-		if s.isSlow(now, req.LatencyTarget) && (s.inFlight > 0 || !s.WeightsUntil.IsZero()) || s.weightsExpiring(now) {
+		if s.isSlow(now, req.LatencyTarget) && (s.inFlight > 0 || !s.WeightsUntil.IsZero()) || s.weightsExpiring(ageNow) {
 			// A slow server gets one request at a time as a probe.
 			continue
 		}
@@ -150,6 +158,14 @@
 	return best
 }
 
+// ageNow reads the clock for the expiry of weights, unless no weights expire.
+func (p *Pool) ageNow() boottime.Instant {
+	if !p.expiring {
+		return boottime.Instant{}
+	}
+	return p.ageClock.Now()
+}
+
 // load returns the fraction of a server's slots that this entry uses. Pending
 // prefill is added, in seconds, because prompts at one server delay each other.
 func (p *Pool) load(s *server) float64 {
@@ -242,8 +258,9 @@
 
 // HasUsable reports whether any server could run a request, regardless of free
 // slots.
-func (p *Pool) HasUsable(now time.Time) bool {
-	return slices.ContainsFunc(p.active, func(s *server) bool { return s.Usable && !s.weightsExpiring(now) })
+func (p *Pool) HasUsable() bool {
+	ageNow := p.ageNow()
+	return slices.ContainsFunc(p.active, func(s *server) bool { return s.Usable && !s.weightsExpiring(ageNow) })
 }
 
 // Enqueue queues a request. It returns false if the request is unlikely to get a
@@ -251,7 +268,7 @@
 func (p *Pool) Enqueue(now time.Time, w *Waiter) bool {
 	w.queued = now
 	useful := w.Request.WaitUntil.Sub(now)
-	if useful <= 0 || !p.HasUsable(now) {
+	if useful <= 0 || !p.HasUsable() {
 		return false
 	}
 	if time.Duration(p.queuePosition(w))*p.freeInterval > useful {
--- a/request/placement/pool_test.go
+++ b/request/placement/pool_test.go
@@ -4,12 +4,26 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 var epoch = time.Unix(1_000_000, 0)
 
 func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
+// ageAt returns the instant on the clock of weights at a time of at.
+func ageAt(ms int) boottime.Instant {
+	return boottime.Instant{}.Add(time.Hour + time.Duration(ms)*time.Millisecond)
+}
+
+// manualClock is a clock whose time is set by tests.
+type manualClock struct{ now boottime.Instant }
+
+func (c *manualClock) Now() boottime.Instant { return c.now }
+
 // engines configures a service of model engines with the prefill rate of the
 // platform's sites.
 var engines = Config{Zone: "a", ReadPerSecond: 19100}
@@ -23,7 +37,7 @@
 }
 
 func newPool(cfg Config, list []Server, share float64) *Pool {
-	p := NewPool(cfg)
+	p := NewPool(cfg, &manualClock{now: ageAt(0)})
 	p.Update(at(0), cfg, list, share)
 	return p
 }
@@ -133,13 +147,13 @@
 
 func TestStalledServerWithExpiringWeightsIsNotProbed(t *testing.T) {
 	list := makeServers(1, 16)
-	list[0].WeightsUntil = at(0).Add(time.Hour)
+	list[0].WeightsUntil = ageAt(0).Add(time.Hour)
 	p := newPool(engines, list, 1)
 	p.Release(at(0), p.TryAcquire(at(0), Request{}), Stalled)
 	if p.TryAcquire(at(0).Add(2*maxEjectTime), Request{}) != nil {
 		t.Error("a stalled server with expiring weights got a request")
 	}
-	list[0].WeightsUntil = time.Time{}
+	list[0].WeightsUntil = boottime.Instant{}
 	p.Update(at(0), engines, list, 1)
 	if p.TryAcquire(at(0).Add(2*maxEjectTime), Request{}) == nil {
 		t.Error("a stalled server without weights expiry was not probed")
@@ -183,21 +197,43 @@
 
 func TestNoRequestCanStartOnExpiredWeights(t *testing.T) {
 	list := makeServers(1, 16)
-	list[0].WeightsUntil = at(8000)
+	list[0].WeightsUntil = ageAt(8000)
 	p := newPool(engines, list, 1)
+	clock := p.ageClock.(*manualClock)
+	clock.now = ageAt(5900)
 	if p.TryAcquire(at(5900), Request{}) == nil {
 		t.Error("a server got no request well before its weights expire")
 	}
-	if p.TryAcquire(at(6100), Request{}) != nil || p.HasUsable(at(6100)) {
+	clock.now = ageAt(6100)
+	if p.TryAcquire(at(6100), Request{}) != nil || p.HasUsable() {
 		t.Error("a request could start after the weights expire")
 	}
+	clock.now = ageAt(0)
 	slow := p.TryAcquire(at(0), Request{LatencyTarget: 2 * time.Second})
 	p.OnFirstEvent(at(500), slow)
+	clock.now = ageAt(5500)
 	if p.TryAcquire(at(5500), Request{}) != nil {
 		t.Error("a request could start after the weights expire at a server with delayed first events")
 	}
 }
 
+func TestWeightsExpireWhileTheVMIsSuspended(t *testing.T) {
+	monotonic := clockwork.NewFakeClock()
+	boot := boottime.NewFake(monotonic)
+	list := makeServers(1, 16)
+	list[0].WeightsUntil = boot.Now().Add(8 * time.Second)
+	p := NewPool(engines, boot)
+	p.Update(monotonic.Now(), engines, list, 1)
+	lease := p.TryAcquire(monotonic.Now(), Request{})
+	boot.Suspend(7 * time.Second)
+	if p.TryAcquire(monotonic.Now(), Request{}) != nil || p.HasUsable() {
+		t.Error("a server got a request 1s before its weights expire")
+	}
+	if !boot.Now().After(lease.SendDeadline()) {
+		t.Error("a request that was waiting before the suspension may still be sent")
+	}
+}
+
 func TestWaitingRequestsGetFreedSlots(t *testing.T) {
 	p := newPool(engines, makeServers(1, 2), 1)
 	leases := takeAllSlots(p, at(0), Request{})
@@ -278,7 +314,7 @@
 }
 
 func TestNoRequestWaitsWithoutServers(t *testing.T) {
-	p := NewPool(engines)
+	p := NewPool(engines, &manualClock{now: ageAt(0)})
 	if p.Enqueue(at(0), &Waiter{Request: Request{WaitUntil: at(100)}}) {
 		t.Error("a request was queued although no server exists")
 	}
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 const (
@@ -86,7 +88,7 @@
 
 // weightsExpiring reports whether a request that is sent now could start after
 // the server's weights have expired.
-func (s *server) weightsExpiring(now time.Time) bool {
+func (s *server) weightsExpiring(now boottime.Instant) bool {
 	extra := startDelayFactor * max(s.firstEventDelay-baselineDelay, 0)
 	return !s.WeightsUntil.IsZero() && now.Add(startMargin+extra).After(s.WeightsUntil)
 }
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -8,11 +8,15 @@
 // still has time to retry. Entries that share servers divide their slots in
 // proportion to the demand at each entry.
 //
-// The package has no network and no clock: callers pass the time. A Pool is not
-// safe for concurrent use.
+// The package has no network. Callers pass the time; only whether weights have
+// expired is read from a clock. A Pool is not safe for concurrent use.
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
+)
 
 // Server is a backend server as listed in the directory.
 type Server struct {
@@ -26,7 +30,7 @@
 	Usable bool
 	// WeightsUntil is when the server's weights expire. No request may start there
 	// after that time, including requests already sent. Zero means no expiry.
-	WeightsUntil time.Time
+	WeightsUntil boottime.Instant
 }
 
 // Config holds the settings of one service at one entry.
@@ -85,9 +89,9 @@
 
 // SendDeadline returns the time by which the request must have been sent; zero if
 // there is no limit.
-func (l *Lease) SendDeadline() time.Time {
+func (l *Lease) SendDeadline() boottime.Instant {
 	if l.Server.WeightsUntil.IsZero() {
-		return time.Time{}
+		return boottime.Instant{}
 	}
 	return l.Server.WeightsUntil.Add(-sendMargin)
 }
