Control processes repeat the ages of versions while older ones are in use

An entry learned the age of a version once, with the update that announced it. If that update was delayed, on a narrow link or behind a control process that stood still after it had encoded the age, the entry believed the version younger by the delay and used the one before it for longer than it may. A second update counted only if it was 100 ms earlier. A control process that caught up late or restarted knew a wrong age or none, and so did those that follow only it.

The earliest time holds, without a tolerance; an estimate is never too early, because delays only make it later. Control processes also take each other's ages, and pass on those of versions that they have applied.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -68,7 +68,7 @@
 	c := &Controller{Runtime: rt, settings: settings, self: settings.PeerAddress(settings.IP), seeds: feed.PeerAddresses(&settings), replicaOpened: make(chan struct{}, 1)}
 	dialer := &link.Dialer{Auth: rt.Auth, Self: c.hello, Handler: c, Stats: rt.Stats, Client: runtime.LinkClient()}
 	c.mesh = mesh.New(mesh.Config{OnOpen: c.onLinkOpened}, dialer, rt.Log)
-	c.hub = feed.NewHub(rt.Clock, rt.AgeClock, rt.Log, c.mesh, c.controls)
+	c.hub = feed.NewHub(rt.Clock, rt.AgeClock, settings.Bounds.OldVersionGrace, rt.Log, c.mesh, c.controls)
 	rt.Dump.Add("replica", func() any {
 		if r := c.replica.Load(); r != nil {
 			return r.node.Dump()
--- /dev/null
+++ b/process/feed/ages_test.go
@@ -0,0 +1,94 @@
+package feed
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingpost/waxwingpost/connection/link"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
+	"github.com/waxwingpost/waxwingpost/process/control/desired"
+)
+
+type noPeers struct{}
+
+func (noPeers) Conns() []*link.Conn { return nil }
+
+func newTestHub(clock clockwork.Clock, ageClock boottime.Clock) *Hub {
+	return NewHub(clock, ageClock, 8*time.Second, slog.New(slog.DiscardHandler), noPeers{}, func() []string { return nil })
+}
+
+func TestVersionExpiresWhileTheVMOfAnEntryIsSuspended(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	boot := boottime.NewFake(clock)
+	f := NewFollower(FollowerConfig{}, &link.Dialer{}, clock, boot, slog.New(slog.DiscardHandler))
+	f.apply(wire.Update{Weights: map[string]int{"m": 2}, Ages: map[string][]wire.VersionAge{"m": {{Version: 2, Age: 1000}}}})
+	boot.Suspend(7 * time.Second)
+	until, noExpiry := f.View().Weights["m"].UsableUntil(1, 8*time.Second)
+	if left := until.Sub(boot.Now()); noExpiry || left > 0 {
+		t.Errorf("version 1 is usable for another %v, 8s after version 2 was published", left)
+	}
+}
+
+func TestAgesIncludeTheTimeForWhichAControlProcessIsSuspended(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	boot := boottime.NewFake(clock)
+	h := newTestHub(clock, boot)
+	clock.Advance(catchUpTime + time.Second)
+	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}})
+	clock.Advance(time.Second)
+	boot.Suspend(7 * time.Second)
+	if ages := h.FullState().Ages["m"]; len(ages) != 1 || ages[0].Age != 8000 {
+		t.Errorf("the age of a version published 8s ago is sent as %v", ages)
+	}
+}
+
+func TestEntryThatHeardOfAVersionLateLearnsItsAgeFromTheNextTick(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	boot := boottime.NewFake(clock)
+	h := newTestHub(clock, boot)
+	f := newTestFollower(clock)
+	clock.Advance(catchUpTime + time.Second)
+	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}})
+	published := f.ageClock.Now()
+	delayed := h.FullState()
+	clock.Advance(6 * time.Second)
+	f.apply(delayed)
+	_, entry, _ := h.tickUpdates()
+	f.apply(entry)
+	if until, _ := f.View().Weights["m"].UsableUntil(1, 8*time.Second); until != published.Add(8*time.Second) {
+		t.Errorf("version 1 is usable until %v after version 2 was published", until.Sub(published))
+	}
+	clock.Advance(11 * time.Second)
+	if peer, entry, _ := h.tickUpdates(); len(peer.Ages)+len(entry.Ages)+len(entry.Weights) > 0 {
+		t.Error("ages are repeated although no older version is usable")
+	}
+}
+
+func TestControlProcessThatCatchesUpTakesTheAgeFromTheOthers(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	boot := boottime.NewFake(clock)
+	state := desired.State{Revision: 1, Weights: map[string]int{"m": 2}}
+	leader, behind := newTestHub(clock, boot), newTestHub(clock, boot)
+	clock.Advance(catchUpTime + time.Second)
+	leader.SetDesired(state)
+	clock.Advance(6 * time.Second)
+	peer, _, _ := leader.tickUpdates()
+	behind.ApplyPeerUpdate(peer)
+	if ages := behind.FullState().Ages["m"]; len(ages) != 0 {
+		t.Errorf("ages of a version that is not applied here are sent: %v", ages)
+	}
+	behind.SetDesired(state)
+	if ages := behind.FullState().Ages["m"]; len(ages) != 1 || ages[0].Age != 6000 {
+		t.Errorf("the age of a version published 6s ago is sent as %v", ages)
+	}
+	restarted := newTestHub(clock, boot)
+	restarted.SetDesired(state)
+	restarted.ApplyPeerUpdate(leader.FullState())
+	if ages := restarted.FullState().Ages["m"]; len(ages) != 1 || ages[0].Age != 6000 {
+		t.Errorf("after a restart, the age of a version published 6s ago is sent as %v", ages)
+	}
+}
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -14,6 +14,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -59,6 +60,9 @@
 	clock clockwork.Clock
 	// ageClock is used for the ages of versions, which include suspensions.
 	ageClock boottime.Clock
+	// oldVersionGrace is how long a version may be used after the next one was
+	// published.
+	oldVersionGrace time.Duration
 	log      *slog.Logger
 	peers    peers
 	start    time.Time
@@ -82,10 +86,11 @@
 	histories map[string]VersionHistory
 }
 
-// NewHub returns a hub without servers.
-func NewHub(clock clockwork.Clock, ageClock boottime.Clock, log *slog.Logger, p peers, controls func() []string) *Hub {
+// NewHub returns a hub without servers. A version of weights may be used for
+// oldVersionGrace after the next one was published.
+func NewHub(clock clockwork.Clock, ageClock boottime.Clock, oldVersionGrace time.Duration, log *slog.Logger, p peers, controls func() []string) *Hub {
 	return &Hub{
-		clock: clock, ageClock: ageClock, log: log, peers: p, start: clock.Now(), controls: controls,
+		clock: clock, ageClock: ageClock, oldVersionGrace: oldVersionGrace, log: log, peers: p, start: clock.Now(), controls: controls,
 		table: directory.NewTable(), followers: map[*link.Conn]*follower{},
 		aliveLocal: map[string]bool{}, alivePeers: map[string]bool{}, histories: map[string]VersionHistory{},
 	}
@@ -170,6 +175,7 @@
 			forwarded.Engines = append(forwarded.Engines, s)
 		}
 	}
+	h.recordAges(update.Ages)
 	for _, id := range update.Alive {
 		if record := h.table.Get(id); record != nil {
 			record.Heard = now
@@ -275,15 +281,45 @@
 
 // desiredUpdate returns an update with the desired state. The caller holds mu.
 func (h *Hub) desiredUpdate() wire.Update {
+	return wire.Update{
+		Revision: h.state.Revision, ConfigVersion: h.state.ConfigVersion, Weights: h.state.Weights, Ages: h.ages(math.MaxInt64),
+	}
+}
+
+// ages returns the ages of the versions of each model that has a version younger
+// than limit. The caller holds mu.
+func (h *Hub) ages(limit time.Duration) map[string][]wire.VersionAge {
 	now := h.ageClock.Now()
 	ages := map[string][]wire.VersionAge{}
 	for model, history := range h.histories {
+		var list []wire.VersionAge
+		young := false
 		for _, v := range history.versions {
-			ages[model] = append(ages[model], wire.VersionAge{Version: v.Version, Age: ageMilliseconds(now.Sub(v.Since))})
+			if v.Version > h.state.Weights[model] {
+				// Known from another control process, but not applied here yet.
+				continue
+			}
+			age := now.Sub(v.Since)
+			young = young || age < limit
+			list = append(list, wire.VersionAge{Version: v.Version, Age: ageMilliseconds(age)})
+		}
+		if young {
+			ages[model] = list
 		}
 	}
-	return wire.Update{
-		Revision: h.state.Revision, ConfigVersion: h.state.ConfigVersion, Weights: h.state.Weights, Ages: ages,
+	return ages
+}
+
+// recordAges records the ages that another control process sent. The caller holds
+// mu.
+func (h *Hub) recordAges(ages map[string][]wire.VersionAge) {
+	now := h.ageClock.Now()
+	for model, list := range ages {
+		history := h.histories[model]
+		for _, age := range list {
+			history.recordTime(age.Version, now.Add(-time.Duration(age.Age)*time.Millisecond))
+		}
+		h.histories[model] = history
 	}
 }
 
@@ -302,18 +338,38 @@
 
 // Tick sends the total demand and, every AliveInterval, the servers that are alive
 // and the control processes. A changed list of control processes is sent at once.
+// While older versions of weights may be in use, the ages of versions are repeated:
+// an update may have been delayed, and the greatest of several ages holds.
 func (h *Hub) Tick() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.table.Sweep(h.now())
-	var direct, relay wire.Update
+	peer, entry, relay := h.tickUpdates()
+	if len(peer.Alive)+len(peer.Ages) > 0 {
+		for _, c := range h.peers.Conns() {
+			_ = c.Notify(wire.KindUpdate, peer)
+		}
+	}
+	for _, f := range h.followers {
+		switch {
+		case !f.relay:
+			_ = f.conn.Notify(wire.KindUpdate, entry)
+		case len(relay.Alive)+len(relay.Controls) > 0:
+			_ = f.conn.Notify(wire.KindUpdate, relay)
+		}
+	}
+}
+
+// tickUpdates returns the updates of a tick for the other control processes, entries
+// and relay followers. The caller holds mu.
+func (h *Hub) tickUpdates() (peer, entry, relay wire.Update) {
 	controls := h.controls()
 	now := h.clock.Now()
 	due := now.Sub(h.lastAliveAt) >= AliveInterval
 	if due {
 		h.lastAliveAt = now
-		direct.Alive = ids(h.aliveLocal)
-		relay.Alive = append(ids(h.alivePeers), direct.Alive...)
+		peer.Alive = ids(h.aliveLocal)
+		relay.Alive = append(ids(h.alivePeers), peer.Alive...)
 		clear(h.aliveLocal)
 		clear(h.alivePeers)
 	}
@@ -321,21 +377,20 @@
 		h.sentControls = controls
 		relay.Controls = controls
 	}
-	if len(direct.Alive) > 0 {
-		for _, c := range h.peers.Conns() {
-			_ = c.Notify(wire.KindUpdate, direct)
-		}
-	}
-	entry := direct
+	peer.Ages = h.ages(2 * h.oldVersionGrace)
+	entry = peer
+	entry.Weights = h.newestOf(peer.Ages)
 	entry.Controls, entry.Demand, entry.Entries = relay.Controls, h.totalDemand(), h.entryCount()
-	for _, f := range h.followers {
-		switch {
-		case !f.relay:
-			_ = f.conn.Notify(wire.KindUpdate, entry)
-		case len(relay.Alive)+len(relay.Controls) > 0:
-			_ = f.conn.Notify(wire.KindUpdate, relay)
-		}
+	return peer, entry, relay
+}
+
+// newestOf returns the newest version of each model in ages. The caller holds mu.
+func (h *Hub) newestOf(ages map[string][]wire.VersionAge) map[string]int {
+	weights := make(map[string]int, len(ages))
+	for model := range ages {
+		weights[model] = h.state.Weights[model]
 	}
+	return weights
 }
 
 // totalDemand sums the demand of all entries by service. The caller holds mu.
--- a/process/feed/versions.go
+++ b/process/feed/versions.go
@@ -7,14 +7,9 @@
 	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
-const (
-	// ageTolerance is how much earlier a second time of publication must be to
-	// replace the first.
-	ageTolerance = 100 * time.Millisecond
-	// maxVersions is how many versions of a model are kept: several may be
-	// published within the time in which one has to be loaded everywhere.
-	maxVersions = 6
-)
+// maxVersions is how many versions of a model are kept: several may be published
+// within the time in which one has to be loaded everywhere.
+const maxVersions = 6
 
 // PublishedVersion is a version of a model's weights and the earliest time of its
 // publication that this process knows.
@@ -79,11 +74,11 @@
 
 // recordTime sets a version's time of publication and reports whether the history
 // changed. The earlier of two times holds: a control process that was down sees a
-// version late.
+// version late, and updates are delayed.
 func (h *VersionHistory) recordTime(version int, since boottime.Instant) bool {
 	for i, v := range h.versions {
 		if v.Version == version {
-			if !since.Before(v.Since.Add(-ageTolerance)) {
+			if !since.Before(v.Since) {
 				return false
 			}
 			h.versions = slices.Clone(h.versions)
