A version whose successor's time is unknown is no longer used

An entry that knew versions 2 and 4 but not when 3 was published used version 2 until version 4's time plus the grace period, although 3 had been published earlier. That happens when a control process applies 3 and 4 between two looks at its state, which gave only 4 an age, or when it restarts between them.

The desired state now lists the published versions of each model, up to eight, and the feed carries the list. The next version of the list must have a known time, and decides; without a list, as from a control process of the previous release, versions count as consecutive. A number that was skipped does not cost the rest of the grace period. A control process gives all versions that it applies together an age.

TestVersionIsUnusableWhenTheTimeOfTheNextOneIsUnknown failed before: version 2 was usable until version 4's time plus the grace period. The other new tests concern the list, which did not exist.

--- a/connection/wire/updates.go
+++ b/connection/wire/updates.go
@@ -41,6 +41,8 @@
 	// Versions that the sender learned right after a restart are missing, because
 	// it does not know their age.
 	Ages map[string][]VersionAge `cbor:"10,keyasint,omitempty"`
+	// Published lists, by model, the latest published versions in ascending order.
+	Published map[string][]int `cbor:"12,keyasint,omitempty"`
 	// Servers lists the servers that changed, Alive the IDs of those that sent a
 	// heartbeat without a change, Left those that deregistered.
 	Servers []directory.Server `cbor:"4,keyasint,omitempty"`
--- a/process/control/desired/desired.go
+++ b/process/control/desired/desired.go
@@ -12,6 +12,7 @@
 	"compress/flate"
 	"io"
 	"maps"
+	"slices"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,6 +21,9 @@
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
+// maxPublished bounds the published versions that are listed for a model.
+const maxPublished = 8
+
 // State is the desired state of a deployment at one log index.
 type State struct {
 	// Revision is the log index of the last change.
@@ -30,6 +34,10 @@
 	Content []byte `cbor:"3,keyasint,omitempty"`
 	// Weights maps each model to the newest version set for it.
 	Weights map[string]int `cbor:"4,keyasint,omitempty"`
+	// Published lists the latest published versions of each model in ascending order,
+	// the newest included. It starts with the version before the first one that was
+	// published after the state had this field.
+	Published map[string][]int `cbor:"5,keyasint,omitempty"`
 }
 
 // Machine is the state machine of one replica.
@@ -56,13 +64,7 @@
 		}
 	case cmd.Weights != nil:
 		if w := cmd.Weights; w.Version > m.state.Weights[w.Model] {
-			weights := map[string]int{w.Model: w.Version}
-			for model, version := range m.state.Weights {
-				if model != w.Model {
-					weights[model] = version
-				}
-			}
-			m.state.Weights = weights
+			m.publish(w.Model, w.Version)
 			m.recordChange(index)
 		}
 	default:
@@ -72,6 +74,26 @@
 	return res
 }
 
+// publish makes a version the newest one of a model. The maps are replaced, because
+// Current has returned them. The caller holds the lock.
+func (m *Machine) publish(model string, version int) {
+	published := slices.Clone(m.state.Published[model])
+	if previous := m.state.Weights[model]; len(published) == 0 && previous > 0 {
+		published = append(published, previous)
+	}
+	published = append(published, version)
+	m.state.Weights = withValue(m.state.Weights, model, version)
+	m.state.Published = withValue(m.state.Published, model, published[max(0, len(published)-maxPublished):])
+}
+
+// withValue returns a copy of a map in which a key has a value.
+func withValue[V any](old map[string]V, key string, value V) map[string]V {
+	changed := make(map[string]V, len(old)+1)
+	maps.Copy(changed, old)
+	changed[key] = value
+	return changed
+}
+
 // recordChange sets the revision and notifies waiters. The caller holds the
 // lock.
 func (m *Machine) recordChange(index uint64) {
@@ -102,7 +124,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.state = State{ConfigVersion: s.ConfigVersion, Content: s.Content, Weights: maps.Clone(s.Weights)}
+	m.state = State{ConfigVersion: s.ConfigVersion, Content: s.Content, Weights: maps.Clone(s.Weights), Published: maps.Clone(s.Published)}
 	m.recordChange(s.Revision)
 	return nil
 }
--- a/process/control/desired/desired_test.go
+++ b/process/control/desired/desired_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"slices"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/waxwingpost/waxwingpost/process/control"
 )
 
@@ -81,3 +84,44 @@
 		t.Error("a truncated document was decompressed without error")
 	}
 }
+
+func TestPublishedVersionsAreListed(t *testing.T) {
+	m := New()
+	list := func() []int { s, _ := m.Current(); return s.Published["m"] }
+	for i, version := range []int{2, 3, 3, 7} {
+		m.Apply(uint64(i+1), 1, weightsCommand("m", version))
+	}
+	before := list()
+	if !slices.Equal(before, []int{2, 3, 7}) {
+		t.Errorf("published versions are %v", before)
+	}
+	for version := 8; version < 30; version++ {
+		m.Apply(uint64(version), 1, weightsCommand("m", version))
+	}
+	if got := list(); len(got) != maxPublished || got[maxPublished-1] != 29 || !slices.Equal(before, []int{2, 3, 7}) {
+		t.Errorf("published versions are %v, those returned before %v", got, before)
+	}
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := list()
+	if m = New(); m.Restore(data) != nil || !slices.Equal(list(), want) {
+		t.Errorf("published versions are %v after a restart, want %v", list(), want)
+	}
+}
+
+func TestListOfPublishedVersionsStartsWithTheOneOfAnOlderSnapshot(t *testing.T) {
+	data, err := cbor.Marshal(map[int]any{1: 5, 4: map[string]int{"m": 3}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := New()
+	if err := m.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	m.Apply(6, 1, weightsCommand("m", 5))
+	if s, _ := m.Current(); !slices.Equal(s.Published["m"], []int{3, 5}) {
+		t.Errorf("published versions are %v", s.Published["m"])
+	}
+}
--- a/process/feed/ages_test.go
+++ b/process/feed/ages_test.go
@@ -92,3 +92,20 @@
 		t.Errorf("after a restart, the age of a version published 6s ago is sent as %v", ages)
 	}
 }
+
+func TestVersionsThatAreAppliedTogetherAllGetAnAge(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := newTestHub(clock, boottime.NewFake(clock))
+	f := newTestFollower(clock)
+	clock.Advance(catchUpTime + time.Second)
+	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}, Published: map[string][]int{"m": {2}}})
+	clock.Advance(time.Second)
+	h.SetDesired(desired.State{Revision: 3, Weights: map[string]int{"m": 4}, Published: map[string][]int{"m": {2, 3, 4}}})
+	f.apply(h.FullState())
+	history := f.View().Weights["m"]
+	for _, version := range []int{2, 3} {
+		if until, _ := history.UsableUntil(version, 8*time.Second); until != f.ageClock.Now().Add(8*time.Second) {
+			t.Errorf("version %d is usable for %v", version, until.Sub(f.ageClock.Now()))
+		}
+	}
+}
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -335,6 +335,9 @@
 			changed = true
 			f.log.Info("weights version published", "model", model, "version", version, "revision", update.Revision, "ages", update.Ages[model])
 		}
+		if history.recordPublished(update.Published[model]) {
+			changed = true
+		}
 		for _, age := range update.Ages[model] {
 			if history.recordTime(age.Version, now.Add(-time.Duration(age.Age)*time.Millisecond)) {
 				changed = true
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -63,9 +63,9 @@
 	// oldVersionGrace is how long a version may be used after the next one was
 	// published.
 	oldVersionGrace time.Duration
-	log      *slog.Logger
-	peers    peers
-	start    time.Time
+	log             *slog.Logger
+	peers           peers
+	start           time.Time
 	// controls returns the peer addresses of all control processes.
 	controls func() []string
 
@@ -265,11 +265,9 @@
 		if version <= h.state.Weights[model] {
 			continue
 		}
-		history := h.histories[model]
 		if h.now() > catchUpTime {
-			history.recordTime(version, h.ageClock.Now())
+			h.recordPublication(model, version, s.Published[model])
 		}
-		h.histories[model] = history
 	}
 	h.state = s
 	h.log.Info("desired state changed", "revision", s.Revision, "config_version", s.ConfigVersion, "weights", s.Weights)
@@ -279,10 +277,26 @@
 	}
 }
 
+// recordPublication records that the versions of a model after the last known one
+// were published just now. Several versions may be applied between two calls of
+// SetDesired. The caller holds mu.
+func (h *Hub) recordPublication(model string, newest int, published []int) {
+	now := h.ageClock.Now()
+	history := h.histories[model]
+	for _, v := range published {
+		if v > h.state.Weights[model] {
+			history.recordTime(v, now)
+		}
+	}
+	history.recordTime(newest, now)
+	h.histories[model] = history
+}
+
 // desiredUpdate returns an update with the desired state. The caller holds mu.
 func (h *Hub) desiredUpdate() wire.Update {
 	return wire.Update{
-		Revision: h.state.Revision, ConfigVersion: h.state.ConfigVersion, Weights: h.state.Weights, Ages: h.ages(math.MaxInt64),
+		Revision: h.state.Revision, ConfigVersion: h.state.ConfigVersion, Weights: h.state.Weights,
+		Published: h.state.Published, Ages: h.ages(math.MaxInt64),
 	}
 }
 
@@ -379,18 +393,19 @@
 	}
 	peer.Ages = h.ages(2 * h.oldVersionGrace)
 	entry = peer
-	entry.Weights = h.newestOf(peer.Ages)
+	entry.Weights, entry.Published = h.versionsOf(peer.Ages)
 	entry.Controls, entry.Demand, entry.Entries = relay.Controls, h.totalDemand(), h.entryCount()
 	return peer, entry, relay
 }
 
-// newestOf returns the newest version of each model in ages. The caller holds mu.
-func (h *Hub) newestOf(ages map[string][]wire.VersionAge) map[string]int {
-	weights := make(map[string]int, len(ages))
+// versionsOf returns the newest and the published versions of each model in ages. The
+// caller holds mu.
+func (h *Hub) versionsOf(ages map[string][]wire.VersionAge) (newest map[string]int, published map[string][]int) {
+	newest, published = make(map[string]int, len(ages)), make(map[string][]int, len(ages))
 	for model := range ages {
-		weights[model] = h.state.Weights[model]
+		newest[model], published[model] = h.state.Weights[model], h.state.Published[model]
 	}
-	return weights
+	return newest, published
 }
 
 // totalDemand sums the demand of all entries by service. The caller holds mu.
--- a/process/feed/versions.go
+++ b/process/feed/versions.go
@@ -24,6 +24,8 @@
 	versions []PublishedVersion
 	// newest is the highest version, even if its time of publication is unknown.
 	newest int
+	// published lists the latest published versions in ascending order.
+	published []int
 }
 
 // Newest returns the highest published version, or 0.
@@ -34,14 +36,14 @@
 func (h VersionHistory) Versions() []PublishedVersion { return h.versions }
 
 // UsableUntil returns the time until which a version may be used: grace after the
-// next version was published. For the newest version, noExpiry is true. If the time
-// of publication of a newer version is not known, it may be long ago, and until is
+// next version was published. For the newest version, noExpiry is true. If the next
+// version or its time of publication is not known, that may be long ago, and until is
 // zero.
 func (h VersionHistory) UsableUntil(version int, grace time.Duration) (until boottime.Instant, noExpiry bool) {
 	if version >= h.newest {
 		return until, true
 	}
-	if !h.hasTime(h.newest) || version < h.versions[0].Version-1 {
+	if !h.hasTime(h.next(version)) {
 		return until, false
 	}
 	for _, v := range h.versions {
@@ -52,6 +54,16 @@
 	return until, false
 }
 
+// next returns the version that was published after an older version. Without a list
+// of the published versions, they are taken to be consecutive.
+func (h VersionHistory) next(version int) int {
+	if n := len(h.published); n > 0 && h.published[n-1] >= h.newest && version >= h.published[0] {
+		i, _ := slices.BinarySearch(h.published, version+1)
+		return h.published[i]
+	}
+	return version + 1
+}
+
 func (h VersionHistory) hasTime(version int) bool {
 	return slices.ContainsFunc(h.versions, func(v PublishedVersion) bool { return v.Version == version })
 }
@@ -72,6 +84,20 @@
 	return true
 }
 
+// recordPublished sets the list of published versions, unless the one held is newer,
+// and reports whether the history changed.
+func (h *VersionHistory) recordPublished(published []int) bool {
+	n := len(published)
+	if n == 0 || slices.Equal(published, h.published) {
+		return false
+	}
+	if held := len(h.published); held > 0 && (h.published[held-1] > published[n-1] || h.published[0] < published[0] && h.published[held-1] == published[n-1]) {
+		return false
+	}
+	h.published = slices.Clone(published)
+	return true
+}
+
 // recordTime sets a version's time of publication and reports whether the history
 // changed. The earlier of two times holds: a control process that was down sees a
 // version late, and updates are delayed.
--- a/process/feed/versions_test.go
+++ b/process/feed/versions_test.go
@@ -59,3 +59,34 @@
 		t.Error("an older version changed the history")
 	}
 }
+
+func TestVersionIsUnusableWhenTheTimeOfTheNextOneIsUnknown(t *testing.T) {
+	const grace = 8 * time.Second
+	now := boottime.Instant{}.Add(1000 * time.Second)
+	var h VersionHistory
+	h.Record(2, now)
+	h.Record(4, now.Add(7*time.Second))
+	for name, published := range map[string][]int{"without a list": nil, "with a list": {2, 3, 4}} {
+		h.recordPublished(published)
+		if until, _ := h.UsableUntil(2, grace); !until.IsZero() {
+			t.Errorf("%s: version 2 is usable until %v, although version 3 was published at an unknown time", name, until)
+		}
+	}
+	h.recordTime(3, now.Add(time.Second))
+	if until, _ := h.UsableUntil(2, grace); until != now.Add(time.Second+grace) {
+		t.Errorf("version 2 is usable until %v", until)
+	}
+}
+
+func TestSkippedVersionNumberDoesNotEndTheGracePeriod(t *testing.T) {
+	const grace = 8 * time.Second
+	now := boottime.Instant{}.Add(1000 * time.Second)
+	var h VersionHistory
+	h.Record(2, now)
+	h.Record(4, now.Add(7*time.Second))
+	h.recordPublished([]int{2, 4})
+	h.recordPublished([]int{2})
+	if until, _ := h.UsableUntil(2, grace); until != now.Add(7*time.Second+grace) {
+		t.Errorf("version 2 is usable until %v, although the next version is 4", until)
+	}
+}
