forward: each request is counted under one outcome, and logs its weights' expiry

The counters did not add up: a stream that was aborted after its header counted as failed like one that got an error status, and a handler that panicked or returned without writing counted as nothing, its trace at debug level only.

Nothing changes for callers.

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -55,8 +55,9 @@
 }
 
 type metrics struct {
-	requests, served, refused, failed, callersGone, retried tally.Counter
-	duration, firstByte                                     tally.Timer
+	requests, retried, panics, firstEventLate tally.Counter
+	outcomes                                  [outcomeCount]tally.Counter
+	duration, firstByte                       tally.Timer
 }
 
 // New returns a handler. view returns the current view of the deployment.
@@ -66,9 +67,8 @@
 		cfg: cfg, view: view, client: client, clock: clock, log: log,
 		scheduler: newScheduler(cfg, clock),
 		metrics: metrics{
-			requests: scope.Counter("received"), served: scope.Counter("served"), refused: scope.Counter("refused"),
-			failed: scope.Counter("failed"), callersGone: scope.Counter("callers_gone"),
-			retried:  scope.Counter("sent_again"),
+			requests: scope.Counter("received"), retried: scope.Counter("sent_again"), panics: scope.Counter("panics"),
+			firstEventLate: scope.Counter("first_event_after_expiry"), outcomes: outcomeCounters(scope),
 			duration: scope.Timer("duration"), firstByte: scope.Timer("first_byte"),
 		},
 	}
@@ -119,6 +119,8 @@
 	// firstByte is the time to the first byte of the response.
 	firstByte  time.Duration
 	eventsSent int
+	outcome    outcome
+	weights    weightsUse
 }
 
 // ServeHTTP serves one request of a caller.
@@ -128,6 +130,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	cr := &callerRequest{id: r.Header.Get(platform.HeaderRequestID), start: h.clock.Now(), request: r}
+	defer h.countOutcome(cr)
 	if h.inflight.Admit(0) == inflight.Draining {
 		h.writeError(w, cr, result.Refuse(result.Draining, 100*time.Millisecond, "the process is shutting down"))
 		return
--- /dev/null
+++ b/request/forward/outcome.go
@@ -0,0 +1,128 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/request/placement"
+)
+
+// outcome classifies how a request ended for its caller. Each request is counted
+// under exactly one.
+type outcome uint8
+
+const (
+	// outcomeNone means that the handler ended without a response.
+	outcomeNone outcome = iota
+	outcomeServed
+	outcomeRefused
+	outcomeFailed
+	outcomeCallerGone
+	// outcomeAborted means that the connection was closed before the response was
+	// complete.
+	outcomeAborted
+	outcomeCount
+)
+
+func outcomeCounters(scope tally.Scope) [outcomeCount]tally.Counter {
+	return [outcomeCount]tally.Counter{
+		outcomeNone: scope.Counter("unanswered"), outcomeServed: scope.Counter("served"), outcomeRefused: scope.Counter("refused"),
+		outcomeFailed: scope.Counter("failed"), outcomeCallerGone: scope.Counter("callers_gone"), outcomeAborted: scope.Counter("aborted"),
+	}
+}
+
+// maxLoggedStack bounds the stack trace of a panic in the log, in bytes.
+const maxLoggedStack = 4 << 10
+
+// countOutcome counts the outcome of a request and logs one that ended without a
+// response. It must be deferred by the handler, and panics again if that panicked.
+func (h *Handler) countOutcome(cr *callerRequest) {
+	cause := recover()
+	if cause != nil && cr.outcome == outcomeNone {
+		cr.outcome = outcomeAborted
+	}
+	if cause != nil && cause != http.ErrAbortHandler { //nolint:errorlint // net/http compares the value as well
+		stack := debug.Stack()
+		h.metrics.panics.Inc(1)
+		h.log.Error("request handler panicked", "id", cr.id, "code", int(result.Internal), "servers", cr.triedServers,
+			"error", cause, "stack", string(stack[:min(len(stack), maxLoggedStack)]))
+		cr.outcome = outcomeAborted
+	}
+	if cause == nil && cr.outcome == outcomeNone {
+		h.log.Error("request ended without a response", "id", cr.id, "code", int(result.Internal), "servers", cr.triedServers)
+	}
+	h.metrics.outcomes[cr.outcome].Inc(1)
+	if cause != nil {
+		panic(cause)
+	}
+}
+
+// silenceLogged is how long a server must send nothing for its silence to be logged.
+const silenceLogged = time.Second
+
+// logSilence logs a long silence of the server of a stream. err is what ended it, or
+// nil for more of the response.
+func (h *Handler) logSilence(cr *callerRequest, l *placement.Lease, since time.Time, err error) {
+	silent := h.clock.Since(since)
+	if silent < silenceLogged {
+		return
+	}
+	var timeout interface{ Timeout() bool }
+	endedBy := "response"
+	switch {
+	case err == nil:
+	case cr.request.Context().Err() != nil:
+		endedBy = "caller"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		endedBy = "timeout"
+	case errors.Is(err, io.EOF):
+		endedBy = "end"
+	default:
+		endedBy = "error"
+	}
+	h.log.Info("server was silent", "id", cr.id, "server", l.Server.ID, "silent_ms", silent.Milliseconds(), "ended_by", endedBy,
+		"events", cr.eventsSent, "deadline_ms", h.clock.Until(cr.deadline).Milliseconds())
+}
+
+// weightsUse is the version of weights that a request's last server was listed with.
+type weightsUse struct {
+	version int
+	// until is when the weights expire, zero if they don't.
+	until time.Time
+	sent  time.Time
+	// first is when the first event came, zero if none came.
+	first time.Time
+}
+
+// appendAttrs appends the log attributes, if the weights expire.
+func (u *weightsUse) appendAttrs(attrs []any) []any {
+	if u.until.IsZero() {
+		return attrs
+	}
+	attrs = append(attrs, "weights", u.version, "usable_sent_ms", u.until.Sub(u.sent).Milliseconds())
+	if !u.first.IsZero() {
+		attrs = append(attrs, "usable_first_ms", u.until.Sub(u.first).Milliseconds())
+	}
+	return attrs
+}
+
+// recordFirstEvent records the first event of an attempt, and counts one that came
+// after the server's weights had expired. A newer version may have been published
+// since the request was sent.
+func (h *Handler) recordFirstEvent(cr *callerRequest, l *placement.Lease) {
+	current := h.scheduler.recordFirstEvent(cr.service, l)
+	u := &cr.weights
+	u.first = h.clock.Now()
+	if current.WeightsVersion == u.version && !current.WeightsUntil.IsZero() {
+		u.until = current.WeightsUntil
+	}
+	if !u.until.IsZero() && u.first.After(u.until) {
+		h.metrics.firstEventLate.Inc(1)
+	}
+}
--- a/request/forward/plain.go
+++ b/request/forward/plain.go
@@ -140,7 +140,7 @@
 	}
 	h.finishAttempt(cr, a)
 	if err != nil {
-		h.metrics.failed.Inc(1)
+		cr.outcome = outcomeAborted
 		h.logRequest(cr, a.ex.Status, result.New(result.AnswerCut, "the response was truncated: %v", err))
 		panic(http.ErrAbortHandler)
 	}
@@ -150,11 +150,11 @@
 // recordServed counts and logs a response that was forwarded.
 func (h *Handler) recordServed(cr *callerRequest, status int) {
 	if status < 300 {
-		h.metrics.served.Inc(1)
+		cr.outcome = outcomeServed
 		h.logRequest(cr, status, nil)
 		return
 	}
-	h.metrics.failed.Inc(1)
+	cr.outcome = outcomeFailed
 	h.logRequest(cr, status, result.New(result.BackendFailed, "the backend server returned an error"))
 }
 
@@ -189,6 +189,6 @@
 
 // recordCallerGone counts and logs a request whose caller left.
 func (h *Handler) recordCallerGone(cr *callerRequest) {
-	h.metrics.callersGone.Inc(1)
+	cr.outcome = outcomeCallerGone
 	h.logRequest(cr, 0, result.New(result.CallerGone, "the caller disconnected"))
 }
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -57,7 +57,7 @@
 		}
 		h.finishAttempt(cr, a)
 		if a.result == resultAnswered {
-			h.metrics.served.Inc(1)
+			cr.outcome = outcomeServed
 			h.logRequest(cr, http.StatusOK, nil)
 			return
 		}
@@ -115,12 +115,14 @@
 	r.reader.reset(a.ex)
 	first := true
 	for {
+		silentSince := r.h.clock.Now()
 		a.ex.SetReadDeadline(r.stallDeadline())
 		events, count, err := r.reader.next()
+		r.h.logSilence(r.cr, a.lease, silentSince, err)
 		if len(events) > 0 {
 			if first {
 				first = false
-				r.h.scheduler.recordFirstEvent(r.cr.service, a.lease)
+				r.h.recordFirstEvent(r.cr, a.lease)
 			}
 			if !r.writeEvents(a, events, count) {
 				a.result, a.outcome = resultUnknown, placement.Canceled
@@ -197,7 +199,7 @@
 	if r.cr.request.Context().Err() != nil {
 		r.h.recordCallerGone(r.cr)
 	} else {
-		r.h.metrics.failed.Inc(1)
+		r.cr.outcome = outcomeAborted
 		reason := lastError(last)
 		if acquireErr != nil {
 			reason = acquireErr
--- a/request/forward/respond.go
+++ b/request/forward/respond.go
@@ -40,10 +40,10 @@
 	e := result.From(err)
 	status := httpStatus(err)
 	if status == http.StatusServiceUnavailable {
-		h.metrics.refused.Inc(1)
+		cr.outcome = outcomeRefused
 		w.Header().Set(platform.HeaderRetryAfter, platform.FormatSeconds(jitter(max(e.RetryAfter, time.Millisecond))))
 	} else {
-		h.metrics.failed.Inc(1)
+		cr.outcome = outcomeFailed
 	}
 	if cr.id != "" {
 		w.Header().Set(platform.HeaderRequestID, cr.id)
@@ -72,6 +72,7 @@
 		"prompt", cr.tokens.Prompt, "late", cr.late, "servers", cr.triedServers,
 		"waited_ms", cr.queueTime.Milliseconds(), "first_ms", cr.firstByte.Milliseconds(), "took_ms", took.Milliseconds(),
 	}
+	attrs = cr.weights.appendAttrs(attrs)
 	if err != nil {
 		e := result.From(err)
 		h.log.Warn("request failed", append(attrs, "code", int(e.Code), "retry_after", e.RetryAfter, "reason", e.Detail)...)
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -121,10 +121,10 @@
 		if slots == 0 && s.Engine != nil {
 			slots = s.Engine.Slots
 		}
-		weightsHeld, until := sc.usableWeights(s, record)
+		weightsHeld, version, until := sc.usableWeights(s, record)
 		loading := record.LoadingUntil > sc.view.At+now.Sub(sc.viewTime)
 		servers = append(servers, placement.Server{
-			ID: record.ID, Address: record.Address, Zone: record.Zone, Slots: slots, WeightsUntil: until,
+			ID: record.ID, Address: record.Address, Zone: record.Zone, Slots: slots, WeightsVersion: version, WeightsUntil: until,
 			Usable: record.State == directory.Ready && weightsHeld && !loading,
 		})
 	}
@@ -132,27 +132,29 @@
 }
 
 // usableWeights reports whether a server holds usable weights for all models of
-// its service, and when the first of them expires; zero means no expiry. The
-// caller holds mu.
-func (sc *scheduler) usableWeights(s *deployment.Service, record *directory.Record) (allHeld bool, until time.Time) {
+// its service, and when the first of them expires; zero means no expiry. version is
+// that of the model that expires first, or of the last one. The caller holds mu.
+func (sc *scheduler) usableWeights(s *deployment.Service, record *directory.Record) (allHeld bool, version int, until time.Time) {
 	if s.Engine == nil {
-		return true, time.Time{}
+		return true, 0, time.Time{}
 	}
 	for _, model := range s.Engine.Models {
-		version := record.HeldVersion(model)
-		if version == 0 {
-			return false, until
+		held := record.HeldVersion(model)
+		if held == 0 {
+			return false, version, until
 		}
-		expires, noExpiry := sc.view.Weights[model].UsableUntil(version, sc.cfg.OldVersionGrace)
+		expires, noExpiry := sc.view.Weights[model].UsableUntil(held, sc.cfg.OldVersionGrace)
 		switch {
+		case noExpiry && until.IsZero():
+			version = held
 		case noExpiry:
 		case expires.IsZero():
-			return false, until
+			return false, version, until
 		case until.IsZero() || expires.Before(until):
-			until = expires
+			version, until = held, expires
 		}
 	}
-	return true, until
+	return true, version, until
 }
 
 // recordOffered counts a request towards the retry budget and, unless it is late,
@@ -230,12 +232,14 @@
 	return sc.service(service, now).retryBudget.TryRetry(now)
 }
 
-// recordFirstEvent records the first event of the request that holds the lease.
-func (sc *scheduler) recordFirstEvent(service string, l *placement.Lease) {
+// recordFirstEvent records the first event of the request that holds the lease, and
+// returns the server as it is listed now.
+func (sc *scheduler) recordFirstEvent(service string, l *placement.Lease) placement.Server {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	now := sc.clock.Now()
 	sc.service(service, now).pool.OnFirstEvent(now, l)
+	return l.CurrentServer()
 }
 
 // release returns the slot of a lease and records the outcome.
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -51,11 +51,16 @@
 func (h *Handler) send(ctx context.Context, cr *callerRequest, l *placement.Lease, headerDeadline time.Time, resumeAfter string) *attempt {
 	a := &attempt{lease: l}
 	cr.triedServers = append(cr.triedServers, l.Server.ID)
+	sent := h.clock.Now()
+	cr.weights = weightsUse{version: l.Server.WeightsVersion, until: l.Server.WeightsUntil, sent: sent}
 	a.ex, a.err = h.client.Do(ctx, l.Server.Address, &backend.Request{
 		Method: cr.request.Method, Target: cr.request.RequestURI, Host: cr.request.Host,
 		Header: h.serverHeader(cr, l, resumeAfter), Body: cr.body,
 		ID: cr.id, EchoHeader: platform.HeaderRequestID, HeadDeadline: headerDeadline, SendDeadline: l.SendDeadline(),
 	})
+	if cr.route.Kind == deployment.Stream {
+		h.logSilence(cr, l, sent, a.err)
+	}
 	if a.err != nil {
 		a.classifyError(ctx)
 		return a
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -24,6 +24,9 @@
 	// Usable is false for servers that are draining or lack the weights. They get
 	// no new requests.
 	Usable bool
+	// WeightsVersion is the version of the weights that expire first; it is only
+	// logged.
+	WeightsVersion int
 	// WeightsUntil is when the server's weights expire. No request may start there
 	// after that time, including requests already sent. Zero means no expiry.
 	WeightsUntil time.Time
@@ -83,6 +86,9 @@
 	Stalled
 )
 
+// CurrentServer returns the server as listed last.
+func (l *Lease) CurrentServer() Server { return l.state.Server }
+
 // SendDeadline returns the time by which the request must have been sent; zero if
 // there is no limit.
 func (l *Lease) SendDeadline() time.Time {
