backend: an incomplete exchange resets its connection

A canceled request closed its connection in the usual way: what the operating system still held up, or retransmitted on a lossy link, reached the server later, and the server could begin a request that its caller or entry had given up. Closing with a linger time of zero drops these bytes, and the server learns of the cancellation from the reset. This is now the one way in which an exchange that is not complete ends: by its context, by Close and after errors.

TestCanceledRequestReachesTheServerLater fails on the old code: the server reads to a regular end of the stream.

--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -249,6 +250,50 @@
 	}
 }
 
+func TestCanceledRequestReachesTheServerLater(t *testing.T) {
+	for name, end := range map[string]func(cancel func(), ex *Exchange){
+		"cancel": func(cancel func(), _ *Exchange) { cancel() },
+		"close":  func(_ func(), ex *Exchange) { ex.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan error, 1)
+			readOn := make(chan struct{})
+			address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					ended <- err
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+req.Header.Get("Request-Id")+"\r\nContent-Length: 9\r\n\r\npart")
+				<-readOn
+				_, err = io.Copy(io.Discard, c)
+				ended <- err
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			req := newRequest("1")
+			// More than the socket buffers hold.
+			req.Body = []byte(strings.Repeat("x", 32<<20))
+			ex, err := newClient().Do(ctx, address, req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			end(cancel, ex)
+			time.Sleep(50 * time.Millisecond)
+			close(readOn)
+			select {
+			case err := <-ended:
+				if !errors.Is(err, syscall.ECONNRESET) {
+					t.Errorf("the server's connection ended with %v, want a reset", err)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("the connection stayed open")
+			}
+			ex.Close()
+		})
+	}
+}
+
 func TestResponseBeforeRequestIsReadClosesConnection(t *testing.T) {
 	address, conns := serveConns(t, func(c net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
--- a/connection/backend/conn.go
+++ b/connection/backend/conn.go
@@ -29,6 +29,15 @@
 
 func (k *conn) close() { _ = k.Close() }
 
+// reset closes the connection and drops what the operating system has not sent yet,
+// so that the server can't receive the rest of a canceled request later.
+func (k *conn) reset() {
+	if tcp, ok := k.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	k.close()
+}
+
 // reusable reports whether the connection is open with no unread bytes. Unread
 // bytes belong to no request, so the connection can't be trusted.
 func (k *conn) reusable() bool {
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -104,7 +104,7 @@
 )
 
 // Do sends a request once and returns when the response head has arrived. When
-// ctx ends the connection is closed, which makes the server cancel the request.
+// ctx ends the connection is reset, which makes the server cancel the request.
 // Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Exchange, error) {
 	k := c.takeIdle(address, time.Now())
@@ -119,10 +119,10 @@
 		k.close()
 		return nil, &Error{Sent: NotSent, Err: errSendDeadline}
 	}
-	ex := &Exchange{client: c, conn: k, stopCancel: context.AfterFunc(ctx, k.close)}
+	ex := &Exchange{client: c, conn: k, stopCancel: context.AfterFunc(ctx, k.reset)}
 	_ = k.SetDeadline(req.HeadDeadline)
 	if err := ex.roundTrip(req); err != nil {
-		ex.closeConn()
+		ex.resetConn()
 		return nil, err
 	}
 	return ex, nil
@@ -336,8 +336,8 @@
 func (ex *Exchange) SetReadDeadline(t time.Time) { _ = ex.conn.SetReadDeadline(t) }
 
 // Close ends the exchange. The connection is reused if the complete response was
-// read and the server keeps it open too. Otherwise it is closed, which makes the
-// server cancel the request.
+// read and the server keeps it open too. It is reset if the exchange is incomplete,
+// which makes the server cancel the request.
 func (ex *Exchange) Close() {
 	if ex.conn == nil {
 		return
@@ -353,8 +353,13 @@
 			written = false
 		}
 	}
-	if !ex.complete || !ex.keepAlive || !written || !ex.stopCancel() || ex.conn.r.Buffered() > 0 {
-		ex.closeConn()
+	if !ex.complete || !written {
+		ex.resetConn()
+		return
+	}
+	if !ex.stopCancel() || !ex.keepAlive || ex.conn.r.Buffered() > 0 {
+		ex.conn.close()
+		ex.conn = nil
 		return
 	}
 	_ = ex.conn.SetDeadline(time.Time{})
@@ -367,13 +372,13 @@
 	ex.conn = nil
 }
 
-// closeConn closes the connection without reuse.
-func (ex *Exchange) closeConn() {
+// resetConn ends an incomplete exchange.
+func (ex *Exchange) resetConn() {
 	if ex.conn == nil {
 		return
 	}
 	ex.stopCancel()
-	ex.conn.close()
+	ex.conn.reset()
 	ex.conn = nil
 }
 
