placement: a resumed request no longer holds up the queue in vain

The queue gave slots strictly in order. A stream to be resumed precedes all other requests and excludes the server that failed it; while only that server had free slots, no other request got them.

--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -303,22 +303,31 @@
 // Waiting returns the number of queued requests.
 func (p *Pool) Waiting() int { return len(p.waiting) }
 
-// DispatchWaiting assigns free slots to queued requests. It must also be called
-// periodically, because a backoff after a refusal ends without any event.
+// DispatchWaiting assigns free slots to queued requests. A request that no server
+// accepts holds up those behind it, unless it excludes servers: a slot of these is
+// of no use to it. DispatchWaiting must also be called periodically, because a
+// backoff after a refusal ends without any event.
 func (p *Pool) DispatchWaiting(now time.Time) {
-	for len(p.waiting) > 0 {
-		best := 0
-		for i, w := range p.waiting {
-			if precedes(w, p.waiting[best]) {
-				best = i
+	var passedOver []*Waiter
+	for {
+		var w *Waiter
+		for _, o := range p.waiting {
+			if !slices.Contains(passedOver, o) && (w == nil || precedes(o, w)) {
+				w = o
 			}
 		}
-		w := p.waiting[best]
+		if w == nil {
+			return
+		}
 		l := p.TryAcquire(now, w.Request)
 		if l == nil {
-			return
+			if len(w.Request.Exclude) == 0 {
+				return
+			}
+			passedOver = append(passedOver, w)
+			continue
 		}
-		p.waiting = slices.Delete(p.waiting, best, best+1)
+		p.Dequeue(w)
 		w.Grant(l)
 	}
 }
