placement: a server that goes on after a silence is available at once

A pool learned of a silent server only when its request was given up, and ejected it for 700 ms or more. Requests will wait for a silent server from now on: OnSilent ejects it while it sends nothing, and OnResumed or a complete response end that. A slot that is given back without use is no sample of the server, and a request that moves from one server to another may exceed the entry's limit by the slot that it is about to give back, as its silent server would hold it for good otherwise. The retry budget can be asked without taking a retry.

Nothing calls these yet.

--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -106,7 +106,11 @@
 
 // TryAcquire assigns a free slot to a request, or returns nil if there is none.
 func (p *Pool) TryAcquire(now time.Time, req Request) *Lease {
-	if p.inFlight >= p.slotLimit() {
+	limit := p.slotLimit()
+	if req.Replaces && limit < math.MaxInt {
+		limit++
+	}
+	if p.inFlight >= limit {
 		return nil
 	}
 	s := p.pickServer(now, req)
@@ -183,6 +187,24 @@
 	}
 }
 
+// OnSilent records that the server has sent nothing for long on a request that
+// still waits for it. The server is ejected as after a failure.
+func (p *Pool) OnSilent(now time.Time, l *Lease) {
+	if !l.silent {
+		l.silent = true
+		l.state.recordOutcome(Stalled, now)
+	}
+}
+
+// OnResumed records that a server reported by OnSilent has gone on.
+func (p *Pool) OnResumed(now time.Time, l *Lease) {
+	if l.silent {
+		l.silent = false
+		l.state.endSilence(now)
+		p.DispatchWaiting(now)
+	}
+}
+
 // WaitDeadline returns the time until which a request may wait for a slot and still
 // meet its latency target. The prefill time of its prompt and the recent delay of
 // first events are subtracted from the target.
@@ -219,11 +241,21 @@
 	}
 	l.state.inFlight--
 	p.inFlight--
-	l.state.recordOutcome(o, now)
+	switch {
+	case l.silent && o == Served:
+		l.state.endSilence(now)
+		l.state.recordOutcome(o, now)
+	case l.silent && (o == Stalled || o == Canceled):
+		// OnSilent has recorded the silence, and a caller that left it proves nothing.
+	default:
+		l.state.recordOutcome(o, now)
+	}
 	if l.state.removed && l.state.inFlight == 0 {
 		delete(p.servers, l.state.ID)
 	}
-	p.recordFreed(now)
+	if o != Unused {
+		p.recordFreed(now)
+	}
 	if o == Served {
 		p.meanHold += time.Duration(slotEWMAWeight * float64(now.Sub(l.granted)-p.meanHold))
 	}
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -154,6 +154,16 @@
 	}
 }
 
+// endSilence makes a server available again that was ejected for its silence.
+func (s *server) endSilence(now time.Time) {
+	s.consecutiveFailures = 0
+	s.probing = false
+	s.ejectTime = 0
+	if now.Before(s.ejectedUntil) {
+		s.ejectedUntil = now
+	}
+}
+
 // eject takes the server out of use for a time that doubles with each ejection.
 func (s *server) eject(now time.Time) {
 	if now.Before(s.ejectedUntil) {
--- a/request/placement/silence_test.go
+++ b/request/placement/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 )
 
 func TestRequestThatExcludesTheFreeServerHoldsUpTheQueue(t *testing.T) {
@@ -28,3 +29,61 @@
 		t.Errorf("the slots went to %v, want the second one for the resumed request", granted)
 	}
 }
+
+func TestServerThatWentOnAfterASilenceStaysEjected(t *testing.T) {
+	p := newPool(engines, makeServers(1, 4), 1)
+	l := p.TryAcquire(at(0), Request{})
+	p.OnSilent(at(1500), l)
+	p.OnSilent(at(1600), l)
+	if p.TryAcquire(at(1600), Request{}) != nil {
+		t.Error("a silent server got a new request")
+	}
+	p.OnResumed(at(2000), l)
+	for i := range 3 {
+		if p.TryAcquire(at(2000), Request{}) == nil {
+			t.Errorf("request %d found no slot after the server had gone on", i)
+		}
+	}
+	p.Release(at(2500), l, Served)
+}
+
+func TestCallerThatLeavesASilentServerMakesItAvailable(t *testing.T) {
+	p := newPool(engines, makeServers(1, 4), 1)
+	l := p.TryAcquire(at(0), Request{})
+	p.OnSilent(at(1500), l)
+	p.Release(at(1600), l, Canceled)
+	if p.TryAcquire(at(1601), Request{}) != nil {
+		t.Error("a server that was silent until its caller left got a new request at once")
+	}
+	now := at(1500).Add(minEjectTime)
+	if p.TryAcquire(now, Request{}) == nil {
+		t.Error("the server was not probed after its ejection")
+	}
+	if p.TryAcquire(now, Request{}) != nil {
+		t.Error("the server got a second request before its probe ended")
+	}
+}
+
+func TestSlotLimitKeepsARequestOnItsSilentServer(t *testing.T) {
+	// Each server has two slots for this entry, but both together only two.
+	p := newPool(engines, makeServers(2, 3), 0.34)
+	first := p.TryAcquire(at(0), Request{})
+	second := p.TryAcquire(at(0), Request{})
+	if first == nil || second == nil || p.TryAcquire(at(0), Request{}) != nil {
+		t.Fatal("the entry's limit is not two requests")
+	}
+	req := Request{Replaces: true, Exclude: []string{first.Server.ID}}
+	other := p.TryAcquire(at(0), req)
+	if other == nil {
+		t.Fatal("a request that gives its slot back got no other one")
+	}
+	if p.TryAcquire(at(0), req) != nil {
+		t.Error("the limit was exceeded by two")
+	}
+	p.Release(at(10), other, Unused)
+	p.Release(at(10), first, Served)
+	p.Release(at(10).Add(time.Millisecond), second, Served)
+	if n, _ := p.Load(); n != 0 {
+		t.Errorf("%d slots in use, want 0", n)
+	}
+}
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -60,6 +60,9 @@
 	Started bool
 	// Priority orders queued requests; lower values go first.
 	Priority int
+	// Replaces is set if the request holds a slot that it gives back once it has
+	// another one.
+	Replaces bool
 	// Exclude lists the IDs of servers that were already tried.
 	Exclude []string
 }
@@ -84,6 +87,8 @@
 	Canceled
 	// Stalled means that the server sent nothing until a timeout.
 	Stalled
+	// Unused means that the slot was given back without sending the request.
+	Unused
 )
 
 // CurrentServer returns the server as listed last.
@@ -108,6 +113,8 @@
 	granted time.Time
 	// awaitingFirst is set until the first event.
 	awaitingFirst bool
+	// silent is set while the server has been reported as silent.
+	silent bool
 }
 
 // Waiter is a queued request.
--- a/request/retry/window.go
+++ b/request/retry/window.go
@@ -48,15 +48,20 @@
 
 // TryRetry counts a retry, or returns false if the budget is spent.
 func (w *Window) TryRetry(now time.Time) bool {
+	if !w.MayRetry(now) {
+		return false
+	}
+	w.retries[w.current]++
+	return true
+}
+
+// MayRetry reports whether the budget allows another retry.
+func (w *Window) MayRetry(now time.Time) bool {
 	w.advance(now)
 	requests, retries := 0, 0
 	for i := range windowSlots {
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	if float64(retries+1) > w.Share*float64(requests)+w.Allowance {
-		return false
-	}
-	w.retries[w.current]++
-	return true
+	return float64(retries+1) <= w.Share*float64(requests)+w.Allowance
 }
