forward: a silent server keeps its request until another one has a slot

An entry closed the connection to a server that had sent nothing for 1.5 s (streams) or for four times the target, at least 600 ms (repeatable requests), and only then looked for a slot elsewhere. Without one within 400 ms, without retry budget or on a route that allows one server, the stream was aborted or the request failed with 502, although the server would have gone on.

Now a goroutine per attempt sends the request and reads the response, and the handler waits for whatever comes first: the next part of the response, a slot on another server or a timer. Only a slot in hand and a retry from the budget end the attempt of a silent server; a part that comes first gives the slot or the place in the queue back. What can't run elsewhere waits until the deadline. A server is recorded as silent while it is, so that new requests avoid it. Reads have no deadline but the caller's, so none has to be resumed after a timeout.

A stream that breaks off waits for a slot for as long as its caller stays (the longest of 2 s, four targets and eight pauses since the last event, less 250 ms for the start elsewhere) instead of 400 ms. The retry budget is taken once the slot is there.

An attempt may also be withdrawn at a given time unless its first event has come (attempt.withdrawAt); nothing sets this yet.

--- /dev/null
+++ b/request/forward/attempt.go
@@ -0,0 +1,211 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/connection/backend"
+	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/request/placement"
+)
+
+// attempt is one attempt to run a request on a server. A goroutine sends the request
+// and reads the response, so that the handler can wait for other things meanwhile.
+type attempt struct {
+	lease *placement.Lease
+	// withdrawAt is when the attempt ends if the server has sent no event until
+	// then; zero if there is no such time.
+	withdrawAt time.Time
+	cancel     context.CancelFunc
+	// parts delivers the progress of the response and is closed at the end of the
+	// attempt.
+	parts chan part
+
+	// ex is set once the first part was received.
+	ex *backend.Exchange
+
+	// The fields below are set once parts is closed.
+
+	result  attemptResult
+	outcome placement.Outcome
+	// notSent is set if no byte of the request was sent.
+	notSent bool
+	err     error
+	// body is the complete body of a short response that is not a stream.
+	body []byte
+	// panicked is the value and stack of a panic of the goroutine.
+	panicked error
+}
+
+// part is some progress of a response: its header, bytes of its body or events.
+type part struct {
+	// events holds complete events, count of them with an ID. lastID is the ID of
+	// the last one.
+	events []byte
+	count  int
+	lastID int64
+}
+
+// start sends the request to the server of the lease. events is the position in the
+// caller's stream, nil if the response is not a stream. The caller must receive all
+// parts or call giveUp, and then finishAttempt.
+func (h *Handler) start(cr *callerRequest, l *placement.Lease, events *eventReader) *attempt {
+	ctx, cancel := context.WithCancel(cr.request.Context())
+	a := &attempt{lease: l, cancel: cancel, parts: make(chan part)}
+	cr.triedServers = append(cr.triedServers, l.Server.ID)
+	cr.weights = weightsUse{version: l.Server.WeightsVersion, until: l.Server.WeightsUntil, sent: h.clock.Now()}
+	req := &backend.Request{
+		Method: cr.request.Method, Target: cr.request.RequestURI, Host: cr.request.Host,
+		Header: h.serverHeader(cr, l, events.position()), Body: cr.body,
+		ID: cr.id, EchoHeader: platform.HeaderRequestID, HeadDeadline: cr.deadline.Add(-responseMargin), SendDeadline: l.SendDeadline(),
+	}
+	go a.run(ctx, h.client, req, cr.route.Kind == deployment.Stream, events)
+	return a
+}
+
+// run sends the request, delivers the parts of the response and sets the result.
+func (a *attempt) run(ctx context.Context, client *backend.Client, req *backend.Request, streams bool, events *eventReader) {
+	defer close(a.parts)
+	defer func() {
+		if cause := recover(); cause != nil {
+			a.panicked = fmt.Errorf("%v\n%s", cause, debug.Stack())
+		}
+	}()
+	a.ex, a.err = client.Do(ctx, a.lease.Server.Address, req)
+	if a.err != nil {
+		a.classifyError(ctx)
+		return
+	}
+	a.classifyResponse(streams)
+	if a.result != resultAnswered && a.result != resultFailed {
+		return
+	}
+	err := a.deliver(ctx, part{})
+	switch {
+	case err != nil:
+	case !streams:
+		err = a.readBody(ctx)
+	case a.result == resultAnswered:
+		err = a.readEvents(ctx, events)
+	}
+	if err != nil {
+		a.classifyReadError(ctx, err)
+	}
+}
+
+// deliver passes a part to the handler.
+func (a *attempt) deliver(ctx context.Context, p part) error {
+	select {
+	case a.parts <- p:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// readEvents delivers the events of a stream until its end. A response without
+// framing counts as failed: its end can't be distinguished from a truncation.
+func (a *attempt) readEvents(ctx context.Context, events *eventReader) error {
+	events.reset(a.ex)
+	for {
+		data, count, err := events.next()
+		if len(data) > 0 {
+			if err := a.deliver(ctx, part{events: data, count: count, lastID: events.lastID}); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == io.EOF && a.ex.Framed(): //nolint:errorlint // next returns io.EOF itself
+			return nil
+		case err == io.EOF: //nolint:errorlint // next returns io.EOF itself
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+	}
+}
+
+var errBodyOverLimit = errors.New("response of unknown length exceeds the size limit")
+
+// readBody reads a short body completely. It leaves a long one of known length to
+// the handler, and fails for a long one of unknown length.
+func (a *attempt) readBody(ctx context.Context) error {
+	if a.long() {
+		return nil
+	}
+	body := make([]byte, 0, max(a.ex.Length, minBodyBuffer))
+	for {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, len(body))
+		}
+		n, err := a.ex.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
+			a.body = body
+			return nil
+		case err != nil:
+			return err
+		case len(body) > maxBufferedBody:
+			return errBodyOverLimit
+		}
+		if err := a.deliver(ctx, part{}); err != nil {
+			return err
+		}
+	}
+}
+
+// long reports whether the body is of known length and too long to be buffered.
+func (a *attempt) long() bool { return a.ex.Length > maxBufferedBody }
+
+// classifyReadError sets the result of an attempt whose response was truncated. The
+// deadline or a caller that left is not the server's failure.
+func (a *attempt) classifyReadError(ctx context.Context, err error) {
+	a.err, a.result, a.outcome = err, resultUnknown, placement.Failed
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) || ctx.Err() != nil:
+		a.outcome = placement.Canceled
+	case errors.As(err, &timeout) && timeout.Timeout():
+		a.outcome = placement.Stalled
+	}
+}
+
+// giveUp cancels an attempt that has not ended and waits for its end.
+func (a *attempt) giveUp(err error, o placement.Outcome) {
+	a.cancel()
+	for range a.parts {
+		// These events are sent again by the next server.
+	}
+	if a.result != resultNotRun {
+		a.err, a.result, a.outcome = err, resultUnknown, o
+	}
+}
+
+// finishAttempt closes the exchange and releases the slot. The attempt must have
+// ended.
+func (h *Handler) finishAttempt(cr *callerRequest, a *attempt) {
+	if a.ex != nil {
+		a.ex.Close()
+	}
+	a.cancel()
+	h.scheduler.release(cr.service, a.lease, a.outcome)
+	if a.panicked != nil {
+		panic(a.panicked)
+	}
+}
+
+// releaseUnused gives back a slot to which nothing was sent; nil is none.
+func (h *Handler) releaseUnused(cr *callerRequest, l *placement.Lease) {
+	if l != nil {
+		h.scheduler.release(cr.service, l, placement.Unused)
+	}
+}
--- a/request/forward/doc.go
+++ b/request/forward/doc.go
@@ -13,6 +13,9 @@
 //     connection is aborted.
 //   - Events of a stream are forwarded complete, in order and exactly once. If the
 //     route allows it, another server resumes the stream after the last event.
-//   - When the caller leaves, the connection to the server is closed, which
+//   - A server that sends nothing keeps its request until another one has a slot for
+//     it, or until the deadline. Only a response that breaks off or is invalid ends
+//     the request at that server earlier.
+//   - When the caller leaves, the connection to the server is reset, which
 //     cancels the request there.
 package forward
--- a/request/forward/events.go
+++ b/request/forward/events.go
@@ -42,6 +42,15 @@
 	srcErr error
 }
 
+// position returns the ID after which a server resumes the stream, or an empty string
+// for its start. A nil reader has no position.
+func (e *eventReader) position() string {
+	if e == nil || !e.hasLastID {
+		return ""
+	}
+	return strconv.FormatInt(e.lastID, 10)
+}
+
 // reset continues with another source after the last event.
 func (e *eventReader) reset(src source) { e.src, e.buf, e.srcErr = src, nil, nil }
 
--- a/request/forward/outcome.go
+++ b/request/forward/outcome.go
@@ -66,7 +66,7 @@
 // silenceLogged is how long a server must send nothing for its silence to be logged.
 const silenceLogged = time.Second
 
-// logSilence logs a long silence of the server of a stream. err is what ended it, or
+// logSilence logs a long silence of the server of a request. err is what ended it, or
 // nil for more of the response.
 func (h *Handler) logSilence(cr *callerRequest, l *placement.Lease, since time.Time, err error) {
 	silent := h.clock.Since(since)
@@ -77,6 +77,10 @@
 	endedBy := "response"
 	switch {
 	case err == nil:
+	case errors.Is(err, errSilent):
+		endedBy = "other_server"
+	case errors.Is(err, errWithdrawn):
+		endedBy = "withdrawal"
 	case cr.request.Context().Err() != nil:
 		endedBy = "caller"
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/request/forward/plain.go
+++ b/request/forward/plain.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/waxwingpost/waxwingpost/connection/backend"
-	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 )
@@ -18,12 +17,14 @@
 	// any of it is forwarded, so that the request can be retried if the response
 	// is truncated.
 	maxBufferedBody = 256 << 10
-	// attemptTimeoutTargets is the timeout of an attempt in multiples of the latency
-	// target, if the request can be retried on another server.
-	attemptTimeoutTargets = 4
-	// minAttemptTimeout is the lower bound of that timeout: the platform's longest
-	// requests of this kind take 220 ms of work.
-	minAttemptTimeout = 600 * time.Millisecond
+	// minBodyBuffer is the initial size of the buffer for a response of unknown length.
+	minBodyBuffer = 512
+	// silenceTargets is how long a server may send nothing before another one is
+	// searched for, in multiples of the latency target, if the request can be retried.
+	silenceTargets = 4
+	// minSilence is the lower bound of that time: the platform's longest requests of
+	// this kind take 220 ms of work.
+	minSilence = 600 * time.Millisecond
 	// refusedRetryAfter is the retry delay sent to callers whose request was refused
 	// by the servers.
 	refusedRetryAfter = 300 * time.Millisecond
@@ -32,28 +33,22 @@
 // servePlain serves a request whose response is not an event stream.
 func (h *Handler) servePlain(w http.ResponseWriter, cr *callerRequest) {
 	h.scheduler.recordOffered(cr)
-	repeatable := cr.route.Kind == deployment.Repeatable
 	// possibleRuns counts the servers that may have run the request.
 	possibleRuns := 0
 	var previous *attempt
-	var previousBody []byte
+	var next *placement.Lease
 	for {
-		l, err := h.scheduler.acquire(cr.request.Context(), cr, h.plainWaitDeadline(cr))
-		if err != nil {
-			if previous != nil && previous.result == resultFailed {
-				// The server's error response says more than one of the entry.
-				h.writeResponse(w, cr, previous, previousBody, possibleRuns)
+		if next == nil {
+			l, err := h.acquireNext(cr, previous, h.plainWaitDeadline(cr))
+			if err != nil {
+				h.writeLastResponse(w, cr, previous, possibleRuns, err)
 				return
 			}
-			h.writeFailure(w, cr, previous, possibleRuns, err)
-			return
-		}
-		a := h.send(cr.request.Context(), cr, l, h.plainHeaderDeadline(cr, repeatable), "")
-		var body []byte
-		if a.result == resultAnswered || a.result == resultFailed {
-			body = h.readShortResponse(cr, a)
+			next = l
 		}
-		if a.result == resultAnswered && body == nil {
+		a := h.start(cr, next, nil)
+		next = h.awaitResponse(cr, a, possibleRuns)
+		if a.result == resultAnswered && a.long() {
 			h.relayBody(w, cr, a)
 			return
 		}
@@ -62,14 +57,32 @@
 			possibleRuns++
 		}
 		if cr.request.Context().Err() != nil {
+			h.releaseUnused(cr, next)
 			h.recordCallerGone(cr)
 			return
 		}
-		if !h.mayRetry(cr, a, possibleRuns, repeatable) {
-			h.writeResponse(w, cr, a, body, possibleRuns)
+		if next == nil && !h.mayRetry(cr, a, possibleRuns) {
+			h.writeResponse(w, cr, a, possibleRuns)
 			return
 		}
-		previous, previousBody = a, body
+		previous = a
+	}
+}
+
+// awaitResponse waits until the attempt ends, or until the header of a long response
+// has arrived. If the attempt was given up for a slot on another server, that is
+// returned.
+func (h *Handler) awaitResponse(cr *callerRequest, a *attempt, possibleRuns int) *placement.Lease {
+	patience := max(silenceTargets*cr.route.Aim, minSilence)
+	if !cr.repeatable() {
+		patience = 0
+	}
+	w := h.watch(cr, a, patience, func() bool { return h.maySend(cr, possibleRuns+1) })
+	defer w.stop()
+	for {
+		if _, ok := w.part(); !ok {
+			return w.next
+		}
 	}
 }
 
@@ -85,43 +98,24 @@
 	return until
 }
 
-// plainHeaderDeadline returns the deadline for the response header.
-func (h *Handler) plainHeaderDeadline(cr *callerRequest, repeatable bool) time.Time {
-	deadline := cr.deadline.Add(-responseMargin)
-	if !repeatable || len(cr.triedServers) >= cr.route.MaxServers {
-		return deadline
-	}
-	if attemptDeadline := h.clock.Now().Add(max(attemptTimeoutTargets*cr.route.Aim, minAttemptTimeout)); attemptDeadline.Before(deadline) {
-		return attemptDeadline
-	}
-	return deadline
-}
-
-// readShortResponse reads a short response completely. It returns nil for a long
-// response of known length, which relayBody forwards. For a truncated response, or
-// a long one of unknown length, it returns nil and sets the attempt's result to
-// unknown.
-func (h *Handler) readShortResponse(cr *callerRequest, a *attempt) []byte {
-	a.ex.SetReadDeadline(cr.deadline.Add(-responseMargin))
-	if a.ex.Length > maxBufferedBody {
-		return nil
-	}
-	body, err := a.ex.ReadAll(maxBufferedBody)
-	if err != nil {
-		a.err, a.result, a.outcome = err, resultUnknown, placement.Failed
-		return nil
+// writeLastResponse answers a request that got no slot for another attempt. The
+// server's error response says more than one of the entry.
+func (h *Handler) writeLastResponse(w http.ResponseWriter, cr *callerRequest, previous *attempt, possibleRuns int, err error) {
+	if previous != nil && previous.result == resultFailed {
+		h.writeResponse(w, cr, previous, possibleRuns)
+		return
 	}
-	return body
+	h.writeFailure(w, cr, previous, possibleRuns, err)
 }
 
 // writeResponse sends the caller the last response, or an error if there is none.
-func (h *Handler) writeResponse(w http.ResponseWriter, cr *callerRequest, a *attempt, body []byte, possibleRuns int) {
-	if a.result == resultAnswered || a.result == resultFailed && body != nil {
+func (h *Handler) writeResponse(w http.ResponseWriter, cr *callerRequest, a *attempt, possibleRuns int) {
+	if a.result == resultAnswered || a.result == resultFailed && a.body != nil {
 		cr.firstByte = h.clock.Since(cr.start)
 		h.metrics.firstByte.Record(cr.firstByte)
 		copyResponseHeader(w.Header(), a.ex)
 		w.WriteHeader(a.ex.Status)
-		_, _ = w.Write(body) // the caller may be gone
+		_, _ = w.Write(a.body) // the caller may be gone
 		h.recordServed(cr, a.ex.Status)
 		return
 	}
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,12 +11,18 @@
 )
 
 const (
-	// stallTimeout is how long a server may send nothing before another one resumes
-	// the stream: callers leave after two seconds or more.
+	// stallTimeout is how long a server may send nothing before another one is
+	// searched for, which then resumes the stream.
 	stallTimeout = 1500 * time.Millisecond
-	// resumeWait bounds the wait for a slot in the middle of a stream: a longer
-	// pause would make callers leave.
-	resumeWait = 400 * time.Millisecond
+	// minCallerPatience, patienceTargets and patiencePauses bound the gap after which
+	// callers abandon a stream: the longest of a fixed time and of multiples of the
+	// route's two latency targets.
+	minCallerPatience = 2 * time.Second
+	patienceTargets   = 4
+	patiencePauses    = 8
+	// resumeMargin is how long before a caller leaves a server must resume its
+	// stream: prefill takes the greatest part of it.
+	resumeMargin = 250 * time.Millisecond
 	// lateWait bounds the wait for a slot of a late or retried request.
 	lateWait = 40 * time.Millisecond
 )
@@ -27,8 +32,10 @@
 	h  *Handler
 	w  http.ResponseWriter
 	cr *callerRequest
-	// reader keeps its position when the stream is resumed on another server.
-	reader eventReader
+	// position is that of the caller in the stream.
+	position eventReader
+	// lastSent is when the caller received something last.
+	lastSent time.Time
 	// headerSent is set once the response header was sent to the caller.
 	headerSent bool
 	// possibleRuns counts the servers that may have run the request.
@@ -38,23 +45,26 @@
 // serveStream serves a request whose response is an event stream.
 func (h *Handler) serveStream(w http.ResponseWriter, cr *callerRequest) {
 	h.scheduler.recordOffered(cr)
-	r := &relay{h: h, w: w, cr: cr}
+	r := &relay{h: h, w: w, cr: cr, lastSent: cr.start}
 	if lastEvent := cr.request.Header.Get(platform.HeaderLastEvent); lastEvent != "" {
 		if id, err := strconv.ParseInt(lastEvent, 10, 64); err == nil {
-			r.reader.lastID, r.reader.hasLastID = id, true
+			r.position.lastID, r.position.hasLastID = id, true
 		}
 	}
 	var previous *attempt
+	var next *placement.Lease
 	for {
-		l, err := h.scheduler.acquire(cr.request.Context(), cr, r.waitDeadline())
-		if err != nil {
-			r.writeFailure(previous, err)
-			return
-		}
-		a := h.send(cr.request.Context(), cr, l, r.stallDeadline(), r.resumeAfter())
-		if a.result == resultAnswered {
-			r.relayEvents(a)
+		if next == nil {
+			l, err := h.acquireNext(cr, previous, r.waitDeadline())
+			if err != nil {
+				r.writeFailure(previous, err)
+				return
+			}
+			next = l
 		}
+		position := r.position
+		a := h.start(cr, next, &position)
+		next = r.relayEvents(a)
 		h.finishAttempt(cr, a)
 		if a.result == resultAnswered {
 			cr.outcome = outcomeServed
@@ -64,7 +74,8 @@
 		if a.result != resultNotRun {
 			r.possibleRuns++
 		}
-		if cr.request.Context().Err() != nil || !h.mayRetry(cr, a, r.possibleRuns, cr.route.Resumable) {
+		if cr.request.Context().Err() != nil || next == nil && !h.mayRetry(cr, a, r.possibleRuns) {
+			h.releaseUnused(cr, next)
 			r.writeFailure(a, nil)
 			return
 		}
@@ -79,7 +90,7 @@
 	var until time.Time
 	switch {
 	case r.headerSent || r.possibleRuns > 0:
-		until = now.Add(resumeWait)
+		until = r.lastSent.Add(r.callerPatience() - resumeMargin)
 	case r.cr.late || len(r.cr.triedServers) > 0:
 		until = now.Add(lateWait)
 	default:
@@ -91,81 +102,39 @@
 	return until
 }
 
-// stallDeadline returns the deadline for the next event.
-func (r *relay) stallDeadline() time.Time {
-	stallBy := r.h.clock.Now().Add(stallTimeout)
-	if deadline := r.cr.deadline.Add(-responseMargin); stallBy.After(deadline) {
-		return deadline
-	}
-	return stallBy
-}
-
-// resumeAfter returns the ID after which the next server resumes the stream, or
-// an empty string for its start.
-func (r *relay) resumeAfter() string {
-	if !r.reader.hasLastID {
-		return ""
-	}
-	return strconv.FormatInt(r.reader.lastID, 10)
+// callerPatience returns the gap after which the caller abandons the stream.
+func (r *relay) callerPatience() time.Duration {
+	return max(minCallerPatience, patienceTargets*r.cr.route.Aim, patiencePauses*r.cr.route.MaxPause)
 }
 
-// relayEvents forwards events until the stream ends, and sets the attempt's
-// result if it failed.
-func (r *relay) relayEvents(a *attempt) {
-	r.reader.reset(a.ex)
+// relayEvents forwards events until the attempt ends. If it was given up for a slot
+// on another server, that is returned.
+func (r *relay) relayEvents(a *attempt) *placement.Lease {
+	w := r.h.watch(r.cr, a, stallTimeout, func() bool { return r.h.maySend(r.cr, r.possibleRuns+1) })
+	defer w.stop()
 	first := true
 	for {
-		silentSince := r.h.clock.Now()
-		a.ex.SetReadDeadline(r.stallDeadline())
-		events, count, err := r.reader.next()
-		r.h.logSilence(r.cr, a.lease, silentSince, err)
-		if len(events) > 0 {
-			if first {
-				first = false
-				r.h.recordFirstEvent(r.cr, a.lease)
-			}
-			if !r.writeEvents(a, events, count) {
-				a.result, a.outcome = resultUnknown, placement.Canceled
-				return
-			}
+		p, ok := w.part()
+		if !ok {
+			break
 		}
-		if err == io.EOF { //nolint:errorlint // next returns io.EOF itself
-			r.finishStream(a)
-			return
+		if len(p.events) == 0 {
+			continue
 		}
-		if err != nil {
-			r.recordStreamError(a, err)
-			return
+		if first {
+			first = false
+			r.h.recordFirstEvent(r.cr, a.lease)
+		}
+		if err := r.writeEvents(a, p); err != nil {
+			a.giveUp(err, placement.Canceled)
+			return nil
 		}
 	}
-}
-
-// finishStream handles the end of the stream. A response without framing counts as
-// failed: its end can't be distinguished from a truncation.
-func (r *relay) finishStream(a *attempt) {
-	if !a.ex.Framed() {
-		a.err, a.result, a.outcome = io.ErrUnexpectedEOF, resultUnknown, placement.Failed
-		return
-	}
-	if !r.headerSent {
+	if a.result == resultAnswered && !r.headerSent {
 		// A stream without events is complete as well.
 		r.writeHeader(a)
 	}
-}
-
-// recordStreamError sets the result of an attempt whose stream was truncated. A timeout
-// close to the deadline or a caller that left is not the server's failure.
-func (r *relay) recordStreamError(a *attempt, err error) {
-	a.err, a.result, a.outcome = err, resultUnknown, placement.Failed
-	if timeout, ok := err.(interface{ Timeout() bool }); ok && timeout.Timeout() {
-		a.outcome = placement.Stalled
-		if r.h.clock.Until(r.cr.deadline) <= 2*responseMargin {
-			a.outcome = placement.Canceled
-		}
-	}
-	if r.cr.request.Context().Err() != nil {
-		a.outcome = placement.Canceled
-	}
+	return w.next
 }
 
 // writeHeader sends the response header to the caller.
@@ -177,16 +146,20 @@
 	r.w.WriteHeader(a.ex.Status)
 }
 
-// writeEvents sends events to the caller and reports whether that succeeded.
-func (r *relay) writeEvents(a *attempt, events []byte, count int) bool {
+// writeEvents sends events to the caller.
+func (r *relay) writeEvents(a *attempt, p part) error {
 	if !r.headerSent {
 		r.writeHeader(a)
 	}
-	r.cr.eventsSent += count
-	if _, err := r.w.Write(events); err != nil {
-		return false
+	r.cr.eventsSent += p.count
+	if p.count > 0 {
+		r.position.lastID, r.position.hasLastID = p.lastID, true
+	}
+	if _, err := r.w.Write(p.events); err != nil {
+		return err
 	}
-	return http.NewResponseController(r.w).Flush() == nil
+	r.lastSent = r.h.clock.Now()
+	return http.NewResponseController(r.w).Flush()
 }
 
 // writeFailure ends a stream that no server completes: with an error status, or by
@@ -204,7 +177,7 @@
 		if acquireErr != nil {
 			reason = acquireErr
 		}
-		r.h.logRequest(r.cr, http.StatusOK, result.New(result.AnswerCut, "the stream was aborted after event %d: %v", r.reader.lastID, reason))
+		r.h.logRequest(r.cr, http.StatusOK, result.New(result.AnswerCut, "the stream was aborted after event %d: %v", r.position.lastID, reason))
 	}
 	// The caller must not take the partial stream for a complete one.
 	panic(http.ErrAbortHandler)
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -10,7 +9,6 @@
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
-	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 	"github.com/waxwingpost/waxwingpost/request/retry"
 )
@@ -223,6 +221,14 @@
 	}
 }
 
+// mayRetry reports whether the retry budget of a service allows another retry.
+func (sc *scheduler) mayRetry(service string) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	now := sc.clock.Now()
+	return sc.service(service, now).retryBudget.MayRetry(now)
+}
+
 // tryRetry takes one retry from the budget of a service, or reports false if the
 // budget is spent.
 func (sc *scheduler) tryRetry(service string) bool {
@@ -242,69 +248,28 @@
 	return l.CurrentServer()
 }
 
-// release returns the slot of a lease and records the outcome.
-func (sc *scheduler) release(service string, l *placement.Lease, o placement.Outcome) {
+// recordSilent records that the server of a lease has been silent for long.
+func (sc *scheduler) recordSilent(service string, l *placement.Lease) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	now := sc.clock.Now()
-	sc.service(service, now).pool.Release(now, l, o)
+	sc.service(service, now).pool.OnSilent(now, l)
 }
 
-// acquire assigns a slot to a request, at once or after queueing until
-// waitDeadline. With a zero waitDeadline the request is queued as long as it can
-// still meet its latency target. A late request does not overtake queued ones.
-func (sc *scheduler) acquire(ctx context.Context, cr *callerRequest, waitDeadline time.Time) (*placement.Lease, error) {
-	granted := make(chan *placement.Lease, 1)
-	now := sc.clock.Now()
-	sc.mu.Lock()
-	st := sc.service(cr.service, now)
-	req := placement.Request{
-		PromptTokens: cr.tokens.Prompt, LatencyTarget: cr.firstEventTarget(), WaitUntil: waitDeadline, Late: cr.late || now.Sub(cr.start) > cr.route.Aim,
-		Started: cr.eventsSent > 0, Priority: cr.priority(), Exclude: cr.triedServers,
-	}
-	if waitDeadline.IsZero() {
-		req.WaitUntil = st.pool.WaitDeadline(cr.start, req)
-		waitDeadline = req.WaitUntil
-	}
-	if st.pool.Waiting() == 0 || !cr.late || req.Started {
-		if l := st.pool.TryAcquire(now, req); l != nil {
-			sc.mu.Unlock()
-			return l, nil
-		}
-	}
-	waiter := &placement.Waiter{Request: req, Grant: func(l *placement.Lease) { granted <- l }}
-	queued := st.pool.Enqueue(now, waiter)
-	usable, retryAfter := st.pool.HasUsable(now), st.pool.RetryAfter()
-	sc.mu.Unlock()
-	if !queued {
-		return nil, refusalError(usable, retryAfter)
-	}
-	timer := sc.clock.NewTimer(waitDeadline.Sub(now))
-	defer timer.Stop()
-	select {
-	case l := <-granted:
-		cr.queueTime += sc.clock.Since(now)
-		return l, nil
-	case <-timer.Chan():
-	case <-ctx.Done():
-	}
-	cr.queueTime += sc.clock.Since(now)
+// recordResumed records that a silent server has gone on.
+func (sc *scheduler) recordResumed(service string, l *placement.Lease) {
 	sc.mu.Lock()
-	dequeued := st.pool.Dequeue(waiter)
-	retryAfter = st.pool.RetryAfter()
-	sc.mu.Unlock()
-	if !dequeued {
-		return <-granted, nil
-	}
-	return nil, refusalError(true, retryAfter)
+	defer sc.mu.Unlock()
+	now := sc.clock.Now()
+	sc.service(service, now).pool.OnResumed(now, l)
 }
 
-// refusalError returns the error for a request that got no slot.
-func refusalError(usable bool, retryAfter time.Duration) error {
-	if !usable {
-		return result.Refuse(result.NoBackend, retryAfter, "no usable backend server for the request")
-	}
-	return result.Refuse(result.QueueFull, retryAfter, "no slot became free in time")
+// release returns the slot of a lease and records the outcome.
+func (sc *scheduler) release(service string, l *placement.Lease, o placement.Outcome) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	now := sc.clock.Now()
+	sc.service(service, now).pool.Release(now, l, o)
 }
 
 // firstEventTarget returns the latency target for the first event; 0 if the
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -11,6 +11,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/backend"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 	"github.com/waxwingpost/waxwingpost/request/stream"
 )
@@ -34,41 +35,6 @@
 	resultFailed
 )
 
-// attempt is one attempt to run a request on a server.
-type attempt struct {
-	lease   *placement.Lease
-	ex      *backend.Exchange
-	result  attemptResult
-	outcome placement.Outcome
-	// notSent is set if no byte of the request was sent.
-	notSent bool
-	err     error
-}
-
-// send sends the request to the server of the lease and reads the response
-// header. resumeAfter, if not empty, is the ID of the last event that the caller
-// has.
-func (h *Handler) send(ctx context.Context, cr *callerRequest, l *placement.Lease, headerDeadline time.Time, resumeAfter string) *attempt {
-	a := &attempt{lease: l}
-	cr.triedServers = append(cr.triedServers, l.Server.ID)
-	sent := h.clock.Now()
-	cr.weights = weightsUse{version: l.Server.WeightsVersion, until: l.Server.WeightsUntil, sent: sent}
-	a.ex, a.err = h.client.Do(ctx, l.Server.Address, &backend.Request{
-		Method: cr.request.Method, Target: cr.request.RequestURI, Host: cr.request.Host,
-		Header: h.serverHeader(cr, l, resumeAfter), Body: cr.body,
-		ID: cr.id, EchoHeader: platform.HeaderRequestID, HeadDeadline: headerDeadline, SendDeadline: l.SendDeadline(),
-	})
-	if cr.route.Kind == deployment.Stream {
-		h.logSilence(cr, l, sent, a.err)
-	}
-	if a.err != nil {
-		a.classifyError(ctx)
-		return a
-	}
-	a.classifyResponse(cr.route.Kind == deployment.Stream)
-	return a
-}
-
 // classifyError sets the result of an attempt without a response header.
 func (a *attempt) classifyError(ctx context.Context) {
 	a.outcome, a.result = placement.Failed, resultUnknown
@@ -143,31 +109,46 @@
 	}
 }
 
-// finishAttempt closes the exchange and releases the slot.
-func (h *Handler) finishAttempt(cr *callerRequest, a *attempt) {
-	if a.ex != nil {
-		a.ex.Close()
-	}
-	h.scheduler.release(cr.service, a.lease, a.outcome)
+// repeatable reports whether more than one server may run the request.
+func (cr *callerRequest) repeatable() bool {
+	return cr.route.Kind == deployment.Repeatable || cr.route.Kind == deployment.Stream && cr.route.Resumable
 }
 
-// mayRetry reports whether the request may be sent to another server after an
-// attempt, and takes the retry from the budget. An attempt that was not sent costs
-// no budget.
-func (h *Handler) mayRetry(cr *callerRequest, a *attempt, possibleRuns int, repeatable bool) bool {
-	if a.result == resultAnswered || h.clock.Until(cr.deadline) < 2*responseMargin || len(cr.triedServers) >= maxAttempts {
+// maySend reports whether the request may be sent to another server after
+// possibleRuns servers may have run it.
+func (h *Handler) maySend(cr *callerRequest, possibleRuns int) bool {
+	if h.clock.Until(cr.deadline) < 2*responseMargin || len(cr.triedServers) >= maxAttempts {
 		return false
 	}
-	if a.result != resultNotRun && (!repeatable || possibleRuns >= max(cr.route.MaxServers, 1)) {
-		return false
+	return possibleRuns == 0 || cr.repeatable() && possibleRuns < max(cr.route.MaxServers, 1)
+}
+
+// mayRetry reports whether the request may be sent to another server after an
+// attempt. An attempt that was not sent costs no retry.
+func (h *Handler) mayRetry(cr *callerRequest, a *attempt, possibleRuns int) bool {
+	return a.result != resultAnswered && h.maySend(cr, possibleRuns) && (a.notSent || h.scheduler.mayRetry(cr.service))
+}
+
+// acquireNext acquires a slot for a request and, if previous is another attempt that
+// was sent, takes a retry from the budget.
+func (h *Handler) acquireNext(cr *callerRequest, previous *attempt, waitDeadline time.Time) (*placement.Lease, error) {
+	l, err := h.scheduler.acquire(cr.request.Context(), cr, waitDeadline)
+	if err != nil || previous == nil {
+		return l, err
 	}
-	if !a.notSent && !h.scheduler.tryRetry(cr.service) {
-		return false
+	if !previous.notSent && !h.scheduler.tryRetry(cr.service) {
+		h.releaseUnused(cr, l)
+		return nil, result.Refuse(result.NoBackend, refusedRetryAfter, "the retry budget is spent: %v", lastError(previous))
 	}
+	h.recordRetry(cr, previous)
+	return l, nil
+}
+
+// recordRetry counts and logs that the request is sent to another server.
+func (h *Handler) recordRetry(cr *callerRequest, previous *attempt) {
 	h.metrics.retried.Inc(1)
-	h.log.Info("retrying request on another server", "id", cr.id, "service", cr.service, "after", a.lease.Server.ID,
-		"verdict", a.result.String(), "error", a.err, "tries", len(cr.triedServers))
-	return true
+	h.log.Info("retrying request on another server", "id", cr.id, "service", cr.service, "after", previous.lease.Server.ID,
+		"verdict", previous.result.String(), "error", previous.err, "tries", len(cr.triedServers))
 }
 
 // maxAttempts bounds the servers to which one request is sent, including those
--- /dev/null
+++ b/request/forward/slotwait.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/request/placement"
+)
+
+// slotWait is the wait of one request for a slot.
+type slotWait struct {
+	sc     *scheduler
+	pool   *placement.Pool
+	waiter *placement.Waiter
+	// granted receives the slot.
+	granted chan *placement.Lease
+}
+
+// requestSlot assigns a slot to a request at once or queues it. With a zero
+// waitDeadline the request is queued as long as it can still meet its latency
+// target. A late request does not overtake queued ones. replaces is set if the
+// request gives back another slot when it gets this one. The caller must receive
+// from granted or call stop.
+func (sc *scheduler) requestSlot(cr *callerRequest, waitDeadline time.Time, replaces bool) (*slotWait, error) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	now := sc.clock.Now()
+	pool := sc.service(cr.service, now).pool
+	req := placement.Request{
+		PromptTokens: cr.tokens.Prompt, LatencyTarget: cr.firstEventTarget(), WaitUntil: waitDeadline, Late: cr.late || now.Sub(cr.start) > cr.route.Aim,
+		Started: cr.eventsSent > 0, Replaces: replaces, Priority: cr.priority(), Exclude: cr.triedServers,
+	}
+	if waitDeadline.IsZero() {
+		req.WaitUntil = pool.WaitDeadline(cr.start, req)
+	}
+	w := &slotWait{sc: sc, pool: pool, granted: make(chan *placement.Lease, 1)}
+	w.waiter = &placement.Waiter{Request: req, Grant: func(l *placement.Lease) { w.granted <- l }}
+	mayOvertake := pool.Waiting() == 0 || !cr.late || req.Started
+	if mayOvertake {
+		if l := pool.TryAcquire(now, req); l != nil {
+			w.granted <- l
+			return w, nil
+		}
+	}
+	if !pool.Enqueue(now, w.waiter) {
+		return nil, refusalError(pool.HasUsable(now), pool.RetryAfter())
+	}
+	if !mayOvertake {
+		// The queued requests may exclude the servers that are free.
+		pool.DispatchWaiting(now)
+	}
+	return w, nil
+}
+
+// stop leaves the queue. It returns the slot if one was granted and not received.
+func (w *slotWait) stop() *placement.Lease {
+	w.sc.mu.Lock()
+	defer w.sc.mu.Unlock()
+	w.pool.Dequeue(w.waiter)
+	select {
+	case l := <-w.granted:
+		return l
+	default:
+		return nil
+	}
+}
+
+// acquire is like requestSlot but waits for the slot.
+func (sc *scheduler) acquire(ctx context.Context, cr *callerRequest, waitDeadline time.Time) (*placement.Lease, error) {
+	w, err := sc.requestSlot(cr, waitDeadline, false)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case l := <-w.granted:
+		return l, nil
+	default:
+	}
+	started := sc.clock.Now()
+	defer func() { cr.queueTime += sc.clock.Since(started) }()
+	timer := sc.clock.NewTimer(w.waiter.Request.WaitUntil.Sub(started))
+	defer timer.Stop()
+	select {
+	case l := <-w.granted:
+		return l, nil
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+	if l := w.stop(); l != nil {
+		return l, nil
+	}
+	return nil, refusalError(true, sc.retryAfter(cr.service))
+}
+
+// retryAfter returns the retry delay for refused requests of a service.
+func (sc *scheduler) retryAfter(service string) time.Duration {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.service(service, sc.clock.Now()).pool.RetryAfter()
+}
+
+// refusalError returns the error for a request that got no slot.
+func refusalError(usable bool, retryAfter time.Duration) error {
+	if !usable {
+		return result.Refuse(result.NoBackend, retryAfter, "no usable backend server for the request")
+	}
+	return result.Refuse(result.QueueFull, retryAfter, "no slot became free in time")
+}
