--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -28,6 +28,9 @@
 	// Usable is false for servers that are draining or lack the weights. They get
 	// no new requests.
 	Usable bool
+	// WeightsVersion is the version of the weights that expire first; it is only
+	// logged.
+	WeightsVersion int
 	// WeightsUntil is when the server's weights expire. No request may start there
 	// after that time, including requests already sent. Zero means no expiry.
 	WeightsUntil boottime.Instant
@@ -61,6 +64,9 @@
 	Started bool
 	// Priority orders queued requests; lower values go first.
 	Priority int
+	// Replaces is set if the request holds a slot that it gives back once it has
+	// another one.
+	Replaces bool
 	// Exclude lists the IDs of servers that were already tried.
 	Exclude []string
 }
@@ -85,8 +91,13 @@
 	Canceled
 	// Stalled means that the server sent nothing until a timeout.
 	Stalled
+	// Unused means that the slot was given back without sending the request.
+	Unused
 )
 
+// CurrentServer returns the server as listed last.
+func (l *Lease) CurrentServer() Server { return l.state.Server }
+
 // SendDeadline returns the time by which the request must have been sent; zero if
 // there is no limit.
 func (l *Lease) SendDeadline() boottime.Instant {
@@ -106,6 +117,8 @@
 	granted time.Time
 	// awaitingFirst is set until the first event.
 	awaitingFirst bool
+	// silent is set while the server has been reported as silent.
+	silent bool
 }
 
 // Waiter is a queued request.
