forward: a request that has not begun is withdrawn before its weights expire

An entry stops sending to a server 1.5 to 2 s before its version expires, but nothing withdrew a request that was sent in time: a server that falls silent for a second or two reads it afterwards, and so does one whose link is narrow. Nor did a request follow a version that was published, or whose time was corrected, after it had been sent.

A request without a first event (or the header of a response that is not a stream) is now given up half a second before its version expires. The expiry is that of the weights that the server held when the slot was assigned, by the current view: a watch waits for a change of the versions, so that nothing has to poll but requests on expiring weights without an event, every 250 ms, because timers stand still while the VM is suspended. A first event that comes after the expiry all the same is not forwarded if another server may run the request. If the time of the next version is not known, it is waited for 300 ms. For the pool a withdrawal is no failure. Counter withdrawn, one log line each.

The late case of TestFirstEventAfterTheExpiryOfWeightsIsCounted expected that a request whose version has expired before its first event is still forwarded. That is now prevented, so the case instead lets the VM be suspended just before the event on a route that allows one server; the counter and line are required as before.

--- a/process/feed/versions.go
+++ b/process/feed/versions.go
@@ -35,6 +35,11 @@
 // The caller must not modify the slice.
 func (h VersionHistory) Versions() []PublishedVersion { return h.versions }
 
+// Equal reports whether two histories hold the same versions and times.
+func (h VersionHistory) Equal(other VersionHistory) bool {
+	return h.newest == other.newest && slices.Equal(h.versions, other.versions) && slices.Equal(h.published, other.published)
+}
+
 // UsableUntil returns the time until which a version may be used: grace after the
 // next version was published. For the newest version, noExpiry is true. If the next
 // version or its time of publication is not known, that may be long ago, and until is
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -7,7 +7,6 @@
 	"os"
 	"runtime/debug"
 	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,11 +19,8 @@
 // attempt is one attempt to run a request on a server. A goroutine sends the request
 // and reads the response, so that the handler can wait for other things meanwhile.
 type attempt struct {
-	lease *placement.Lease
-	// withdrawAt is when the attempt ends if the server has sent no event until
-	// then; zero if there is no such time.
-	withdrawAt time.Time
-	cancel     context.CancelFunc
+	lease  *placement.Lease
+	cancel context.CancelFunc
 	// parts delivers the progress of the response and is closed at the end of the
 	// attempt.
 	parts chan part
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -57,9 +57,9 @@
 }
 
 type metrics struct {
-	requests, retried, panics, firstEventLate tally.Counter
-	outcomes                                  [outcomeCount]tally.Counter
-	duration, firstByte                       tally.Timer
+	requests, retried, panics, firstEventLate, withdrawn tally.Counter
+	outcomes                                             [outcomeCount]tally.Counter
+	duration, firstByte                                  tally.Timer
 }
 
 // New returns a handler. view returns the current view of the deployment. ageClock
@@ -71,7 +71,7 @@
 		scheduler: newScheduler(cfg, clock, ageClock),
 		metrics: metrics{
 			requests: scope.Counter("received"), retried: scope.Counter("sent_again"), panics: scope.Counter("panics"),
-			firstEventLate: scope.Counter("first_event_after_expiry"), outcomes: outcomeCounters(scope),
+			firstEventLate: scope.Counter("first_event_after_expiry"), withdrawn: scope.Counter("withdrawn"), outcomes: outcomeCounters(scope),
 			duration: scope.Timer("duration"), firstByte: scope.Timer("first_byte"),
 		},
 	}
--- a/request/forward/outcome_test.go
+++ b/request/forward/outcome_test.go
@@ -10,8 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
@@ -116,35 +118,30 @@
 
 func TestFirstEventAfterTheExpiryOfWeightsIsCounted(t *testing.T) {
 	for name, c := range map[string]struct {
-		delay    time.Duration
-		wantLate int64
-	}{"in time": {0, 0}, "late": {600 * time.Millisecond, 1}} {
+		suspended time.Duration
+		wantLate  int64
+	}{"in time": {0, 0}, "late": {3 * time.Second, 1}} {
 		t.Run(name, func(t *testing.T) {
+			boot := boottime.NewFake(clockwork.NewRealClock())
 			s := newFakeServer(t, "s1", func(s *fakeServer, w http.ResponseWriter, r *http.Request) {
-				time.Sleep(c.delay)
+				time.Sleep(50 * time.Millisecond)
+				boot.Suspend(c.suspended)
 				streamEvents(3, 0)(s, w, r)
 			})
 			config := testConfig(deployment.Stream, testTimeout)
+			// No other server may run the request instead.
+			config.Routes[0].MaxServers = 1
 			config.Services["svc"].Engine = &deployment.Engine{Models: []string{"m"}, Slots: 4, ReadPerSecond: 1000, Step: time.Millisecond}
 			e := newTestEntry(t, config, s)
+			e.handler.ageClock = boot
 			logged, scope := e.observe()
 			view := *e.handler.view()
 			view.Servers["svc"][0].Held = []directory.ModelVersion{{Model: "m", Version: 1}}
 			var history feed.VersionHistory
 			// Version 1 remains usable for 2.4 s.
-			history.Record(2, e.handler.ageClock.Now().Add(2400*time.Millisecond-e.handler.cfg.OldVersionGrace))
+			history.Record(2, boot.Now().Add(2400*time.Millisecond-e.handler.cfg.OldVersionGrace))
 			view.Weights = map[string]feed.VersionHistory{"m": history}
 			e.handler.Update(&view)
-			if c.wantLate > 0 {
-				// While the request waits, its version is found to expire earlier.
-				time.AfterFunc(300*time.Millisecond, func() {
-					earlier := view
-					var history feed.VersionHistory
-					history.Record(2, e.handler.ageClock.Now().Add(-e.handler.cfg.OldVersionGrace))
-					earlier.Weights = map[string]feed.VersionHistory{"m": history}
-					e.handler.Update(&earlier)
-				})
-			}
 			if _, body, err := e.send(t, nil); err != nil || body != expectedStream(3) {
 				t.Fatalf("got body %q, error %v", body, err)
 			}
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -44,6 +45,8 @@
 	// mu guards the fields below.
 	mu   sync.Mutex
 	view *feed.View
+	// weightsChanged is closed and replaced when the versions in the view change.
+	weightsChanged chan struct{}
 	// viewTime is when the view was received.
 	viewTime      time.Time
 	services      map[string]*serviceState
@@ -52,7 +55,8 @@
 
 func newScheduler(cfg Config, clock clockwork.Clock, ageClock boottime.Clock) *scheduler {
 	return &scheduler{
-		cfg: cfg, clock: clock, ageClock: ageClock, view: &feed.View{}, services: map[string]*serviceState{}, demandSampled: clock.Now(),
+		cfg: cfg, clock: clock, ageClock: ageClock, view: &feed.View{}, weightsChanged: make(chan struct{}),
+		services: map[string]*serviceState{}, demandSampled: clock.Now(),
 	}
 }
 
@@ -60,6 +64,10 @@
 func (sc *scheduler) update(v *feed.View) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
+	if !maps.EqualFunc(v.Weights, sc.view.Weights, feed.VersionHistory.Equal) {
+		close(sc.weightsChanged)
+		sc.weightsChanged = make(chan struct{})
+	}
 	sc.view, sc.viewTime = v, sc.clock.Now()
 	sc.updatePools()
 }
@@ -123,25 +131,25 @@
 		if slots == 0 && s.Engine != nil {
 			slots = s.Engine.Slots
 		}
-		weightsHeld, version, until := sc.usableWeights(s, record)
+		weightsHeld, version, until := sc.usableWeights(s, record.Held)
 		loading := record.LoadingUntil > sc.view.At+now.Sub(sc.viewTime)
 		servers = append(servers, placement.Server{
-			ID: record.ID, Address: record.Address, Zone: record.Zone, Slots: slots, WeightsVersion: version, WeightsUntil: until,
+			ID: record.ID, Address: record.Address, Zone: record.Zone, Slots: slots, Held: record.Held, WeightsVersion: version, WeightsUntil: until,
 			Usable: record.State == directory.Ready && weightsHeld && !loading,
 		})
 	}
 	return servers
 }
 
-// usableWeights reports whether a server holds usable weights for all models of
-// its service, and when the first of them expires; zero means no expiry. version is
+// usableWeights reports whether the held weights are usable for all models of a
+// service, and when the first of them expires; zero means no expiry. version is
 // that of the model that expires first, or of the last one. The caller holds mu.
-func (sc *scheduler) usableWeights(s *deployment.Service, record *directory.Record) (allHeld bool, version int, until boottime.Instant) {
+func (sc *scheduler) usableWeights(s *deployment.Service, weights []directory.ModelVersion) (allHeld bool, version int, until boottime.Instant) {
 	if s.Engine == nil {
 		return true, 0, until
 	}
 	for _, model := range s.Engine.Models {
-		held := record.HeldVersion(model)
+		held := directory.VersionOf(weights, model)
 		if held == 0 {
 			return false, version, until
 		}
@@ -159,6 +167,23 @@
 	return true, version, until
 }
 
+// weightsExpiry returns when the weights expire that a lease's server held when the
+// slot was assigned; zero means no expiry. changed is closed when that may be another
+// time.
+func (sc *scheduler) weightsExpiry(service string, l *placement.Lease) (until boottime.Instant, changed <-chan struct{}) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if sc.view.Config == nil || sc.view.Config.Services[service] == nil {
+		return until, sc.weightsChanged
+	}
+	usable, _, until := sc.usableWeights(sc.view.Config.Services[service], l.Server.Held)
+	if !usable {
+		// The time of publication follows at once unless no control process knows it.
+		until = sc.ageClock.Now().Add(withdrawMargin + unknownAgeDelay)
+	}
+	return until, sc.weightsChanged
+}
+
 // recordOffered counts a request towards the retry budget and, unless it is late,
 // its server time towards the demand.
 func (sc *scheduler) recordOffered(cr *callerRequest) {
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -6,6 +6,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingpost/waxwingpost/process/boottime"
+	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 )
 
@@ -13,6 +15,18 @@
 // long or the retry budget spent.
 const searchInterval = 200 * time.Millisecond
 
+const (
+	// withdrawMargin is how long before the weights of its server expire a request
+	// without a first event is withdrawn. It must reach the server before they expire.
+	withdrawMargin = 500 * time.Millisecond
+	// suspensionInterval bounds the sleep until a withdrawal: timers stop while the VM
+	// is suspended.
+	suspensionInterval = 250 * time.Millisecond
+	// unknownAgeDelay is how long a request waits for the time of publication of a newer
+	// version before it is withdrawn.
+	unknownAgeDelay = 300 * time.Millisecond
+)
+
 var (
 	// errSilent is the error of an attempt that another server takes over.
 	errSilent    = errors.New("the server was silent")
@@ -34,8 +48,13 @@
 	timer     clockwork.Timer
 	// silentSince is when the server sent something last.
 	silentSince time.Time
-	// begun is set by the first event.
+	// begun is set by the first event, or by the header of a response that is not a
+	// stream.
 	begun bool
+	// expiry is when the weights expire on which the request would begin; zero if they
+	// don't. changed is closed when that may be another time.
+	expiry  boottime.Instant
+	changed <-chan struct{}
 	// overdue is set while the server has been silent for longer than patience.
 	overdue bool
 	// search waits for a slot on another server; nil if none is searched for.
@@ -49,6 +68,7 @@
 // stop.
 func (h *Handler) watch(cr *callerRequest, a *attempt, patience time.Duration, maySwitch func() bool) *watch {
 	w := &watch{h: h, cr: cr, a: a, patience: patience, maySwitch: maySwitch, silentSince: h.clock.Now()}
+	w.expiry, w.changed = h.scheduler.weightsExpiry(cr.service, a.lease)
 	w.timer = h.clock.NewTimer(w.untilWake(w.silentSince))
 	return w
 }
@@ -70,20 +90,27 @@
 		}
 		select {
 		case p, ok := <-w.a.parts:
-			w.resume(p, ok)
-			return p, ok
+			return w.receive(p, ok)
 		case l := <-granted:
 			select {
 			case p, ok := <-w.a.parts:
 				w.h.releaseUnused(w.cr, l)
-				w.resume(p, ok)
-				return p, ok
+				return w.receive(p, ok)
 			default:
 			}
 			if w.moveTo(l) {
 				return part{}, false
 			}
+		case <-w.changed:
+			w.expiry, w.changed = w.h.scheduler.weightsExpiry(w.cr.service, w.a.lease)
+			w.timer.Reset(w.untilWake(w.h.clock.Now()))
 		case <-w.timer.Chan():
+			select {
+			case p, ok := <-w.a.parts:
+				w.timer.Reset(w.untilWake(w.silentSince))
+				return w.receive(p, ok)
+			default:
+			}
 			if w.wake() {
 				return part{}, false
 			}
@@ -91,9 +118,44 @@
 	}
 }
 
+// receive handles a part, or the end of the attempt if ok is false. A request whose
+// first event comes after the expiry of its weights may have begun after it, and is
+// withdrawn if another server may run it.
+func (w *watch) receive(p part, ok bool) (part, bool) {
+	if ok && !w.begun && w.begins(p) && !w.expiry.IsZero() && !w.h.ageClock.Now().Before(w.expiry) && w.maySwitch() {
+		w.withdraw()
+		return part{}, false
+	}
+	w.resume(p, ok)
+	return p, ok
+}
+
+// begins reports whether a part shows that the request has begun.
+func (w *watch) begins(p part) bool { return len(p.events) > 0 || w.cr.route.Kind != deployment.Stream }
+
+// withdraw gives up the attempt because of the expiry of the server's weights.
+func (w *watch) withdraw() {
+	w.a.giveUp(errWithdrawn, placement.Canceled)
+	w.h.metrics.withdrawn.Inc(1)
+	w.h.log.Info("request withdrawn because its weights expire", "id", w.cr.id, "server", w.a.lease.Server.ID,
+		"weights", w.a.lease.Server.WeightsVersion, "usable_ms", w.expiry.Sub(w.h.ageClock.Now()).Milliseconds())
+	w.h.logSilence(w.cr, w.a.lease, w.silentSince, w.a.err)
+}
+
+// untilWithdrawal returns the time until the request must be withdrawn. It returns
+// false if there is no such time.
+func (w *watch) untilWithdrawal() (time.Duration, bool) {
+	if w.begun || w.expiry.IsZero() {
+		return 0, false
+	}
+	return w.expiry.Add(-withdrawMargin).Sub(w.h.ageClock.Now()), true
+}
+
 // resume notes a part, or the end of the attempt if ok is false.
 func (w *watch) resume(p part, ok bool) {
-	w.begun = w.begun || p.count > 0
+	if w.begun = w.begun || w.begins(p); w.begun {
+		w.changed = nil
+	}
 	var err error
 	if !ok {
 		err = w.a.err
@@ -129,9 +191,8 @@
 // wake handles the timer. It returns true if it has withdrawn the request.
 func (w *watch) wake() bool {
 	now := w.h.clock.Now()
-	if !w.begun && !w.a.withdrawAt.IsZero() && !now.Before(w.a.withdrawAt) {
-		w.a.giveUp(errWithdrawn, placement.Canceled)
-		w.h.logSilence(w.cr, w.a.lease, w.silentSince, w.a.err)
+	if remaining, expires := w.untilWithdrawal(); expires && remaining <= 0 {
+		w.withdraw()
 		return true
 	}
 	if w.patience > 0 && now.Sub(w.silentSince) >= w.patience {
@@ -158,8 +219,8 @@
 	default:
 		until = min(until, w.silentSince.Add(w.patience).Sub(now))
 	}
-	if !w.begun && !w.a.withdrawAt.IsZero() {
-		until = min(until, w.a.withdrawAt.Sub(now))
+	if remaining, expires := w.untilWithdrawal(); expires {
+		until = min(until, remaining, suspensionInterval)
 	}
 	return max(until, time.Millisecond)
 }
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/process/boottime"
+	"github.com/waxwingpost/waxwingpost/process/directory"
 )
 
 // Server is a backend server as listed in the directory.
@@ -28,6 +29,8 @@
 	// Usable is false for servers that are draining or lack the weights. They get
 	// no new requests.
 	Usable bool
+	// Held lists the weights that the server holds. It must not be modified.
+	Held []directory.ModelVersion
 	// WeightsVersion is the version of the weights that expire first; it is only
 	// logged.
 	WeightsVersion int
