forward: a request's own deadline no longer ejects its server

A configuration that shortens a route's timeout below what its requests take thus took healthy servers out of use one after another, and the other routes of the service got 503.

A server is silent after four latency targets, at least 600 ms, now for unrepeatable requests as well; a deadline before that says nothing about it.

TestDeadlineOfOneRequestEjectsTheServerOfTheNext and TestUnrepeatableRequestsGoToASilentServer fail without the change.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -97,7 +96,7 @@
 		err = a.readEvents(ctx, events)
 	}
 	if err != nil {
-		a.classifyReadError(ctx, err)
+		a.err, a.result, a.outcome = err, resultUnknown, errorOutcome(ctx, err)
 	}
 }
 
@@ -166,19 +165,6 @@
 // long reports whether the body is of known length and too long to be buffered.
 func (a *attempt) long() bool { return a.ex.Length > maxBufferedBody }
 
-// classifyReadError sets the result of an attempt whose response was truncated. The
-// deadline or a caller that left is not the server's failure.
-func (a *attempt) classifyReadError(ctx context.Context, err error) {
-	a.err, a.result, a.outcome = err, resultUnknown, placement.Failed
-	var timeout interface{ Timeout() bool }
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded) || ctx.Err() != nil:
-		a.outcome = placement.Canceled
-	case errors.As(err, &timeout) && timeout.Timeout():
-		a.outcome = placement.Stalled
-	}
-}
-
 // giveUp cancels an attempt that has not ended and waits for its end.
 func (a *attempt) giveUp(err error, o placement.Outcome) {
 	a.cancel()
--- a/request/forward/plain.go
+++ b/request/forward/plain.go
@@ -19,8 +19,8 @@
 	maxBufferedBody = 256 << 10
 	// minBodyBuffer is the initial size of the buffer for a response of unknown length.
 	minBodyBuffer = 512
-	// silenceTargets is how long a server may send nothing before another one is
-	// searched for, in multiples of the latency target, if the request can be retried.
+	// silenceTargets is how long a server may send nothing before it counts as silent
+	// and another one is searched for, in multiples of the latency target.
 	silenceTargets = 4
 	// minSilence is the lower bound of that time: the platform's longest requests of
 	// this kind take 220 ms of work.
@@ -73,11 +73,7 @@
 // has arrived. If the attempt was given up for a slot on another server, that is
 // returned.
 func (h *Handler) awaitResponse(cr *callerRequest, a *attempt, possibleRuns int) *placement.Lease {
-	patience := max(silenceTargets*cr.route.Aim, minSilence)
-	if !cr.repeatable() {
-		patience = 0
-	}
-	w := h.watch(cr, a, patience, func() bool { return h.maySend(cr, possibleRuns+1) })
+	w := h.watch(cr, a, max(silenceTargets*cr.route.Aim, minSilence), func() bool { return h.maySend(cr, possibleRuns+1) })
 	defer w.stop()
 	for {
 		if _, ok := w.part(); !ok {
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -37,18 +38,27 @@
 
 // classifyError sets the result of an attempt without a response header.
 func (a *attempt) classifyError(ctx context.Context) {
-	a.outcome, a.result = placement.Failed, resultUnknown
+	a.outcome, a.result = errorOutcome(ctx, a.err), resultUnknown
 	var failure *backend.Error
-	if errors.As(a.err, &failure) {
-		if failure.Sent == backend.NotSent {
-			a.result, a.notSent = resultNotRun, true
-		}
-		if failure.Timeout() && !a.notSent {
-			a.outcome = placement.Stalled
+	if errors.As(a.err, &failure) && failure.Sent == backend.NotSent {
+		a.result, a.notSent = resultNotRun, true
+		if ctx.Err() == nil {
+			a.outcome = placement.Failed
 		}
 	}
-	if ctx.Err() != nil {
-		a.outcome = placement.Canceled
+}
+
+// errorOutcome classifies the error of an attempt. The deadline and a caller that
+// left are not the server's failure; the watch reports its silence.
+func errorOutcome(ctx context.Context, err error) placement.Outcome {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) || ctx.Err() != nil:
+		return placement.Canceled
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return placement.Stalled
+	default:
+		return placement.Failed
 	}
 }
 
--- a/request/forward/silence_test.go
+++ b/request/forward/silence_test.go
@@ -251,3 +251,40 @@
 	}
 	e.requireIdle(t)
 }
+
+func TestDeadlineOfOneRequestEjectsTheServerOfTheNext(t *testing.T) {
+	t.Parallel()
+	for name, kind := range map[string]deployment.Repeatability{"unrepeatable": deployment.Unrepeatable, "repeatable": deployment.Repeatable} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newTestEntry(t, testConfig(kind, testTimeout), newFakeServer(t, "s1", pauseBefore(400*time.Millisecond, echo)))
+			resp, _, err := e.send(t, func(r *http.Request) { r.Header.Set(platform.HeaderDeadline, "300") })
+			if err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+				t.Errorf("got response %v, error %v, want a timeout", resp, err)
+			}
+			if resp, body, err := e.send(t, nil); err != nil || body != "body from s1" {
+				t.Errorf("got response %v, body %q, error %v", resp, body, err)
+			}
+		})
+	}
+}
+
+func TestUnrepeatableRequestsGoToASilentServer(t *testing.T) {
+	t.Parallel()
+	e := newTestEntry(t, testConfig(deployment.Unrepeatable, testTimeout), newFakeServer(t, "s1", pauseBefore(pauseDuration, echo)))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if resp, body, err := e.send(t, nil); err != nil || body != "body from s1" {
+			t.Errorf("got response %v, body %q, error %v", resp, body, err)
+		}
+	}()
+	time.Sleep(max(silenceTargets*400*time.Millisecond, minSilence) + 100*time.Millisecond)
+	if resp, _, err := e.send(t, nil); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got response %v, error %v, want a refusal while the server is silent", resp, err)
+	}
+	<-done
+	if resp, body, err := e.send(t, nil); err != nil || body != "body from s1" {
+		t.Errorf("got response %v, body %q, error %v after the server had gone on", resp, body, err)
+	}
+}
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -27,7 +27,7 @@
 	cr *callerRequest
 	a  *attempt
 	// patience is how long the server may be silent before another one is searched
-	// for; zero means that it is never.
+	// for.
 	patience time.Duration
 	// maySwitch reports whether another server may run the request.
 	maySwitch func() bool
@@ -134,7 +134,7 @@
 		w.h.logSilence(w.cr, w.a.lease, w.silentSince, w.a.err)
 		return true
 	}
-	if w.patience > 0 && now.Sub(w.silentSince) >= w.patience {
+	if now.Sub(w.silentSince) >= w.patience {
 		if !w.overdue {
 			w.overdue = true
 			w.h.scheduler.recordSilent(w.cr.service, w.a.lease)
@@ -151,11 +151,9 @@
 // untilWake returns the time until the next wake.
 func (w *watch) untilWake(now time.Time) time.Duration {
 	until := max(w.cr.deadline.Sub(now), searchInterval)
-	switch {
-	case w.patience <= 0:
-	case w.overdue:
+	if w.overdue {
 		until = min(until, searchInterval)
-	default:
+	} else {
 		until = min(until, w.silentSince.Add(w.patience).Sub(now))
 	}
 	if !w.begun && !w.a.withdrawAt.IsZero() {
