backend: the size of a response head is bounded

A server that sends bytes without end where a response head is due was read until the deadline, and a line or a header without end was collected in memory all the while. The head, interim responses included, is now limited to 64 KiB; beyond that the attempt ends like one with an invalid response. Bodies were bounded already: chunk lines and trailers, events and buffered bodies have limits, and a body of known length is not collected.

TestEndlessResponseHeadIsReadUntilTheDeadline fails without the change in four of its five cases (errors after 2 s, its deadline); the fifth, trailers, guards a bound that existed.

--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -203,6 +203,36 @@
 	}
 }
 
+func TestEndlessResponseHeadIsReadUntilTheDeadline(t *testing.T) {
+	for name, c := range map[string]struct{ start, repeat string }{
+		"status line":      {"HTTP/1.1 200 OK", "x"},
+		"header line":      {"HTTP/1.1 200 OK\r\nName: ", "x"},
+		"headers":          {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		"interim response": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"trailers":         {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serveConns(t, func(conn net.Conn, r *bufio.Reader) {
+				_, _, _ = readRequest(r)
+				_, _ = io.WriteString(conn, c.start)
+				block := strings.Repeat(c.repeat, 1000)
+				for {
+					if _, err := io.WriteString(conn, block); err != nil {
+						return
+					}
+				}
+			})
+			started := time.Now()
+			if _, err := get(t, newClient(), address, "1"); err == nil {
+				t.Error("an endless response was complete")
+			}
+			if took := time.Since(started); took > time.Second {
+				t.Errorf("the error came after %v", took)
+			}
+		})
+	}
+}
+
 func TestChunksAreReadAsTheyArrive(t *testing.T) {
 	next := make(chan struct{})
 	address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
--- a/connection/backend/conn.go
+++ b/connection/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -14,6 +15,8 @@
 	net.Conn
 	address string
 	r       *bufio.Reader
+	// limit bounds the bytes read from the connection into r.
+	limit limitReader
 	// idleTimeout is how long the connection may stay idle, and idleUntil the
 	// time at which that ends.
 	idleTimeout time.Duration
@@ -21,10 +24,35 @@
 }
 
 func newConn(raw net.Conn, address string) *conn {
-	return &conn{
-		Conn: raw, address: address, r: bufio.NewReaderSize(raw, bufferSize),
+	k := &conn{
+		Conn: raw, address: address, limit: limitReader{r: raw, remaining: unlimited},
 		idleTimeout: defaultIdleTimeout - idleMargin,
 	}
+	k.r = bufio.NewReaderSize(&k.limit, bufferSize)
+	return k
+}
+
+// limitReader fails once more than a number of bytes was read.
+type limitReader struct {
+	r io.Reader
+	// remaining is the number of bytes that may still be read, or unlimited.
+	remaining int
+}
+
+const unlimited = -1
+
+var errHeadTooLong = errors.New("response head too long")
+
+func (l *limitReader) Read(p []byte) (int, error) {
+	if l.remaining == unlimited {
+		return l.r.Read(p)
+	}
+	if l.remaining == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.r.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 func (k *conn) close() { _ = k.Close() }
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -99,6 +99,8 @@
 	maxInlineWrite = 16 << 10
 	// maxSkipped is how many responses to other requests are skipped.
 	maxSkipped = 2
+	// maxHeadBytes limits the response head, interim responses included.
+	maxHeadBytes = 64 << 10
 	// maxSkippedBytes limits the body of a skipped response.
 	maxSkippedBytes = 1 << 20
 )
@@ -225,6 +227,8 @@
 // readHead reads the status line and headers and prepares reading the body. It
 // skips interim (1xx) responses.
 func (ex *Exchange) readHead(method string) error {
+	ex.conn.limit.remaining = maxHeadBytes
+	defer func() { ex.conn.limit.remaining = unlimited }()
 	tp := textproto.NewReader(ex.conn.r)
 	for {
 		line, err := tp.ReadLine()
