--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -41,7 +41,7 @@
 	cr *callerRequest
 	a  *attempt
 	// patience is how long the server may be silent before another one is searched
-	// for; zero means that it is never.
+	// for.
 	patience time.Duration
 	// maySwitch reports whether another server may run the request.
 	maySwitch func() bool
@@ -195,7 +195,7 @@
 		w.withdraw()
 		return true
 	}
-	if w.patience > 0 && now.Sub(w.silentSince) >= w.patience {
+	if now.Sub(w.silentSince) >= w.patience {
 		if !w.overdue {
 			w.overdue = true
 			w.h.scheduler.recordSilent(w.cr.service, w.a.lease)
@@ -212,11 +212,9 @@
 // untilWake returns the time until the next wake.
 func (w *watch) untilWake(now time.Time) time.Duration {
 	until := max(w.cr.deadline.Sub(now), searchInterval)
-	switch {
-	case w.patience <= 0:
-	case w.overdue:
+	if w.overdue {
 		until = min(until, searchInterval)
-	default:
+	} else {
 		until = min(until, w.silentSince.Add(w.patience).Sub(now))
 	}
 	if remaining, expires := w.untilWithdrawal(); expires {
