directory: an agent's report about an earlier engine is ignored

An agent reports the weights that its engine holds by the engine's address. A report that was delayed on a narrow link was applied to the engine that had started there meanwhile, under the same ID or another one: entries took it for a holder of newer weights, without expiry, until its next heartbeat.

The report now carries the engine's start, as its heartbeats do, and is ignored for another incarnation.

--- a/connection/wire/updates.go
+++ b/connection/wire/updates.go
@@ -21,6 +21,9 @@
 	Loading bool `cbor:"2,keyasint,omitempty"`
 	// Held lists the weights that the engine holds after loading.
 	Held []directory.ModelVersion `cbor:"3,keyasint,omitempty"`
+	// Born is the engine's start in Unix milliseconds, or 0 if it is unknown. The report
+	// concerns no other incarnation.
+	Born int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Deregistration reports that a server deregistered. Born is the server's start in
--- a/process/directory/table.go
+++ b/process/directory/table.go
@@ -121,10 +121,11 @@
 
 // UpdateEngine applies an agent's report about the server at an address: whether
 // it loads weights, and which weights it then holds. Older versions don't replace
-// newer ones. It reports whether the table changed.
-func (t *Table) UpdateEngine(address string, loading bool, held []ModelVersion, now time.Duration) bool {
+// newer ones. A report about another incarnation than the one born at that time is
+// ignored, unless one of the two is not known (0). It reports whether the table changed.
+func (t *Table) UpdateEngine(address string, born int64, loading bool, held []ModelVersion, now time.Duration) bool {
 	record := t.servers[t.idByAddress[address]]
-	if record == nil || record.State == Gone {
+	if record == nil || record.State == Gone || born != 0 && record.Born != 0 && born != record.Born {
 		return false
 	}
 	changed := loading != (now < record.LoadingUntil)
--- a/process/directory/table_test.go
+++ b/process/directory/table_test.go
@@ -83,7 +83,7 @@
 	s := report("a", 1, 1, Ready)
 	s.Held = []ModelVersion{{Model: "m", Version: 1}}
 	table.Update(s, 0)
-	if !table.UpdateEngine(s.Address, true, nil, time.Second) || table.Get("a").LoadingUntil <= time.Second {
+	if !table.UpdateEngine(s.Address, 0, true, nil, time.Second) || table.Get("a").LoadingUntil <= time.Second {
 		t.Error("the start of the load was not applied")
 	}
 	s.Seq = 2
@@ -92,13 +92,33 @@
 		t.Error("a heartbeat cleared the loading state")
 	}
 	newer := []ModelVersion{{Model: "m", Version: 2}}
-	if !table.UpdateEngine(s.Address, false, newer, 3*time.Second) || table.Get("a").HeldVersion("m") != 2 || table.Get("a").LoadingUntil != 0 {
+	if !table.UpdateEngine(s.Address, 0, false, newer, 3*time.Second) || table.Get("a").HeldVersion("m") != 2 || table.Get("a").LoadingUntil != 0 {
 		t.Error("the end of the load was not applied")
 	}
-	if table.UpdateEngine(s.Address, false, s.Held, 3*time.Second) || table.Get("a").HeldVersion("m") != 2 {
+	if table.UpdateEngine(s.Address, 0, false, s.Held, 3*time.Second) || table.Get("a").HeldVersion("m") != 2 {
 		t.Error("an older report replaced newer weights")
 	}
-	if table.UpdateEngine("10.9.9.9:1", true, nil, 0) {
+	if table.UpdateEngine("10.9.9.9:1", 0, true, nil, 0) {
 		t.Error("a report about an unknown server changed the table")
 	}
 }
+
+func TestReportAboutAnEarlierEngineMakesItsSuccessorHoldNewerWeights(t *testing.T) {
+	older, newer := []ModelVersion{{Model: "m", Version: 2}}, []ModelVersion{{Model: "m", Version: 3}}
+	for name, successor := range map[string]Server{
+		"same ID":            report("a", 2, 1, Ready),
+		"address used again": report("b", 2, 1, Ready),
+	} {
+		table := NewTable()
+		first := report("a", 1, 5, Ready)
+		table.Update(first, 0)
+		successor.Address, successor.Held = first.Address, older
+		table.Update(successor, time.Second)
+		if table.UpdateEngine(first.Address, 1, false, newer, 2*time.Second) || table.Get(successor.ID).HeldVersion("m") != 2 {
+			t.Errorf("%s: a late report about the earlier engine was applied", name)
+		}
+		if !table.UpdateEngine(first.Address, 2, false, newer, 2*time.Second) || table.Get(successor.ID).HeldVersion("m") != 3 {
+			t.Errorf("%s: the report about the engine was not applied", name)
+		}
+	}
+}
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -310,7 +310,7 @@
 		}
 	}
 	for _, s := range update.Engines {
-		if f.table.UpdateEngine(s.Address, s.Loading, s.Held, now) {
+		if f.table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, now) {
 			changed = true
 			f.log.Info("engine state changed", "address", s.Address, "loading", s.Loading, "held", s.Held)
 		}
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -153,7 +153,7 @@
 func (h *Hub) UpdateEngine(s wire.EngineState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.table.UpdateEngine(s.Address, s.Loading, s.Held, h.now()) {
+	if h.table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, h.now()) {
 		h.log.Info("engine state changed", "address", s.Address, "loading", s.Loading, "held", s.Held)
 		h.broadcast(wire.Update{Engines: []wire.EngineState{s}}, true)
 	}
@@ -176,7 +176,7 @@
 		}
 	}
 	for _, s := range update.Engines {
-		if h.table.UpdateEngine(s.Address, s.Loading, s.Held, now) {
+		if h.table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, now) {
 			forwarded.Engines = append(forwarded.Engines, s)
 		}
 	}
--- a/process/sidecar/updater.go
+++ b/process/sidecar/updater.go
@@ -243,7 +243,7 @@
 	u.heldVersions[model] = version
 	u.mu.Unlock()
 	if changed && version > 0 {
-		u.reportEngine(wire.EngineState{Held: r.Held})
+		u.reportEngine(wire.EngineState{Held: r.Held, Born: r.Born})
 	}
 }
 
