backend: test of a suspension past the send deadline

It fails where the deadline is compared with the monotonic clock (checked with a fake clock that ignores suspensions).

--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingpost/waxwingpost/process/boottime"
@@ -384,3 +385,37 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+func TestRequestIsSentOnAnIdleConnectionAfterASuspensionPastItsSendDeadline(t *testing.T) {
+	var served atomic.Int32
+	address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			served.Add(1)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		}
+	})
+	boot := boottime.NewFake(clockwork.NewRealClock())
+	client := New(Config{AgeClock: boot, Scope: tally.NoopScope})
+	send := func(deadline boottime.Instant) error {
+		req := newRequest("1")
+		req.SendDeadline = deadline
+		ex, err := client.Do(t.Context(), address, req)
+		if err == nil {
+			ex.Close()
+		}
+		return err
+	}
+	deadline := boot.Now().Add(time.Minute)
+	if err := send(deadline); err != nil {
+		t.Fatal(err)
+	}
+	boot.Suspend(2 * time.Minute)
+	var failure *Error
+	if err := send(deadline); !errors.As(err, &failure) || failure.Sent != NotSent || served.Load() != 1 {
+		t.Errorf("got error %v, %d requests served", err, served.Load())
+	}
+}
