feed: agents are told an age that their control process learns late

An agent follows one control process. If that learned a version while it was not current, it sent the version without an age, and then took the age from another control process without telling it: only entries get the ages repeated. An agent without the age loads at once instead of in its turn, like all others in its place.

When a control process learns an age that its followers lack, it sends the desired state again. The new test failed before: it does not compile without the return value; with one that is always false it reports that followers are not told.

--- a/process/feed/ages_test.go
+++ b/process/feed/ages_test.go
@@ -167,3 +167,16 @@
 		t.Errorf("ages %v, want 300 ms", ages)
 	}
 }
+
+func TestAgentsAreToldAnAgeThatTheirControlProcessLearnsLate(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := newTestHub(clock, boottime.NewFake(clock))
+	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}})
+	ages := map[string][]wire.VersionAge{"m": {{Version: 2, Age: 500}, {Version: 3, Age: 0}}}
+	if !h.recordAges(ages) {
+		t.Error("followers know version 2 without its age, and are not told")
+	}
+	if h.recordAges(ages) {
+		t.Error("followers are told a known age again")
+	}
+}
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -180,7 +180,9 @@
 			forwarded.Engines = append(forwarded.Engines, s)
 		}
 	}
-	h.recordAges(update.Ages)
+	if h.recordAges(update.Ages) {
+		h.sendDesired()
+	}
 	for _, id := range update.Alive {
 		if record := h.table.Get(id); record != nil {
 			record.Heard = now
@@ -320,10 +322,7 @@
 		return
 	}
 	// The version was sent without its age.
-	update := h.desiredUpdate()
-	for _, f := range h.followers {
-		_ = f.conn.Notify(wire.KindUpdate, update)
-	}
+	h.sendDesired()
 }
 
 // applyDesired replaces the desired state and sends it to the followers. The caller
@@ -331,6 +330,11 @@
 func (h *Hub) applyDesired(s desired.State) {
 	h.state = s
 	h.log.Info("desired state changed", "revision", s.Revision, "config_version", s.ConfigVersion, "weights", s.Weights)
+	h.sendDesired()
+}
+
+// sendDesired sends the desired state to the followers. The caller holds mu.
+func (h *Hub) sendDesired() {
 	update := h.desiredUpdate()
 	for _, f := range h.followers {
 		_ = f.conn.Notify(wire.KindUpdate, update)
@@ -384,17 +388,21 @@
 	return ages
 }
 
-// recordAges records the ages that another control process sent. The caller holds
-// mu.
-func (h *Hub) recordAges(ages map[string][]wire.VersionAge) {
+// recordAges records the ages that another control process sent. It reports whether the
+// followers know one of the versions without its age. The caller holds mu.
+func (h *Hub) recordAges(ages map[string][]wire.VersionAge) bool {
 	now := h.ageClock.Now()
+	missing := false
 	for model, list := range ages {
 		history := h.histories[model]
 		for _, age := range list {
+			wasKnown := history.hasTime(age.Version)
 			history.recordTime(age.Version, now.Add(-time.Duration(age.Age)*time.Millisecond))
+			missing = missing || !wasKnown && history.hasTime(age.Version) && age.Version <= h.state.Weights[model]
 		}
 		h.histories[model] = history
 	}
+	return missing
 }
 
 // ageMilliseconds rounds an age up: a version that seems older than it is expires
