feed: entries, agents and control processes log where a time of publication comes from

The control process logs when it sees a version, whether it stamps it, and the version before (a gap means that a version between has no time of its own), with the model, version and revision of "change acknowledged". Followers log the first time that they are told, an earlier one, and a later one of the newest version, with the control process and the difference.

--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -219,6 +219,7 @@
 			f.markBehind(c.Peer().Name)
 			f.wakeUp()
 		}
+		f.logAges(c.Peer().Name, update)
 		f.apply(update)
 	}()
 }
@@ -233,6 +234,7 @@
 		f.log.Warn("failed to decode update", "control", c.Peer().Name, "code", int(result.BadMessage), "error", err)
 		return
 	}
+	f.logAges(c.Peer().Name, update)
 	f.apply(update)
 }
 
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -257,9 +257,12 @@
 			continue
 		}
 		history := h.histories[model]
-		if h.now() > catchUpTime {
+		caughtUp := h.now() > catchUpTime
+		if caughtUp {
 			history.recordTime(version, h.clock.Now())
 		}
+		h.log.Info("weights version seen", "model", model, "version", version, "before", h.state.Weights[model],
+			"revision", s.Revision, "stamped", caughtUp)
 		h.histories[model] = history
 	}
 	h.state = s
