frontend: callers' connections are counted by their state when they are closed

A connection is wrapped so that its state (new, reading, serving, served, idle) and whether the caller closed it first are known when net/http closes it. Costs one atomic load per read and three stores per request; it stays a TCPConn for the methods that net/http uses.

--- /dev/null
+++ b/process/frontend/callerconn.go
@@ -0,0 +1,138 @@
+package frontend
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// connState is the state of a caller's connection when it is closed.
+type connState int
+
+const (
+	// connNew connections have sent nothing.
+	connNew connState = iota
+	// connReading connections have sent a part of a request's header.
+	connReading
+	// connServing connections have a request in progress.
+	connServing
+	// connServed connections are closed after a response instead of being kept.
+	connServed
+	connIdle
+	connStateCount
+)
+
+var connStateNames = [connStateCount]string{"new", "reading", "serving", "served", "idle"}
+
+// connStats counts the closed connections of callers by their state and by whether
+// the caller closed them first. It is safe for concurrent use.
+type connStats struct {
+	byCaller, byEntry [connStateCount]tally.Counter
+	// closed counts the connections that the entry closed.
+	closed [connStateCount]atomic.Int64
+}
+
+func newConnStats(scope tally.Scope) *connStats {
+	s := &connStats{}
+	for state, name := range connStateNames {
+		s.byCaller[state] = scope.Tagged(map[string]string{"state": name, "by": "caller"}).Counter("caller_connections_closed")
+		s.byEntry[state] = scope.Tagged(map[string]string{"state": name, "by": "entry"}).Counter("caller_connections_closed")
+	}
+	return s
+}
+
+// LogValue implements slog.LogValuer: the connections closed by the entry.
+func (s *connStats) LogValue() slog.Value {
+	attrs := make([]slog.Attr, 0, connStateCount)
+	for state, name := range connStateNames {
+		attrs = append(attrs, slog.Int64(name, s.closed[state].Load()))
+	}
+	return slog.GroupValue(attrs...)
+}
+
+// listener returns a listener whose connections are counted. The server must use
+// connState, connContext and handler as well.
+func (s *connStats) listener(l net.Listener) net.Listener {
+	return &countingListener{Listener: l, stats: s}
+}
+
+type countingListener struct {
+	net.Listener
+	stats *connStats
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return &callerConn{TCPConn: tcp, stats: l.stats}, nil
+	}
+	return c, err
+}
+
+// callerConn is a connection of a caller that is counted when it is closed.
+type callerConn struct {
+	*net.TCPConn
+	stats *connStats
+	state atomic.Int32
+	// ended is set once the caller has closed the connection.
+	ended  atomic.Bool
+	closed atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if state := connState(c.state.Load()); n > 0 && (state == connNew || state == connIdle) {
+		c.state.Store(int32(connReading))
+	}
+	if err != nil && !os.IsTimeout(err) && !c.closed.Load() {
+		c.ended.Store(true)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	if !c.closed.Swap(true) {
+		state := c.state.Load()
+		if c.ended.Load() {
+			c.stats.byCaller[state].Inc(1)
+		} else {
+			c.stats.byEntry[state].Inc(1)
+			c.stats.closed[state].Add(1)
+		}
+	}
+	return c.TCPConn.Close()
+}
+
+// connState is a hook for http.Server.ConnState.
+func (s *connStats) connState(c net.Conn, state http.ConnState) {
+	if cc, ok := c.(*callerConn); ok && state == http.StateIdle {
+		cc.state.Store(int32(connIdle))
+	}
+}
+
+type connKey struct{}
+
+// connContext is a hook for http.Server.ConnContext.
+func (s *connStats) connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// handler returns a handler that records which connections have a request in
+// progress.
+func (s *connStats) handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+			c.state.Store(int32(connServing))
+			defer c.state.Store(int32(connServed))
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -114,12 +114,13 @@
 	componentsCtx, stopComponents := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopComponents()
 	group, groupCtx := errgroup.WithContext(componentsCtx)
+	conns := newConnStats(f.Scope)
 	callerServer := &http.Server{
-		Handler: f.handler, ReadHeaderTimeout: idleTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: conns.handler(f.handler), ConnState: conns.connState, ConnContext: conns.connContext, ReadHeaderTimeout: idleTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelDebug),
 	}
 	readyServer := runtime.NewServer(f.readyMux())
-	group.Go(func() error { return runtime.Serve(callerServer, callers) })
+	group.Go(func() error { return runtime.Serve(callerServer, conns.listener(callers)) })
 	group.Go(func() error { return runtime.Serve(readyServer, ready) })
 	group.Go(func() error { f.follower.Run(groupCtx); return nil })
 	group.Go(func() error { f.runTimers(groupCtx); return nil })
@@ -133,7 +134,7 @@
 	_ = callerServer.Close()
 	_ = readyServer.Close()
 	err = runtime.IgnoreCanceled(group.Wait())
-	f.Log.Info("frontend stopped", "code", int(result.CodeOf(err)))
+	f.Log.Info("frontend stopped", "code", int(result.CodeOf(err)), "connections_closed", conns)
 	return err
 }
 
