forward: a request that arrives with the first configuration no longer panics

A caller whose request came between the two steps in which the first view of a process is published had its connection closed without an answer: requests were resolved by the follower's view, which is stored first, while the scheduler still had an empty one, and serverSeconds dereferenced its nil configuration. net/http recovers the panic and closes the connection. An entry that restarts while callers reach it is in that state once.

Now the handler resolves requests by its own copy of the view, which it stores after the scheduler has it. The same order spares a request to a service that is new in a configuration a refusal because its pool is still empty.

The test of panics injected one through the view function that is gone; it now takes the client away, with the same checks.

--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -70,7 +70,7 @@
 	f.handler = forward.New(forward.Config{
 		Zone: settings.Zone, OldVersionGrace: settings.Bounds.OldVersionGrace, RetryShare: settings.Bounds.RetryShare,
 		RetryAllowance: settings.Bounds.RetryAllowance, RetryWindow: settings.Bounds.RetryWindow,
-	}, f.follower.View, f.client, rt.Clock, rt.Log, rt.Scope)
+	}, f.client, rt.Clock, rt.Log, rt.Scope)
 	rt.Dump.Add("pools", f.handler.Dump)
 	rt.Dump.Add("view", func() any { return f.follower.View() })
 	return f
@@ -196,7 +196,7 @@
 // the view.
 func (f *Frontend) inUse() func(address string) bool {
 	addresses := map[string]bool{}
-	for _, servers := range f.follower.View().Servers {
+	for _, servers := range f.handler.View().Servers {
 		for _, s := range servers {
 			addresses[s.Address] = true
 		}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -43,12 +43,14 @@
 //
 // Lock order: scheduler.mu is a leaf; no other lock is taken while it is held.
 type Handler struct {
-	cfg           Config
-	view          func() *feed.View
-	client        *backend.Client
-	clock         clockwork.Clock
-	log           *slog.Logger
-	scheduler     *scheduler
+	cfg       Config
+	client    *backend.Client
+	clock     clockwork.Clock
+	log       *slog.Logger
+	scheduler *scheduler
+	// current is the view that requests are resolved by. The scheduler has it, or a
+	// newer one.
+	current       atomic.Pointer[feed.View]
 	inflight      inflight.Counter
 	keepAlivesOff atomic.Bool
 	metrics       metrics
@@ -60,11 +62,11 @@
 	duration, firstByte                       tally.Timer
 }
 
-// New returns a handler. view returns the current view of the deployment.
-func New(cfg Config, view func() *feed.View, client *backend.Client, clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *Handler {
+// New returns a handler that refuses all requests until Update.
+func New(cfg Config, client *backend.Client, clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *Handler {
 	scope = scope.SubScope("requests")
-	return &Handler{
-		cfg: cfg, view: view, client: client, clock: clock, log: log,
+	h := &Handler{
+		cfg: cfg, client: client, clock: clock, log: log,
 		scheduler: newScheduler(cfg, clock),
 		metrics: metrics{
 			requests: scope.Counter("received"), retried: scope.Counter("sent_again"), panics: scope.Counter("panics"),
@@ -72,10 +74,18 @@
 			duration: scope.Timer("duration"), firstByte: scope.Timer("first_byte"),
 		},
 	}
+	h.current.Store(&feed.View{})
+	return h
 }
 
-// Update applies a new view to the pools.
-func (h *Handler) Update(v *feed.View) { h.scheduler.update(v) }
+// Update puts a new view in force. It must not be called concurrently.
+func (h *Handler) Update(v *feed.View) {
+	h.scheduler.update(v)
+	h.current.Store(v)
+}
+
+// View returns the view in force.
+func (h *Handler) View() *feed.View { return h.current.Load() }
 
 // SampleDemand returns the demand for each service at this entry, in server time per
 // second. It is called every half second.
@@ -162,7 +172,7 @@
 // resolve determines the route, account, service and deadline of a request and
 // reads its body.
 func (h *Handler) resolve(w http.ResponseWriter, cr *callerRequest) error {
-	config := h.view().Config
+	config := h.View().Config
 	if config == nil {
 		return result.Refuse(result.NoQuorum, noConfigRetryAfter, "no configuration received yet")
 	}
--- a/request/forward/handler_test.go
+++ b/request/forward/handler_test.go
@@ -218,7 +218,7 @@
 
 func TestRequestsWithoutConfigurationReturn503(t *testing.T) {
 	e := newTestEntry(t, testConfig(deployment.Repeatable, testTimeout))
-	e.handler.view().Config = nil
+	e.handler.View().Config = nil
 	resp, _, err := e.send(t, nil)
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("got response %v, error %v", resp, err)
--- a/request/forward/harness_test.go
+++ b/request/forward/harness_test.go
@@ -151,7 +151,7 @@
 	client := backend.New(backend.Config{Scope: tally.NoopScope})
 	h := New(Config{
 		RetryShare: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second, OldVersionGrace: 8 * time.Second,
-	}, func() *feed.View { return view }, client, clockwork.NewRealClock(), slog.New(slog.DiscardHandler), tally.NoopScope)
+	}, client, clockwork.NewRealClock(), slog.New(slog.DiscardHandler), tally.NoopScope)
 	h.Update(view)
 	e := &testEntry{handler: h}
 	e.Server = httptest.NewServer(h)
--- a/request/forward/outcome_test.go
+++ b/request/forward/outcome_test.go
@@ -41,8 +41,8 @@
 	scope := tally.NewTestScope("", nil)
 	logged := &syncBuffer{}
 	old := e.handler
-	h := New(old.cfg, old.view, old.client, old.clock, slog.New(slog.NewTextHandler(logged, nil)), scope)
-	h.Update(old.view())
+	h := New(old.cfg, old.client, old.clock, slog.New(slog.NewTextHandler(logged, nil)), scope)
+	h.Update(old.View())
 	e.handler, e.Config.Handler = h, h
 	return logged, scope
 }
@@ -101,7 +101,7 @@
 func TestPanicInTheHandlerIsLoggedWithTheRequestID(t *testing.T) {
 	e := newTestEntry(t, testConfig(deployment.Repeatable, testTimeout), newFakeServer(t, "s1", echo))
 	logged, scope := e.observe()
-	e.handler.view = func() *feed.View { panic("broken view") }
+	e.handler.client = nil
 	if _, _, err := e.send(t, nil); err == nil {
 		t.Error("the request was answered")
 	}
@@ -109,7 +109,7 @@
 	if n := scope.Snapshot().Counters()["requests.panics+"].Value(); n != 1 {
 		t.Errorf("%d panics counted, want 1", n)
 	}
-	if line := logged.String(); !strings.Contains(line, "level=ERROR") || !strings.Contains(line, "id=id-1") || !strings.Contains(line, "broken view") {
+	if line := logged.String(); !strings.Contains(line, "level=ERROR") || !strings.Contains(line, "id=id-1") || !strings.Contains(line, "nil pointer dereference") {
 		t.Errorf("logged %q", line)
 	}
 }
@@ -128,7 +128,7 @@
 			config.Services["svc"].Engine = &deployment.Engine{Models: []string{"m"}, Slots: 4, ReadPerSecond: 1000, Step: time.Millisecond}
 			e := newTestEntry(t, config, s)
 			logged, scope := e.observe()
-			view := *e.handler.view()
+			view := *e.handler.View()
 			view.Servers["svc"][0].Held = []directory.ModelVersion{{Model: "m", Version: 1}}
 			var history feed.VersionHistory
 			// Version 1 remains usable for 2.4 s.
