forward: a caller that closes only its write side gets no empty 200

A caller that shut down the write side of its connection after its request got '200 OK' without a body and without a server's signature, as if its request had been served: net/http ends the request's context at that end of file, the handler returned without writing, and net/http completes such a response with an empty 200. The same would have been the end of any handler that forgot to answer.

Now the connection is aborted in both cases, which callers may not take for an answer. A half-closed connection still counts as a caller that left, because it can't be told from one.

--- a/request/forward/outcome.go
+++ b/request/forward/outcome.go
@@ -41,7 +41,8 @@
 const maxLoggedStack = 4 << 10
 
 // countOutcome counts the outcome of a request and logs one that ended without a
-// response. It must be deferred by the handler, and panics again if that panicked.
+// response. It must be deferred by the handler. It panics again if that panicked, and
+// aborts the connection of a caller that got no response.
 func (h *Handler) countOutcome(cr *callerRequest) {
 	cause := recover()
 	if cause != nil && cr.outcome == outcomeNone {
@@ -58,8 +59,13 @@
 		h.log.Error("request ended without a response", "id", cr.id, "code", int(result.Internal), "servers", cr.triedServers)
 	}
 	h.metrics.outcomes[cr.outcome].Inc(1)
-	if cause != nil {
+	switch {
+	case cause != nil:
 		panic(cause)
+	case cr.outcome == outcomeNone || cr.outcome == outcomeCallerGone:
+		// net/http would send an empty 200, which reaches a caller that closed only
+		// its write side.
+		panic(http.ErrAbortHandler)
 	}
 }
 
