--- a/process/frontend/callerconn.go
+++ b/process/frontend/callerconn.go
@@ -131,7 +131,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 			c.state.Store(int32(connServing))
-			defer c.state.Store(int32(connServed))
+			h.ServeHTTP(w, r)
+			c.state.Store(int32(connServed)) // not reached by a response that is aborted
+			return
 		}
 		h.ServeHTTP(w, r)
 	})
