--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -106,7 +106,11 @@
 
 // TryAcquire assigns a free slot to a request, or returns nil if there is none.
 func (p *Pool) TryAcquire(now time.Time, req Request) *Lease {
-	if p.inFlight >= p.slotLimit() {
+	limit := p.slotLimit()
+	if req.Replaces && limit < math.MaxInt {
+		limit++
+	}
+	if p.inFlight >= limit {
 		return nil
 	}
 	s := p.pickServer(now, req)
@@ -183,6 +187,24 @@
 	}
 }
 
+// OnSilent records that the server has sent nothing for long on a request that
+// still waits for it. The server is ejected as after a failure.
+func (p *Pool) OnSilent(now time.Time, l *Lease) {
+	if !l.silent {
+		l.silent = true
+		l.state.recordOutcome(Stalled, now)
+	}
+}
+
+// OnResumed records that a server reported by OnSilent has gone on.
+func (p *Pool) OnResumed(now time.Time, l *Lease) {
+	if l.silent {
+		l.silent = false
+		l.state.endSilence(now)
+		p.DispatchWaiting(now)
+	}
+}
+
 // WaitDeadline returns the time until which a request may wait for a slot and still
 // meet its latency target. The prefill time of its prompt and the recent delay of
 // first events are subtracted from the target.
@@ -219,11 +241,21 @@
 	}
 	l.state.inFlight--
 	p.inFlight--
-	l.state.recordOutcome(o, now)
+	switch {
+	case l.silent && o == Served:
+		l.state.endSilence(now)
+		l.state.recordOutcome(o, now)
+	case l.silent && (o == Stalled || o == Canceled):
+		// OnSilent has recorded the silence, and a caller that left it proves nothing.
+	default:
+		l.state.recordOutcome(o, now)
+	}
 	if l.state.removed && l.state.inFlight == 0 {
 		delete(p.servers, l.state.ID)
 	}
-	p.recordFreed(now)
+	if o != Unused {
+		p.recordFreed(now)
+	}
 	if o == Served {
 		p.meanHold += time.Duration(slotEWMAWeight * float64(now.Sub(l.granted)-p.meanHold))
 	}
@@ -303,22 +335,31 @@
 // Waiting returns the number of queued requests.
 func (p *Pool) Waiting() int { return len(p.waiting) }
 
-// DispatchWaiting assigns free slots to queued requests. It must also be called
-// periodically, because a backoff after a refusal ends without any event.
+// DispatchWaiting assigns free slots to queued requests. A request that no server
+// accepts holds up those behind it, unless it excludes servers: a slot of these is
+// of no use to it. DispatchWaiting must also be called periodically, because a
+// backoff after a refusal ends without any event.
 func (p *Pool) DispatchWaiting(now time.Time) {
-	for len(p.waiting) > 0 {
-		best := 0
-		for i, w := range p.waiting {
-			if precedes(w, p.waiting[best]) {
-				best = i
+	var passedOver []*Waiter
+	for {
+		var w *Waiter
+		for _, o := range p.waiting {
+			if !slices.Contains(passedOver, o) && (w == nil || precedes(o, w)) {
+				w = o
 			}
 		}
-		w := p.waiting[best]
+		if w == nil {
+			return
+		}
 		l := p.TryAcquire(now, w.Request)
 		if l == nil {
-			return
+			if len(w.Request.Exclude) == 0 {
+				return
+			}
+			passedOver = append(passedOver, w)
+			continue
 		}
-		p.waiting = slices.Delete(p.waiting, best, best+1)
+		p.Dequeue(w)
 		w.Grant(l)
 	}
 }
