--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithCancel(cr.request.Context())
 	a := &attempt{lease: l, cancel: cancel, parts: make(chan part)}
 	cr.triedServers = append(cr.triedServers, l.Server.ID)
-	cr.weights = weightsUse{version: l.Server.WeightsVersion, until: l.Server.WeightsUntil, sent: h.clock.Now()}
+	cr.weights = weightsUse{version: l.Server.WeightsVersion, until: l.Server.WeightsUntil, sent: h.ageClock.Now()}
 	req := &backend.Request{
 		Method: cr.request.Method, Target: cr.request.RequestURI, Host: cr.request.Host,
 		Header: h.serverHeader(cr, l, events.position()), Body: cr.body,
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -18,6 +18,7 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/backend"
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -46,6 +47,7 @@
 	cfg       Config
 	client    *backend.Client
 	clock     clockwork.Clock
+	ageClock  boottime.Clock
 	log       *slog.Logger
 	scheduler *scheduler
 	// current is the view that requests are resolved by. The scheduler has it, or a
@@ -62,12 +64,13 @@
 	duration, firstByte                       tally.Timer
 }
 
-// New returns a handler that refuses all requests until Update.
-func New(cfg Config, client *backend.Client, clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *Handler {
+// New returns a handler that refuses all requests until Update. ageClock must be the
+// clock of the views' versions.
+func New(cfg Config, client *backend.Client, clock clockwork.Clock, ageClock boottime.Clock, log *slog.Logger, scope tally.Scope) *Handler {
 	scope = scope.SubScope("requests")
 	h := &Handler{
-		cfg: cfg, client: client, clock: clock, log: log,
-		scheduler: newScheduler(cfg, clock),
+		cfg: cfg, client: client, clock: clock, ageClock: ageClock, log: log,
+		scheduler: newScheduler(cfg, clock, ageClock),
 		metrics: metrics{
 			requests: scope.Counter("received"), retried: scope.Counter("sent_again"), panics: scope.Counter("panics"),
 			firstEventLate: scope.Counter("first_event_after_expiry"), outcomes: outcomeCounters(scope),
--- a/request/forward/outcome.go
+++ b/request/forward/outcome.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 )
@@ -104,10 +105,10 @@
 type weightsUse struct {
 	version int
 	// until is when the weights expire, zero if they don't.
-	until time.Time
-	sent  time.Time
+	until boottime.Instant
+	sent  boottime.Instant
 	// first is when the first event came, zero if none came.
-	first time.Time
+	first boottime.Instant
 }
 
 // appendAttrs appends the log attributes, if the weights expire.
@@ -128,7 +129,7 @@
 func (h *Handler) recordFirstEvent(cr *callerRequest, l *placement.Lease) {
 	current := h.scheduler.recordFirstEvent(cr.service, l)
 	u := &cr.weights
-	u.first = h.clock.Now()
+	u.first = h.ageClock.Now()
 	if current.WeightsVersion == u.version && !current.WeightsUntil.IsZero() {
 		u.until = current.WeightsUntil
 	}
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
@@ -36,8 +37,9 @@
 // scheduler holds the pools and retry budgets of all services. Its methods are
 // safe for concurrent use unless they say otherwise.
 type scheduler struct {
-	cfg   Config
-	clock clockwork.Clock
+	cfg      Config
+	clock    clockwork.Clock
+	ageClock boottime.Clock
 
 	// mu guards the fields below.
 	mu   sync.Mutex
@@ -48,8 +50,10 @@
 	demandSampled time.Time
 }
 
-func newScheduler(cfg Config, clock clockwork.Clock) *scheduler {
-	return &scheduler{cfg: cfg, clock: clock, view: &feed.View{}, services: map[string]*serviceState{}, demandSampled: clock.Now()}
+func newScheduler(cfg Config, clock clockwork.Clock, ageClock boottime.Clock) *scheduler {
+	return &scheduler{
+		cfg: cfg, clock: clock, ageClock: ageClock, view: &feed.View{}, services: map[string]*serviceState{}, demandSampled: clock.Now(),
+	}
 }
 
 // update replaces the view.
@@ -82,7 +86,7 @@
 	st := sc.services[name]
 	if st == nil {
 		st = &serviceState{
-			pool:        placement.NewPool(placement.Config{Zone: sc.cfg.Zone}),
+			pool:        placement.NewPool(placement.Config{Zone: sc.cfg.Zone}, sc.ageClock),
 			retryBudget: retry.NewWindow(sc.cfg.RetryWindow, now),
 		}
 		sc.services[name] = st
@@ -132,9 +136,9 @@
 // usableWeights reports whether a server holds usable weights for all models of
 // its service, and when the first of them expires; zero means no expiry. version is
 // that of the model that expires first, or of the last one. The caller holds mu.
-func (sc *scheduler) usableWeights(s *deployment.Service, record *directory.Record) (allHeld bool, version int, until time.Time) {
+func (sc *scheduler) usableWeights(s *deployment.Service, record *directory.Record) (allHeld bool, version int, until boottime.Instant) {
 	if s.Engine == nil {
-		return true, 0, time.Time{}
+		return true, 0, until
 	}
 	for _, model := range s.Engine.Models {
 		held := record.HeldVersion(model)
--- a/request/forward/slotwait.go
+++ b/request/forward/slotwait.go
@@ -44,7 +44,7 @@
 		}
 	}
 	if !pool.Enqueue(now, w.waiter) {
-		return nil, refusalError(pool.HasUsable(now), pool.RetryAfter())
+		return nil, refusalError(pool.HasUsable(), pool.RetryAfter())
 	}
 	if !mayOvertake {
 		// The queued requests may exclude the servers that are free.
--- a/request/forward/update_test.go
+++ b/request/forward/update_test.go
@@ -15,7 +15,7 @@
 	e := newTestEntry(t, testConfig(deployment.Repeatable, testTimeout), newFakeServer(t, "s1", echo))
 	view := e.handler.View()
 	for range 20 {
-		h := New(e.handler.cfg, e.handler.client, e.handler.clock, e.handler.log, tally.NoopScope)
+		h := New(e.handler.cfg, e.handler.client, e.handler.clock, e.handler.ageClock, e.handler.log, tally.NoopScope)
 		e.Config.Handler = h
 		h.scheduler.mu.Lock() // holds the update between its steps
 		var updates sync.WaitGroup
