feed: a replica that was behind gives versions no time of publication

A control process took a version for new when it learned it later than 3 s after its start: after a slow start, an election that took long, a time in which it was cut off, stopped or suspended. An entry that started then and heard only from it, or from several in the same state, used the old version for longer than it may.

A control process now gives a version a time of publication only if its replica was known to be current within the last second. After a start or a lapse, a quorum round (a barrier) makes it current; contact with the leader is confirmed four times a second. What was applied before has no time here; it comes from the other control processes. The process that acknowledges a version records when it received the operator's change, which is earlier than the commit, so that a version has an age even if it is published while the replicas become current.

TestControlProcessThatWasBehindTakesAnOldVersionForANewOne failed before, with the rule of 3 s: the old version got an age of 0 after a slow start.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -139,6 +139,7 @@
 	group.Go(func() error { return runtime.Serve(linkServer, links) })
 	group.Go(func() error { c.runReplica(groupCtx); return nil })
 	group.Go(func() error { c.runFeed(groupCtx); return nil })
+	group.Go(func() error { c.confirmCurrent(groupCtx); return nil })
 	<-groupCtx.Done()
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
@@ -212,6 +213,29 @@
 	}
 }
 
+// confirmCurrent tells the hub regularly whether the replica is current. After a start
+// or a loss of contact with the leader, a quorum round determines that.
+func (c *Controller) confirmCurrent(ctx context.Context) {
+	ticker := c.Clock.NewTicker(feed.ConfirmInterval)
+	defer ticker.Stop()
+	for {
+		if r := c.replica.Load(); r != nil && r.node.InQuorum() && !c.hub.ConfirmCurrent() {
+			barrierCtx, cancel := context.WithTimeout(ctx, readTimeout)
+			err := r.node.Barrier(barrierCtx)
+			cancel()
+			if err == nil {
+				s, _ := r.machine.Current()
+				c.hub.CatchUp(s)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
 // wantedLinks returns the control processes to link to: the members and, while
 // there is no link, the seeds.
 func (c *Controller) wantedLinks() []string {
--- a/process/controller/operators.go
+++ b/process/controller/operators.go
@@ -119,25 +119,33 @@
 		return nil, result.New(result.Internal, "compress configuration: %v", err)
 	}
 	digest := strconv.FormatUint(xxhash.Sum64(doc.raw), 16)
-	return c.propose(ctx, control.Command{
+	_, err = c.propose(ctx, control.Command{
 		ID:     fmt.Sprintf("config/%d/%s", doc.config.Version, digest),
 		Deploy: &control.Deploy{Version: doc.config.Version, Content: content},
 	}, "version", doc.config.Version, "digest", digest)
+	return struct{}{}, err
 }
 
 // putVersion commits the publication of a new version of a model's weights.
 func (c *Controller) putVersion(ctx context.Context, request any) (any, error) {
 	v := request.(platform.VersionAnnouncement)
-	return c.propose(ctx, control.Command{
+	received := c.AgeClock.Now()
+	res, err := c.propose(ctx, control.Command{
 		ID:      fmt.Sprintf("weights/%s/%d", hex.EncodeToString([]byte(v.Model)), v.Version),
 		Weights: &control.PublishWeights{Model: v.Model, Version: v.Version},
 	}, "model", v.Model, "version", v.Version)
+	if err == nil && res.Revision == res.Index {
+		c.hub.RecordPublished(v.Model, v.Version, received)
+	}
+	return struct{}{}, err
 }
 
-func (c *Controller) propose(ctx context.Context, cmd control.Command, inputs ...any) (any, error) {
+// propose commits a command. The result's revision is its index if the command changed
+// the state.
+func (c *Controller) propose(ctx context.Context, cmd control.Command, inputs ...any) (control.Result, error) {
 	r, err := c.currentReplica()
 	if err != nil {
-		return nil, err
+		return control.Result{}, err
 	}
 	started := c.Clock.Now()
 	// The proposal continues if the operator's connection breaks, because the
@@ -149,12 +157,12 @@
 		err = result.New(result.Code(res.Code), "%s", res.Detail)
 	}
 	if err != nil {
-		return nil, err
+		return control.Result{}, err
 	}
 	took := c.Clock.Since(started)
 	c.Scope.Timer("change_acknowledged").Record(took)
 	c.Log.Info("change acknowledged", append(inputs, "index", res.Index, "revision", res.Revision, "took", took)...)
-	return struct{}{}, nil
+	return res, nil
 }
 
 // getConfig returns the newest configuration: a quorum round makes the read
--- a/process/feed/ages_test.go
+++ b/process/feed/ages_test.go
@@ -37,7 +37,7 @@
 	clock := clockwork.NewFakeClock()
 	boot := boottime.NewFake(clock)
 	h := newTestHub(clock, boot)
-	clock.Advance(catchUpTime + time.Second)
+	h.CatchUp(desired.State{})
 	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}})
 	clock.Advance(time.Second)
 	boot.Suspend(7 * time.Second)
@@ -51,7 +51,7 @@
 	boot := boottime.NewFake(clock)
 	h := newTestHub(clock, boot)
 	f := newTestFollower(clock)
-	clock.Advance(catchUpTime + time.Second)
+	h.CatchUp(desired.State{})
 	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}})
 	published := f.ageClock.Now()
 	delayed := h.FullState()
@@ -73,7 +73,7 @@
 	boot := boottime.NewFake(clock)
 	state := desired.State{Revision: 1, Weights: map[string]int{"m": 2}}
 	leader, behind := newTestHub(clock, boot), newTestHub(clock, boot)
-	clock.Advance(catchUpTime + time.Second)
+	leader.CatchUp(desired.State{})
 	leader.SetDesired(state)
 	clock.Advance(6 * time.Second)
 	peer, _, _ := leader.tickUpdates()
@@ -97,7 +97,7 @@
 	clock := clockwork.NewFakeClock()
 	h := newTestHub(clock, boottime.NewFake(clock))
 	f := newTestFollower(clock)
-	clock.Advance(catchUpTime + time.Second)
+	h.CatchUp(desired.State{})
 	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}, Published: map[string][]int{"m": {2}}})
 	clock.Advance(time.Second)
 	h.SetDesired(desired.State{Revision: 3, Weights: map[string]int{"m": 4}, Published: map[string][]int{"m": {2, 3, 4}}})
@@ -109,3 +109,61 @@
 		}
 	}
 }
+
+func TestControlProcessThatWasBehindTakesAnOldVersionForANewOne(t *testing.T) {
+	state := func(version int) desired.State {
+		return desired.State{Revision: uint64(version), Weights: map[string]int{"m": version}}
+	}
+	for name, behind := range map[string]func(h *Hub, clock *clockwork.FakeClock, boot *boottime.Fake){
+		"slow start": func(_ *Hub, clock *clockwork.FakeClock, _ *boottime.Fake) { clock.Advance(time.Minute) },
+		"cut off": func(h *Hub, clock *clockwork.FakeClock, _ *boottime.Fake) {
+			h.CatchUp(desired.State{})
+			clock.Advance(currentTTL + time.Second)
+		},
+		"suspended": func(h *Hub, _ *clockwork.FakeClock, boot *boottime.Fake) {
+			h.CatchUp(desired.State{})
+			boot.Suspend(4 * time.Second)
+		},
+		"confirmed too late": func(h *Hub, _ *clockwork.FakeClock, boot *boottime.Fake) {
+			h.CatchUp(desired.State{})
+			boot.Suspend(4 * time.Second)
+			if h.ConfirmCurrent() {
+				t.Error("a replica that was suspended is current")
+			}
+		},
+		"catching up": func(h *Hub, _ *clockwork.FakeClock, _ *boottime.Fake) { h.CatchUp(state(2)) },
+	} {
+		clock := clockwork.NewFakeClock()
+		boot := boottime.NewFake(clock)
+		h := newTestHub(clock, boot)
+		behind(h, clock, boot)
+		h.SetDesired(state(2))
+		if ages := h.FullState().Ages["m"]; len(ages) > 0 {
+			t.Errorf("%s: ages %v", name, ages)
+		}
+		h.CatchUp(state(2))
+		for range 5 {
+			clock.Advance(currentTTL)
+			if !h.ConfirmCurrent() {
+				t.Errorf("%s: the replica is not current", name)
+			}
+		}
+		h.SetDesired(state(3))
+		if ages := h.FullState().Ages["m"]; len(ages) != 1 || ages[0].Version != 3 || ages[0].Age != 0 {
+			t.Errorf("%s: ages %v of a version that was published just now", name, ages)
+		}
+	}
+}
+
+func TestAcknowledgedVersionHasAnAgeAlthoughTheReplicaIsNotCurrent(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	boot := boottime.NewFake(clock)
+	h := newTestHub(clock, boot)
+	received := boot.Now()
+	clock.Advance(300 * time.Millisecond)
+	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}})
+	h.RecordPublished("m", 2, received)
+	if ages := h.FullState().Ages["m"]; len(ages) != 1 || ages[0].Age != 300 {
+		t.Errorf("ages %v, want 300 ms", ages)
+	}
+}
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -36,9 +36,12 @@
 	// alive but unchanged. Followers remove a server a minute after the last message
 	// about it.
 	AliveInterval = 10 * time.Second
-	// catchUpTime is how long after the start newly seen versions get no time of
-	// publication: the replica is still catching up, so they may be old.
-	catchUpTime = 3 * time.Second
+	// currentTTL is how long after the replica was last known to be current a version
+	// that it applies gets a time of publication. A replica that was cut off, stopped or
+	// restarted applies versions that may be old.
+	currentTTL = time.Second
+	// ConfirmInterval is the interval between calls of ConfirmCurrent.
+	ConfirmInterval = currentTTL / 4
 	// demandTTL is how long an entry's last report of its demand is counted.
 	demandTTL = 3 * time.Second
 )
@@ -81,6 +84,8 @@
 	lastAliveAt  time.Time
 	sentControls []string
 	state        desired.State
+	// currentAt is when the replica was last known to be current.
+	currentAt boottime.Instant
 	// histories holds when each model's versions were first seen. Versions are
 	// missing if they may have been published long before that.
 	histories map[string]VersionHistory
@@ -261,14 +266,69 @@
 	if s.Revision <= h.state.Revision {
 		return
 	}
-	for model, version := range s.Weights {
-		if version <= h.state.Weights[model] {
-			continue
-		}
-		if h.now() > catchUpTime {
-			h.recordPublication(model, version, s.Published[model])
+	if h.isCurrent() {
+		for model, version := range s.Weights {
+			if version > h.state.Weights[model] {
+				h.recordPublication(model, version, s.Published[model])
+			}
 		}
 	}
+	h.applyDesired(s)
+}
+
+// CatchUp records the desired state of a replica that has just become current, and
+// sends it to the followers. The versions in it may be old and get no time of
+// publication here.
+func (h *Hub) CatchUp(s desired.State) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.Revision > h.state.Revision {
+		h.applyDesired(s)
+	}
+	h.currentAt = h.ageClock.Now()
+}
+
+// ConfirmCurrent records that the replica is in contact with its leader. It returns
+// false if that was not confirmed for so long that the replica must first become
+// current again.
+func (h *Hub) ConfirmCurrent() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.isCurrent() {
+		return false
+	}
+	h.currentAt = h.ageClock.Now()
+	return true
+}
+
+// isCurrent reports whether a version that the replica applies now was published just
+// now. The caller holds mu.
+func (h *Hub) isCurrent() bool {
+	return !h.currentAt.IsZero() && h.ageClock.Now().Sub(h.currentAt) <= currentTTL
+}
+
+// RecordPublished records that a version was published at a time or later, by a change
+// that this process has acknowledged.
+func (h *Hub) RecordPublished(model string, version int, at boottime.Instant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	history := h.histories[model]
+	wasKnown := history.hasTime(version)
+	history.recordTime(version, at)
+	h.histories[model] = history
+	if wasKnown || version > h.state.Weights[model] {
+		return
+	}
+	// The version was sent without its age.
+	update := h.desiredUpdate()
+	for _, f := range h.followers {
+		_ = f.conn.Notify(wire.KindUpdate, update)
+	}
+}
+
+// applyDesired replaces the desired state and sends it to the followers. The caller
+// holds mu.
+func (h *Hub) applyDesired(s desired.State) {
 	h.state = s
 	h.log.Info("desired state changed", "revision", s.Revision, "config_version", s.ConfigVersion, "weights", s.Weights)
 	update := h.desiredUpdate()
