--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -59,9 +59,9 @@
 }
 
 type metrics struct {
-	requests, retried, panics, firstEventLate tally.Counter
-	outcomes                                  [outcomeCount]tally.Counter
-	duration, firstByte                       tally.Timer
+	requests, retried, panics, firstEventLate, withdrawn tally.Counter
+	outcomes                                             [outcomeCount]tally.Counter
+	duration, firstByte                                  tally.Timer
 }
 
 // New returns a handler that refuses all requests until Update. ageClock must be the
@@ -73,7 +73,7 @@
 		scheduler: newScheduler(cfg, clock, ageClock),
 		metrics: metrics{
 			requests: scope.Counter("received"), retried: scope.Counter("sent_again"), panics: scope.Counter("panics"),
-			firstEventLate: scope.Counter("first_event_after_expiry"), outcomes: outcomeCounters(scope),
+			firstEventLate: scope.Counter("first_event_after_expiry"), withdrawn: scope.Counter("withdrawn"), outcomes: outcomeCounters(scope),
 			duration: scope.Timer("duration"), firstByte: scope.Timer("first_byte"),
 		},
 	}
