--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -14,7 +14,6 @@
 
 import (
 	"log/slog"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -36,12 +35,6 @@
 	// alive but unchanged. Followers remove a server a minute after the last message
 	// about it.
 	AliveInterval = 10 * time.Second
-	// currentTTL is how long after the replica was last known to be current a version
-	// that it applies gets a time of publication. A replica that was cut off, stopped or
-	// restarted applies versions that may be old.
-	currentTTL = time.Second
-	// ConfirmInterval is the interval between calls of ConfirmCurrent.
-	ConfirmInterval = currentTTL / 4
 	// demandTTL is how long an entry's last report of its demand is counted.
 	demandTTL = 3 * time.Second
 )
@@ -258,155 +251,6 @@
 	}
 }
 
-// SetDesired records the desired state of the control state machine and sends it to
-// the followers.
-func (h *Hub) SetDesired(s desired.State) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if s.Revision <= h.state.Revision {
-		return
-	}
-	current := h.isCurrent()
-	for model, version := range s.Weights {
-		if version <= h.state.Weights[model] {
-			continue
-		}
-		if current {
-			h.recordPublication(model, version, s.Published[model])
-		}
-		h.log.Info("weights version seen", "model", model, "version", version, "before", h.state.Weights[model],
-			"revision", s.Revision, "stamped", current)
-	}
-	h.applyDesired(s)
-}
-
-// CatchUp records the desired state of a replica that has just become current, and
-// sends it to the followers. The versions in it may be old and get no time of
-// publication here.
-func (h *Hub) CatchUp(s desired.State) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if s.Revision > h.state.Revision {
-		h.applyDesired(s)
-	}
-	h.currentAt = h.ageClock.Now()
-}
-
-// ConfirmCurrent records that the replica is in contact with its leader. It returns
-// false if that was not confirmed for so long that the replica must first become
-// current again.
-func (h *Hub) ConfirmCurrent() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.isCurrent() {
-		return false
-	}
-	h.currentAt = h.ageClock.Now()
-	return true
-}
-
-// isCurrent reports whether a version that the replica applies now was published just
-// now. The caller holds mu.
-func (h *Hub) isCurrent() bool {
-	return !h.currentAt.IsZero() && h.ageClock.Now().Sub(h.currentAt) <= currentTTL
-}
-
-// RecordPublished records that a version was published at a time or later, by a change
-// that this process has acknowledged.
-func (h *Hub) RecordPublished(model string, version int, at boottime.Instant) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	history := h.histories[model]
-	wasKnown := history.hasTime(version)
-	history.recordTime(version, at)
-	h.histories[model] = history
-	if wasKnown || version > h.state.Weights[model] {
-		return
-	}
-	// The version was sent without its age.
-	update := h.desiredUpdate()
-	for _, f := range h.followers {
-		_ = f.conn.Notify(wire.KindUpdate, update)
-	}
-}
-
-// applyDesired replaces the desired state and sends it to the followers. The caller
-// holds mu.
-func (h *Hub) applyDesired(s desired.State) {
-	h.state = s
-	h.log.Info("desired state changed", "revision", s.Revision, "config_version", s.ConfigVersion, "weights", s.Weights)
-	update := h.desiredUpdate()
-	for _, f := range h.followers {
-		_ = f.conn.Notify(wire.KindUpdate, update)
-	}
-}
-
-// recordPublication records that the versions of a model after the last known one
-// were published just now. Several versions may be applied between two calls of
-// SetDesired. The caller holds mu.
-func (h *Hub) recordPublication(model string, newest int, published []int) {
-	now := h.ageClock.Now()
-	history := h.histories[model]
-	for _, v := range published {
-		if v > h.state.Weights[model] {
-			history.recordTime(v, now)
-		}
-	}
-	history.recordTime(newest, now)
-	h.histories[model] = history
-}
-
-// desiredUpdate returns an update with the desired state. The caller holds mu.
-func (h *Hub) desiredUpdate() wire.Update {
-	return wire.Update{
-		Revision: h.state.Revision, ConfigVersion: h.state.ConfigVersion, Weights: h.state.Weights,
-		Published: h.state.Published, Ages: h.ages(math.MaxInt64),
-	}
-}
-
-// ages returns the ages of the versions of each model that has a version younger
-// than limit. The caller holds mu.
-func (h *Hub) ages(limit time.Duration) map[string][]wire.VersionAge {
-	now := h.ageClock.Now()
-	ages := map[string][]wire.VersionAge{}
-	for model, history := range h.histories {
-		var list []wire.VersionAge
-		young := false
-		for _, v := range history.versions {
-			if v.Version > h.state.Weights[model] {
-				// Known from another control process, but not applied here yet.
-				continue
-			}
-			age := now.Sub(v.Since)
-			young = young || age < limit
-			list = append(list, wire.VersionAge{Version: v.Version, Age: ageMilliseconds(age)})
-		}
-		if young {
-			ages[model] = list
-		}
-	}
-	return ages
-}
-
-// recordAges records the ages that another control process sent. The caller holds
-// mu.
-func (h *Hub) recordAges(ages map[string][]wire.VersionAge) {
-	now := h.ageClock.Now()
-	for model, list := range ages {
-		history := h.histories[model]
-		for _, age := range list {
-			history.recordTime(age.Version, now.Add(-time.Duration(age.Age)*time.Millisecond))
-		}
-		h.histories[model] = history
-	}
-}
-
-// ageMilliseconds rounds an age up: a version that seems older than it is expires
-// early, never late.
-func ageMilliseconds(age time.Duration) int64 {
-	return int64((age + time.Millisecond - 1) / time.Millisecond)
-}
-
 // ConfigDocument returns the configuration document in force on this process.
 func (h *Hub) ConfigDocument() wire.ConfigDocument {
 	h.mu.Lock()
