backend: a long request that fails at once no longer ends the process

An entry could crash with a nil dereference, which cut every request on it without an answer. A request over 16 KiB is written by a goroutine of its own, which read the exchange's connection when it ran; if the response could not be read before that (the deadline had passed, the caller left, the server reset the connection), the exchange had already dropped its connection. A caller that sends a long body slowly until its deadline has passed is enough, given an idle connection to the server: the read of the response then fails without waiting.

The goroutine now holds the connection itself.

The new test ended the test binary with that panic before the fix.

--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -307,3 +307,28 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+// A panic in the goroutine that writes a long request would end the process.
+func TestLongRequestWhoseDeadlineHasPassedOnlyFails(t *testing.T) {
+	address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, response(id, "x"))
+		}
+	})
+	c := newClient()
+	for i := range 50 {
+		if _, err := get(t, c, address, fmt.Sprint(i)); err != nil {
+			t.Fatal(err)
+		}
+		req := newRequest("late")
+		req.Body = make([]byte, 2*maxInlineWrite)
+		req.HeadDeadline = time.Now().Add(-time.Second)
+		if _, err := c.Do(t.Context(), address, req); err == nil {
+			t.Fatal("a request succeeded after its deadline")
+		}
+	}
+}
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -179,10 +179,12 @@
 		n, err := ex.conn.Write(append(head, req.Body...))
 		return writeError(n, err)
 	}
-	ex.writeDone = make(chan error, 1)
+	// The exchange may end before the goroutine runs, and then has no connection.
+	conn, done := ex.conn, make(chan error, 1)
+	ex.writeDone = done
 	go func() {
-		_, err := ex.conn.Write(append(head, req.Body...))
-		ex.writeDone <- err
+		_, err := conn.Write(append(head, req.Body...))
+		done <- err
 	}()
 	return nil
 }
