frontend: the end of a response is not lost when its connection is closed

A caller could lose a complete response, or a refusal, to a reset of its connection. The entry closes a connection after a response with 'Connection: close': for each request while it drains, for each refusal of a long body. If bytes of the caller arrive after that (a pipelined request, the rest of the body), the operating system answers them with a reset, and what the caller has not read by then is lost. net/http waits for 500 ms, but only if it did not read a body to its end, and a long body takes longer on a slow link.

Closing a connection now closes its write side and discards what still arrives, until the caller closes its side or two seconds have passed.

The soak found it (the entry logged 'request served' and the caller got 147,287 of 300,000 bytes, then a reset); its load was servers and callers on one machine.

--- /dev/null
+++ b/process/frontend/close_test.go
@@ -0,0 +1,53 @@
+package frontend
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestLongAnswerIsNotLostToAPipelinedRequestAtAClose(t *testing.T) {
+	e := newTestEntry(t, 201, time.Second)
+	for i := range 20 {
+		c, r := e.dial()
+		// The server's answer to an ID that ends in 7 fills the buffers of the connection.
+		text := request(fmt.Sprintf("%d-7", i), "/safe/", "body")
+		text = strings.Replace(text, "Content-Length", "Connection: close\r\nContent-Length", 1)
+		_, _ = io.WriteString(c, text)
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(c, request("next", "/safe/", strings.Repeat("b", 8<<10)))
+		time.Sleep(50 * time.Millisecond)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil {
+			t.Fatalf("request %d: status %d, %d bytes of the body, error %v", i, resp.StatusCode, len(body), err)
+		}
+		_ = c.Close()
+	}
+}
+
+func TestRefusalReachesACallerThatIsStillSending(t *testing.T) {
+	e := newTestEntry(t, 202, time.Second)
+	for path, want := range map[string]int{"/safe/": http.StatusRequestEntityTooLarge, "/none/": http.StatusNotFound} {
+		c, r := e.dial()
+		body := strings.Repeat("b", 1<<20+1)
+		text := request("1", path, body)
+		for len(text) > 0 {
+			n := min(len(text), 64<<10)
+			if _, err := io.WriteString(c, text[:n]); err != nil {
+				t.Errorf("%s: %d bytes left to write: %v", path, len(text), err)
+				break
+			}
+			text = text[n:]
+			time.Sleep(60 * time.Millisecond)
+		}
+		if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != want {
+			t.Errorf("%s: got response %v, error %v, want status %d", path, resp, err, want)
+		}
+	}
+}
--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -119,7 +119,7 @@
 		ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelDebug),
 	}
 	readyServer := runtime.NewServer(f.readyMux())
-	group.Go(func() error { return runtime.Serve(callerServer, callers) })
+	group.Go(func() error { return runtime.Serve(callerServer, callerListener{callers}) })
 	group.Go(func() error { return runtime.Serve(readyServer, ready) })
 	group.Go(func() error { f.follower.Run(groupCtx); return nil })
 	group.Go(func() error { f.runTimers(groupCtx); return nil })
