frontend: a shutdown answers the requests that have arrived

A caller whose request reached a stopping entry could get neither an answer nor a refusal, although the entry had read it. Once http.Server.Shutdown has begun, net/http drops each request whose header it has just read, also one that waited in the socket of a busy entry, and closes idle connections without a look at what has arrived on them. A request that was accepted late instead was cut at the end of the grace period.

The entry now shuts down by itself: it closes its listener and the connections that have been idle for 200 ms and on which nothing has arrived, refuses the requests that still come with 503 and 'Connection: close', and waits for the rest. The ones that come after the load balancer has stopped sending are few, and their callers have time for another entry.

The new test sends a request in two parts around the start of the shutdown; it got an EOF on both a new and a kept connection before, and gets 503 now.

--- a/process/frontend/close_test.go
+++ b/process/frontend/close_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -51,3 +52,31 @@
 		}
 	}
 }
+
+func TestRequestThatIsBeingSentWhenTheShutdownBeginsIsAnswered(t *testing.T) {
+	e := newTestEntry(t, 203, 2*time.Second)
+	fresh, freshReader := e.dial()
+	kept, keptReader := e.dial()
+	_, _ = io.WriteString(kept, request("first", "/safe/", "body"))
+	if resp, err := http.ReadResponse(keptReader, nil); err != nil || resp.Close {
+		t.Fatalf("got response %v, error %v", resp, err)
+	} else if _, err := io.ReadAll(resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	text := request("o", "/stream/", "body")
+	_, _ = io.WriteString(fresh, text[:50])
+	_, _ = io.WriteString(kept, text[:50])
+	e.signal()
+	time.Sleep(1050 * time.Millisecond) // the shutdown begins after 1 s and ends after 1.4 s
+	_, _ = io.WriteString(fresh, text[50:])
+	_, _ = io.WriteString(kept, text[50:])
+	for name, r := range map[string]*bufio.Reader{"fresh": freshReader, "kept": keptReader} {
+		resp, err := http.ReadResponse(r, nil)
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+		}
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("%s connection: got response %v, error %v", name, resp, err)
+		}
+	}
+}
--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -114,12 +113,9 @@
 	componentsCtx, stopComponents := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopComponents()
 	group, groupCtx := errgroup.WithContext(componentsCtx)
-	callerServer := &http.Server{
-		Handler: f.handler, ReadHeaderTimeout: idleTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelDebug),
-	}
+	callerServer := newCallerServer(f.handler, callers, f.Clock, f.Log)
 	readyServer := runtime.NewServer(f.readyMux())
-	group.Go(func() error { return runtime.Serve(callerServer, callerListener{callers}) })
+	group.Go(func() error { return callerServer.serve() })
 	group.Go(func() error { return runtime.Serve(readyServer, ready) })
 	group.Go(func() error { f.follower.Run(groupCtx); return nil })
 	group.Go(func() error { f.runTimers(groupCtx); return nil })
@@ -130,14 +126,14 @@
 	case <-groupCtx.Done():
 	}
 	stopComponents()
-	_ = callerServer.Close()
+	callerServer.close()
 	_ = readyServer.Close()
 	err = runtime.IgnoreCanceled(group.Wait())
 	f.Log.Info("frontend stopped", "code", int(result.CodeOf(err)))
 	return err
 }
 
-func (f *Frontend) drain(callers *http.Server) {
+func (f *Frontend) drain(callers *callerServer) {
 	deadline := f.Clock.Now().Add(f.settings.Bounds.StopGrace - exitMargin)
 	f.stopping.Store(true)
 	f.handler.DisableKeepAlives()
@@ -145,7 +141,9 @@
 	<-f.Clock.After(min(balancerDelay, f.settings.Bounds.StopGrace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	// Requests that arrive from here on could not end within the grace period.
+	f.handler.StartDrain()
+	if err := callers.shutdown(ctx); err != nil {
 		f.Log.Error("requests aborted at the end of the grace period", "code", int(result.Draining), "error", err)
 	}
 }
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -102,6 +102,9 @@
 // next request.
 func (h *Handler) DisableKeepAlives() { h.keepAlivesOff.Store(true) }
 
+// StartDrain refuses new requests.
+func (h *Handler) StartDrain() { h.inflight.StartDrain() }
+
 // Drain refuses new requests and waits until none is in progress or ctx ends.
 func (h *Handler) Drain(ctx context.Context) error {
 	h.inflight.StartDrain()
