forward: a body that is not complete at the deadline is refused then

A caller that sent its body slowly got no answer at its deadline or at its route's timeout, but only when the body was complete, or never; a stopping entry waited for it until the end of the grace period. A request whose time was over by then was still sent. That failed at once and counted as a failure of the server: two or three slow callers, or callers with 'Deadline-Ms: 1', ejected a healthy server, and the next caller got 503.

The read deadline is removed as soon as the body is complete: if it passed later, net/http would end the request's context as if the caller had left.

Before: no response within 5 s to a body that stops in the middle; 503 to the request after three slow ones, and after three without time left.

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -195,9 +196,13 @@
 		}
 	}
 	h.setDeadline(cr)
-	if err := readBody(w, cr, config.Limits); err != nil {
+	if err := h.readBody(w, cr, config.Limits); err != nil {
 		return err
 	}
+	if h.clock.Until(cr.deadline) <= 2*responseMargin {
+		// Sending it would fail, which would count as the server's failure.
+		return result.Refuse(result.DeadlineExceeded, 0, "the deadline passed before the request was sent")
+	}
 	cr.service = cr.route.Shares[0].Service
 	if len(cr.route.Shares) > 1 {
 		cr.service = cr.route.PickService(float64(xxhash.Sum64String(cr.id)>>11) / (1 << 53))
@@ -220,15 +225,35 @@
 	cr.late = hasDeadline && remaining < time.Duration(lateTimeoutFraction*float64(cr.route.Timeout))
 }
 
-func readBody(w http.ResponseWriter, cr *callerRequest, limits deployment.Limits) error {
-	r := cr.request
-	if r.ContentLength == 0 {
+// readBody reads the request's body until its deadline.
+func (h *Handler) readBody(w http.ResponseWriter, cr *callerRequest, limits deployment.Limits) error {
+	if cr.request.ContentLength == 0 {
+		return nil
+	}
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(h.clock.Until(cr.deadline) - responseMargin)) // not supported by test recorders
+	err := cr.readBody(w, limits.BodyBytes)
+	var tooLong *http.MaxBytesError
+	switch {
+	case err == nil:
+		// A deadline that passes later would end the request's context.
+		_ = conn.SetReadDeadline(time.Time{})
 		return nil
+	case errors.Is(err, errBodyTooLong), errors.As(err, &tooLong):
+		return errBodyTooLong
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return result.Refuse(result.DeadlineExceeded, 0, "the deadline passed before the request body was complete")
+	default:
+		return result.New(result.BadRequest, "read request body: %v", err)
 	}
-	limit := limits.BodyBytes
+}
+
+// readBody reads the body, which may have limit bytes; zero means the default.
+func (cr *callerRequest) readBody(w http.ResponseWriter, limit int64) error {
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	r := cr.request
 	if r.ContentLength > limit {
 		return errBodyTooLong
 	}
@@ -239,15 +264,7 @@
 	} else {
 		cr.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	}
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return errBodyTooLong
-	case err != nil:
-		return result.New(result.BadRequest, "read request body: %v", err)
-	default:
-		return nil
-	}
+	return err
 }
 
 // stripPort returns a host without its port.
