forward: the servers of a removed service are kept up to date

A request that was accepted before its service left the configuration could be sent to a server that had reported itself draining or gone since: the pool of a service kept the servers of the last configuration that listed it, forever. Only the check of the server's ID at the server kept such a request off a server of another service at the same address.

The servers of such a service are still taken from the directory.

The new test, in which a stream is resumed after its service was removed and the other server began to drain, failed before: the draining server ran the request.

--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -27,6 +27,8 @@
 
 // serviceState is the scheduler's state for one service.
 type serviceState struct {
+	// config is the service in the last configuration that listed it.
+	config      *deployment.Service
 	pool        *placement.Pool
 	retryBudget *retry.Window
 	// offeredSeconds sums the server time requested since the last call of
@@ -62,19 +64,25 @@
 	sc.updatePools()
 }
 
-// updatePools applies the view to the pools and retry budgets. The caller holds
-// mu.
+// updatePools applies the view to the pools and retry budgets. A service that is no
+// longer configured still gets its servers: requests to it may be in progress. The
+// caller holds mu.
 func (sc *scheduler) updatePools() {
 	if sc.view.Config == nil {
 		return
 	}
 	now := sc.clock.Now()
 	for name, s := range sc.view.Config.Services {
-		st := sc.service(name, now)
-		entries := max(sc.view.Entries, 1)
+		sc.service(name, now).config = s
+	}
+	entries := max(sc.view.Entries, 1)
+	for name, st := range sc.services {
+		if st.config == nil {
+			continue
+		}
 		st.retryBudget.Share = sc.cfg.RetryShare * retryBudgetFraction
 		st.retryBudget.Allowance = sc.cfg.RetryAllowance * retryBudgetFraction / float64(entries)
-		st.pool.Update(now, poolConfig(sc.cfg.Zone, s), sc.poolServers(s, now), sc.entryShare(name, st))
+		st.pool.Update(now, poolConfig(sc.cfg.Zone, st.config), sc.poolServers(st.config, now), sc.entryShare(name, st))
 	}
 }
 
