--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -60,16 +60,16 @@
 // New returns a process that does nothing until Run.
 func New(settings platform.Settings, rt *runtime.Runtime) *Frontend {
 	f := &Frontend{Runtime: rt, settings: settings}
-	f.client = backend.New(backend.Config{UnackedTimeout: runtime.UnackedTimeout, Scope: rt.Scope})
+	f.client = backend.New(backend.Config{UnackedTimeout: runtime.UnackedTimeout, AgeClock: rt.AgeClock, Scope: rt.Scope})
 	dialer := &link.Dialer{Auth: rt.Auth, Self: f.hello, Stats: rt.Stats, Client: runtime.LinkClient()}
 	f.follower = feed.NewFollower(feed.FollowerConfig{
 		Seeds: feed.PeerAddresses(&settings), SortAddresses: feed.RendezvousOrder(settings.IP),
 		OnChange: func(v *feed.View) { f.handler.Update(v) },
-	}, dialer, rt.Clock, rt.Log)
+	}, dialer, rt.Clock, rt.AgeClock, rt.Log)
 	f.handler = forward.New(forward.Config{
 		Zone: settings.Zone, OldVersionGrace: settings.Bounds.OldVersionGrace, RetryShare: settings.Bounds.RetryShare,
 		RetryAllowance: settings.Bounds.RetryAllowance, RetryWindow: settings.Bounds.RetryWindow,
-	}, f.client, rt.Clock, rt.Log, rt.Scope)
+	}, f.client, rt.Clock, rt.AgeClock, rt.Log, rt.Scope)
 	rt.Dump.Add("pools", f.handler.Dump)
 	rt.Dump.Add("view", func() any { return f.follower.View() })
 	return f
@@ -113,7 +113,8 @@
 	componentsCtx, stopComponents := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopComponents()
 	group, groupCtx := errgroup.WithContext(componentsCtx)
-	callerServer := newCallerServer(f.handler, callers, f.Clock, f.Log)
+	conns := newConnStats(f.Scope)
+	callerServer := newCallerServer(f.handler, callers, conns, f.Clock, f.Log)
 	readyServer := runtime.NewServer(f.readyMux())
 	group.Go(func() error { return callerServer.serve() })
 	group.Go(func() error { return runtime.Serve(readyServer, ready) })
@@ -129,7 +130,7 @@
 	callerServer.close()
 	_ = readyServer.Close()
 	err = runtime.IgnoreCanceled(group.Wait())
-	f.Log.Info("frontend stopped", "code", int(result.CodeOf(err)))
+	f.Log.Info("frontend stopped", "code", int(result.CodeOf(err)), "connections_closed", conns)
 	return err
 }
 
--- a/request/forward/outcome_test.go
+++ b/request/forward/outcome_test.go
@@ -41,7 +41,7 @@
 	scope := tally.NewTestScope("", nil)
 	logged := &syncBuffer{}
 	old := e.handler
-	h := New(old.cfg, old.client, old.clock, slog.New(slog.NewTextHandler(logged, nil)), scope)
+	h := New(old.cfg, old.client, old.clock, old.ageClock, slog.New(slog.NewTextHandler(logged, nil)), scope)
 	h.Update(old.View())
 	e.handler, e.Config.Handler = h, h
 	return logged, scope
@@ -132,7 +132,7 @@
 			view.Servers["svc"][0].Held = []directory.ModelVersion{{Model: "m", Version: 1}}
 			var history feed.VersionHistory
 			// Version 1 remains usable for 2.4 s.
-			history.Record(2, time.Now().Add(2400*time.Millisecond-e.handler.cfg.OldVersionGrace))
+			history.Record(2, e.handler.ageClock.Now().Add(2400*time.Millisecond-e.handler.cfg.OldVersionGrace))
 			view.Weights = map[string]feed.VersionHistory{"m": history}
 			e.handler.Update(&view)
 			if c.wantLate > 0 {
@@ -140,7 +140,7 @@
 				time.AfterFunc(300*time.Millisecond, func() {
 					earlier := view
 					var history feed.VersionHistory
-					history.Record(2, time.Now().Add(-e.handler.cfg.OldVersionGrace))
+					history.Record(2, e.handler.ageClock.Now().Add(-e.handler.cfg.OldVersionGrace))
 					earlier.Weights = map[string]feed.VersionHistory{"m": history}
 					e.handler.Update(&earlier)
 				})
