forward: a refusal does not wait forever for the rest of the body

A caller whose request was refused by its header (no route, unknown key, a stopping entry) got no answer if its body stopped in the middle: net/http reads up to 256 KiB of an unread body before it sends the response, without a limit on the time. A stopping entry waited for such a caller until the end of the grace period.

The body of a refused request is now awaited for two seconds; then the refusal is sent and the connection closed.

Before: no response within 5 s, 404 and 503 alike.

--- a/request/forward/body_test.go
+++ b/request/forward/body_test.go
@@ -65,6 +65,23 @@
 	}
 }
 
+func TestRefusalIsSentToACallerWhoseBodyStops(t *testing.T) {
+	config := testConfig(deployment.Unrepeatable, testTimeout)
+	config.Routes[0].Prefix = "/other/"
+	e := newTestEntry(t, config, newFakeServer(t, "s1", echo))
+	for _, draining := range []bool{false, true} {
+		want := http.StatusNotFound
+		if draining {
+			want = http.StatusServiceUnavailable
+			e.handler.StartDrain()
+		}
+		resp, took, err := e.slowBody(t, "Content-Length: 40", []string{"half"}, 0)
+		if err != nil || resp.StatusCode != want || !resp.Close || took > testTimeout/2 {
+			t.Errorf("draining %v: got response %v after %v, error %v", draining, resp, took, err)
+		}
+	}
+}
+
 func TestSlowBodyDoesNotEndTheRequestAfterwards(t *testing.T) {
 	s := newFakeServer(t, "s1", func(s *fakeServer, w http.ResponseWriter, r *http.Request) {
 		time.Sleep(700 * time.Millisecond)
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -148,6 +148,9 @@
 	}
 	cr := &callerRequest{id: r.Header.Get(platform.HeaderRequestID), start: h.clock.Now(), request: r}
 	defer h.countOutcome(cr)
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTimeout)) // until readBody sets its own
+	}
 	if h.inflight.Admit(0) == inflight.Draining {
 		h.writeError(w, cr, result.Refuse(result.Draining, 100*time.Millisecond, "the process is shutting down"))
 		return
@@ -171,6 +174,9 @@
 	lateTimeoutFraction = 0.82
 	// defaultBodyBytes bounds request bodies if the configuration sets no limit.
 	defaultBodyBytes = 4 << 20
+	// refusedBodyTimeout bounds the wait for the body of a request that is refused
+	// before it is read: net/http reads up to 256 KiB of it before the response.
+	refusedBodyTimeout = 2 * time.Second
 	// noConfigRetryAfter is the retry delay sent to callers before the first
 	// configuration is received.
 	noConfigRetryAfter = 300 * time.Millisecond
