--- a/process/frontend/callerconn.go
+++ b/process/frontend/callerconn.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -75,42 +79,136 @@
 	return c, err
 }
 
-// callerConn is a connection of a caller that is counted when it is closed.
+// lingerTimeout bounds how long a connection is read after its write side was
+// closed. Closing it at once with unread bytes would reset it, and the caller could
+// lose the end of its response.
+const lingerTimeout = 2 * time.Second
+
+// callerConn is a connection of a caller that is counted when it is closed. Its Close
+// closes the write side first and discards what still arrives.
 type callerConn struct {
 	*net.TCPConn
 	stats *connStats
 	state atomic.Int32
 	// ended is set once the caller has closed the connection.
-	ended  atomic.Bool
-	closed atomic.Bool
+	ended atomic.Bool
+	// onClosed, if not nil, is called when the connection is closed completely.
+	onClosed func()
+
+	// reading is held during Read.
+	reading sync.Mutex
+	// mu guards closed, and the deadlines until it is set. It is a leaf lock, except
+	// for onClosed.
+	mu     sync.Mutex
+	closed bool
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.isClosed() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.TCPConn.Read(p)
 	if state := connState(c.state.Load()); n > 0 && (state == connNew || state == connIdle) {
 		c.state.Store(int32(connReading))
 	}
-	if err != nil && !os.IsTimeout(err) && !c.closed.Load() {
+	if err != nil && !os.IsTimeout(err) && !c.isClosed() {
 		c.ended.Store(true)
 	}
 	return n, err
 }
 
+func (c *callerConn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *callerConn) SetDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	return c.TCPConn.SetDeadline(t)
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	if !c.closed.Swap(true) {
-		state := c.state.Load()
-		if c.ended.Load() {
-			c.stats.byCaller[state].Inc(1)
-		} else {
-			c.stats.byEntry[state].Inc(1)
-			c.stats.closed[state].Add(1)
-		}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	c.count()
+	if c.ended.Load() || c.CloseWrite() != nil {
+		return c.closeBoth()
+	}
+	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // wakes a reader
+	go c.linger()
+	return nil
+}
+
+// count counts the connection as closed.
+func (c *callerConn) count() {
+	state := c.state.Load()
+	if c.ended.Load() {
+		c.stats.byCaller[state].Inc(1)
+		return
+	}
+	c.stats.byEntry[state].Inc(1)
+	c.stats.closed[state].Add(1)
+}
+
+// linger discards what arrives until the caller closes its side or lingerTimeout has
+// passed.
+func (c *callerConn) linger() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	_ = c.TCPConn.SetDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.TCPConn) // the caller may be gone
+	_ = c.closeBoth()
+}
+
+func (c *callerConn) closeBoth() error {
+	if c.onClosed != nil {
+		c.onClosed()
 	}
 	return c.TCPConn.Close()
 }
 
+// hasRequest reports whether a part of a request has arrived.
+func (c *callerConn) hasRequest() bool {
+	if state := connState(c.state.Load()); state != connNew && state != connIdle {
+		return true
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	arrived := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		arrived = err == nil && n > 0
+	})
+	return err == nil && arrived
+}
+
 // connState is a hook for http.Server.ConnState.
 func (s *connStats) connState(c net.Conn, state http.ConnState) {
 	if cc, ok := c.(*callerConn); ok && state == http.StateIdle {
--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -115,12 +114,9 @@
 	defer stopComponents()
 	group, groupCtx := errgroup.WithContext(componentsCtx)
 	conns := newConnStats(f.Scope)
-	callerServer := &http.Server{
-		Handler: conns.handler(f.handler), ConnState: conns.connState, ConnContext: conns.connContext, ReadHeaderTimeout: idleTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelDebug),
-	}
+	callerServer := newCallerServer(f.handler, callers, conns, f.Clock, f.Log)
 	readyServer := runtime.NewServer(f.readyMux())
-	group.Go(func() error { return runtime.Serve(callerServer, conns.listener(callers)) })
+	group.Go(func() error { return callerServer.serve() })
 	group.Go(func() error { return runtime.Serve(readyServer, ready) })
 	group.Go(func() error { f.follower.Run(groupCtx); return nil })
 	group.Go(func() error { f.runTimers(groupCtx); return nil })
@@ -131,14 +127,14 @@
 	case <-groupCtx.Done():
 	}
 	stopComponents()
-	_ = callerServer.Close()
+	callerServer.close()
 	_ = readyServer.Close()
 	err = runtime.IgnoreCanceled(group.Wait())
 	f.Log.Info("frontend stopped", "code", int(result.CodeOf(err)), "connections_closed", conns)
 	return err
 }
 
-func (f *Frontend) drain(callers *http.Server) {
+func (f *Frontend) drain(callers *callerServer) {
 	deadline := f.Clock.Now().Add(f.settings.Bounds.StopGrace - exitMargin)
 	f.stopping.Store(true)
 	f.handler.DisableKeepAlives()
@@ -146,7 +142,9 @@
 	<-f.Clock.After(min(balancerDelay, f.settings.Bounds.StopGrace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	// Requests that arrive from here on could not end within the grace period.
+	f.handler.StartDrain()
+	if err := callers.shutdown(ctx); err != nil {
 		f.Log.Error("requests aborted at the end of the grace period", "code", int(result.Draining), "error", err)
 	}
 }
