pieces: an answer of the origin without end is cut off at the size of a piece

A transfer took up to 16 MiB of an answer for a piece of 32 KiB, or for a manifest, before it gave up: with two requests at once that is a quarter of an agent's memory, 13 s of the origin's link, and longer than the 10 s after which a transfer starts anew. A piece is now bounded by the size in its manifest and a manifest by 1 MiB.

The test failed before: 40 MB of two answers without end were taken (16 MiB each and what the sockets hold).

--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -243,7 +243,7 @@
 
 func (f *Fetcher) fetchManifestFrom(ctx context.Context, spec *FetchSpec, source Source) (platform.Manifest, error) {
 	if source.From == Origin {
-		data, _, _, err := f.get(ctx, spec.Origin, originManifestTimeout, platform.ManifestPath(spec.Key.Model, spec.Key.Version))
+		data, _, _, err := f.get(ctx, spec.Origin, originManifestTimeout, maxManifestBytes, platform.ManifestPath(spec.Key.Model, spec.Key.Version))
 		if err != nil {
 			return platform.Manifest{}, err
 		}
@@ -253,7 +253,7 @@
 	if source.Wait {
 		target, limit = target+"?"+waitQuery, pieceWait+manifestTimeout
 	}
-	data, _, _, err := f.get(ctx, spec.Peers[source.From], limit, target)
+	data, _, _, err := f.get(ctx, spec.Peers[source.From], limit, maxManifestBytes, target)
 	if err != nil {
 		return platform.Manifest{}, err
 	}
@@ -278,8 +278,9 @@
 	if address == "" {
 		return false, 0
 	}
-	data, header, transferTime, err := f.get(ctx, address, firstByteTimeout, target)
-	if m, ok := f.Store.Manifest(spec.Key); ok && r.From != Origin {
+	m, ok := f.Store.Manifest(spec.Key)
+	data, header, transferTime, err := f.get(ctx, address, firstByteTimeout, pieceLimit(m), target)
+	if ok && r.From != Origin {
 		f.recordPeerPieces(r.From, spec.Key, header.Get(headerHeld), len(m.Digests))
 		f.recordAbsent(r.From, r.Wait && errors.Is(err, errNotAvailable) && header.Get(headerHeld) == "")
 	}
@@ -409,8 +410,8 @@
 var errNotAvailable = errors.New("piece is not available from this agent now")
 
 // get sends a GET request and returns the body, the headers and the time from
-// the headers to the end of the body.
-func (f *Fetcher) get(ctx context.Context, address string, limit time.Duration, target string) ([]byte, http.Header, time.Duration, error) {
+// the headers to the end of the body. It fails if the body exceeds maxBytes.
+func (f *Fetcher) get(ctx context.Context, address string, limit time.Duration, maxBytes int64, target string) ([]byte, http.Header, time.Duration, error) {
 	deadline := time.Now().Add(limit)
 	ex, err := f.Client.Do(ctx, address, &backend.Request{Method: http.MethodGet, Target: target, Host: address, HeadDeadline: deadline})
 	if err != nil {
@@ -419,7 +420,7 @@
 	defer ex.Close()
 	headerTime := f.Clock.Now()
 	// Pieces stay in memory, so the buffer is allocated at the body's length.
-	data := make([]byte, 0, min(max(ex.Length, readSize), maxBodyBytes))
+	data := make([]byte, 0, min(max(ex.Length, readSize), maxBytes+1))
 	for {
 		ex.SetReadDeadline(time.Now().Add(stallTimeout))
 		n := len(data)
@@ -435,11 +436,24 @@
 			return nil, ex.Header, 0, errNotAvailable
 		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
 			return nil, nil, 0, result.New(result.SourceFailed, "unexpected status %d", ex.Status)
-		case err != nil || len(data) > maxBodyBytes:
+		case err != nil || int64(len(data)) > maxBytes:
 			return nil, nil, 0, result.New(result.SourceFailed, "read failed or body too large after %d bytes: %v", len(data), err)
 		}
 	}
 }
 
-// maxBodyBytes limits the size of a piece or manifest.
-const maxBodyBytes = 16 << 20
+const (
+	// maxPieceBytes limits the size of a piece whose manifest does not state it.
+	maxPieceBytes = 16 << 20
+	// maxManifestBytes limits the size of a manifest: one with 10,000 pieces is
+	// smaller.
+	maxManifestBytes = 1 << 20
+)
+
+// pieceLimit returns the maximum size of a version's pieces.
+func pieceLimit(m platform.Manifest) int64 {
+	if m.PieceBytes <= 0 {
+		return maxPieceBytes
+	}
+	return min(int64(m.PieceBytes), maxPieceBytes)
+}
--- a/version/pieces/fetch_test.go
+++ b/version/pieces/fetch_test.go
@@ -32,7 +32,23 @@
 	down      atomic.Bool
 	// corruptFirst corrupts the first answer for each piece.
 	corruptFirst atomic.Bool
-	requests     [testPieces]atomic.Int64
+	// endlessFirst makes the first answer for the first piece, and the first
+	// manifest, go on until the connection is closed.
+	endlessFirst atomic.Bool
+	// excess counts the bytes of these answers.
+	excess   atomic.Int64
+	requests [testPieces]atomic.Int64
+}
+
+// sendEndlessly sends bytes that are no answer until the connection is closed.
+func (o *testOrigin) sendEndlessly(w http.ResponseWriter) {
+	for {
+		n, err := w.Write(make([]byte, testPieceBytes))
+		o.excess.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
 }
 
 func content(piece int) []byte { return bytes.Repeat([]byte{byte(piece + 1)}, testPieceBytes) }
@@ -46,7 +62,10 @@
 			return
 		}
 		if strings.Contains(r.URL.Path, "manifest") {
-			o.manifests.Add(1)
+			if o.manifests.Add(1) == 1 && o.endlessFirst.Load() {
+				o.sendEndlessly(w)
+				return
+			}
 			var digests []string
 			for i := range testPieces {
 				sum := sha256.Sum256(content(i))
@@ -59,9 +78,14 @@
 		_, _ = fmt.Sscan(r.URL.Query().Get("num"), &piece)
 		o.sent.Add(1)
 		data := content(piece)
-		if o.requests[piece].Add(1) == 1 && o.corruptFirst.Load() {
+		first := o.requests[piece].Add(1) == 1
+		if first && o.corruptFirst.Load() {
 			data[7]++
 		}
+		if first && piece == 0 && o.endlessFirst.Load() {
+			o.sendEndlessly(w)
+			return
+		}
 		_, _ = w.Write(data)
 	}))
 	t.Cleanup(o.Close)
@@ -158,6 +182,21 @@
 	}
 }
 
+func TestAnswerWithoutEndIsCutOffAtTheSizeOfAPiece(t *testing.T) {
+	f := newTestFleet(t, map[string]int{"a": 2})
+	f.origin.endlessFirst.Store(true)
+	f.fetchAll(t)
+	for _, fetcher := range f.fetchers {
+		if len(fetcher.Store.Missing(Key{"m", 2})) > 0 {
+			t.Errorf("%s is missing pieces", fetcher.Self.Name)
+		}
+	}
+	// Socket buffers of the loopback interface hold some megabytes.
+	if n := f.origin.excess.Load(); n > 16<<20 {
+		t.Errorf("%d bytes of answers without end were taken", n)
+	}
+}
+
 func TestTransferCompletesWithoutAnInactiveAgent(t *testing.T) {
 	f := newTestFleet(t, map[string]int{"a": 3, "b": 2})
 	f.fetchAll(t, "a1")
