sidecar: an engine that may have taken an order counts as loading

An engine that falls silent while it is ordered to load takes the order when it goes on. The agent gave up after 1.5 s and told the control processes that the engine doesn't load, so that entries sent it requests, which it refused until its load was done.

--- a/process/sidecar/install.go
+++ b/process/sidecar/install.go
@@ -211,7 +211,8 @@
 	}
 	u.reportEngine(wire.EngineState{Loading: true})
 	_, err = u.callEngine(ctx, http.MethodPost, platform.PathOrder, body)
-	if err != nil {
+	if result.CodeOf(err) == result.EngineRefused {
+		// After any other error the engine may have taken the order.
 		u.reportEngine(wire.EngineState{})
 	}
 	u.orderedKey = key
--- /dev/null
+++ b/process/sidecar/install_test.go
@@ -0,0 +1,104 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/waxwingpost/waxwingpost/connection/link"
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/version/pieces"
+)
+
+// fakeControl is a control process that records the reports about engines.
+type fakeControl struct{ reports chan wire.EngineState }
+
+// Notify implements link.Handler.
+func (c *fakeControl) Notify(_ *link.Conn, kind wire.Kind, body cbor.RawMessage) {
+	var s wire.EngineState
+	if kind == wire.KindEngine && cbor.Unmarshal(body, &s) == nil {
+		c.reports <- s
+	}
+}
+
+// Call implements link.Handler.
+func (c *fakeControl) Call(context.Context, *link.Conn, wire.Kind, cbor.RawMessage) (any, error) {
+	return wire.Update{}, nil
+}
+
+// followFakeControl links the agent to a new fake control process.
+func followFakeControl(t *testing.T, u *updater) *fakeControl {
+	t.Helper()
+	c := &fakeControl{reports: make(chan wire.EngineState, 16)}
+	mux := http.NewServeMux()
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	address := srv.Listener.Addr().String()
+	mux.Handle(link.Path, &link.Acceptor{
+		Auth: link.Authenticator{AllowAll: true}, Handler: c,
+		Self: func() wire.Hello { return wire.Hello{Name: address, Role: wire.RoleControl} },
+		Open: func(*link.Conn) (func(), error) { return nil, nil },
+	})
+	host, port, _ := net.SplitHostPort(address)
+	peerPort, _ := strconv.Atoi(port)
+	u.sidecar.SetSeeds(platform.Settings{PeerPort: peerPort, Seeds: []string{host}})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { u.sidecar.follower.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	for range 500 {
+		if u.sidecar.follower.Links() > 0 {
+			return c
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("no link to the control process")
+	return nil
+}
+
+// nextReport returns the next report about the engine, or nil if none comes soon.
+func (c *fakeControl) nextReport() *wire.EngineState {
+	select {
+	case s := <-c.reports:
+		return &s
+	case <-time.After(300 * time.Millisecond):
+		return nil
+	}
+}
+
+func TestOrderThatASilentEngineMayHaveTakenCountsAsLoading(t *testing.T) {
+	for name, c := range map[string]struct {
+		respond     http.HandlerFunc
+		wantLoading bool
+	}{
+		"silent": {func(_ http.ResponseWriter, r *http.Request) {
+			// net/http detects a closed connection only once the request body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}, true},
+		"refused": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newTestUpdater(t, c.respond)
+			control := followFakeControl(t, u)
+			if err := u.orderLoad(t.Context(), pieces.Key{Model: "m", Version: 2}); err == nil {
+				t.Fatal("an order without an answer succeeded")
+			}
+			if s := control.nextReport(); s == nil || !s.Loading {
+				t.Fatalf("before the order, reported %+v", s)
+			}
+			s := control.nextReport()
+			if loading := s == nil || s.Loading; loading != c.wantLoading {
+				t.Errorf("after the order, reported %+v, want loading %v", s, c.wantLoading)
+			}
+		})
+	}
+}
