--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -14,6 +14,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 )
@@ -56,9 +58,14 @@
 // Hub is the control process's side of the feed. It is safe for concurrent use.
 type Hub struct {
 	clock clockwork.Clock
-	log   *slog.Logger
-	peers peers
-	start time.Time
+	// ageClock is used for the ages of versions, which include suspensions.
+	ageClock boottime.Clock
+	// oldVersionGrace is how long a version may be used after the next one was
+	// published.
+	oldVersionGrace time.Duration
+	log             *slog.Logger
+	peers           peers
+	start           time.Time
 	// controls returns the peer addresses of all control processes.
 	controls func() []string
 
@@ -79,10 +86,11 @@
 	histories map[string]VersionHistory
 }
 
-// NewHub returns a hub without servers.
-func NewHub(clock clockwork.Clock, log *slog.Logger, p peers, controls func() []string) *Hub {
+// NewHub returns a hub without servers. A version of weights may be used for
+// oldVersionGrace after the next one was published.
+func NewHub(clock clockwork.Clock, ageClock boottime.Clock, oldVersionGrace time.Duration, log *slog.Logger, p peers, controls func() []string) *Hub {
 	return &Hub{
-		clock: clock, log: log, peers: p, start: clock.Now(), controls: controls,
+		clock: clock, ageClock: ageClock, oldVersionGrace: oldVersionGrace, log: log, peers: p, start: clock.Now(), controls: controls,
 		table: directory.NewTable(), followers: map[*link.Conn]*follower{},
 		aliveLocal: map[string]bool{}, alivePeers: map[string]bool{}, histories: map[string]VersionHistory{},
 	}
@@ -167,6 +175,7 @@
 			forwarded.Engines = append(forwarded.Engines, s)
 		}
 	}
+	h.recordAges(update.Ages)
 	for _, id := range update.Alive {
 		if record := h.table.Get(id); record != nil {
 			record.Heard = now
@@ -256,14 +265,12 @@
 		if version <= h.state.Weights[model] {
 			continue
 		}
-		history := h.histories[model]
 		caughtUp := h.now() > catchUpTime
 		if caughtUp {
-			history.recordTime(version, h.clock.Now())
+			h.recordPublication(model, version, s.Published[model])
 		}
 		h.log.Info("weights version seen", "model", model, "version", version, "before", h.state.Weights[model],
 			"revision", s.Revision, "stamped", caughtUp)
-		h.histories[model] = history
 	}
 	h.state = s
 	h.log.Info("desired state changed", "revision", s.Revision, "config_version", s.ConfigVersion, "weights", s.Weights)
@@ -273,19 +280,72 @@
 	}
 }
 
+// recordPublication records that the versions of a model after the last known one
+// were published just now. Several versions may be applied between two calls of
+// SetDesired. The caller holds mu.
+func (h *Hub) recordPublication(model string, newest int, published []int) {
+	now := h.ageClock.Now()
+	history := h.histories[model]
+	for _, v := range published {
+		if v > h.state.Weights[model] {
+			history.recordTime(v, now)
+		}
+	}
+	history.recordTime(newest, now)
+	h.histories[model] = history
+}
+
 // desiredUpdate returns an update with the desired state. The caller holds mu.
 func (h *Hub) desiredUpdate() wire.Update {
+	return wire.Update{
+		Revision: h.state.Revision, ConfigVersion: h.state.ConfigVersion, Weights: h.state.Weights,
+		Published: h.state.Published, Ages: h.ages(math.MaxInt64),
+	}
+}
+
+// ages returns the ages of the versions of each model that has a version younger
+// than limit. The caller holds mu.
+func (h *Hub) ages(limit time.Duration) map[string][]wire.VersionAge {
+	now := h.ageClock.Now()
 	ages := map[string][]wire.VersionAge{}
 	for model, history := range h.histories {
+		var list []wire.VersionAge
+		young := false
 		for _, v := range history.versions {
-			ages[model] = append(ages[model], wire.VersionAge{Version: v.Version, Age: h.clock.Since(v.Since).Milliseconds()})
+			if v.Version > h.state.Weights[model] {
+				// Known from another control process, but not applied here yet.
+				continue
+			}
+			age := now.Sub(v.Since)
+			young = young || age < limit
+			list = append(list, wire.VersionAge{Version: v.Version, Age: ageMilliseconds(age)})
+		}
+		if young {
+			ages[model] = list
 		}
 	}
-	return wire.Update{
-		Revision: h.state.Revision, ConfigVersion: h.state.ConfigVersion, Weights: h.state.Weights, Ages: ages,
+	return ages
+}
+
+// recordAges records the ages that another control process sent. The caller holds
+// mu.
+func (h *Hub) recordAges(ages map[string][]wire.VersionAge) {
+	now := h.ageClock.Now()
+	for model, list := range ages {
+		history := h.histories[model]
+		for _, age := range list {
+			history.recordTime(age.Version, now.Add(-time.Duration(age.Age)*time.Millisecond))
+		}
+		h.histories[model] = history
 	}
 }
 
+// ageMilliseconds rounds an age up: a version that seems older than it is expires
+// early, never late.
+func ageMilliseconds(age time.Duration) int64 {
+	return int64((age + time.Millisecond - 1) / time.Millisecond)
+}
+
 // ConfigDocument returns the configuration document in force on this process.
 func (h *Hub) ConfigDocument() wire.ConfigDocument {
 	h.mu.Lock()
@@ -295,18 +355,38 @@
 
 // Tick sends the total demand and, every AliveInterval, the servers that are alive
 // and the control processes. A changed list of control processes is sent at once.
+// While older versions of weights may be in use, the ages of versions are repeated:
+// an update may have been delayed, and the greatest of several ages holds.
 func (h *Hub) Tick() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.table.Sweep(h.now())
-	var direct, relay wire.Update
+	peer, entry, relay := h.tickUpdates()
+	if len(peer.Alive)+len(peer.Ages) > 0 {
+		for _, c := range h.peers.Conns() {
+			_ = c.Notify(wire.KindUpdate, peer)
+		}
+	}
+	for _, f := range h.followers {
+		switch {
+		case !f.relay:
+			_ = f.conn.Notify(wire.KindUpdate, entry)
+		case len(relay.Alive)+len(relay.Controls) > 0:
+			_ = f.conn.Notify(wire.KindUpdate, relay)
+		}
+	}
+}
+
+// tickUpdates returns the updates of a tick for the other control processes, entries
+// and relay followers. The caller holds mu.
+func (h *Hub) tickUpdates() (peer, entry, relay wire.Update) {
 	controls := h.controls()
 	now := h.clock.Now()
 	due := now.Sub(h.lastAliveAt) >= AliveInterval
 	if due {
 		h.lastAliveAt = now
-		direct.Alive = ids(h.aliveLocal)
-		relay.Alive = append(ids(h.alivePeers), direct.Alive...)
+		peer.Alive = ids(h.aliveLocal)
+		relay.Alive = append(ids(h.alivePeers), peer.Alive...)
 		clear(h.aliveLocal)
 		clear(h.alivePeers)
 	}
@@ -314,21 +394,21 @@
 		h.sentControls = controls
 		relay.Controls = controls
 	}
-	if len(direct.Alive) > 0 {
-		for _, c := range h.peers.Conns() {
-			_ = c.Notify(wire.KindUpdate, direct)
-		}
-	}
-	entry := direct
+	peer.Ages = h.ages(2 * h.oldVersionGrace)
+	entry = peer
+	entry.Weights, entry.Published = h.versionsOf(peer.Ages)
 	entry.Controls, entry.Demand, entry.Entries = relay.Controls, h.totalDemand(), h.entryCount()
-	for _, f := range h.followers {
-		switch {
-		case !f.relay:
-			_ = f.conn.Notify(wire.KindUpdate, entry)
-		case len(relay.Alive)+len(relay.Controls) > 0:
-			_ = f.conn.Notify(wire.KindUpdate, relay)
-		}
+	return peer, entry, relay
+}
+
+// versionsOf returns the newest and the published versions of each model in ages. The
+// caller holds mu.
+func (h *Hub) versionsOf(ages map[string][]wire.VersionAge) (newest map[string]int, published map[string][]int) {
+	newest, published = make(map[string]int, len(ages)), make(map[string][]int, len(ages))
+	for model := range ages {
+		newest[model], published[model] = h.state.Weights[model], h.state.Published[model]
 	}
+	return newest, published
 }
 
 // totalDemand sums the demand of all entries by service. The caller holds mu.
--- a/request/forward/outcome.go
+++ b/request/forward/outcome.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 )
@@ -41,7 +42,8 @@
 const maxLoggedStack = 4 << 10
 
 // countOutcome counts the outcome of a request and logs one that ended without a
-// response. It must be deferred by the handler, and panics again if that panicked.
+// response. It must be deferred by the handler. It panics again if that panicked, and
+// aborts the connection of a caller that got no response.
 func (h *Handler) countOutcome(cr *callerRequest) {
 	cause := recover()
 	if cause != nil && cr.outcome == outcomeNone {
@@ -58,15 +60,20 @@
 		h.log.Error("request ended without a response", "id", cr.id, "code", int(result.Internal), "servers", cr.triedServers)
 	}
 	h.metrics.outcomes[cr.outcome].Inc(1)
-	if cause != nil {
+	switch {
+	case cause != nil:
 		panic(cause)
+	case cr.outcome == outcomeNone || cr.outcome == outcomeCallerGone:
+		// net/http would send an empty 200, which reaches a caller that closed only
+		// its write side.
+		panic(http.ErrAbortHandler)
 	}
 }
 
 // silenceLogged is how long a server must send nothing for its silence to be logged.
 const silenceLogged = time.Second
 
-// logSilence logs a long silence of the server of a stream. err is what ended it, or
+// logSilence logs a long silence of the server of a request. err is what ended it, or
 // nil for more of the response.
 func (h *Handler) logSilence(cr *callerRequest, l *placement.Lease, since time.Time, err error) {
 	silent := h.clock.Since(since)
@@ -77,6 +84,10 @@
 	endedBy := "response"
 	switch {
 	case err == nil:
+	case errors.Is(err, errSilent):
+		endedBy = "other_server"
+	case errors.Is(err, errWithdrawn):
+		endedBy = "withdrawal"
 	case cr.request.Context().Err() != nil:
 		endedBy = "caller"
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -94,10 +105,10 @@
 type weightsUse struct {
 	version int
 	// until is when the weights expire, zero if they don't.
-	until time.Time
-	sent  time.Time
+	until boottime.Instant
+	sent  boottime.Instant
 	// first is when the first event came, zero if none came.
-	first time.Time
+	first boottime.Instant
 }
 
 // appendAttrs appends the log attributes, if the weights expire.
@@ -118,7 +129,7 @@
 func (h *Handler) recordFirstEvent(cr *callerRequest, l *placement.Lease) {
 	current := h.scheduler.recordFirstEvent(cr.service, l)
 	u := &cr.weights
-	u.first = h.clock.Now()
+	u.first = h.ageClock.Now()
 	if current.WeightsVersion == u.version && !current.WeightsUntil.IsZero() {
 		u.until = current.WeightsUntil
 	}
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -1,16 +1,15 @@
 package forward
 
 import (
-	"context"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
-	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 	"github.com/waxwingpost/waxwingpost/request/retry"
 )
@@ -38,8 +37,9 @@
 // scheduler holds the pools and retry budgets of all services. Its methods are
 // safe for concurrent use unless they say otherwise.
 type scheduler struct {
-	cfg   Config
-	clock clockwork.Clock
+	cfg      Config
+	clock    clockwork.Clock
+	ageClock boottime.Clock
 
 	// mu guards the fields below.
 	mu   sync.Mutex
@@ -50,8 +50,10 @@
 	demandSampled time.Time
 }
 
-func newScheduler(cfg Config, clock clockwork.Clock) *scheduler {
-	return &scheduler{cfg: cfg, clock: clock, view: &feed.View{}, services: map[string]*serviceState{}, demandSampled: clock.Now()}
+func newScheduler(cfg Config, clock clockwork.Clock, ageClock boottime.Clock) *scheduler {
+	return &scheduler{
+		cfg: cfg, clock: clock, ageClock: ageClock, view: &feed.View{}, services: map[string]*serviceState{}, demandSampled: clock.Now(),
+	}
 }
 
 // update replaces the view.
@@ -84,7 +86,7 @@
 	st := sc.services[name]
 	if st == nil {
 		st = &serviceState{
-			pool:        placement.NewPool(placement.Config{Zone: sc.cfg.Zone}),
+			pool:        placement.NewPool(placement.Config{Zone: sc.cfg.Zone}, sc.ageClock),
 			retryBudget: retry.NewWindow(sc.cfg.RetryWindow, now),
 		}
 		sc.services[name] = st
@@ -134,9 +136,9 @@
 // usableWeights reports whether a server holds usable weights for all models of
 // its service, and when the first of them expires; zero means no expiry. version is
 // that of the model that expires first, or of the last one. The caller holds mu.
-func (sc *scheduler) usableWeights(s *deployment.Service, record *directory.Record) (allHeld bool, version int, until time.Time) {
+func (sc *scheduler) usableWeights(s *deployment.Service, record *directory.Record) (allHeld bool, version int, until boottime.Instant) {
 	if s.Engine == nil {
-		return true, 0, time.Time{}
+		return true, 0, until
 	}
 	for _, model := range s.Engine.Models {
 		held := record.HeldVersion(model)
@@ -223,6 +225,14 @@
 	}
 }
 
+// mayRetry reports whether the retry budget of a service allows another retry.
+func (sc *scheduler) mayRetry(service string) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	now := sc.clock.Now()
+	return sc.service(service, now).retryBudget.MayRetry(now)
+}
+
 // tryRetry takes one retry from the budget of a service, or reports false if the
 // budget is spent.
 func (sc *scheduler) tryRetry(service string) bool {
@@ -242,69 +252,28 @@
 	return l.CurrentServer()
 }
 
-// release returns the slot of a lease and records the outcome.
-func (sc *scheduler) release(service string, l *placement.Lease, o placement.Outcome) {
+// recordSilent records that the server of a lease has been silent for long.
+func (sc *scheduler) recordSilent(service string, l *placement.Lease) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	now := sc.clock.Now()
-	sc.service(service, now).pool.Release(now, l, o)
+	sc.service(service, now).pool.OnSilent(now, l)
 }
 
-// acquire assigns a slot to a request, at once or after queueing until
-// waitDeadline. With a zero waitDeadline the request is queued as long as it can
-// still meet its latency target. A late request does not overtake queued ones.
-func (sc *scheduler) acquire(ctx context.Context, cr *callerRequest, waitDeadline time.Time) (*placement.Lease, error) {
-	granted := make(chan *placement.Lease, 1)
-	now := sc.clock.Now()
+// recordResumed records that a silent server has gone on.
+func (sc *scheduler) recordResumed(service string, l *placement.Lease) {
 	sc.mu.Lock()
-	st := sc.service(cr.service, now)
-	req := placement.Request{
-		PromptTokens: cr.tokens.Prompt, LatencyTarget: cr.firstEventTarget(), WaitUntil: waitDeadline, Late: cr.late || now.Sub(cr.start) > cr.route.Aim,
-		Started: cr.eventsSent > 0, Priority: cr.priority(), Exclude: cr.triedServers,
-	}
-	if waitDeadline.IsZero() {
-		req.WaitUntil = st.pool.WaitDeadline(cr.start, req)
-		waitDeadline = req.WaitUntil
-	}
-	if st.pool.Waiting() == 0 || !cr.late || req.Started {
-		if l := st.pool.TryAcquire(now, req); l != nil {
-			sc.mu.Unlock()
-			return l, nil
-		}
-	}
-	waiter := &placement.Waiter{Request: req, Grant: func(l *placement.Lease) { granted <- l }}
-	queued := st.pool.Enqueue(now, waiter)
-	usable, retryAfter := st.pool.HasUsable(now), st.pool.RetryAfter()
-	sc.mu.Unlock()
-	if !queued {
-		return nil, refusalError(usable, retryAfter)
-	}
-	timer := sc.clock.NewTimer(waitDeadline.Sub(now))
-	defer timer.Stop()
-	select {
-	case l := <-granted:
-		cr.queueTime += sc.clock.Since(now)
-		return l, nil
-	case <-timer.Chan():
-	case <-ctx.Done():
-	}
-	cr.queueTime += sc.clock.Since(now)
-	sc.mu.Lock()
-	dequeued := st.pool.Dequeue(waiter)
-	retryAfter = st.pool.RetryAfter()
-	sc.mu.Unlock()
-	if !dequeued {
-		return <-granted, nil
-	}
-	return nil, refusalError(true, retryAfter)
+	defer sc.mu.Unlock()
+	now := sc.clock.Now()
+	sc.service(service, now).pool.OnResumed(now, l)
 }
 
-// refusalError returns the error for a request that got no slot.
-func refusalError(usable bool, retryAfter time.Duration) error {
-	if !usable {
-		return result.Refuse(result.NoBackend, retryAfter, "no usable backend server for the request")
-	}
-	return result.Refuse(result.QueueFull, retryAfter, "no slot became free in time")
+// release returns the slot of a lease and records the outcome.
+func (sc *scheduler) release(service string, l *placement.Lease, o placement.Outcome) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	now := sc.clock.Now()
+	sc.service(service, now).pool.Release(now, l, o)
 }
 
 // firstEventTarget returns the latency target for the first event; 0 if the
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 const (
@@ -86,7 +88,7 @@
 
 // weightsExpiring reports whether a request that is sent now could start after
 // the server's weights have expired.
-func (s *server) weightsExpiring(now time.Time) bool {
+func (s *server) weightsExpiring(now boottime.Instant) bool {
 	extra := startDelayFactor * max(s.firstEventDelay-baselineDelay, 0)
 	return !s.WeightsUntil.IsZero() && now.Add(startMargin+extra).After(s.WeightsUntil)
 }
@@ -154,6 +156,16 @@
 	}
 }
 
+// endSilence makes a server available again that was ejected for its silence.
+func (s *server) endSilence(now time.Time) {
+	s.consecutiveFailures = 0
+	s.probing = false
+	s.ejectTime = 0
+	if now.Before(s.ejectedUntil) {
+		s.ejectedUntil = now
+	}
+}
+
 // eject takes the server out of use for a time that doubles with each ejection.
 func (s *server) eject(now time.Time) {
 	if now.Before(s.ejectedUntil) {
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -8,11 +8,15 @@
 // still has time to retry. Entries that share servers divide their slots in
 // proportion to the demand at each entry.
 //
-// The package has no network and no clock: callers pass the time. A Pool is not
-// safe for concurrent use.
+// The package has no network. Callers pass the time; only whether weights have
+// expired is read from a clock. A Pool is not safe for concurrent use.
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
+)
 
 // Server is a backend server as listed in the directory.
 type Server struct {
@@ -29,7 +33,7 @@
 	WeightsVersion int
 	// WeightsUntil is when the server's weights expire. No request may start there
 	// after that time, including requests already sent. Zero means no expiry.
-	WeightsUntil time.Time
+	WeightsUntil boottime.Instant
 }
 
 // Config holds the settings of one service at one entry.
@@ -60,6 +64,9 @@
 	Started bool
 	// Priority orders queued requests; lower values go first.
 	Priority int
+	// Replaces is set if the request holds a slot that it gives back once it has
+	// another one.
+	Replaces bool
 	// Exclude lists the IDs of servers that were already tried.
 	Exclude []string
 }
@@ -84,6 +91,8 @@
 	Canceled
 	// Stalled means that the server sent nothing until a timeout.
 	Stalled
+	// Unused means that the slot was given back without sending the request.
+	Unused
 )
 
 // CurrentServer returns the server as listed last.
@@ -91,9 +100,9 @@
 
 // SendDeadline returns the time by which the request must have been sent; zero if
 // there is no limit.
-func (l *Lease) SendDeadline() time.Time {
+func (l *Lease) SendDeadline() boottime.Instant {
 	if l.Server.WeightsUntil.IsZero() {
-		return time.Time{}
+		return boottime.Instant{}
 	}
 	return l.Server.WeightsUntil.Add(-sendMargin)
 }
@@ -108,6 +117,8 @@
 	granted time.Time
 	// awaitingFirst is set until the first event.
 	awaitingFirst bool
+	// silent is set while the server has been reported as silent.
+	silent bool
 }
 
 // Waiter is a queued request.
