link: a wall clock that is set back no longer hides a silent peer

The time of the last message was compared on the wall clock. After it was set back, the difference was negative, no ping was sent until the clock had caught up, and a link to a machine without power stayed open for as long: entries then counted as in touch, and messages to that peer were lost. Setting the clock ahead only caused a ping.

The test failed before: the link was still open after 5 s (ping interval and timeout are 3 s together) with a last message one hour in the future.

--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -192,7 +192,8 @@
 			return
 		case <-ticker.C:
 		}
-		if time.Since(time.Unix(0, c.lastReceived.Load())) < pingInterval {
+		// The time is negative if the wall clock was set back.
+		if silent := time.Since(time.Unix(0, c.lastReceived.Load())); silent >= 0 && silent < pingInterval {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, pingTimeout)
--- a/connection/link/link_test.go
+++ b/connection/link/link_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
@@ -183,3 +184,28 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+func TestLinkToASilentPeerIsLostAfterTheWallClockWasSetBack(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		_, _ = readHello(r.Context(), ws)
+		_ = writeHello(r.Context(), ws, hello("server")(), nil)
+		// It reads nothing more, not even pings.
+		<-t.Context().Done()
+		_ = ws.CloseNow()
+	}))
+	t.Cleanup(srv.Close)
+	c, err := dial(t, strings.TrimPrefix(srv.URL, "http://"), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.lastReceived.Store(time.Now().Add(time.Hour).UnixNano())
+	select {
+	case <-c.Done():
+	case <-time.After(pingInterval + pingTimeout + 2*time.Second):
+		t.Error("the link is still open")
+	}
+}
