feed: a control process that is silent for a second is followed

The call that begins to follow a control process had to be answered within 700 ms, or the link was closed and dialed again. The reply is the whole table of servers, and a control process may be busy or frozen, or its packets may wait in front of a slow link, for longer than that (the timeout for a dial already allows for two seconds): the reply came to a closed link, and each try sent the whole state once more. The call is now given two seconds, as long as a ping.

--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -27,6 +27,9 @@
 	// callTimeout bounds one call to a control process; the platform requires a
 	// configuration to be in force within two seconds.
 	callTimeout = 700 * time.Millisecond
+	// followTimeout bounds the call that begins to follow a control process, whose
+	// reply may be large. An entry's other links don't wait for it.
+	followTimeout = 2 * time.Second
 	// retryInterval is the wait before the configuration is requested again.
 	retryInterval = 100 * time.Millisecond
 	// controlTTL is how long a control process is dialed after it was last listed:
@@ -222,7 +225,7 @@
 // onLinkOpened requests the full state and further updates from a control process.
 func (f *Follower) onLinkOpened(c *link.Conn) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), followTimeout)
 		defer cancel()
 		var update wire.Update
 		if err := c.Call(ctx, wire.KindFollow, wire.FollowRequest{Relay: f.cfg.Relay}, &update); err != nil {
