feed: ages in a delayed reply count from the call

An entry that begins to follow a control process took the ages of versions in the reply as of its arrival. With a reply that was delayed, it believed that a version was published later than it was, and used the older one for longer, by up to the timeout of the call, until another control process told better. The ages are those of some moment during the call, so its whole time is added.

The check failed before: with a reply after 1 s, version 1 was usable for 1m1.002s from the start of the call, with a grace of one minute.

--- a/connection/wire/updates.go
+++ b/connection/wire/updates.go
@@ -1,6 +1,10 @@
 package wire
 
-import "github.com/waxwingpost/waxwingpost/process/directory"
+import (
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/directory"
+)
 
 // FollowRequest subscribes to a control process. The reply is its whole state as
 // an Update; each change follows as a notification.
@@ -58,6 +62,15 @@
 	Entries int `cbor:"9,keyasint,omitempty"`
 }
 
+// AddToAges adds the time that may have passed since the update was built.
+func (u *Update) AddToAges(d time.Duration) {
+	for _, ages := range u.Ages {
+		for i := range ages {
+			ages[i].Age += d.Milliseconds()
+		}
+	}
+}
+
 // VersionAge is the time in milliseconds since a version was published.
 type VersionAge struct {
 	Version int   `cbor:"1,keyasint"`
--- a/process/feed/follow_test.go
+++ b/process/feed/follow_test.go
@@ -56,6 +56,7 @@
 	f := NewFollower(FollowerConfig{Seeds: []string{address}}, dialer, clock, ageClock, slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
+	started := ageClock.Now()
 	go func() { f.Run(ctx); close(done) }()
 	defer func() { cancel(); <-done }()
 	for deadline := time.Now().Add(4 * time.Second); f.View().Weights["m"].Newest() != 2; time.Sleep(10 * time.Millisecond) {
@@ -66,4 +67,8 @@
 	if n := control.follows.Load(); n != 1 {
 		t.Errorf("%d calls to follow, want 1", n)
 	}
+	// The ages were those at some time during the call.
+	if until, _ := f.View().Weights["m"].UsableUntil(1, time.Minute); until.Sub(started) > time.Minute+control.delay/2 {
+		t.Errorf("version 1 is usable for %v from the start of the call, want a minute", until.Sub(started))
+	}
 }
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -228,6 +228,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), followTimeout)
 		defer cancel()
 		var update wire.Update
+		called := f.ageClock.Now()
 		if err := c.Call(ctx, wire.KindFollow, wire.FollowRequest{Relay: f.cfg.Relay}, &update); err != nil {
 			f.log.Warn("failed to follow control process", "control", c.Peer().Name, "code", int(result.CodeOf(err)), "error", err)
 			c.Close()
@@ -237,6 +238,7 @@
 			f.markBehind(c.Peer().Name)
 			f.wakeUp()
 		}
+		update.AddToAges(f.ageClock.Now().Sub(called))
 		f.logAges(c.Peer().Name, update, true)
 		f.apply(update)
 	}()
