forward: a panic of an attempt's goroutine gives its slot back

The goroutine that reads a response hands a panic to the handler, but left the attempt's result at its zero value, an answer: the handler of a stream then panicked itself while it copied the header of a missing response, and neither released the slot nor logged the first panic.

TestPanicOfAnAttemptKeepsItsSlot fails without the change for streams.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -72,6 +72,7 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			a.panicked = fmt.Errorf("%v\n%s", cause, debug.Stack())
+			a.result, a.outcome = resultUnknown, placement.Canceled
 		}
 	}()
 	a.ex, a.err = client.Do(ctx, a.lease.Server.Address, req)
--- a/request/forward/silence_test.go
+++ b/request/forward/silence_test.go
@@ -288,3 +288,21 @@
 		t.Errorf("got response %v, body %q, error %v after the server had gone on", resp, body, err)
 	}
 }
+
+func TestPanicOfAnAttemptKeepsItsSlot(t *testing.T) {
+	for name, kind := range map[string]deployment.Repeatability{"stream": deployment.Stream, "plain": deployment.Repeatable} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEntry(t, testConfig(kind, testTimeout), newFakeServer(t, "s1", echo))
+			logged, scope := e.observe()
+			e.handler.client = nil
+			if _, _, err := e.send(t, nil); err == nil {
+				t.Error("the request was answered")
+			}
+			requireOutcomes(t, scope, map[string]int64{"aborted": 1})
+			if line := logged.String(); !strings.Contains(line, "request handler panicked") || !strings.Contains(line, "attempt.go") {
+				t.Errorf("logged %q", line)
+			}
+			e.requireIdle(t)
+		})
+	}
+}
