--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -70,7 +69,7 @@
 	f.handler = forward.New(forward.Config{
 		Zone: settings.Zone, OldVersionGrace: settings.Bounds.OldVersionGrace, RetryShare: settings.Bounds.RetryShare,
 		RetryAllowance: settings.Bounds.RetryAllowance, RetryWindow: settings.Bounds.RetryWindow,
-	}, f.follower.View, f.client, rt.Clock, rt.AgeClock, rt.Log, rt.Scope)
+	}, f.client, rt.Clock, rt.AgeClock, rt.Log, rt.Scope)
 	rt.Dump.Add("pools", f.handler.Dump)
 	rt.Dump.Add("view", func() any { return f.follower.View() })
 	return f
@@ -114,12 +113,10 @@
 	componentsCtx, stopComponents := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopComponents()
 	group, groupCtx := errgroup.WithContext(componentsCtx)
-	callerServer := &http.Server{
-		Handler: f.handler, ReadHeaderTimeout: idleTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelDebug),
-	}
+	conns := newConnStats(f.Scope)
+	callerServer := newCallerServer(f.handler, callers, conns, f.Clock, f.Log)
 	readyServer := runtime.NewServer(f.readyMux())
-	group.Go(func() error { return runtime.Serve(callerServer, callers) })
+	group.Go(func() error { return callerServer.serve() })
 	group.Go(func() error { return runtime.Serve(readyServer, ready) })
 	group.Go(func() error { f.follower.Run(groupCtx); return nil })
 	group.Go(func() error { f.runTimers(groupCtx); return nil })
@@ -130,14 +127,14 @@
 	case <-groupCtx.Done():
 	}
 	stopComponents()
-	_ = callerServer.Close()
+	callerServer.close()
 	_ = readyServer.Close()
 	err = runtime.IgnoreCanceled(group.Wait())
-	f.Log.Info("frontend stopped", "code", int(result.CodeOf(err)))
+	f.Log.Info("frontend stopped", "code", int(result.CodeOf(err)), "connections_closed", conns)
 	return err
 }
 
-func (f *Frontend) drain(callers *http.Server) {
+func (f *Frontend) drain(callers *callerServer) {
 	deadline := f.Clock.Now().Add(f.settings.Bounds.StopGrace - exitMargin)
 	f.stopping.Store(true)
 	f.handler.DisableKeepAlives()
@@ -145,7 +142,9 @@
 	<-f.Clock.After(min(balancerDelay, f.settings.Bounds.StopGrace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	// Requests that arrive from here on could not end within the grace period.
+	f.handler.StartDrain()
+	if err := callers.shutdown(ctx); err != nil {
 		f.Log.Error("requests aborted at the end of the grace period", "code", int(result.Draining), "error", err)
 	}
 }
@@ -196,7 +195,7 @@
 // the view.
 func (f *Frontend) inUse() func(address string) bool {
 	addresses := map[string]bool{}
-	for _, servers := range f.follower.View().Servers {
+	for _, servers := range f.handler.View().Servers {
 		for _, s := range servers {
 			addresses[s.Address] = true
 		}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -44,13 +45,15 @@
 //
 // Lock order: scheduler.mu is a leaf; no other lock is taken while it is held.
 type Handler struct {
-	cfg           Config
-	view          func() *feed.View
-	client        *backend.Client
-	clock         clockwork.Clock
-	ageClock      boottime.Clock
-	log           *slog.Logger
-	scheduler     *scheduler
+	cfg       Config
+	client    *backend.Client
+	clock     clockwork.Clock
+	ageClock  boottime.Clock
+	log       *slog.Logger
+	scheduler *scheduler
+	// current is the view that requests are resolved by. The scheduler has it, or a
+	// newer one.
+	current       atomic.Pointer[feed.View]
 	inflight      inflight.Counter
 	keepAlivesOff atomic.Bool
 	metrics       metrics
@@ -62,12 +65,12 @@
 	duration, firstByte                                  tally.Timer
 }
 
-// New returns a handler. view returns the current view of the deployment. ageClock
-// must be the clock of the view's versions.
-func New(cfg Config, view func() *feed.View, client *backend.Client, clock clockwork.Clock, ageClock boottime.Clock, log *slog.Logger, scope tally.Scope) *Handler {
+// New returns a handler that refuses all requests until Update. ageClock must be the
+// clock of the views' versions.
+func New(cfg Config, client *backend.Client, clock clockwork.Clock, ageClock boottime.Clock, log *slog.Logger, scope tally.Scope) *Handler {
 	scope = scope.SubScope("requests")
-	return &Handler{
-		cfg: cfg, view: view, client: client, clock: clock, ageClock: ageClock, log: log,
+	h := &Handler{
+		cfg: cfg, client: client, clock: clock, ageClock: ageClock, log: log,
 		scheduler: newScheduler(cfg, clock, ageClock),
 		metrics: metrics{
 			requests: scope.Counter("received"), retried: scope.Counter("sent_again"), panics: scope.Counter("panics"),
@@ -75,10 +78,18 @@
 			duration: scope.Timer("duration"), firstByte: scope.Timer("first_byte"),
 		},
 	}
+	h.current.Store(&feed.View{})
+	return h
 }
 
-// Update applies a new view to the pools.
-func (h *Handler) Update(v *feed.View) { h.scheduler.update(v) }
+// Update puts a new view in force. It must not be called concurrently.
+func (h *Handler) Update(v *feed.View) {
+	h.scheduler.update(v)
+	h.current.Store(v)
+}
+
+// View returns the view in force.
+func (h *Handler) View() *feed.View { return h.current.Load() }
 
 // SampleDemand returns the demand for each service at this entry, in server time per
 // second. It is called every half second.
@@ -95,6 +106,9 @@
 // next request.
 func (h *Handler) DisableKeepAlives() { h.keepAlivesOff.Store(true) }
 
+// StartDrain refuses new requests.
+func (h *Handler) StartDrain() { h.inflight.StartDrain() }
+
 // Drain refuses new requests and waits until none is in progress or ctx ends.
 func (h *Handler) Drain(ctx context.Context) error {
 	h.inflight.StartDrain()
@@ -134,6 +148,9 @@
 	}
 	cr := &callerRequest{id: r.Header.Get(platform.HeaderRequestID), start: h.clock.Now(), request: r}
 	defer h.countOutcome(cr)
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTimeout)) // until readBody sets its own
+	}
 	if h.inflight.Admit(0) == inflight.Draining {
 		h.writeError(w, cr, result.Refuse(result.Draining, 100*time.Millisecond, "the process is shutting down"))
 		return
@@ -157,6 +174,9 @@
 	lateTimeoutFraction = 0.82
 	// defaultBodyBytes bounds request bodies if the configuration sets no limit.
 	defaultBodyBytes = 4 << 20
+	// refusedBodyTimeout bounds the wait for the body of a request that is refused
+	// before it is read: net/http reads up to 256 KiB of it before the response.
+	refusedBodyTimeout = 2 * time.Second
 	// noConfigRetryAfter is the retry delay sent to callers before the first
 	// configuration is received.
 	noConfigRetryAfter = 300 * time.Millisecond
@@ -165,7 +185,7 @@
 // resolve determines the route, account, service and deadline of a request and
 // reads its body.
 func (h *Handler) resolve(w http.ResponseWriter, cr *callerRequest) error {
-	config := h.view().Config
+	config := h.View().Config
 	if config == nil {
 		return result.Refuse(result.NoQuorum, noConfigRetryAfter, "no configuration received yet")
 	}
@@ -185,9 +205,13 @@
 		}
 	}
 	h.setDeadline(cr)
-	if err := readBody(w, cr, config.Limits); err != nil {
+	if err := h.readBody(w, cr, config.Limits); err != nil {
 		return err
 	}
+	if h.clock.Until(cr.deadline) <= 2*responseMargin {
+		// Sending it would fail, which would count as the server's failure.
+		return result.Refuse(result.DeadlineExceeded, 0, "the deadline passed before the request was sent")
+	}
 	cr.service = cr.route.Shares[0].Service
 	if len(cr.route.Shares) > 1 {
 		cr.service = cr.route.PickService(float64(xxhash.Sum64String(cr.id)>>11) / (1 << 53))
@@ -210,15 +234,35 @@
 	cr.late = hasDeadline && remaining < time.Duration(lateTimeoutFraction*float64(cr.route.Timeout))
 }
 
-func readBody(w http.ResponseWriter, cr *callerRequest, limits deployment.Limits) error {
-	r := cr.request
-	if r.ContentLength == 0 {
+// readBody reads the request's body until its deadline.
+func (h *Handler) readBody(w http.ResponseWriter, cr *callerRequest, limits deployment.Limits) error {
+	if cr.request.ContentLength == 0 {
 		return nil
 	}
-	limit := limits.BodyBytes
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(h.clock.Until(cr.deadline) - responseMargin)) // not supported by test recorders
+	err := cr.readBody(w, limits.BodyBytes)
+	var tooLong *http.MaxBytesError
+	switch {
+	case err == nil:
+		// A deadline that passes later would end the request's context.
+		_ = conn.SetReadDeadline(time.Time{})
+		return nil
+	case errors.Is(err, errBodyTooLong), errors.As(err, &tooLong):
+		return errBodyTooLong
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return result.Refuse(result.DeadlineExceeded, 0, "the deadline passed before the request body was complete")
+	default:
+		return result.New(result.BadRequest, "read request body: %v", err)
+	}
+}
+
+// readBody reads the body, which may have limit bytes; zero means the default.
+func (cr *callerRequest) readBody(w http.ResponseWriter, limit int64) error {
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	r := cr.request
 	if r.ContentLength > limit {
 		return errBodyTooLong
 	}
@@ -229,15 +273,7 @@
 	} else {
 		cr.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	}
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return errBodyTooLong
-	case err != nil:
-		return result.New(result.BadRequest, "read request body: %v", err)
-	default:
-		return nil
-	}
+	return err
 }
 
 // stripPort returns a host without its port.
--- a/request/forward/withdraw_test.go
+++ b/request/forward/withdraw_test.go
@@ -68,7 +68,7 @@
 }
 
 func (v *versionEntry) update(history feed.VersionHistory, oldHolds, newHolds int) {
-	view := *v.handler.view()
+	view := *v.handler.View()
 	view.Servers = map[string][]directory.Record{"svc": slices.Clone(view.Servers["svc"])}
 	for i, version := range []int{oldHolds, newHolds} {
 		view.Servers["svc"][i].Held = []directory.ModelVersion{{Model: "m", Version: version}}
