feed: the age that a control process was behind is only a bound

Since a control process that was behind gives a version the age since it was current last. The earliest of several times holds at entries and control processes, so this bound also replaced the times of those that had seen the version published: one control process that had stood still for 5 s beside a new version took 6 s off the time for which all entries could use the version before it, and requests were refused until the engines had loaded.

The bound is now marked as such, in the feed too. Any time that is none replaces it, and it replaces none; among themselves the earlier holds.

TestControlProcessThatWasBehindMakesAVersionOlderThanTheOthersKnowItToBe failed before: version 1 was usable for 2 s instead of 8 s when version 2 was published, and the other control process took version 2 for 6 s older than it was.

--- a/connection/wire/updates.go
+++ b/connection/wire/updates.go
@@ -78,6 +78,9 @@
 type VersionAge struct {
 	Version int   `cbor:"1,keyasint"`
 	Age     int64 `cbor:"2,keyasint"`
+	// Bound is set if the version may be younger: the sender was behind when it was
+	// published.
+	Bound bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ConfigDocumentQuery requests the configuration document of a version or a later one.
--- a/process/feed/agelog.go
+++ b/process/feed/agelog.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
-	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 // minLoggedAgeDifference is the smallest difference between two times of publication
@@ -28,10 +27,11 @@
 			told := time.Duration(age.Age) * time.Millisecond
 			attrs := []any{"model", model, "version", age.Version, "age", told, "control", control, "revision", update.Revision}
 			known, ok := history.timeOf(age.Version)
-			apart := now.Add(-told).Sub(known)
+			apart := now.Add(-told).Sub(known.Since)
 			switch {
 			case !ok && age.Version+maxVersions > history.newest:
 				f.log.Info("weights publication time learned", attrs...)
+			case ok && age.Bound && !known.Bound:
 			case ok && apart < -minLoggedAgeDifference:
 				f.log.Info("weights publication time corrected", append(attrs, "apart", apart)...)
 			case fullState && ok && apart > minLoggedAgeDifference && age.Version == history.newest:
@@ -42,11 +42,11 @@
 }
 
 // timeOf returns the time of a version's publication, if it is known.
-func (h VersionHistory) timeOf(version int) (boottime.Instant, bool) {
+func (h VersionHistory) timeOf(version int) (PublishedVersion, bool) {
 	for _, v := range h.versions {
 		if v.Version == version {
-			return v.Since, true
+			return v, true
 		}
 	}
-	return boottime.Instant{}, false
+	return PublishedVersion{}, false
 }
--- a/process/feed/ages_test.go
+++ b/process/feed/ages_test.go
@@ -178,8 +178,8 @@
 		peer, _, _ := hubs[i%2].tickUpdates()
 		hubs[1-i%2].ApplyPeerUpdate(peer)
 	}
-	if since, _ := hubs[0].histories["m"].timeOf(2); since != published {
-		t.Errorf("the version seems to be published %v early", published.Sub(since))
+	if known, _ := hubs[0].histories["m"].timeOf(2); known.Since != published {
+		t.Errorf("the version seems to be published %v early", published.Sub(known.Since))
 	}
 }
 
@@ -208,3 +208,37 @@
 		t.Error("followers are told a known age again")
 	}
 }
+
+func TestControlProcessThatWasBehindMakesAVersionOlderThanTheOthersKnowItToBe(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	boot := boottime.NewFake(clock)
+	state := desired.State{Revision: 1, Weights: map[string]int{"m": 2}}
+	leader, behind := newTestHub(clock, boot), newTestHub(clock, boot)
+	leader.CatchUp(desired.State{})
+	behind.CatchUp(desired.State{})
+	for range 5 {
+		clock.Advance(currentTTL)
+		leader.ConfirmCurrent()
+	}
+	leader.SetDesired(state)
+	behind.SetDesired(state)
+	bound, known := behind.FullState(), leader.FullState()
+	published := boot.Now()
+	for name, updates := range map[string][]wire.Update{"bound first": {bound, known}, "bound last": {known, bound}} {
+		f := newTestFollower(clock)
+		for _, update := range updates {
+			f.apply(update)
+		}
+		until, _ := f.View().Weights["m"].UsableUntil(1, 8*time.Second)
+		if left := until.Sub(f.ageClock.Now()); left != 8*time.Second {
+			t.Errorf("%s: version 1 is usable for %v after version 2 was published", name, left)
+		}
+	}
+	behind.ApplyPeerUpdate(known)
+	leader.ApplyPeerUpdate(bound)
+	for _, h := range []*Hub{leader, behind} {
+		if known, _ := h.histories["m"].timeOf(2); known.Since != published {
+			t.Errorf("a control process takes version 2 for %v older than it is", published.Sub(known.Since))
+		}
+	}
+}
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -346,7 +346,7 @@
 			changed = true
 		}
 		for _, age := range update.Ages[model] {
-			if history.recordTime(age.Version, now.Add(-time.Duration(age.Age)*time.Millisecond)) {
+			if history.recordTime(age.Version, now.Add(-time.Duration(age.Age)*time.Millisecond), age.Bound) {
 				changed = true
 			}
 		}
--- a/process/feed/publication.go
+++ b/process/feed/publication.go
@@ -64,29 +64,29 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	history := h.histories[model]
-	wasKnown := history.hasTime(version)
-	history.recordTime(version, at)
+	known, ok := history.timeOf(version)
+	history.recordTime(version, at, false)
 	h.histories[model] = history
-	if wasKnown || version > h.state.Weights[model] {
+	if ok && !known.Bound || version > h.state.Weights[model] {
 		return
 	}
-	// The version was sent without its age.
+	// The version was sent without its age, or with a bound.
 	h.sendDesired()
 }
 
 // applyDesired replaces the desired state, records the times of publication of new
 // versions and sends all to the followers. The caller holds mu.
 func (h *Hub) applyDesired(s desired.State) {
-	at := h.publicationTime()
+	at, bound := h.publicationTime()
 	for model, version := range s.Weights {
 		if version <= h.state.Weights[model] {
 			continue
 		}
 		if !at.IsZero() {
-			h.recordPublication(model, version, s.Published[model], at)
+			h.recordPublication(model, s.Published[model], PublishedVersion{Version: version, Since: at, Bound: bound})
 		}
 		h.log.Info("weights version seen", "model", model, "version", version, "before", h.state.Weights[model],
-			"revision", s.Revision, "stamped", !at.IsZero(), "current", h.isCurrent())
+			"revision", s.Revision, "stamped", !at.IsZero(), "current", !bound)
 	}
 	h.state = s
 	h.log.Info("desired state changed", "revision", s.Revision, "config_version", s.ConfigVersion, "weights", s.Weights)
@@ -103,30 +103,30 @@
 
 // publicationTime returns the earliest time at which a version that the replica applies
 // now can have been published: now if the replica is current, else before the time at
-// which it was current last. It is zero if the replica was never known to be current.
-// The caller holds mu.
-func (h *Hub) publicationTime() boottime.Instant {
+// which it was current last, which is only a bound. It is zero if the replica was never
+// known to be current. The caller holds mu.
+func (h *Hub) publicationTime() (at boottime.Instant, bound bool) {
 	switch {
 	case h.isCurrent():
-		return h.ageClock.Now()
+		return h.ageClock.Now(), false
 	case h.currentAt.IsZero():
-		return boottime.Instant{}
+		return boottime.Instant{}, true
 	default:
-		return h.currentAt.Add(-currentTTL)
+		return h.currentAt.Add(-currentTTL), true
 	}
 }
 
 // recordPublication records that the versions of a model after the last known one
-// were published at a time or later. Several versions may be applied between two calls
-// of SetDesired. The caller holds mu.
-func (h *Hub) recordPublication(model string, newest int, published []int, at boottime.Instant) {
+// were published when the newest one was. Several versions may be applied between two
+// calls of SetDesired. The caller holds mu.
+func (h *Hub) recordPublication(model string, published []int, newest PublishedVersion) {
 	history := h.histories[model]
 	for _, v := range published {
 		if v > h.state.Weights[model] {
-			history.recordTime(v, at)
+			history.recordTime(v, newest.Since, newest.Bound)
 		}
 	}
-	history.recordTime(newest, at)
+	history.recordTime(newest.Version, newest.Since, newest.Bound)
 	h.histories[model] = history
 }
 
@@ -153,7 +153,7 @@
 			}
 			age := now.Sub(v.Since)
 			young = young || age < limit
-			list = append(list, wire.VersionAge{Version: v.Version, Age: ageMilliseconds(age)})
+			list = append(list, wire.VersionAge{Version: v.Version, Age: ageMilliseconds(age), Bound: v.Bound})
 		}
 		if young {
 			ages[model] = list
@@ -163,7 +163,7 @@
 }
 
 // recordAges records the ages that another control process sent. It reports whether the
-// followers know one of the versions without its age. The caller holds mu.
+// followers know one of the versions without its age, or only a bound. The caller holds mu.
 func (h *Hub) recordAges(ages map[string][]wire.VersionAge) bool {
 	now := h.ageClock.Now()
 	missing := false
@@ -172,12 +172,12 @@
 		for _, age := range list {
 			at := now.Add(-time.Duration(age.Age) * time.Millisecond)
 			known, ok := history.timeOf(age.Version)
-			if ok && known.Sub(at) < time.Millisecond {
+			if ok && known.Bound == age.Bound && known.Since.Sub(at) < time.Millisecond {
 				// Ages that go back and forth would grow by their rounding.
 				continue
 			}
-			history.recordTime(age.Version, at)
-			missing = missing || !ok && history.hasTime(age.Version) && age.Version <= h.state.Weights[model]
+			history.recordTime(age.Version, at, age.Bound)
+			missing = missing || (!ok || known.Bound && !age.Bound) && history.hasTime(age.Version) && age.Version <= h.state.Weights[model]
 		}
 		h.histories[model] = history
 	}
--- a/process/feed/versions.go
+++ b/process/feed/versions.go
@@ -16,6 +16,8 @@
 type PublishedVersion struct {
 	Version int
 	Since   boottime.Instant
+	// Bound is set if the version may have been published later than Since.
+	Bound bool
 }
 
 // VersionHistory holds the latest published versions of a model's weights.
@@ -77,7 +79,7 @@
 // history changed.
 func (h *VersionHistory) Record(version int, since boottime.Instant) bool {
 	newest := h.recordNewest(version)
-	return h.recordTime(version, since) || newest
+	return h.recordTime(version, since, false) || newest
 }
 
 // recordNewest raises the highest version and reports whether it increased.
@@ -105,19 +107,21 @@
 
 // recordTime sets a version's time of publication and reports whether the history
 // changed. The earlier of two times holds: a control process that was down sees a
-// version late, and updates are delayed.
-func (h *VersionHistory) recordTime(version int, since boottime.Instant) bool {
+// version late, and updates are delayed. A mere bound is replaced by any time that is
+// none, and replaces none.
+func (h *VersionHistory) recordTime(version int, since boottime.Instant, bound bool) bool {
+	recorded := PublishedVersion{Version: version, Since: since, Bound: bound}
 	for i, v := range h.versions {
 		if v.Version == version {
-			if !since.Before(v.Since) {
+			if bound && !v.Bound || bound == v.Bound && !since.Before(v.Since) {
 				return false
 			}
 			h.versions = slices.Clone(h.versions)
-			h.versions[i].Since = since
+			h.versions[i] = recorded
 			return true
 		}
 	}
-	next := append(slices.Clone(h.versions), PublishedVersion{Version: version, Since: since})
+	next := append(slices.Clone(h.versions), recorded)
 	slices.SortFunc(next, func(a, b PublishedVersion) int { return a.Version - b.Version })
 	h.versions = next[max(0, len(next)-maxVersions):]
 	return true
--- a/process/feed/versions_test.go
+++ b/process/feed/versions_test.go
@@ -12,9 +12,9 @@
 	const grace = 8 * time.Second
 	var h VersionHistory
 	h.recordNewest(2)
-	h.recordTime(2, start)
+	h.recordTime(2, start, false)
 	h.recordNewest(3)
-	h.recordTime(3, start.Add(3*time.Second))
+	h.recordTime(3, start.Add(3*time.Second), false)
 	for version, want := range map[int]boottime.Instant{0: {}, 1: start.Add(grace), 2: start.Add(3*time.Second + grace)} {
 		if until, noExpiry := h.UsableUntil(version, grace); noExpiry || until != want {
 			t.Errorf("version %d is usable until %v, %v, want %v", version, until, noExpiry, want)
@@ -32,7 +32,7 @@
 	if until, _ := h.UsableUntil(3, time.Second); !until.IsZero() {
 		t.Error("older weights are usable although the grace period may have passed")
 	}
-	h.recordTime(4, now)
+	h.recordTime(4, now, false)
 	if until, _ := h.UsableUntil(3, time.Second); until != now.Add(time.Second) {
 		t.Error("older weights are not usable within the grace period")
 	}
@@ -45,11 +45,11 @@
 	now := boottime.Instant{}.Add(1000 * time.Second)
 	var h VersionHistory
 	h.recordNewest(2)
-	h.recordTime(2, now)
-	if h.recordTime(2, now.Add(time.Second)) {
+	h.recordTime(2, now, false)
+	if h.recordTime(2, now.Add(time.Second), false) {
 		t.Error("a later time replaced the time of publication")
 	}
-	if !h.recordTime(2, now.Add(-5*time.Second)) {
+	if !h.recordTime(2, now.Add(-5*time.Second), false) {
 		t.Error("an earlier time was not applied")
 	}
 	if until, _ := h.UsableUntil(1, 5*time.Second); until != now {
@@ -72,7 +72,7 @@
 			t.Errorf("%s: version 2 is usable until %v, although version 3 was published at an unknown time", name, until)
 		}
 	}
-	h.recordTime(3, now.Add(time.Second))
+	h.recordTime(3, now.Add(time.Second), false)
 	if until, _ := h.UsableUntil(2, grace); until != now.Add(time.Second+grace) {
 		t.Errorf("version 2 is usable until %v", until)
 	}
