forward: a stream without events is answered before its caller leaves

Callers abandon a stream after a gap of max(2 s, 4 targets, 8 pauses).

The new test failed before (the request was open for its 5 s). The test configuration gets a pause target, as all stream routes of the platform have: without one its callers would leave after 2 s, before the pauses of 2.2 s that the tests of silent servers play.

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -129,6 +129,10 @@
 	// late is set if the caller has spent part of the route's timeout on earlier
 	// attempts.
 	late bool
+	// lastSent is when the caller received something last, at first the start. patience
+	// is the gap after which the caller abandons a stream; zero for other requests.
+	lastSent time.Time
+	patience time.Duration
 	// triedServers lists the IDs of servers that the request was sent to.
 	triedServers []string
 	// queueTime is the total time spent in the queue.
--- a/request/forward/harness_test.go
+++ b/request/forward/harness_test.go
@@ -166,7 +166,7 @@
 		Version: 1,
 		Routes: []deployment.Route{{
 			Name: "r", Host: "h.example", Prefix: "/p/", Kind: kind, Resumable: kind == deployment.Stream,
-			Timeout: timeout, Aim: 400 * time.Millisecond, MaxServers: 2,
+			Timeout: timeout, Aim: 400 * time.Millisecond, MaxPause: 400 * time.Millisecond, MaxServers: 2,
 			Shares: []deployment.Share{{Service: "svc", Weight: 1}},
 		}},
 		Services: map[string]*deployment.Service{"svc": {Name: "svc"}},
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 )
@@ -34,8 +35,6 @@
 	cr *callerRequest
 	// position is that of the caller in the stream.
 	position eventReader
-	// lastSent is when the caller received something last.
-	lastSent time.Time
 	// headerSent is set once the response header was sent to the caller.
 	headerSent bool
 	// possibleRuns counts the servers that may have run the request.
@@ -45,7 +44,8 @@
 // serveStream serves a request whose response is an event stream.
 func (h *Handler) serveStream(w http.ResponseWriter, cr *callerRequest) {
 	h.scheduler.recordOffered(cr)
-	r := &relay{h: h, w: w, cr: cr, lastSent: cr.start}
+	cr.lastSent, cr.patience = cr.start, callerPatience(cr.route)
+	r := &relay{h: h, w: w, cr: cr}
 	if lastEvent := cr.request.Header.Get(platform.HeaderLastEvent); lastEvent != "" {
 		if id, err := strconv.ParseInt(lastEvent, 10, 64); err == nil {
 			r.position.lastID, r.position.hasLastID = id, true
@@ -90,21 +90,21 @@
 	var until time.Time
 	switch {
 	case r.headerSent || r.possibleRuns > 0:
-		until = r.lastSent.Add(r.callerPatience() - resumeMargin)
+		return r.cr.sendUntil()
 	case r.cr.late || len(r.cr.triedServers) > 0:
 		until = now.Add(lateWait)
 	default:
 		return until
 	}
-	if limit := r.cr.deadline.Add(-2 * responseMargin); until.After(limit) {
+	if limit := r.cr.sendUntil(); until.After(limit) {
 		return limit
 	}
 	return until
 }
 
-// callerPatience returns the gap after which the caller abandons the stream.
-func (r *relay) callerPatience() time.Duration {
-	return max(minCallerPatience, patienceTargets*r.cr.route.Aim, patiencePauses*r.cr.route.MaxPause)
+// callerPatience returns the gap after which callers abandon a stream of a route.
+func callerPatience(route *deployment.Route) time.Duration {
+	return max(minCallerPatience, patienceTargets*route.Aim, patiencePauses*route.MaxPause)
 }
 
 // relayEvents forwards events until the attempt ends. If it was given up for a slot
@@ -112,6 +112,9 @@
 func (r *relay) relayEvents(a *attempt) *placement.Lease {
 	w := r.h.watch(r.cr, a, stallTimeout, func() bool { return r.h.maySend(r.cr, r.possibleRuns+1) })
 	defer w.stop()
+	if !r.headerSent {
+		w.answerBy = r.cr.sendUntil()
+	}
 	first := true
 	for {
 		p, ok := w.part()
@@ -158,7 +161,7 @@
 	if _, err := r.w.Write(p.events); err != nil {
 		return err
 	}
-	r.lastSent = r.h.clock.Now()
+	r.cr.lastSent = r.h.clock.Now()
 	return http.NewResponseController(r.w).Flush()
 }
 
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -124,10 +124,23 @@
 	return cr.route.Kind == deployment.Repeatable || cr.route.Kind == deployment.Stream && cr.route.Resumable
 }
 
+// sendUntil returns the time until which another server could still answer, or go on
+// with a stream, before the caller leaves.
+func (cr *callerRequest) sendUntil() time.Time {
+	until := cr.deadline.Add(-2 * responseMargin)
+	if cr.patience == 0 {
+		return until
+	}
+	if leaves := cr.lastSent.Add(cr.patience - resumeMargin); leaves.Before(until) {
+		return leaves
+	}
+	return until
+}
+
 // maySend reports whether the request may be sent to another server after
 // possibleRuns servers may have run it.
 func (h *Handler) maySend(cr *callerRequest, possibleRuns int) bool {
-	if h.clock.Until(cr.deadline) < 2*responseMargin || len(cr.triedServers) >= maxAttempts {
+	if !h.clock.Now().Before(cr.sendUntil()) || len(cr.triedServers) >= maxAttempts {
 		return false
 	}
 	return possibleRuns == 0 || cr.repeatable() && possibleRuns < max(cr.route.MaxServers, 1)
--- a/request/forward/silence_test.go
+++ b/request/forward/silence_test.go
@@ -306,3 +306,18 @@
 		})
 	}
 }
+
+func TestCallerLeavesAStreamWithoutEventsBeforeItIsAnswered(t *testing.T) {
+	for name, respond := range map[string]respondFunc{"before the header": hang, "after the header": pauseWithin(3, 0, testTimeout)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newTestEntry(t, testConfig(deployment.Stream, testTimeout), newFakeServer(t, "s1", respond))
+			started := time.Now()
+			resp, _, err := e.send(t, nil)
+			patience := callerPatience(&e.handler.View().Config.Routes[0])
+			if took := time.Since(started); err != nil || resp.StatusCode != http.StatusBadGateway || took > patience {
+				t.Errorf("got response %v, error %v after %v; the caller waits for %v", resp, err, took, patience)
+			}
+		})
+	}
+}
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -31,6 +31,8 @@
 	// errSilent is the error of an attempt that another server takes over.
 	errSilent    = errors.New("the server was silent")
 	errWithdrawn = errors.New("the request was withdrawn before its first event")
+	// errNoEvent is the error of an attempt whose caller is about to leave.
+	errNoEvent = errors.New("the server sent no event while the caller waits")
 )
 
 // watch follows one attempt. Once its server has been silent for patience, it looks
@@ -51,6 +53,9 @@
 	// begun is set by the first event, or by the header of a response that is not a
 	// stream.
 	begun bool
+	// answerBy is when the attempt ends unless it has begun, so that the caller gets an
+	// answer before it leaves; zero if it has received a part of the stream.
+	answerBy time.Time
 	// expiry is when the weights expire on which the request would begin; zero if they
 	// don't. changed is closed when that may be another time.
 	expiry  boottime.Instant
@@ -188,13 +193,18 @@
 	return true
 }
 
-// wake handles the timer. It returns true if it has withdrawn the request.
+// wake handles the timer. It returns true if it has ended the attempt.
 func (w *watch) wake() bool {
 	now := w.h.clock.Now()
 	if remaining, expires := w.untilWithdrawal(); expires && remaining <= 0 {
 		w.withdraw()
 		return true
 	}
+	if w.mustAnswer() && !now.Before(w.answerBy) {
+		w.a.giveUp(errNoEvent, placement.Stalled)
+		w.h.logSilence(w.cr, w.a.lease, w.silentSince, w.a.err)
+		return true
+	}
 	if now.Sub(w.silentSince) >= w.patience {
 		if !w.overdue {
 			w.overdue = true
@@ -202,7 +212,7 @@
 		}
 		if w.search == nil && w.maySwitch() {
 			// No error: it is searched for again at the next wake.
-			w.search, _ = w.h.scheduler.requestSlot(w.cr, w.cr.deadline.Add(-2*responseMargin), true)
+			w.search, _ = w.h.scheduler.requestSlot(w.cr, w.cr.sendUntil(), true)
 		}
 	}
 	w.timer.Reset(w.untilWake(now))
@@ -217,12 +227,18 @@
 	} else {
 		until = min(until, w.silentSince.Add(w.patience).Sub(now))
 	}
+	if w.mustAnswer() {
+		until = min(until, w.answerBy.Sub(now))
+	}
 	if remaining, expires := w.untilWithdrawal(); expires {
 		until = min(until, remaining, suspensionInterval)
 	}
 	return max(until, time.Millisecond)
 }
 
+// mustAnswer reports whether the attempt ends at answerBy.
+func (w *watch) mustAnswer() bool { return !w.begun && !w.answerBy.IsZero() }
+
 // stopSearch ends the search for another server.
 func (w *watch) stopSearch() {
 	if w.search == nil {
