--- a/process/frontend/soakcallers_test.go
+++ b/process/frontend/soakcallers_test.go
@@ -45,9 +45,9 @@
 	if x.resp != nil {
 		status = x.resp.StatusCode
 	}
-	return fmt.Sprintf("%s %s: status %d, error %v, %d of the body, sent after %v, ended %v later (at %s), deadline %v, reused %v, pipelined %v, half closed %v, pieces %d",
+	return fmt.Sprintf("%s %s: status %d, error %v, %d of the body, sent after %v, ended %v later (at %s), deadline %v, reused %v, pipelined %v, half closed %v, body %d in %d pieces",
 		x.id, x.path, status, x.err, len(x.body), x.sent.Sub(x.started).Round(time.Millisecond), x.ended.Sub(x.sent).Round(time.Millisecond),
-		x.ended.Format("05.000"), x.deadline, x.reused, x.pipelined, x.halfClosed, x.pieces)
+		x.ended.Format("05.000"), x.deadline, x.reused, x.pipelined, x.halfClosed, x.bodyLength, x.pieces)
 }
 
 // caller sends requests on a connection at a time.
--- a/process/frontend/soakservers_test.go
+++ b/process/frontend/soakservers_test.go
@@ -255,7 +255,7 @@
 	s.refuse, s.breakOff, s.fail, s.pace = 0, 0, 0, 1
 	switch s.rng.IntN(9) {
 	case 0, 1, 2:
-		s.silentUntil = time.Now().Add(time.Duration(500+s.rng.IntN(850)) * time.Millisecond)
+		s.silentUntil = time.Now().Add(time.Duration(500+s.rng.IntN(2000)) * time.Millisecond)
 	case 3:
 		s.refuse = 0.5
 	case 4:
