--- a/process/feed/publication.go
+++ b/process/feed/publication.go
@@ -71,10 +71,7 @@
 		return
 	}
 	// The version was sent without its age.
-	update := h.desiredUpdate()
-	for _, f := range h.followers {
-		_ = f.conn.Notify(wire.KindUpdate, update)
-	}
+	h.sendDesired()
 }
 
 // applyDesired replaces the desired state, records the times of publication of new
@@ -93,6 +90,11 @@
 	}
 	h.state = s
 	h.log.Info("desired state changed", "revision", s.Revision, "config_version", s.ConfigVersion, "weights", s.Weights)
+	h.sendDesired()
+}
+
+// sendDesired sends the desired state to the followers. The caller holds mu.
+func (h *Hub) sendDesired() {
 	update := h.desiredUpdate()
 	for _, f := range h.followers {
 		_ = f.conn.Notify(wire.KindUpdate, update)
@@ -160,22 +162,26 @@
 	return ages
 }
 
-// recordAges records the ages that another control process sent. The caller holds
-// mu.
-func (h *Hub) recordAges(ages map[string][]wire.VersionAge) {
+// recordAges records the ages that another control process sent. It reports whether the
+// followers know one of the versions without its age. The caller holds mu.
+func (h *Hub) recordAges(ages map[string][]wire.VersionAge) bool {
 	now := h.ageClock.Now()
+	missing := false
 	for model, list := range ages {
 		history := h.histories[model]
 		for _, age := range list {
 			at := now.Add(-time.Duration(age.Age) * time.Millisecond)
-			if known, ok := history.timeOf(age.Version); ok && known.Sub(at) < time.Millisecond {
+			known, ok := history.timeOf(age.Version)
+			if ok && known.Sub(at) < time.Millisecond {
 				// Ages that go back and forth would grow by their rounding.
 				continue
 			}
 			history.recordTime(age.Version, at)
+			missing = missing || !ok && history.hasTime(age.Version) && age.Version <= h.state.Weights[model]
 		}
 		h.histories[model] = history
 	}
+	return missing
 }
 
 // ageMilliseconds rounds an age up: a version that seems older than it is expires
