--- a/process/frontend/soak_test.go
+++ b/process/frontend/soak_test.go
@@ -378,7 +378,7 @@
 	if errors.As(x.err, &timedOut) && timedOut.Timeout() {
 		return "" // the connection stayed open
 	}
-	begun := x.resp != nil && x.resp.StatusCode == 200
+	begun := x.resp != nil && x.resp.StatusCode == http.StatusOK
 	switch {
 	case x.halfClosed:
 		return "half closed"
