--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -10,10 +10,13 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 // serveConns listens on a loopback port and calls serve for each connection. It
@@ -202,6 +205,36 @@
 	}
 }
 
+func TestEndlessResponseHeadIsReadUntilTheDeadline(t *testing.T) {
+	for name, c := range map[string]struct{ start, repeat string }{
+		"status line":      {"HTTP/1.1 200 OK", "x"},
+		"header line":      {"HTTP/1.1 200 OK\r\nName: ", "x"},
+		"headers":          {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		"interim response": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"trailers":         {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serveConns(t, func(conn net.Conn, r *bufio.Reader) {
+				_, _, _ = readRequest(r)
+				_, _ = io.WriteString(conn, c.start)
+				block := strings.Repeat(c.repeat, 1000)
+				for {
+					if _, err := io.WriteString(conn, block); err != nil {
+						return
+					}
+				}
+			})
+			started := time.Now()
+			if _, err := get(t, newClient(), address, "1"); err == nil {
+				t.Error("an endless response was complete")
+			}
+			if took := time.Since(started); took > time.Second {
+				t.Errorf("the error came after %v", took)
+			}
+		})
+	}
+}
+
 func TestChunksAreReadAsTheyArrive(t *testing.T) {
 	next := make(chan struct{})
 	address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
@@ -249,6 +282,50 @@
 	}
 }
 
+func TestCanceledRequestReachesTheServerLater(t *testing.T) {
+	for name, end := range map[string]func(cancel func(), ex *Exchange){
+		"cancel": func(cancel func(), _ *Exchange) { cancel() },
+		"close":  func(_ func(), ex *Exchange) { ex.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan error, 1)
+			readOn := make(chan struct{})
+			address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					ended <- err
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+req.Header.Get("Request-Id")+"\r\nContent-Length: 9\r\n\r\npart")
+				<-readOn
+				_, err = io.Copy(io.Discard, c)
+				ended <- err
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			req := newRequest("1")
+			// More than the socket buffers hold.
+			req.Body = []byte(strings.Repeat("x", 32<<20))
+			ex, err := newClient().Do(ctx, address, req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			end(cancel, ex)
+			time.Sleep(50 * time.Millisecond)
+			close(readOn)
+			select {
+			case err := <-ended:
+				if !errors.Is(err, syscall.ECONNRESET) {
+					t.Errorf("the server's connection ended with %v, want a reset", err)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("the connection stayed open")
+			}
+			ex.Close()
+		})
+	}
+}
+
 func TestResponseBeforeRequestIsReadClosesConnection(t *testing.T) {
 	address, conns := serveConns(t, func(c net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
@@ -295,7 +372,7 @@
 		}
 	})
 	req := newRequest("1")
-	req.SendDeadline = time.Now().Add(-time.Millisecond)
+	req.SendDeadline = boottime.System().Now().Add(-time.Millisecond)
 	_, err := newClient().Do(t.Context(), address, req)
 	var failure *Error
 	if !errors.As(err, &failure) || failure.Sent != NotSent {
@@ -307,3 +384,28 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+// A panic in the goroutine that writes a long request would end the process.
+func TestLongRequestWhoseDeadlineHasPassedOnlyFails(t *testing.T) {
+	address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, response(id, "x"))
+		}
+	})
+	c := newClient()
+	for i := range 50 {
+		if _, err := get(t, c, address, fmt.Sprint(i)); err != nil {
+			t.Fatal(err)
+		}
+		req := newRequest("late")
+		req.Body = make([]byte, 2*maxInlineWrite)
+		req.HeadDeadline = time.Now().Add(-time.Second)
+		if _, err := c.Do(t.Context(), address, req); err == nil {
+			t.Fatal("a request succeeded after its deadline")
+		}
+	}
+}
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
 // Request is one request to one server.
@@ -30,7 +32,7 @@
 	// SendDeadline, if not zero, is the deadline for starting to send the request.
 	// Opening a connection can take longer than expected: TCP retransmits a lost
 	// SYN after one second.
-	SendDeadline time.Time
+	SendDeadline boottime.Instant
 }
 
 // SendState is how far a failed request got.
@@ -99,12 +101,14 @@
 	maxInlineWrite = 16 << 10
 	// maxSkipped is how many responses to other requests are skipped.
 	maxSkipped = 2
+	// maxHeadBytes limits the response head, interim responses included.
+	maxHeadBytes = 64 << 10
 	// maxSkippedBytes limits the body of a skipped response.
 	maxSkippedBytes = 1 << 20
 )
 
 // Do sends a request once and returns when the response head has arrived. When
-// ctx ends the connection is closed, which makes the server cancel the request.
+// ctx ends the connection is reset, which makes the server cancel the request.
 // Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Exchange, error) {
 	k := c.takeIdle(address, time.Now())
@@ -115,27 +119,31 @@
 		}
 		k = fresh
 	}
-	if req.tooLate() {
+	if c.tooLate(req) {
 		k.close()
 		return nil, &Error{Sent: NotSent, Err: errSendDeadline}
 	}
-	ex := &Exchange{client: c, conn: k, stopCancel: context.AfterFunc(ctx, k.close)}
+	ex := &Exchange{client: c, conn: k, stopCancel: context.AfterFunc(ctx, k.reset)}
 	_ = k.SetDeadline(req.HeadDeadline)
 	if err := ex.roundTrip(req); err != nil {
-		ex.closeConn()
+		ex.resetConn()
 		return nil, err
 	}
 	return ex, nil
 }
 
-// tooLate reports whether the send deadline has passed.
-func (r *Request) tooLate() bool { return !r.SendDeadline.IsZero() && time.Now().After(r.SendDeadline) }
+// tooLate reports whether a request's send deadline has passed.
+func (c *Client) tooLate(req *Request) bool {
+	return !req.SendDeadline.IsZero() && c.ageClock.Now().After(req.SendDeadline)
+}
 
 // connectBefore opens a connection before the request's deadlines.
 func (c *Client) connectBefore(ctx context.Context, address string, req *Request) (*conn, error) {
 	deadline := req.HeadDeadline
-	if !req.SendDeadline.IsZero() && req.SendDeadline.Before(deadline) {
-		deadline = req.SendDeadline
+	if !req.SendDeadline.IsZero() {
+		if sendBy := time.Now().Add(req.SendDeadline.Sub(c.ageClock.Now())); sendBy.Before(deadline) {
+			deadline = sendBy
+		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -179,10 +187,12 @@
 		n, err := ex.conn.Write(append(head, req.Body...))
 		return writeError(n, err)
 	}
-	ex.writeDone = make(chan error, 1)
+	// The exchange may end before the goroutine runs, and then has no connection.
+	conn, done := ex.conn, make(chan error, 1)
+	ex.writeDone = done
 	go func() {
-		_, err := ex.conn.Write(append(head, req.Body...))
-		ex.writeDone <- err
+		_, err := conn.Write(append(head, req.Body...))
+		done <- err
 	}()
 	return nil
 }
@@ -225,6 +235,8 @@
 // readHead reads the status line and headers and prepares reading the body. It
 // skips interim (1xx) responses.
 func (ex *Exchange) readHead(method string) error {
+	ex.conn.limit.remaining = maxHeadBytes
+	defer func() { ex.conn.limit.remaining = unlimited }()
 	tp := textproto.NewReader(ex.conn.r)
 	for {
 		line, err := tp.ReadLine()
@@ -336,8 +348,8 @@
 func (ex *Exchange) SetReadDeadline(t time.Time) { _ = ex.conn.SetReadDeadline(t) }
 
 // Close ends the exchange. The connection is reused if the complete response was
-// read and the server keeps it open too. Otherwise it is closed, which makes the
-// server cancel the request.
+// read and the server keeps it open too. It is reset if the exchange is incomplete,
+// which makes the server cancel the request.
 func (ex *Exchange) Close() {
 	if ex.conn == nil {
 		return
@@ -353,8 +365,13 @@
 			written = false
 		}
 	}
-	if !ex.complete || !ex.keepAlive || !written || !ex.stopCancel() || ex.conn.r.Buffered() > 0 {
-		ex.closeConn()
+	if !ex.complete || !written {
+		ex.resetConn()
+		return
+	}
+	if !ex.stopCancel() || !ex.keepAlive || ex.conn.r.Buffered() > 0 {
+		ex.conn.close()
+		ex.conn = nil
 		return
 	}
 	_ = ex.conn.SetDeadline(time.Time{})
@@ -367,13 +384,13 @@
 	ex.conn = nil
 }
 
-// closeConn closes the connection without reuse.
-func (ex *Exchange) closeConn() {
+// resetConn ends an incomplete exchange.
+func (ex *Exchange) resetConn() {
 	if ex.conn == nil {
 		return
 	}
 	ex.stopCancel()
-	ex.conn.close()
+	ex.conn.reset()
 	ex.conn = nil
 }
 
--- a/connection/wire/updates.go
+++ b/connection/wire/updates.go
@@ -1,6 +1,10 @@
 package wire
 
-import "github.com/waxwingpost/waxwingpost/process/directory"
+import (
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/directory"
+)
 
 // FollowRequest subscribes to a control process. The reply is its whole state as
 // an Update; each change follows as a notification.
@@ -41,6 +45,8 @@
 	// Versions that the sender learned right after a restart are missing, because
 	// it does not know their age.
 	Ages map[string][]VersionAge `cbor:"10,keyasint,omitempty"`
+	// Published lists, by model, the latest published versions in ascending order.
+	Published map[string][]int `cbor:"12,keyasint,omitempty"`
 	// Servers lists the servers that changed, Alive the IDs of those that sent a
 	// heartbeat without a change, Left those that deregistered.
 	Servers []directory.Server `cbor:"4,keyasint,omitempty"`
@@ -56,6 +62,15 @@
 	Entries int `cbor:"9,keyasint,omitempty"`
 }
 
+// AddToAges adds the time that may have passed since the update was built.
+func (u *Update) AddToAges(d time.Duration) {
+	for _, ages := range u.Ages {
+		for i := range ages {
+			ages[i].Age += d.Milliseconds()
+		}
+	}
+}
+
 // VersionAge is the time in milliseconds since a version was published.
 type VersionAge struct {
 	Version int   `cbor:"1,keyasint"`
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/mesh"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
@@ -26,6 +27,9 @@
 	// callTimeout bounds one call to a control process; the platform requires a
 	// configuration to be in force within two seconds.
 	callTimeout = 700 * time.Millisecond
+	// followTimeout bounds the call that begins to follow a control process, whose
+	// reply may be large. An entry's other links don't wait for it.
+	followTimeout = 2 * time.Second
 	// retryInterval is the wait before the configuration is requested again.
 	retryInterval = 100 * time.Millisecond
 	// controlTTL is how long a control process is dialed after it was last listed:
@@ -37,6 +41,8 @@
 	// the configuration: about the time in which a replica with an empty disk
 	// catches up.
 	behindBackoff = 2 * time.Second
+	// minLoggedSuspension is the shortest suspension of the VM that is logged.
+	minLoggedSuspension = 100 * time.Millisecond
 )
 
 // View is an immutable snapshot of a follower's state.
@@ -76,10 +82,12 @@
 type Follower struct {
 	cfg   FollowerConfig
 	clock clockwork.Clock
-	log   *slog.Logger
-	mesh  *mesh.Mesh
-	start time.Time
-	view  atomic.Pointer[View]
+	// ageClock is used for the ages of versions, which include suspensions.
+	ageClock boottime.Clock
+	log      *slog.Logger
+	mesh     *mesh.Mesh
+	start    time.Time
+	view     atomic.Pointer[View]
 	// wake makes Run check the links and the configuration.
 	wake chan struct{}
 	// publishMu serializes the publication of views; it is taken before mu.
@@ -103,9 +111,9 @@
 }
 
 // NewFollower returns a follower that dials nothing until Run.
-func NewFollower(cfg FollowerConfig, dialer *link.Dialer, clock clockwork.Clock, log *slog.Logger) *Follower {
+func NewFollower(cfg FollowerConfig, dialer *link.Dialer, clock clockwork.Clock, ageClock boottime.Clock, log *slog.Logger) *Follower {
 	f := &Follower{
-		cfg: cfg, clock: clock, log: log, start: clock.Now(), wake: make(chan struct{}, 1),
+		cfg: cfg, clock: clock, ageClock: ageClock, log: log, start: clock.Now(), wake: make(chan struct{}, 1),
 		table: directory.NewTable(), controlSeen: map[string]time.Time{}, behindUntil: map[string]time.Time{}, weights: map[string]VersionHistory{},
 	}
 	for _, seed := range cfg.Seeds {
@@ -141,7 +149,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	links := f.mesh.NewGroup()
 	defer links.Close()
+	var monitor boottime.Monitor
 	for ctx.Err() == nil {
+		logSuspension(f.log, monitor.Suspended(f.clock.Now(), f.ageClock.Now()))
 		links.Set(ctx, f.linkTargets(links), nil)
 		pause := time.Second
 		if !f.fetchPendingConfig(ctx) {
@@ -155,6 +165,14 @@
 	}
 }
 
+// logSuspension logs that the VM was suspended. Short gaps are those between the
+// readings of the two clocks.
+func logSuspension(log *slog.Logger, suspended time.Duration) {
+	if suspended >= minLoggedSuspension {
+		log.Warn("VM was suspended", "took", suspended)
+	}
+}
+
 // linkTargets returns the addresses to link to. A relay follower keeps an open link
 // to a control process that is not behind, and dials all others if it has none.
 func (f *Follower) linkTargets(links *mesh.Group) []string {
@@ -207,9 +225,10 @@
 // onLinkOpened requests the full state and further updates from a control process.
 func (f *Follower) onLinkOpened(c *link.Conn) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), followTimeout)
 		defer cancel()
 		var update wire.Update
+		called := f.ageClock.Now()
 		if err := c.Call(ctx, wire.KindFollow, wire.FollowRequest{Relay: f.cfg.Relay}, &update); err != nil {
 			f.log.Warn("failed to follow control process", "control", c.Peer().Name, "code", int(result.CodeOf(err)), "error", err)
 			c.Close()
@@ -219,6 +238,8 @@
 			f.markBehind(c.Peer().Name)
 			f.wakeUp()
 		}
+		update.AddToAges(f.ageClock.Now().Sub(called))
+		f.logAges(c.Peer().Name, update, true)
 		f.apply(update)
 	}()
 }
@@ -233,6 +254,7 @@
 		f.log.Warn("failed to decode update", "control", c.Peer().Name, "code", int(result.BadMessage), "error", err)
 		return
 	}
+	f.logAges(c.Peer().Name, update, false)
 	f.apply(update)
 }
 
@@ -312,6 +334,7 @@
 // changed. The caller holds mu.
 func (f *Follower) applyDesired(update wire.Update) bool {
 	changed := false
+	now := f.ageClock.Now()
 	for model, version := range update.Weights {
 		history := f.weights[model]
 		if history.recordNewest(version) {
@@ -319,8 +342,11 @@
 			changed = true
 			f.log.Info("weights version published", "model", model, "version", version, "revision", update.Revision, "ages", update.Ages[model])
 		}
+		if history.recordPublished(update.Published[model]) {
+			changed = true
+		}
 		for _, age := range update.Ages[model] {
-			if history.recordTime(age.Version, f.clock.Now().Add(-time.Duration(age.Age)*time.Millisecond)) {
+			if history.recordTime(age.Version, now.Add(-time.Duration(age.Age)*time.Millisecond)) {
 				changed = true
 			}
 		}
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -1,16 +1,16 @@
 package forward
 
 import (
-	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
-	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 	"github.com/waxwingpost/waxwingpost/request/retry"
 )
@@ -27,6 +27,8 @@
 
 // serviceState is the scheduler's state for one service.
 type serviceState struct {
+	// config is the service in the last configuration that listed it.
+	config      *deployment.Service
 	pool        *placement.Pool
 	retryBudget *retry.Window
 	// offeredSeconds sums the server time requested since the last call of
@@ -38,43 +40,59 @@
 // scheduler holds the pools and retry budgets of all services. Its methods are
 // safe for concurrent use unless they say otherwise.
 type scheduler struct {
-	cfg   Config
-	clock clockwork.Clock
+	cfg      Config
+	clock    clockwork.Clock
+	ageClock boottime.Clock
 
 	// mu guards the fields below.
 	mu   sync.Mutex
 	view *feed.View
+	// weightsChanged is closed and replaced when the versions in the view change.
+	weightsChanged chan struct{}
 	// viewTime is when the view was received.
 	viewTime      time.Time
 	services      map[string]*serviceState
 	demandSampled time.Time
 }
 
-func newScheduler(cfg Config, clock clockwork.Clock) *scheduler {
-	return &scheduler{cfg: cfg, clock: clock, view: &feed.View{}, services: map[string]*serviceState{}, demandSampled: clock.Now()}
+func newScheduler(cfg Config, clock clockwork.Clock, ageClock boottime.Clock) *scheduler {
+	return &scheduler{
+		cfg: cfg, clock: clock, ageClock: ageClock, view: &feed.View{}, weightsChanged: make(chan struct{}),
+		services: map[string]*serviceState{}, demandSampled: clock.Now(),
+	}
 }
 
 // update replaces the view.
 func (sc *scheduler) update(v *feed.View) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
+	if !maps.EqualFunc(v.Weights, sc.view.Weights, feed.VersionHistory.Equal) {
+		close(sc.weightsChanged)
+		sc.weightsChanged = make(chan struct{})
+	}
 	sc.view, sc.viewTime = v, sc.clock.Now()
 	sc.updatePools()
 }
 
-// updatePools applies the view to the pools and retry budgets. The caller holds
-// mu.
+// updatePools applies the view to the pools and retry budgets. A service that is no
+// longer configured still gets its servers: requests to it may be in progress. The
+// caller holds mu.
 func (sc *scheduler) updatePools() {
 	if sc.view.Config == nil {
 		return
 	}
 	now := sc.clock.Now()
 	for name, s := range sc.view.Config.Services {
-		st := sc.service(name, now)
-		entries := max(sc.view.Entries, 1)
+		sc.service(name, now).config = s
+	}
+	entries := max(sc.view.Entries, 1)
+	for name, st := range sc.services {
+		if st.config == nil {
+			continue
+		}
 		st.retryBudget.Share = sc.cfg.RetryShare * retryBudgetFraction
 		st.retryBudget.Allowance = sc.cfg.RetryAllowance * retryBudgetFraction / float64(entries)
-		st.pool.Update(now, poolConfig(sc.cfg.Zone, s), sc.poolServers(s, now), sc.entryShare(name, st))
+		st.pool.Update(now, poolConfig(sc.cfg.Zone, st.config), sc.poolServers(st.config, now), sc.entryShare(name, st))
 	}
 }
 
@@ -84,7 +102,7 @@
 	st := sc.services[name]
 	if st == nil {
 		st = &serviceState{
-			pool:        placement.NewPool(placement.Config{Zone: sc.cfg.Zone}),
+			pool:        placement.NewPool(placement.Config{Zone: sc.cfg.Zone}, sc.ageClock),
 			retryBudget: retry.NewWindow(sc.cfg.RetryWindow, now),
 		}
 		sc.services[name] = st
@@ -121,38 +139,57 @@
 		if slots == 0 && s.Engine != nil {
 			slots = s.Engine.Slots
 		}
-		weightsHeld, until := sc.usableWeights(s, record)
+		weightsHeld, version, until := sc.usableWeights(s, record.Held)
 		loading := record.LoadingUntil > sc.view.At+now.Sub(sc.viewTime)
 		servers = append(servers, placement.Server{
-			ID: record.ID, Address: record.Address, Zone: record.Zone, Slots: slots, WeightsUntil: until,
+			ID: record.ID, Address: record.Address, Zone: record.Zone, Slots: slots, Held: record.Held, WeightsVersion: version, WeightsUntil: until,
 			Usable: record.State == directory.Ready && weightsHeld && !loading,
 		})
 	}
 	return servers
 }
 
-// usableWeights reports whether a server holds usable weights for all models of
-// its service, and when the first of them expires; zero means no expiry. The
-// caller holds mu.
-func (sc *scheduler) usableWeights(s *deployment.Service, record *directory.Record) (allHeld bool, until time.Time) {
+// usableWeights reports whether the held weights are usable for all models of a
+// service, and when the first of them expires; zero means no expiry. version is
+// that of the model that expires first, or of the last one. The caller holds mu.
+func (sc *scheduler) usableWeights(s *deployment.Service, weights []directory.ModelVersion) (allHeld bool, version int, until boottime.Instant) {
 	if s.Engine == nil {
-		return true, time.Time{}
+		return true, 0, until
 	}
 	for _, model := range s.Engine.Models {
-		version := record.HeldVersion(model)
-		if version == 0 {
-			return false, until
+		held := directory.VersionOf(weights, model)
+		if held == 0 {
+			return false, version, until
 		}
-		expires, noExpiry := sc.view.Weights[model].UsableUntil(version, sc.cfg.OldVersionGrace)
+		expires, noExpiry := sc.view.Weights[model].UsableUntil(held, sc.cfg.OldVersionGrace)
 		switch {
+		case noExpiry && until.IsZero():
+			version = held
 		case noExpiry:
 		case expires.IsZero():
-			return false, until
+			return false, version, until
 		case until.IsZero() || expires.Before(until):
-			until = expires
+			version, until = held, expires
 		}
 	}
-	return true, until
+	return true, version, until
+}
+
+// weightsExpiry returns when the weights expire that a lease's server held when the
+// slot was assigned; zero means no expiry. changed is closed when that may be another
+// time.
+func (sc *scheduler) weightsExpiry(service string, l *placement.Lease) (until boottime.Instant, changed <-chan struct{}) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if sc.view.Config == nil || sc.view.Config.Services[service] == nil {
+		return until, sc.weightsChanged
+	}
+	usable, _, until := sc.usableWeights(sc.view.Config.Services[service], l.Server.Held)
+	if !usable {
+		// The time of publication follows at once unless no control process knows it.
+		until = sc.ageClock.Now().Add(withdrawMargin + unknownAgeDelay)
+	}
+	return until, sc.weightsChanged
 }
 
 // recordOffered counts a request towards the retry budget and, unless it is late,
@@ -221,6 +258,14 @@
 	}
 }
 
+// mayRetry reports whether the retry budget of a service allows another retry.
+func (sc *scheduler) mayRetry(service string) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	now := sc.clock.Now()
+	return sc.service(service, now).retryBudget.MayRetry(now)
+}
+
 // tryRetry takes one retry from the budget of a service, or reports false if the
 // budget is spent.
 func (sc *scheduler) tryRetry(service string) bool {
@@ -230,77 +275,38 @@
 	return sc.service(service, now).retryBudget.TryRetry(now)
 }
 
-// recordFirstEvent records the first event of the request that holds the lease.
-func (sc *scheduler) recordFirstEvent(service string, l *placement.Lease) {
+// recordFirstEvent records the first event of the request that holds the lease, and
+// returns the server as it is listed now.
+func (sc *scheduler) recordFirstEvent(service string, l *placement.Lease) placement.Server {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	now := sc.clock.Now()
 	sc.service(service, now).pool.OnFirstEvent(now, l)
+	return l.CurrentServer()
 }
 
-// release returns the slot of a lease and records the outcome.
-func (sc *scheduler) release(service string, l *placement.Lease, o placement.Outcome) {
+// recordSilent records that the server of a lease has been silent for long.
+func (sc *scheduler) recordSilent(service string, l *placement.Lease) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	now := sc.clock.Now()
-	sc.service(service, now).pool.Release(now, l, o)
+	sc.service(service, now).pool.OnSilent(now, l)
 }
 
-// acquire assigns a slot to a request, at once or after queueing until
-// waitDeadline. With a zero waitDeadline the request is queued as long as it can
-// still meet its latency target. A late request does not overtake queued ones.
-func (sc *scheduler) acquire(ctx context.Context, cr *callerRequest, waitDeadline time.Time) (*placement.Lease, error) {
-	granted := make(chan *placement.Lease, 1)
-	now := sc.clock.Now()
+// recordResumed records that a silent server has gone on.
+func (sc *scheduler) recordResumed(service string, l *placement.Lease) {
 	sc.mu.Lock()
-	st := sc.service(cr.service, now)
-	req := placement.Request{
-		PromptTokens: cr.tokens.Prompt, LatencyTarget: cr.firstEventTarget(), WaitUntil: waitDeadline, Late: cr.late || now.Sub(cr.start) > cr.route.Aim,
-		Started: cr.eventsSent > 0, Priority: cr.priority(), Exclude: cr.triedServers,
-	}
-	if waitDeadline.IsZero() {
-		req.WaitUntil = st.pool.WaitDeadline(cr.start, req)
-		waitDeadline = req.WaitUntil
-	}
-	if st.pool.Waiting() == 0 || !cr.late || req.Started {
-		if l := st.pool.TryAcquire(now, req); l != nil {
-			sc.mu.Unlock()
-			return l, nil
-		}
-	}
-	waiter := &placement.Waiter{Request: req, Grant: func(l *placement.Lease) { granted <- l }}
-	queued := st.pool.Enqueue(now, waiter)
-	usable, retryAfter := st.pool.HasUsable(now), st.pool.RetryAfter()
-	sc.mu.Unlock()
-	if !queued {
-		return nil, refusalError(usable, retryAfter)
-	}
-	timer := sc.clock.NewTimer(waitDeadline.Sub(now))
-	defer timer.Stop()
-	select {
-	case l := <-granted:
-		cr.queueTime += sc.clock.Since(now)
-		return l, nil
-	case <-timer.Chan():
-	case <-ctx.Done():
-	}
-	cr.queueTime += sc.clock.Since(now)
-	sc.mu.Lock()
-	dequeued := st.pool.Dequeue(waiter)
-	retryAfter = st.pool.RetryAfter()
-	sc.mu.Unlock()
-	if !dequeued {
-		return <-granted, nil
-	}
-	return nil, refusalError(true, retryAfter)
+	defer sc.mu.Unlock()
+	now := sc.clock.Now()
+	sc.service(service, now).pool.OnResumed(now, l)
 }
 
-// refusalError returns the error for a request that got no slot.
-func refusalError(usable bool, retryAfter time.Duration) error {
-	if !usable {
-		return result.Refuse(result.NoBackend, retryAfter, "no usable backend server for the request")
-	}
-	return result.Refuse(result.QueueFull, retryAfter, "no slot became free in time")
+// release returns the slot of a lease and records the outcome.
+func (sc *scheduler) release(service string, l *placement.Lease, o placement.Outcome) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	now := sc.clock.Now()
+	sc.service(service, now).pool.Release(now, l, o)
 }
 
 // firstEventTarget returns the latency target for the first event; 0 if the
