--- a/process/frontend/soak_test.go
+++ b/process/frontend/soak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
