--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingpost/waxwingpost/process/boottime"
@@ -205,6 +206,36 @@
 	}
 }
 
+func TestEndlessResponseHeadIsReadUntilTheDeadline(t *testing.T) {
+	for name, c := range map[string]struct{ start, repeat string }{
+		"status line":      {"HTTP/1.1 200 OK", "x"},
+		"header line":      {"HTTP/1.1 200 OK\r\nName: ", "x"},
+		"headers":          {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		"interim response": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"trailers":         {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serveConns(t, func(conn net.Conn, r *bufio.Reader) {
+				_, _, _ = readRequest(r)
+				_, _ = io.WriteString(conn, c.start)
+				block := strings.Repeat(c.repeat, 1000)
+				for {
+					if _, err := io.WriteString(conn, block); err != nil {
+						return
+					}
+				}
+			})
+			started := time.Now()
+			if _, err := get(t, newClient(), address, "1"); err == nil {
+				t.Error("an endless response was complete")
+			}
+			if took := time.Since(started); took > time.Second {
+				t.Errorf("the error came after %v", took)
+			}
+		})
+	}
+}
+
 func TestChunksAreReadAsTheyArrive(t *testing.T) {
 	next := make(chan struct{})
 	address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
@@ -379,3 +410,37 @@
 		}
 	}
 }
+
+func TestRequestIsSentOnAnIdleConnectionAfterASuspensionPastItsSendDeadline(t *testing.T) {
+	var served atomic.Int32
+	address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			served.Add(1)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		}
+	})
+	boot := boottime.NewFake(clockwork.NewRealClock())
+	client := New(Config{AgeClock: boot, Scope: tally.NoopScope})
+	send := func(deadline boottime.Instant) error {
+		req := newRequest("1")
+		req.SendDeadline = deadline
+		ex, err := client.Do(t.Context(), address, req)
+		if err == nil {
+			ex.Close()
+		}
+		return err
+	}
+	deadline := boot.Now().Add(time.Minute)
+	if err := send(deadline); err != nil {
+		t.Fatal(err)
+	}
+	boot.Suspend(2 * time.Minute)
+	var failure *Error
+	if err := send(deadline); !errors.As(err, &failure) || failure.Sent != NotSent || served.Load() != 1 {
+		t.Errorf("got error %v, %d requests served", err, served.Load())
+	}
+}
--- a/process/feed/ages_test.go
+++ b/process/feed/ages_test.go
@@ -37,7 +37,7 @@
 	clock := clockwork.NewFakeClock()
 	boot := boottime.NewFake(clock)
 	h := newTestHub(clock, boot)
-	clock.Advance(catchUpTime + time.Second)
+	h.CatchUp(desired.State{})
 	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}})
 	clock.Advance(time.Second)
 	boot.Suspend(7 * time.Second)
@@ -51,7 +51,7 @@
 	boot := boottime.NewFake(clock)
 	h := newTestHub(clock, boot)
 	f := newTestFollower(clock)
-	clock.Advance(catchUpTime + time.Second)
+	h.CatchUp(desired.State{})
 	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}})
 	published := f.ageClock.Now()
 	delayed := h.FullState()
@@ -73,7 +73,7 @@
 	boot := boottime.NewFake(clock)
 	state := desired.State{Revision: 1, Weights: map[string]int{"m": 2}}
 	leader, behind := newTestHub(clock, boot), newTestHub(clock, boot)
-	clock.Advance(catchUpTime + time.Second)
+	leader.CatchUp(desired.State{})
 	leader.SetDesired(state)
 	clock.Advance(6 * time.Second)
 	peer, _, _ := leader.tickUpdates()
@@ -97,7 +97,7 @@
 	clock := clockwork.NewFakeClock()
 	h := newTestHub(clock, boottime.NewFake(clock))
 	f := newTestFollower(clock)
-	clock.Advance(catchUpTime + time.Second)
+	h.CatchUp(desired.State{})
 	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}, Published: map[string][]int{"m": {2}}})
 	clock.Advance(time.Second)
 	h.SetDesired(desired.State{Revision: 3, Weights: map[string]int{"m": 4}, Published: map[string][]int{"m": {2, 3, 4}}})
@@ -109,3 +109,102 @@
 		}
 	}
 }
+
+func TestControlProcessThatWasBehindTakesAnOldVersionForANewOne(t *testing.T) {
+	state := func(version int) desired.State {
+		return desired.State{Revision: uint64(version), Weights: map[string]int{"m": version}}
+	}
+	for name, c := range map[string]struct {
+		// minAge is the time since the replica was current, zero if it never was.
+		minAge time.Duration
+		behind func(h *Hub, clock *clockwork.FakeClock, boot *boottime.Fake)
+	}{
+		"slow start": {0, func(_ *Hub, clock *clockwork.FakeClock, _ *boottime.Fake) { clock.Advance(time.Minute) }},
+		"cut off": {currentTTL + time.Second, func(h *Hub, clock *clockwork.FakeClock, _ *boottime.Fake) {
+			h.CatchUp(desired.State{})
+			clock.Advance(currentTTL + time.Second)
+		}},
+		"suspended": {4 * time.Second, func(h *Hub, _ *clockwork.FakeClock, boot *boottime.Fake) {
+			h.CatchUp(desired.State{})
+			boot.Suspend(4 * time.Second)
+		}},
+		"confirmed too late": {4 * time.Second, func(h *Hub, _ *clockwork.FakeClock, boot *boottime.Fake) {
+			h.CatchUp(desired.State{})
+			boot.Suspend(4 * time.Second)
+			if h.ConfirmCurrent() {
+				t.Error("a replica that was suspended is current")
+			}
+		}},
+		"catching up": {0, func(h *Hub, _ *clockwork.FakeClock, _ *boottime.Fake) { h.CatchUp(state(2)) }},
+	} {
+		clock := clockwork.NewFakeClock()
+		boot := boottime.NewFake(clock)
+		h := newTestHub(clock, boot)
+		c.behind(h, clock, boot)
+		h.SetDesired(state(2))
+		ages := h.FullState().Ages["m"]
+		if c.minAge == 0 && len(ages) > 0 || len(ages) > 0 && time.Duration(ages[0].Age)*time.Millisecond < c.minAge {
+			t.Errorf("%s: ages %v of a version that may have been published %v ago", name, ages, c.minAge)
+		}
+		if c.minAge > 0 && len(ages) == 0 {
+			t.Errorf("%s: no age of a version that was published at most %v ago", name, c.minAge)
+		}
+		h.CatchUp(state(2))
+		for range 5 {
+			clock.Advance(currentTTL)
+			if !h.ConfirmCurrent() {
+				t.Errorf("%s: the replica is not current", name)
+			}
+		}
+		h.SetDesired(state(3))
+		ages = h.FullState().Ages["m"]
+		if len(ages) == 0 || ages[len(ages)-1] != (wire.VersionAge{Version: 3}) {
+			t.Errorf("%s: ages %v of a version that was published just now", name, ages)
+		}
+	}
+}
+
+func TestAgesThatControlProcessesExchangeGrowByTheirRounding(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	boot := boottime.NewFake(clock)
+	hubs := []*Hub{newTestHub(clock, boot), newTestHub(clock, boot)}
+	for _, h := range hubs {
+		h.CatchUp(desired.State{})
+		h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}})
+	}
+	published := boot.Now()
+	for i := range 100 {
+		clock.Advance(100*time.Millisecond + time.Microsecond)
+		peer, _, _ := hubs[i%2].tickUpdates()
+		hubs[1-i%2].ApplyPeerUpdate(peer)
+	}
+	if since, _ := hubs[0].histories["m"].timeOf(2); since != published {
+		t.Errorf("the version seems to be published %v early", published.Sub(since))
+	}
+}
+
+func TestAcknowledgedVersionHasAnAgeAlthoughTheReplicaIsNotCurrent(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	boot := boottime.NewFake(clock)
+	h := newTestHub(clock, boot)
+	received := boot.Now()
+	clock.Advance(300 * time.Millisecond)
+	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}})
+	h.RecordPublished("m", 2, received)
+	if ages := h.FullState().Ages["m"]; len(ages) != 1 || ages[0].Age != 300 {
+		t.Errorf("ages %v, want 300 ms", ages)
+	}
+}
+
+func TestAgentsAreToldAnAgeThatTheirControlProcessLearnsLate(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := newTestHub(clock, boottime.NewFake(clock))
+	h.SetDesired(desired.State{Revision: 1, Weights: map[string]int{"m": 2}})
+	ages := map[string][]wire.VersionAge{"m": {{Version: 2, Age: 500}, {Version: 3, Age: 0}}}
+	if !h.recordAges(ages) {
+		t.Error("followers know version 2 without its age, and are not told")
+	}
+	if h.recordAges(ages) {
+		t.Error("followers are told a known age again")
+	}
+}
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -14,7 +14,6 @@
 
 import (
 	"log/slog"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -36,9 +35,6 @@
 	// alive but unchanged. Followers remove a server a minute after the last message
 	// about it.
 	AliveInterval = 10 * time.Second
-	// catchUpTime is how long after the start newly seen versions get no time of
-	// publication: the replica is still catching up, so they may be old.
-	catchUpTime = 3 * time.Second
 	// demandTTL is how long an entry's last report of its demand is counted.
 	demandTTL = 3 * time.Second
 )
@@ -81,6 +77,8 @@
 	lastAliveAt  time.Time
 	sentControls []string
 	state        desired.State
+	// currentAt is when the replica was last known to be current.
+	currentAt boottime.Instant
 	// histories holds when each model's versions were first seen. Versions are
 	// missing if they may have been published long before that.
 	histories map[string]VersionHistory
@@ -148,7 +146,7 @@
 func (h *Hub) UpdateEngine(s wire.EngineState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.table.UpdateEngine(s.Address, s.Loading, s.Held, h.now()) {
+	if h.table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, h.now()) {
 		h.log.Info("engine state changed", "address", s.Address, "loading", s.Loading, "held", s.Held)
 		h.broadcast(wire.Update{Engines: []wire.EngineState{s}}, true)
 	}
@@ -171,11 +169,13 @@
 		}
 	}
 	for _, s := range update.Engines {
-		if h.table.UpdateEngine(s.Address, s.Loading, s.Held, now) {
+		if h.table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, now) {
 			forwarded.Engines = append(forwarded.Engines, s)
 		}
 	}
-	h.recordAges(update.Ages)
+	if h.recordAges(update.Ages) {
+		h.sendDesired()
+	}
 	for _, id := range update.Alive {
 		if record := h.table.Get(id); record != nil {
 			record.Heard = now
@@ -253,99 +253,6 @@
 	}
 }
 
-// SetDesired records the desired state of the control state machine and sends it to
-// the followers.
-func (h *Hub) SetDesired(s desired.State) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if s.Revision <= h.state.Revision {
-		return
-	}
-	for model, version := range s.Weights {
-		if version <= h.state.Weights[model] {
-			continue
-		}
-		caughtUp := h.now() > catchUpTime
-		if caughtUp {
-			h.recordPublication(model, version, s.Published[model])
-		}
-		h.log.Info("weights version seen", "model", model, "version", version, "before", h.state.Weights[model],
-			"revision", s.Revision, "stamped", caughtUp)
-	}
-	h.state = s
-	h.log.Info("desired state changed", "revision", s.Revision, "config_version", s.ConfigVersion, "weights", s.Weights)
-	update := h.desiredUpdate()
-	for _, f := range h.followers {
-		_ = f.conn.Notify(wire.KindUpdate, update)
-	}
-}
-
-// recordPublication records that the versions of a model after the last known one
-// were published just now. Several versions may be applied between two calls of
-// SetDesired. The caller holds mu.
-func (h *Hub) recordPublication(model string, newest int, published []int) {
-	now := h.ageClock.Now()
-	history := h.histories[model]
-	for _, v := range published {
-		if v > h.state.Weights[model] {
-			history.recordTime(v, now)
-		}
-	}
-	history.recordTime(newest, now)
-	h.histories[model] = history
-}
-
-// desiredUpdate returns an update with the desired state. The caller holds mu.
-func (h *Hub) desiredUpdate() wire.Update {
-	return wire.Update{
-		Revision: h.state.Revision, ConfigVersion: h.state.ConfigVersion, Weights: h.state.Weights,
-		Published: h.state.Published, Ages: h.ages(math.MaxInt64),
-	}
-}
-
-// ages returns the ages of the versions of each model that has a version younger
-// than limit. The caller holds mu.
-func (h *Hub) ages(limit time.Duration) map[string][]wire.VersionAge {
-	now := h.ageClock.Now()
-	ages := map[string][]wire.VersionAge{}
-	for model, history := range h.histories {
-		var list []wire.VersionAge
-		young := false
-		for _, v := range history.versions {
-			if v.Version > h.state.Weights[model] {
-				// Known from another control process, but not applied here yet.
-				continue
-			}
-			age := now.Sub(v.Since)
-			young = young || age < limit
-			list = append(list, wire.VersionAge{Version: v.Version, Age: ageMilliseconds(age)})
-		}
-		if young {
-			ages[model] = list
-		}
-	}
-	return ages
-}
-
-// recordAges records the ages that another control process sent. The caller holds
-// mu.
-func (h *Hub) recordAges(ages map[string][]wire.VersionAge) {
-	now := h.ageClock.Now()
-	for model, list := range ages {
-		history := h.histories[model]
-		for _, age := range list {
-			history.recordTime(age.Version, now.Add(-time.Duration(age.Age)*time.Millisecond))
-		}
-		h.histories[model] = history
-	}
-}
-
-// ageMilliseconds rounds an age up: a version that seems older than it is expires
-// early, never late.
-func ageMilliseconds(age time.Duration) int64 {
-	return int64((age + time.Millisecond - 1) / time.Millisecond)
-}
-
 // ConfigDocument returns the configuration document in force on this process.
 func (h *Hub) ConfigDocument() wire.ConfigDocument {
 	h.mu.Lock()
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -4,10 +4,8 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"runtime/debug"
 	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,11 +18,8 @@
 // attempt is one attempt to run a request on a server. A goroutine sends the request
 // and reads the response, so that the handler can wait for other things meanwhile.
 type attempt struct {
-	lease *placement.Lease
-	// withdrawAt is when the attempt ends if the server has sent no event until
-	// then; zero if there is no such time.
-	withdrawAt time.Time
-	cancel     context.CancelFunc
+	lease  *placement.Lease
+	cancel context.CancelFunc
 	// parts delivers the progress of the response and is closed at the end of the
 	// attempt.
 	parts chan part
@@ -77,6 +72,7 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			a.panicked = fmt.Errorf("%v\n%s", cause, debug.Stack())
+			a.result, a.outcome = resultUnknown, placement.Canceled
 		}
 	}()
 	a.ex, a.err = client.Do(ctx, a.lease.Server.Address, req)
@@ -97,7 +93,7 @@
 		err = a.readEvents(ctx, events)
 	}
 	if err != nil {
-		a.classifyReadError(ctx, err)
+		a.err, a.result, a.outcome = err, resultUnknown, errorOutcome(ctx, err)
 	}
 }
 
@@ -166,19 +162,6 @@
 // long reports whether the body is of known length and too long to be buffered.
 func (a *attempt) long() bool { return a.ex.Length > maxBufferedBody }
 
-// classifyReadError sets the result of an attempt whose response was truncated. The
-// deadline or a caller that left is not the server's failure.
-func (a *attempt) classifyReadError(ctx context.Context, err error) {
-	a.err, a.result, a.outcome = err, resultUnknown, placement.Failed
-	var timeout interface{ Timeout() bool }
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded) || ctx.Err() != nil:
-		a.outcome = placement.Canceled
-	case errors.As(err, &timeout) && timeout.Timeout():
-		a.outcome = placement.Stalled
-	}
-}
-
 // giveUp cancels an attempt that has not ended and waits for its end.
 func (a *attempt) giveUp(err error, o placement.Outcome) {
 	a.cancel()
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -60,9 +60,9 @@
 }
 
 type metrics struct {
-	requests, retried, panics, firstEventLate tally.Counter
-	outcomes                                  [outcomeCount]tally.Counter
-	duration, firstByte                       tally.Timer
+	requests, retried, panics, firstEventLate, withdrawn tally.Counter
+	outcomes                                             [outcomeCount]tally.Counter
+	duration, firstByte                                  tally.Timer
 }
 
 // New returns a handler that refuses all requests until Update. ageClock must be the
@@ -74,7 +74,7 @@
 		scheduler: newScheduler(cfg, clock, ageClock),
 		metrics: metrics{
 			requests: scope.Counter("received"), retried: scope.Counter("sent_again"), panics: scope.Counter("panics"),
-			firstEventLate: scope.Counter("first_event_after_expiry"), outcomes: outcomeCounters(scope),
+			firstEventLate: scope.Counter("first_event_after_expiry"), withdrawn: scope.Counter("withdrawn"), outcomes: outcomeCounters(scope),
 			duration: scope.Timer("duration"), firstByte: scope.Timer("first_byte"),
 		},
 	}
@@ -129,6 +129,10 @@
 	// late is set if the caller has spent part of the route's timeout on earlier
 	// attempts.
 	late bool
+	// lastSent is when the caller received something last, at first the start. patience
+	// is the gap after which the caller abandons a stream; zero for other requests.
+	lastSent time.Time
+	patience time.Duration
 	// triedServers lists the IDs of servers that the request was sent to.
 	triedServers []string
 	// queueTime is the total time spent in the queue.
--- a/request/forward/silence_test.go
+++ b/request/forward/silence_test.go
@@ -251,3 +251,73 @@
 	}
 	e.requireIdle(t)
 }
+
+func TestDeadlineOfOneRequestEjectsTheServerOfTheNext(t *testing.T) {
+	t.Parallel()
+	for name, kind := range map[string]deployment.Repeatability{"unrepeatable": deployment.Unrepeatable, "repeatable": deployment.Repeatable} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newTestEntry(t, testConfig(kind, testTimeout), newFakeServer(t, "s1", pauseBefore(400*time.Millisecond, echo)))
+			resp, _, err := e.send(t, func(r *http.Request) { r.Header.Set(platform.HeaderDeadline, "300") })
+			if err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+				t.Errorf("got response %v, error %v, want a timeout", resp, err)
+			}
+			if resp, body, err := e.send(t, nil); err != nil || body != "body from s1" {
+				t.Errorf("got response %v, body %q, error %v", resp, body, err)
+			}
+		})
+	}
+}
+
+func TestUnrepeatableRequestsGoToASilentServer(t *testing.T) {
+	t.Parallel()
+	e := newTestEntry(t, testConfig(deployment.Unrepeatable, testTimeout), newFakeServer(t, "s1", pauseBefore(pauseDuration, echo)))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if resp, body, err := e.send(t, nil); err != nil || body != "body from s1" {
+			t.Errorf("got response %v, body %q, error %v", resp, body, err)
+		}
+	}()
+	time.Sleep(max(silenceTargets*400*time.Millisecond, minSilence) + 100*time.Millisecond)
+	if resp, _, err := e.send(t, nil); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got response %v, error %v, want a refusal while the server is silent", resp, err)
+	}
+	<-done
+	if resp, body, err := e.send(t, nil); err != nil || body != "body from s1" {
+		t.Errorf("got response %v, body %q, error %v after the server had gone on", resp, body, err)
+	}
+}
+
+func TestPanicOfAnAttemptKeepsItsSlot(t *testing.T) {
+	for name, kind := range map[string]deployment.Repeatability{"stream": deployment.Stream, "plain": deployment.Repeatable} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEntry(t, testConfig(kind, testTimeout), newFakeServer(t, "s1", echo))
+			logged, scope := e.observe()
+			e.handler.client = nil
+			if _, _, err := e.send(t, nil); err == nil {
+				t.Error("the request was answered")
+			}
+			requireOutcomes(t, scope, map[string]int64{"aborted": 1})
+			if line := logged.String(); !strings.Contains(line, "request handler panicked") || !strings.Contains(line, "attempt.go") {
+				t.Errorf("logged %q", line)
+			}
+			e.requireIdle(t)
+		})
+	}
+}
+
+func TestCallerLeavesAStreamWithoutEventsBeforeItIsAnswered(t *testing.T) {
+	for name, respond := range map[string]respondFunc{"before the header": hang, "after the header": pauseWithin(3, 0, testTimeout)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newTestEntry(t, testConfig(deployment.Stream, testTimeout), newFakeServer(t, "s1", respond))
+			started := time.Now()
+			resp, _, err := e.send(t, nil)
+			patience := callerPatience(&e.handler.View().Config.Routes[0])
+			if took := time.Since(started); err != nil || resp.StatusCode != http.StatusBadGateway || took > patience {
+				t.Errorf("got response %v, error %v after %v; the caller waits for %v", resp, err, took, patience)
+			}
+		})
+	}
+}
