forward: a request of a removed service is withdrawn before its weights expire

A request that was accepted before its service left the configuration could begin on an expired version. Its expiry was computed from the configuration in force, which no longer lists the service, and counted as none; the pool already uses the service of the last configuration that listed it.

TestRequestOfARemovedServiceBeginsAfterItsWeightsHaveExpired failed before: the request ran on the old version 302 ms after its expiry.

--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -181,10 +181,11 @@
 func (sc *scheduler) weightsExpiry(service string, l *placement.Lease) (until boottime.Instant, changed <-chan struct{}) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	if sc.view.Config == nil || sc.view.Config.Services[service] == nil {
+	config := sc.service(service, sc.clock.Now()).config
+	if config == nil {
 		return until, sc.weightsChanged
 	}
-	usable, _, until := sc.usableWeights(sc.view.Config.Services[service], l.Server.Held)
+	usable, _, until := sc.usableWeights(config, l.Server.Held)
 	if !usable {
 		// The time of publication follows at once unless no control process knows it.
 		until = sc.ageClock.Now().Add(withdrawMargin + unknownAgeDelay)
--- a/request/forward/withdraw_test.go
+++ b/request/forward/withdraw_test.go
@@ -280,3 +280,24 @@
 		})
 	}
 }
+
+func TestRequestOfARemovedServiceBeginsAfterItsWeightsHaveExpired(t *testing.T) {
+	t.Parallel()
+	v := newVersionEntry(t, deployment.Stream, 1400*time.Millisecond, streamEvents(5, 0))
+	v.publish(boottime.Instant{}, 1, 2)
+	done := make(chan boottime.Instant, 1)
+	_, body, err := v.sendToOld(t, func() {
+		removed := testConfig(deployment.Stream, testTimeout)
+		removed.Version, removed.Routes, removed.Services = 2, nil, nil
+		view := *v.handler.View()
+		view.Config = removed
+		v.handler.Update(&view)
+		until := v.boot.Now().Add(900 * time.Millisecond)
+		v.publish(until, 1, 2)
+		done <- until
+	})
+	if err != nil || body != expectedStream(5) || v.old.runCount() != 0 {
+		t.Errorf("got body %q, error %v; the request ran %d times on the old version", body, err, v.old.runCount())
+	}
+	v.requireWithdrawn(t, <-done)
+}
