forward: a long response that ends with its caller does not eject its server

A caller that left during a response of more than 256 KiB, or whose deadline passed before its end, counted as a failure of the server: after two of them a healthy server was ejected, and with no other one the next callers got 503. The caller that left was counted as aborted.

TestLongResponseThatEndsWithItsCallerEjectsTheServer failed before in both cases: the server was ejected, and the outcomes were aborted:2 callers_gone:1 and aborted:2 refused:1.

--- a/request/forward/plain.go
+++ b/request/forward/plain.go
@@ -126,9 +126,13 @@
 	w.WriteHeader(a.ex.Status)
 	_, err := io.Copy(w, a.ex)
 	if err != nil {
-		a.outcome = placement.Failed
+		a.outcome = errorOutcome(cr.request.Context(), err)
 	}
 	h.finishAttempt(cr, a)
+	if cr.request.Context().Err() != nil {
+		h.recordCallerGone(cr)
+		return
+	}
 	if err != nil {
 		cr.outcome = outcomeAborted
 		h.logRequest(cr, a.ex.Status, result.New(result.AnswerCut, "the response was truncated: %v", err))
--- a/request/forward/silence_test.go
+++ b/request/forward/silence_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -321,3 +322,44 @@
 		})
 	}
 }
+
+func TestLongResponseThatEndsWithItsCallerEjectsTheServer(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		deadline, leaveAfter time.Duration
+		wantOutcome          string
+	}{
+		"the caller leaves":   {testTimeout, 150 * time.Millisecond, "callers_gone"},
+		"the deadline passes": {200 * time.Millisecond, testTimeout, "aborted"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newTestEntry(t, testConfig(deployment.Repeatable, testTimeout), newFakeServer(t, "s1", func(s *fakeServer, w http.ResponseWriter, r *http.Request) {
+				s.startResponse(w, r)
+				w.Header().Set("Content-Length", "4194304")
+				_, _ = w.Write(make([]byte, 300<<10))
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			}))
+			_, scope := e.observe()
+			for range 3 {
+				ctx, cancel := context.WithTimeout(t.Context(), c.leaveAfter)
+				_, _, err := e.send(t, func(r *http.Request) {
+					*r = *r.WithContext(ctx)
+					r.Header.Set("Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
+				})
+				cancel()
+				if err == nil {
+					t.Error("the truncated response seems complete")
+				}
+				e.requireIdle(t)
+			}
+			leases := e.occupySlots()
+			if len(leases) == 0 {
+				t.Error("the server is ejected")
+			}
+			e.releaseSlots(leases)
+			requireOutcomes(t, scope, map[string]int64{c.wantOutcome: 3})
+		})
+	}
+}
