forward: a search for another server ends before the caller leaves

A stream whose server was silent moved to another server although its caller was about to leave: the wait for a slot ended with the attempt, not at the time until which another server could still go on. The request was then canceled and ran there for nothing, and took a retry from the budget. The time and the number of servers are now checked again when the slot is granted.

TestSearchForAnotherServerEndsBeforeTheCallerLeaves failed before: the other server ran the request, and the silent one went on 0.8 s later.

--- a/request/forward/silence_test.go
+++ b/request/forward/silence_test.go
@@ -363,3 +363,18 @@
 		})
 	}
 }
+
+func TestSearchForAnotherServerEndsBeforeTheCallerLeaves(t *testing.T) {
+	t.Parallel()
+	a := newFakeServer(t, "s1", pauseWithin(5, 3, 4*time.Second))
+	b := newFakeServer(t, "s2", streamEvents(5, 0))
+	e := newTestEntry(t, testConfig(deployment.Stream, testTimeout), a, b)
+	leases := e.occupySlots("s1")
+	patience := callerPatience(&testConfig(deployment.Stream, testTimeout).Routes[0])
+	timer := time.AfterFunc(patience-resumeMargin/2, func() { e.releaseSlots(leases) })
+	defer timer.Stop()
+	e.requireStream(t, 5)
+	if n := b.runCount(); n != 0 {
+		t.Errorf("the request was sent to another server %d times although its caller was about to leave", n)
+	}
+}
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -178,11 +178,11 @@
 	w.timer.Reset(w.untilWake(w.h.clock.Now()))
 }
 
-// moveTo gives up the attempt for a slot on another server. It returns false if the
-// retry budget is spent.
+// moveTo gives up the attempt for a slot on another server. It returns false if that
+// came too late or the retry budget is spent.
 func (w *watch) moveTo(l *placement.Lease) bool {
 	w.search = nil
-	if !w.h.scheduler.tryRetry(w.cr.service) {
+	if !w.maySwitch() || !w.h.scheduler.tryRetry(w.cr.service) {
 		w.h.releaseUnused(w.cr, l)
 		return false
 	}
