feed: the bound of a later version does not end the use of an older one

A version may be used until a grace period after the next one was published. The times of still later versions count as well, because the time of the next one may be known late. A bound is no such time: the later version may have been published long after it. With a bound from a control process that was cut off for 5 s, entries refused requests for weights that were usable for 5 s more.

TestBoundOfALaterVersionEndsTheUseOfAnOlderOneEarly failed before: version 1 was usable until 3 s after version 2 was published, with a grace of 8 s.

--- a/process/feed/versions.go
+++ b/process/feed/versions.go
@@ -50,10 +50,15 @@
 	if version >= h.newest {
 		return until, true
 	}
-	if !h.hasTime(h.next(version)) {
+	next := h.next(version)
+	if !h.hasTime(next) {
 		return until, false
 	}
 	for _, v := range h.versions {
+		if v.Bound && v.Version != next {
+			// It may have been published after the next one.
+			continue
+		}
 		if v.Version > version && (until.IsZero() || v.Since.Add(grace).Before(until)) {
 			until = v.Since.Add(grace)
 		}
--- a/process/feed/versions_test.go
+++ b/process/feed/versions_test.go
@@ -90,3 +90,19 @@
 		t.Errorf("version 2 is usable until %v, although the next version is 4", until)
 	}
 }
+
+func TestBoundOfALaterVersionEndsTheUseOfAnOlderOneEarly(t *testing.T) {
+	const grace = 8 * time.Second
+	published := boottime.Instant{}.Add(1000 * time.Second)
+	var h VersionHistory
+	h.recordNewest(3)
+	h.recordTime(2, published, false)
+	h.recordTime(3, published.Add(-5*time.Second), true)
+	if until, _ := h.UsableUntil(1, grace); until != published.Add(grace) {
+		t.Errorf("version 1 is usable until %v after version 2 was published", until.Sub(published))
+	}
+	h.recordTime(3, published.Add(-time.Second), false)
+	if until, _ := h.UsableUntil(1, grace); until != published.Add(grace-time.Second) {
+		t.Errorf("version 1 is usable until %v after a time of version 2 that is late", until.Sub(published))
+	}
+}
