forward: a model that is added to a service withdraws no requests

A request that had got no answer yet was given up 0.3 s after the configuration had added a model to its service and a version of that model was published: its server lacked the model, which counted as weights of unknown age. Callers of unrepeatable requests got 502, the others cost retries. The expiry of a request now depends on the models that the server held when the slot was assigned. New requests still go only to servers that hold all models.

TestRequestIsWithdrawnBecauseAModelIsAddedToItsService failed before: 502 after 0.5 s instead of the answer after 1.2 s.

--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,7 +140,7 @@
 		if slots == 0 && s.Engine != nil {
 			slots = s.Engine.Slots
 		}
-		weightsHeld, version, until := sc.usableWeights(s, record.Held)
+		weightsHeld, version, until := sc.usableWeights(engineModels(s), record.Held)
 		loading := record.LoadingUntil > sc.view.At+now.Sub(sc.viewTime)
 		servers = append(servers, placement.Server{
 			ID: record.ID, Address: record.Address, Zone: record.Zone, Slots: slots, Held: record.Held, WeightsVersion: version, WeightsUntil: until,
@@ -149,14 +150,19 @@
 	return servers
 }
 
-// usableWeights reports whether the held weights are usable for all models of a
-// service, and when the first of them expires; zero means no expiry. version is
-// that of the model that expires first, or of the last one. The caller holds mu.
-func (sc *scheduler) usableWeights(s *deployment.Service, weights []directory.ModelVersion) (allHeld bool, version int, until boottime.Instant) {
+// engineModels returns the models of a service, nil if it has no engines.
+func engineModels(s *deployment.Service) []string {
 	if s.Engine == nil {
-		return true, 0, until
+		return nil
 	}
-	for _, model := range s.Engine.Models {
+	return s.Engine.Models
+}
+
+// usableWeights reports whether the held weights are usable for all of some models, and
+// when the first of them expires; zero means no expiry. version is
+// that of the model that expires first, or of the last one. The caller holds mu.
+func (sc *scheduler) usableWeights(models []string, weights []directory.ModelVersion) (allHeld bool, version int, until boottime.Instant) {
+	for _, model := range models {
 		held := directory.VersionOf(weights, model)
 		if held == 0 {
 			return false, version, until
@@ -185,7 +191,9 @@
 	if config == nil {
 		return until, sc.weightsChanged
 	}
-	usable, _, until := sc.usableWeights(config, l.Server.Held)
+	// A model that the server lacks was added to the service after that.
+	held := slices.DeleteFunc(slices.Clone(engineModels(config)), func(model string) bool { return directory.VersionOf(l.Server.Held, model) == 0 })
+	usable, _, until := sc.usableWeights(held, l.Server.Held)
 	if !usable {
 		// The time of publication follows at once unless no control process knows it.
 		until = sc.ageClock.Now().Add(withdrawMargin + unknownAgeDelay)
--- a/request/forward/withdraw_test.go
+++ b/request/forward/withdraw_test.go
@@ -301,3 +301,22 @@
 	}
 	v.requireWithdrawn(t, <-done)
 }
+
+func TestRequestIsWithdrawnBecauseAModelIsAddedToItsService(t *testing.T) {
+	t.Parallel()
+	v := newVersionEntry(t, deployment.Unrepeatable, 1200*time.Millisecond, echo)
+	v.publish(boottime.Instant{}, 1, 1)
+	resp, body, err := v.sendToOld(t, func() {
+		config := testConfig(deployment.Unrepeatable, testTimeout)
+		config.Version = 2
+		config.Services["svc"].Engine = &deployment.Engine{Models: []string{"m", "n"}, Slots: 8, ReadPerSecond: 1000, Step: time.Millisecond}
+		var history feed.VersionHistory
+		history.Record(1, v.boot.Now())
+		view := *v.handler.View()
+		view.Config, view.Weights = config, map[string]feed.VersionHistory{"m": {}, "n": history}
+		v.handler.Update(&view)
+	})
+	if err != nil || resp.StatusCode != http.StatusOK || v.old.runCount() != 1 {
+		t.Errorf("got response %v, body %q, error %v, %d runs", resp, body, err, v.old.runCount())
+	}
+}
