forward: tests of expiring weights use one clock for the entry and its client

The tests replaced the entry's clock of ages and left the system's to the client of the backend servers, which compares the time by which a request must be sent with it. Both clocks are replaced together now.

--- a/request/forward/harness_test.go
+++ b/request/forward/harness_test.go
@@ -160,6 +160,13 @@
 	return e
 }
 
+// useAgeClock replaces the clock of the ages of versions, which the client of the backend
+// servers shares.
+func (e *testEntry) useAgeClock(c boottime.Clock) {
+	e.handler.ageClock = c
+	e.handler.client = backend.New(backend.Config{AgeClock: c, Scope: tally.NoopScope})
+}
+
 // testConfig returns a configuration with one route of the given kind.
 func testConfig(kind deployment.Repeatability, timeout time.Duration) *deployment.Config {
 	return &deployment.Config{
--- a/request/forward/outcome_test.go
+++ b/request/forward/outcome_test.go
@@ -133,7 +133,7 @@
 			config.Routes[0].MaxServers = 1
 			config.Services["svc"].Engine = &deployment.Engine{Models: []string{"m"}, Slots: 4, ReadPerSecond: 1000, Step: time.Millisecond}
 			e := newTestEntry(t, config, s)
-			e.handler.ageClock = boot
+			e.useAgeClock(boot)
 			logged, scope := e.observe()
 			view := *e.handler.View()
 			view.Servers["svc"][0].Held = []directory.ModelVersion{{Model: "m", Version: 1}}
--- a/request/forward/withdraw_test.go
+++ b/request/forward/withdraw_test.go
@@ -52,7 +52,7 @@
 	config := testConfig(kind, testTimeout)
 	config.Services["svc"].Engine = &deployment.Engine{Models: []string{"m"}, Slots: 8, ReadPerSecond: 1000, Step: time.Millisecond}
 	v.testEntry = newTestEntry(t, config, v.old, v.new)
-	v.handler.ageClock = v.boot
+	v.useAgeClock(v.boot)
 	v.logged, v.scope = v.observe()
 	return v
 }
