frontend: what is in progress at the end of a shutdown is answered

A caller whose request was still in progress when the grace period of a stopping entry ended had its connection closed without an answer.

300 ms before that the handler now ends what is in progress: a request that waits is refused with 503, one that a server may have run gets 502, and only streams of which the caller has a part are aborted. Nothing is sent again from then on.

The new tests failed before: an unexpected EOF at the end of the grace period.

--- a/process/directory/table.go
+++ b/process/directory/table.go
@@ -121,8 +121,9 @@
 
 // UpdateEngine applies an agent's report about the server at an address: whether
 // it loads weights, and which weights it then holds. Older versions don't replace
-// newer ones. A report about another incarnation than the one born at that time is
-// ignored, unless one of the two is not known (0). It reports whether the table changed.
+// newer ones. born identifies the incarnation that the report is about: a report about
+// another one is ignored, unless either of them is unknown (0). UpdateEngine reports
+// whether the table changed.
 func (t *Table) UpdateEngine(address string, born int64, loading bool, held []ModelVersion, now time.Duration) bool {
 	record := t.servers[t.idByAddress[address]]
 	if record == nil || record.State == Gone || born != 0 && record.Born != 0 && born != record.Born {
--- a/process/frontend/close_test.go
+++ b/process/frontend/close_test.go
@@ -80,3 +80,15 @@
 		}
 	}
 }
+
+func TestRequestInProgressAtTheEndOfTheGracePeriodIsCutWithoutAnAnswer(t *testing.T) {
+	e := newTestEntry(t, 204, 2*time.Second)
+	e.silence(5 * time.Second)
+	c, r := e.dial()
+	_, _ = io.WriteString(c, request("o", "/once/", "body"))
+	time.Sleep(100 * time.Millisecond)
+	e.signal()
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("got response %v, error %v", resp, err)
+	}
+}
--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -31,6 +31,9 @@
 	// balancerDelay is how long the load balancer takes to stop sending new requests:
 	// it checks readiness every second and reacts to the second failure.
 	balancerDelay = 2800 * time.Millisecond
+	// answerMargin is the time before the end of a shutdown in which the requests that are
+	// still in progress are answered.
+	answerMargin = 300 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for the exit.
 	exitMargin = 600 * time.Millisecond
 	// maxHeaderBytes bounds a request's headers; the platform's callers send
@@ -144,6 +147,8 @@
 	defer cancel()
 	// Requests that arrive from here on could not end within the grace period.
 	f.handler.StartDrain()
+	end := f.Clock.AfterFunc(f.Clock.Until(deadline)-answerMargin, f.handler.EndRequests)
+	defer end.Stop()
 	if err := callers.shutdown(ctx); err != nil {
 		f.Log.Error("requests aborted at the end of the grace period", "code", int(result.Draining), "error", err)
 	}
--- a/process/frontend/harness_test.go
+++ b/process/frontend/harness_test.go
@@ -23,6 +23,7 @@
 	f       *Frontend
 	address string
 	signal  context.CancelFunc
+	servers []*soakServer
 	ended   chan error
 }
 
@@ -80,6 +81,7 @@
 		t.Fatal(err)
 	}
 	e := startEntry(t, testIP(n), grace, io.Discard, view)
+	e.servers = servers
 	t.Cleanup(func() {
 		e.signal()
 		e.wait()
@@ -87,6 +89,15 @@
 	return e
 }
 
+// silence lets the servers send nothing for d.
+func (e *testEntry) silence(d time.Duration) {
+	for _, s := range e.servers {
+		s.mu.Lock()
+		s.silentUntil = time.Now().Add(d)
+		s.mu.Unlock()
+	}
+}
+
 // dial connects to the entry.
 func (e *testEntry) dial() (net.Conn, *bufio.Reader) {
 	e.t.Helper()
--- a/request/forward/doc.go
+++ b/request/forward/doc.go
@@ -14,8 +14,9 @@
 //   - Events of a stream are forwarded complete, in order and exactly once. If the
 //     route allows it, another server resumes the stream after the last event.
 //   - A server that sends nothing keeps its request until another one has a slot for
-//     it, or until the deadline. Only a response that breaks off or is invalid ends
-//     the request at that server earlier.
+//     it, until its weights are about to expire, or until the deadline. Only a response
+//     that breaks off or is invalid ends the request at that server earlier. A stream
+//     without events is answered before its caller abandons it.
 //   - When the caller leaves, the connection to the server is reset, which
 //     cancels the request there.
 package forward
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -109,6 +109,21 @@
 // StartDrain refuses new requests.
 func (h *Handler) StartDrain() { h.inflight.StartDrain() }
 
+// EndRequests ends the requests in progress before the process exits. Those whose
+// response has not begun get an error; the connections of the others are aborted. It must
+// be called at most once, after StartDrain.
+func (h *Handler) EndRequests() { close(h.scheduler.ending) }
+
+// ending reports whether EndRequests was called.
+func (h *Handler) ending() bool {
+	select {
+	case <-h.scheduler.ending:
+		return true
+	default:
+		return false
+	}
+}
+
 // Drain refuses new requests and waits until none is in progress or ctx ends.
 func (h *Handler) Drain(ctx context.Context) error {
 	h.inflight.StartDrain()
--- a/request/forward/outcome.go
+++ b/request/forward/outcome.go
@@ -88,6 +88,8 @@
 		endedBy = "other_server"
 	case errors.Is(err, errWithdrawn):
 		endedBy = "withdrawal"
+	case errors.Is(err, errNoEvent):
+		endedBy = "patience"
 	case cr.request.Context().Err() != nil:
 		endedBy = "caller"
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -44,6 +44,8 @@
 	cfg      Config
 	clock    clockwork.Clock
 	ageClock boottime.Clock
+	// ending is closed when the requests in progress must end.
+	ending chan struct{}
 
 	// mu guards the fields below.
 	mu   sync.Mutex
@@ -58,7 +60,7 @@
 
 func newScheduler(cfg Config, clock clockwork.Clock, ageClock boottime.Clock) *scheduler {
 	return &scheduler{
-		cfg: cfg, clock: clock, ageClock: ageClock, view: &feed.View{}, weightsChanged: make(chan struct{}),
+		cfg: cfg, clock: clock, ageClock: ageClock, view: &feed.View{}, weightsChanged: make(chan struct{}), ending: make(chan struct{}),
 		services: map[string]*serviceState{}, demandSampled: clock.Now(),
 	}
 }
@@ -158,9 +160,9 @@
 	return s.Engine.Models
 }
 
-// usableWeights reports whether the held weights are usable for all of some models, and
-// when the first of them expires; zero means no expiry. version is
-// that of the model that expires first, or of the last one. The caller holds mu.
+// usableWeights reports whether the held weights are usable for all of the models, and
+// when the first of them expires; zero means no expiry. version is that of the model
+// that expires first, or of the last one. The caller holds mu.
 func (sc *scheduler) usableWeights(models []string, weights []directory.ModelVersion) (allHeld bool, version int, until boottime.Instant) {
 	for _, model := range models {
 		held := directory.VersionOf(weights, model)
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -140,7 +140,7 @@
 // maySend reports whether the request may be sent to another server after
 // possibleRuns servers may have run it.
 func (h *Handler) maySend(cr *callerRequest, possibleRuns int) bool {
-	if !h.clock.Now().Before(cr.sendUntil()) || len(cr.triedServers) >= maxAttempts {
+	if h.ending() || !h.clock.Now().Before(cr.sendUntil()) || len(cr.triedServers) >= maxAttempts {
 		return false
 	}
 	return possibleRuns == 0 || cr.repeatable() && possibleRuns < max(cr.route.MaxServers, 1)
--- a/request/forward/slotwait.go
+++ b/request/forward/slotwait.go
@@ -86,6 +86,7 @@
 		return l, nil
 	case <-timer.Chan():
 	case <-ctx.Done():
+	case <-sc.ending:
 	}
 	if l := w.stop(); l != nil {
 		return l, nil
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -33,6 +33,7 @@
 	errWithdrawn = errors.New("the request was withdrawn before its first event")
 	// errNoEvent is the error of an attempt whose caller is about to leave.
 	errNoEvent = errors.New("the server sent no event while the caller waits")
+	errEnding  = errors.New("the process is about to exit")
 )
 
 // watch follows one attempt. Once its server has been silent for patience, it looks
@@ -106,6 +107,14 @@
 			if w.moveTo(l) {
 				return part{}, false
 			}
+		case <-w.h.scheduler.ending:
+			select {
+			case p, ok := <-w.a.parts:
+				return w.receive(p, ok)
+			default:
+			}
+			w.a.giveUp(errEnding, placement.Canceled)
+			return part{}, false
 		case <-w.changed:
 			w.expiry, w.changed = w.h.scheduler.weightsExpiry(w.cr.service, w.a.lease)
 			w.timer.Reset(w.untilWake(w.h.clock.Now()))
