frontend: a stream that its caller has in part goes on until the process exits

The requests in progress were ended 300 ms before the end of a shutdown, streams with events among them, which were aborted although they may end by themselves in that time. Only responses that have not begun are ended now. The case of a stream with an event is new in TestRequestInProgressIsCutWithoutAnAnswerWhenTheProcessExits.

--- a/process/frontend/soakservers_test.go
+++ b/process/frontend/soakservers_test.go
@@ -157,7 +157,11 @@
 	defer s.track(id, -1)
 	s.mu.Lock()
 	refuse, breakOff, fail := s.refuse, s.breakOff, s.fail
+	stopping := s.id != self || s.state == directory.Gone
 	s.mu.Unlock()
+	if stopping {
+		s.ledger.record(id, self+" is stopping", func(e *ledgerEntry) { e.brokeOff = true })
+	}
 	switch {
 	case !s.rest(r.Context(), time.Millisecond):
 		return
--- a/request/forward/ending_test.go
+++ b/request/forward/ending_test.go
@@ -10,17 +10,19 @@
 
 func TestRequestInProgressIsCutWithoutAnAnswerWhenTheProcessExits(t *testing.T) {
 	for name, c := range map[string]struct {
-		kind deployment.Repeatability
-		busy bool
-		want int
+		kind    deployment.Repeatability
+		respond respondFunc
+		busy    bool
+		want    int
 	}{
-		"unrepeatable at work": {deployment.Unrepeatable, false, http.StatusBadGateway},
-		"repeatable at work":   {deployment.Repeatable, false, http.StatusBadGateway},
-		"stream without event": {deployment.Stream, false, http.StatusBadGateway},
-		"stream waiting":       {deployment.Stream, true, http.StatusServiceUnavailable},
+		"unrepeatable at work": {deployment.Unrepeatable, hang, false, http.StatusBadGateway},
+		"repeatable at work":   {deployment.Repeatable, hang, false, http.StatusBadGateway},
+		"stream without event": {deployment.Stream, hang, false, http.StatusBadGateway},
+		"stream waiting":       {deployment.Stream, hang, true, http.StatusServiceUnavailable},
+		"stream with an event": {deployment.Stream, pauseWithin(3, 1, 600*time.Millisecond), false, http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s1, s2 := newFakeServer(t, "s1", hang), newFakeServer(t, "s2", hang)
+			s1, s2 := newFakeServer(t, "s1", c.respond), newFakeServer(t, "s2", c.respond)
 			config := testConfig(c.kind, testTimeout)
 			config.Routes[0].Aim = 2 * time.Second
 			e := newTestEntry(t, config, s1, s2)
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -109,9 +109,8 @@
 // StartDrain refuses new requests.
 func (h *Handler) StartDrain() { h.inflight.StartDrain() }
 
-// EndRequests ends the requests in progress before the process exits. Those whose
-// response has not begun get an error; the connections of the others are aborted. It must
-// be called at most once, after StartDrain.
+// EndRequests answers the requests in progress whose response has not begun with an error,
+// shortly before the process exits. It must be called at most once, after StartDrain.
 func (h *Handler) EndRequests() { close(h.scheduler.ending) }
 
 // ending reports whether EndRequests was called.
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -107,7 +107,7 @@
 			if w.moveTo(l) {
 				return part{}, false
 			}
-		case <-w.h.scheduler.ending:
+		case <-w.ending():
 			select {
 			case p, ok := <-w.a.parts:
 				return w.receive(p, ok)
@@ -245,6 +245,15 @@
 	return max(until, time.Millisecond)
 }
 
+// ending returns the channel that is closed when the requests in progress must end. It is
+// nil once the caller has a part of the stream, which only the end of the process cuts off.
+func (w *watch) ending() <-chan struct{} {
+	if w.cr.route.Kind == deployment.Stream && (w.begun || w.answerBy.IsZero()) {
+		return nil
+	}
+	return w.h.scheduler.ending
+}
+
 // mustAnswer reports whether the attempt ends at answerBy.
 func (w *watch) mustAnswer() bool { return !w.begun && !w.answerBy.IsZero() }
 
