forward: log which prompt parts and events a broken-off request had

Each attempt that its server broke off is now logged and counted, with the shared parts of its prompt and the events that this server had sent. No decision depends on it.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"runtime/debug"
 	"slices"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -34,6 +35,8 @@
 	// notSent is set if no byte of the request was sent.
 	notSent bool
 	err     error
+	// events is the number of events that the server has sent.
+	events int
 	// body is the complete body of a short response that is not a stream.
 	body []byte
 	// panicked is the value and stack of a panic of the goroutine.
@@ -113,6 +116,7 @@
 	events.reset(a.ex)
 	for {
 		data, count, err := events.next()
+		a.events += count
 		if len(data) > 0 {
 			if err := a.deliver(ctx, part{events: data, count: count, lastID: events.lastID}); err != nil {
 				return err
@@ -181,11 +185,28 @@
 	}
 	a.cancel()
 	h.scheduler.release(cr.service, a.lease, a.outcome)
+	if a.brokenOff() {
+		h.recordBrokenOff(cr, a)
+	}
 	if a.panicked != nil {
 		panic(a.panicked)
 	}
 }
 
+// brokenOff reports whether the server closed or reset the connection before its
+// response was complete.
+func (a *attempt) brokenOff() bool {
+	return a.result == resultUnknown && a.outcome == placement.Failed &&
+		(errors.Is(a.err, io.EOF) || errors.Is(a.err, io.ErrUnexpectedEOF) || errors.Is(a.err, syscall.ECONNRESET) || errors.Is(a.err, syscall.EPIPE))
+}
+
+// recordBrokenOff counts and logs an attempt that its server broke off.
+func (h *Handler) recordBrokenOff(cr *callerRequest, a *attempt) {
+	h.metrics.brokenOff.Inc(1)
+	h.log.Info("server broke off a request", "id", cr.id, "server", a.lease.Server.ID, "address", a.lease.Server.Address,
+		"service", cr.service, "parts", cr.parts, "attempt_events", a.events, "tries", len(cr.triedServers), "error", a.err)
+}
+
 // releaseUnused gives back a slot to which nothing was sent; nil is none.
 func (h *Handler) releaseUnused(cr *callerRequest, l *placement.Lease) {
 	if l != nil {
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -60,9 +60,9 @@
 }
 
 type metrics struct {
-	requests, retried, panics, firstEventLate, withdrawn tally.Counter
-	outcomes                                             [outcomeCount]tally.Counter
-	duration, firstByte                                  tally.Timer
+	requests, retried, panics, firstEventLate, withdrawn, brokenOff tally.Counter
+	outcomes                                                        [outcomeCount]tally.Counter
+	duration, firstByte                                             tally.Timer
 }
 
 // New returns a handler that refuses all requests until Update. ageClock must be the
@@ -74,7 +74,7 @@
 		scheduler: newScheduler(cfg, clock, ageClock),
 		metrics: metrics{
 			requests: scope.Counter("received"), retried: scope.Counter("sent_again"), panics: scope.Counter("panics"),
-			firstEventLate: scope.Counter("first_event_after_expiry"), withdrawn: scope.Counter("withdrawn"), outcomes: outcomeCounters(scope),
+			firstEventLate: scope.Counter("first_event_after_expiry"), withdrawn: scope.Counter("withdrawn"), brokenOff: scope.Counter("broken_off"), outcomes: outcomeCounters(scope),
 			duration: scope.Timer("duration"), firstByte: scope.Timer("first_byte"),
 		},
 	}
@@ -140,6 +140,8 @@
 	account  *deployment.Account
 	service  string
 	tokens   platform.Tokens
+	// parts lists the IDs of the shared parts of the prompt.
+	parts []string
 	// late is set if the caller has spent part of the route's timeout on earlier
 	// attempts.
 	late bool
@@ -195,6 +197,8 @@
 	// refusedBodyTimeout bounds the wait for the body of a request that is refused
 	// before it is read: net/http reads up to 256 KiB of it before the response.
 	refusedBodyTimeout = 2 * time.Second
+	// maxParts bounds the parts of a prompt that are considered.
+	maxParts = 64
 	// noConfigRetryAfter is the retry delay sent to callers before the first
 	// configuration is received.
 	noConfigRetryAfter = 300 * time.Millisecond
@@ -236,6 +240,7 @@
 	}
 	if cr.route.Generation {
 		cr.tokens = platform.DecodeTokens(r.Header.Get)
+		cr.parts = platform.SharedParts(r.Header.Get(platform.HeaderPrefix), maxParts)
 	}
 	return nil
 }
