frontend: a failing test of a prompt part that crashes servers

Three control processes, three entries and eight engines in one process, connected as on VMs. Each engine that begins an answer to a prompt with one part crashes and comes back under another ID 600 ms later.

--- /dev/null
+++ b/process/frontend/crash_test.go
@@ -0,0 +1,99 @@
+package frontend
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func sortTimes(times []time.Time) []time.Time {
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// countAfter returns the number of times later than a limit.
+func countAfter(times []time.Time, limit time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(limit) {
+			n++
+		}
+	}
+	return n
+}
+
+// crashTraffic sends sound requests and requests with a crashing part to all entries.
+type crashTraffic struct {
+	f *fleet
+	// sound and served count the sound requests since the fifth crash and twice the
+	// contact time, and those of them that were answered.
+	sound, served atomic.Int64
+	fifth         atomic.Int64
+}
+
+// settled reports whether twice the contact time has passed since the fifth crash.
+func (c *crashTraffic) settled() bool {
+	if c.fifth.Load() == 0 {
+		if times := c.f.crashTimes(); len(times) >= 5 {
+			c.fifth.Store(times[4].UnixNano())
+		}
+	}
+	fifth := c.fifth.Load()
+	return fifth != 0 && time.Now().UnixNano() > fifth+int64(2*contactTime)
+}
+
+func (c *crashTraffic) sendSound(rng *rand.Rand, part string) {
+	settled := c.settled()
+	status := c.f.entries[rng.IntN(len(c.f.entries))].send("system", part)
+	if settled {
+		c.sound.Add(1)
+		if status == http.StatusOK {
+			c.served.Add(1)
+		}
+	}
+}
+
+// run sends requests for d. A request with the crashing part comes after each interval.
+func (c *crashTraffic) run(d, interval time.Duration, crashParts ...string) {
+	end := time.Now().Add(d)
+	var senders sync.WaitGroup
+	for i := range 12 {
+		rng := rand.New(rand.NewPCG(1, uint64(i)))
+		senders.Go(func() {
+			for time.Now().Before(end) {
+				c.sendSound(rng, fmt.Sprint("topic", rng.IntN(12)))
+				time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
+			}
+		})
+	}
+	rng := rand.New(rand.NewPCG(2, 1))
+	for time.Now().Before(end) {
+		parts := append([]string{"system", fmt.Sprint("topic", rng.IntN(12))}, crashParts...)
+		entry := c.f.entries[rng.IntN(len(c.f.entries))]
+		senders.Go(func() { entry.send(parts...) })
+		time.Sleep(interval)
+	}
+	senders.Wait()
+}
+
+func TestPromptPartThatCrashesServersIsNotSentOn(t *testing.T) {
+	f := newFleet(t, 40, 3, 8, engineBehavior{crashPart: "crashing", downFor: 600 * time.Millisecond})
+	traffic := &crashTraffic{f: f}
+	traffic.run(9*time.Second, 100*time.Millisecond, "crashing")
+	crashes := f.crashTimes()
+	sound, served := traffic.sound.Load(), traffic.served.Load()
+	t.Logf("%d crashes; %d of %d sound requests served", len(crashes), served, sound)
+	if len(crashes) >= 5 {
+		if n := countAfter(f.arrivalTimes("crashing"), crashes[4].Add(contactTime)); n > 3 {
+			t.Errorf("%d requests with the part reached servers later than %v after the fifth crash, want at most 3", n, contactTime)
+		}
+		if 2*served < sound {
+			t.Errorf("%d of %d sound requests were served afterwards", served, sound)
+		}
+	}
+}
