feed: entries tell each other what they learn from servers

An entry that sees a server end, limit itself or leave has had no way to tell the others but its reports of load. Records with kind, key, origin, age and lifetime now travel from an entry to the control processes, which pass them on to all entries, to each other, and to processes that connect later; an entry sends its own again when a link opens, so that they survive restarts of either side. Nothing uses it yet.

--- a/connection/wire/updates.go
+++ b/connection/wire/updates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/process/directory"
+	"github.com/waxwingpost/waxwingpost/process/observation"
 )
 
 // FollowRequest subscribes to a control process. The reply is its whole state as
@@ -63,6 +64,8 @@
 	Demand map[string]float64 `cbor:"8,keyasint,omitempty"`
 	// Entries is the number of entries with a link to the sender.
 	Entries int `cbor:"9,keyasint,omitempty"`
+	// Observations lists what entries have learned of servers.
+	Observations []observation.Record `cbor:"13,keyasint,omitempty"`
 }
 
 // AddToAges adds the time that may have passed since the update was built.
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -39,6 +39,7 @@
 	KindDemand         Kind = 23 // entry to control: Demand
 	KindEngine         Kind = 24 // agent to control: EngineState
 	KindServer         Kind = 25 // agent to control: directory.Server
+	KindObservations   Kind = 26 // entry to control: []observation.Record
 )
 
 // Envelope wraps every message. A call and its reply have the same ID; a
--- a/process/controller/links.go
+++ b/process/controller/links.go
@@ -8,6 +8,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/directory"
+	"github.com/waxwingpost/waxwingpost/process/observation"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
@@ -38,31 +39,57 @@
 
 // Notify implements link.Handler.
 func (c *Controller) Notify(l *link.Conn, kind wire.Kind, body cbor.RawMessage) {
-	switch {
-	case kind == wire.KindRaft && l.Peer().Role == wire.RoleControl:
+	switch l.Peer().Role {
+	case wire.RoleControl:
+		c.notifyFromControl(l, kind, body)
+	case wire.RoleEntry:
+		c.notifyFromEntry(l, kind, body)
+	case wire.RoleAgent:
+		c.notifyFromAgent(l, kind, body)
+	}
+}
+
+func (c *Controller) notifyFromControl(l *link.Conn, kind wire.Kind, body cbor.RawMessage) {
+	switch kind {
+	case wire.KindRaft:
 		if r := c.replica.Load(); r != nil {
 			r.node.Notify(l.Peer(), kind, body)
 		}
-	case kind == wire.KindUpdate && l.Peer().Role == wire.RoleControl:
+	case wire.KindUpdate:
 		var update wire.Update
 		if c.decodeMessage(l, kind, body, &update) {
 			c.hub.ApplyPeerUpdate(update)
 		}
-	case kind == wire.KindEngine:
+	}
+}
+
+func (c *Controller) notifyFromEntry(l *link.Conn, kind wire.Kind, body cbor.RawMessage) {
+	switch kind {
+	case wire.KindDemand:
+		var demand wire.Demand
+		if c.decodeMessage(l, kind, body, &demand) {
+			c.hub.SetDemand(l, demand)
+		}
+	case wire.KindObservations:
+		var records []observation.Record
+		if c.decodeMessage(l, kind, body, &records) {
+			c.hub.Observe(records)
+		}
+	}
+}
+
+func (c *Controller) notifyFromAgent(l *link.Conn, kind wire.Kind, body cbor.RawMessage) {
+	switch kind {
+	case wire.KindEngine:
 		var state wire.EngineState
 		if c.decodeMessage(l, kind, body, &state) {
 			c.hub.UpdateEngine(state)
 		}
-	case kind == wire.KindServer && l.Peer().Role == wire.RoleAgent:
+	case wire.KindServer:
 		var server directory.Server
 		if c.decodeMessage(l, kind, body, &server) && server.ID != "" {
 			c.hub.Heartbeat(server)
 		}
-	case kind == wire.KindDemand:
-		var demand wire.Demand
-		if c.decodeMessage(l, kind, body, &demand) {
-			c.hub.SetDemand(l, demand)
-		}
 	}
 }
 
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -20,6 +20,7 @@
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
+	"github.com/waxwingpost/waxwingpost/process/observation"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
@@ -72,6 +73,9 @@
 	SortAddresses func(addresses []string) []string
 	// OnChange is called with each new view, not concurrently; it may be nil.
 	OnChange func(*View)
+	// OnObservations is called with the records of other processes as they arrive, not
+	// concurrently; it may be nil.
+	OnObservations func([]observation.Record)
 	// LazyConfig makes the follower request the configuration only initially and
 	// after a new version of weights was published.
 	LazyConfig bool
@@ -108,6 +112,7 @@
 	fetchPending  bool
 	demand        map[string]float64
 	entries       int
+	observations  followerObservations
 }
 
 // NewFollower returns a follower that dials nothing until Run.
@@ -119,6 +124,7 @@
 	for _, seed := range cfg.Seeds {
 		f.controlSeen[seed] = f.start
 	}
+	f.observations = newFollowerObservations()
 	f.view.Store(&View{})
 	dialer.Handler = f
 	f.mesh = mesh.New(mesh.Config{OnOpen: f.onLinkOpened}, dialer, log)
@@ -241,6 +247,7 @@
 		update.AddToAges(f.ageClock.Now().Sub(called))
 		f.logAges(c.Peer().Name, update, true)
 		f.apply(update)
+		f.sendOwnObservations(c)
 	}()
 }
 
@@ -267,6 +274,7 @@
 func (f *Follower) apply(update wire.Update) {
 	f.publishMu.Lock()
 	defer f.publishMu.Unlock()
+	f.applyObservations(update.Observations)
 	f.mu.Lock()
 	serversChanged := f.applyServers(update)
 	changed := serversChanged
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -82,6 +82,7 @@
 	// histories holds when each model's versions were first seen. Versions are
 	// missing if they may have been published long before that.
 	histories map[string]VersionHistory
+	relay     observationRelay
 }
 
 // NewHub returns a hub without servers. A version of weights may be used for
@@ -91,6 +92,7 @@
 		clock: clock, ageClock: ageClock, oldVersionGrace: oldVersionGrace, log: log, peers: p, start: clock.Now(), controls: controls,
 		table: directory.NewTable(), followers: map[*link.Conn]*follower{},
 		aliveLocal: map[string]bool{}, alivePeers: map[string]bool{}, histories: map[string]VersionHistory{},
+		relay: newObservationRelay(),
 	}
 }
 
@@ -182,6 +184,7 @@
 			h.alivePeers[id] = true
 		}
 	}
+	h.applyObservations(update.Observations, false)
 	if len(forwarded.Servers)+len(forwarded.Left)+len(forwarded.Engines) > 0 {
 		h.broadcast(forwarded, false)
 	}
@@ -193,7 +196,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.followers[c] = &follower{conn: c, relay: q.Relay}
-	return h.fullState()
+	update := h.fullState()
+	if q.Relay {
+		update.Observations = nil // only entries use them
+	}
+	return update
 }
 
 // fullState returns an update with the desired state, all servers and the control
@@ -208,6 +215,7 @@
 		update.Servers = append(update.Servers, record.Server)
 	}
 	update.Controls = h.controls()
+	update.Observations = h.relay.store.All(h.ageClock.Now())
 	return update
 }
 
@@ -268,6 +276,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.table.Sweep(h.now())
+	h.relay.store.Sweep(h.ageClock.Now())
 	peer, entry, relay := h.tickUpdates()
 	if len(peer.Alive)+len(peer.Ages) > 0 {
 		for _, c := range h.peers.Conns() {
