--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/feed"
+	"github.com/waxwingpost/waxwingpost/process/observation"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/process/runtime"
 	"github.com/waxwingpost/waxwingpost/request/forward"
@@ -67,13 +68,15 @@
 	dialer := &link.Dialer{Auth: rt.Auth, Self: f.hello, Stats: rt.Stats, Client: runtime.LinkClient()}
 	f.follower = feed.NewFollower(feed.FollowerConfig{
 		Seeds: feed.PeerAddresses(&settings), SortAddresses: feed.RendezvousOrder(settings.IP),
-		OnChange: func(v *feed.View) { f.handler.Update(v) },
+		OnChange:       func(v *feed.View) { f.handler.Update(v) },
+		OnObservations: func(records []observation.Record) { f.handler.ApplyObservations(records) },
 	}, dialer, rt.Clock, rt.AgeClock, rt.Log)
 	f.handler = forward.New(forward.Config{
 		Zone: settings.Zone, OldVersionGrace: settings.Bounds.OldVersionGrace, RetryShare: settings.Bounds.RetryShare,
-		RetryAllowance: settings.Bounds.RetryAllowance, RetryWindow: settings.Bounds.RetryWindow,
+		RetryAllowance: settings.Bounds.RetryAllowance, RetryWindow: settings.Bounds.RetryWindow, Observe: f.follower.Observe,
 	}, f.client, rt.Clock, rt.AgeClock, rt.Log, rt.Scope)
 	rt.Dump.Add("pools", f.handler.Dump)
+	rt.Dump.Add("quarantine", f.handler.DumpQuarantine)
 	rt.Dump.Add("view", func() any { return f.follower.View() })
 	return f
 }
@@ -179,6 +182,7 @@
 		case <-ctx.Done():
 			return
 		case <-queueTicker.Chan():
+			f.handler.Decide()
 			f.handler.DispatchWaiting()
 			continue
 		case <-demandTicker.Chan():
--- a/process/result/code.go
+++ b/process/result/code.go
@@ -69,6 +69,7 @@
 	RecordsFull       Code = 3023
 	AlreadyRan        Code = 3024
 	NotSynced         Code = 3025
+	PromptQuarantined Code = 3026
 )
 
 // Codes of weights, versions and orders (4xxx).
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/request/placement"
+	"github.com/waxwingpost/waxwingpost/request/quarantine"
 )
 
 // attempt is one attempt to run a request on a server. A goroutine sends the request
@@ -39,6 +40,10 @@
 	events int
 	// body is the complete body of a short response that is not a stream.
 	body []byte
+	// trials lists the suspected parts that the request tries.
+	trials []quarantine.Part
+	// proven is set once the server has proven the parts of the prompt sound.
+	proven bool
 	// panicked is the value and stack of a panic of the goroutine.
 	panicked error
 }
@@ -57,7 +62,7 @@
 // parts or call giveUp, and then finishAttempt.
 func (h *Handler) start(cr *callerRequest, l *placement.Lease, events *eventReader) *attempt {
 	ctx, cancel := context.WithCancel(cr.request.Context())
-	a := &attempt{lease: l, cancel: cancel, parts: make(chan part)}
+	a := &attempt{lease: l, cancel: cancel, parts: make(chan part), trials: h.suspects.startTrial(cr)}
 	cr.triedServers = append(cr.triedServers, l.Server.ID)
 	cr.weights = weightsUse{version: l.Server.WeightsVersion, until: l.Server.WeightsUntil, sent: h.ageClock.Now()}
 	req := &backend.Request{
@@ -185,6 +190,7 @@
 	}
 	a.cancel()
 	h.scheduler.release(cr.service, a.lease, a.outcome)
+	h.suspects.recordEnd(cr, a)
 	if a.brokenOff() {
 		h.recordBrokenOff(cr, a)
 	}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -22,8 +22,10 @@
 	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/feed"
+	"github.com/waxwingpost/waxwingpost/process/observation"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/inflight"
+	"github.com/waxwingpost/waxwingpost/request/quarantine"
 )
 
 // Config holds the settings of a handler.
@@ -39,11 +41,14 @@
 	RetryShare     float64
 	RetryAllowance float64
 	RetryWindow    time.Duration
+	// Observe tells the other entries what this one has learned; nil if there are none.
+	Observe func(kind observation.Kind, key string, body []byte, at boottime.Instant, ttl time.Duration)
 }
 
 // Handler serves the requests of callers. Safe for concurrent use.
 //
-// Lock order: scheduler.mu is a leaf; no other lock is taken while it is held.
+// Lock order: scheduler.mu and suspects.mu are leaves; no other lock is taken while one of
+// them is held, except that of Config.Observe under suspects.mu.
 type Handler struct {
 	cfg       Config
 	client    *backend.Client
@@ -51,6 +56,8 @@
 	ageClock  boottime.Clock
 	log       *slog.Logger
 	scheduler *scheduler
+	// suspects knows the parts of prompts that crash servers.
+	suspects *suspects
 	// current is the view that requests are resolved by. The scheduler has it, or a
 	// newer one.
 	current       atomic.Pointer[feed.View]
@@ -71,7 +78,7 @@
 	scope = scope.SubScope("requests")
 	h := &Handler{
 		cfg: cfg, client: client, clock: clock, ageClock: ageClock, log: log,
-		scheduler: newScheduler(cfg, clock, ageClock),
+		scheduler: newScheduler(cfg, clock, ageClock), suspects: newSuspects(cfg, ageClock, log, scope),
 		metrics: metrics{
 			requests: scope.Counter("received"), retried: scope.Counter("sent_again"), panics: scope.Counter("panics"),
 			firstEventLate: scope.Counter("first_event_after_expiry"), withdrawn: scope.Counter("withdrawn"), brokenOff: scope.Counter("broken_off"), outcomes: outcomeCounters(scope),
@@ -140,8 +147,10 @@
 	account  *deployment.Account
 	service  string
 	tokens   platform.Tokens
-	// parts lists the IDs of the shared parts of the prompt.
-	parts []string
+	// parts lists the IDs of the shared parts of the prompt, candidates the same for the
+	// quarantine.
+	parts      []string
+	candidates []quarantine.Candidate
 	// late is set if the caller has spent part of the route's timeout on earlier
 	// attempts.
 	late bool
@@ -198,7 +207,7 @@
 	// before it is read: net/http reads up to 256 KiB of it before the response.
 	refusedBodyTimeout = 2 * time.Second
 	// maxParts bounds the parts of a prompt that are considered.
-	maxParts = 64
+	maxParts = 16
 	// noConfigRetryAfter is the retry delay sent to callers before the first
 	// configuration is received.
 	noConfigRetryAfter = 300 * time.Millisecond
@@ -241,8 +250,9 @@
 	if cr.route.Generation {
 		cr.tokens = platform.DecodeTokens(r.Header.Get)
 		cr.parts = platform.SharedParts(r.Header.Get(platform.HeaderPrefix), maxParts)
+		cr.candidates = quarantine.Candidates(cr.tokens.Model, cr.parts)
 	}
-	return nil
+	return h.suspects.refused(cr)
 }
 
 // setDeadline sets the deadline: the caller's, or the route's timeout if that is
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -115,7 +115,7 @@
 	if !r.headerSent {
 		w.answerBy = r.cr.sendUntil()
 	}
-	first := true
+	first, received := true, 0
 	for {
 		p, ok := w.part()
 		if !ok {
@@ -128,6 +128,8 @@
 			first = false
 			r.h.recordFirstEvent(r.cr, a.lease)
 		}
+		received += p.count
+		r.h.suspects.recordEvents(r.cr, a, received)
 		if err := r.writeEvents(a, p); err != nil {
 			a.giveUp(err, placement.Canceled)
 			return nil
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -145,7 +145,7 @@
 		weightsHeld, version, until := sc.usableWeights(engineModels(s), record.Held)
 		loading := record.LoadingUntil > sc.view.At+now.Sub(sc.viewTime)
 		servers = append(servers, placement.Server{
-			ID: record.ID, Address: record.Address, Zone: record.Zone, Slots: slots, Held: record.Held, WeightsVersion: version, WeightsUntil: until,
+			ID: record.ID, Address: record.Address, Born: record.Born, Zone: record.Zone, Slots: slots, Held: record.Held, WeightsVersion: version, WeightsUntil: until,
 			Usable: record.State == directory.Ready && weightsHeld && !loading,
 		})
 	}
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -149,15 +149,22 @@
 // mayRetry reports whether the request may be sent to another server after an
 // attempt. An attempt that was not sent costs no retry.
 func (h *Handler) mayRetry(cr *callerRequest, a *attempt, possibleRuns int) bool {
-	return a.result != resultAnswered && h.maySend(cr, possibleRuns) && (a.notSent || h.scheduler.mayRetry(cr.service))
+	return a.result != resultAnswered && h.maySend(cr, possibleRuns) && !h.suspects.doubtful(cr, a) && (a.notSent || h.scheduler.mayRetry(cr.service))
 }
 
 // acquireNext acquires a slot for a request and, if previous is another attempt that
 // was sent, takes a retry from the budget.
 func (h *Handler) acquireNext(cr *callerRequest, previous *attempt, waitDeadline time.Time) (*placement.Lease, error) {
 	l, err := h.scheduler.acquire(cr.request.Context(), cr, waitDeadline)
-	if err != nil || previous == nil {
-		return l, err
+	if err != nil {
+		return nil, err
+	}
+	if err := h.suspects.refused(cr); err != nil {
+		h.releaseUnused(cr, l)
+		return nil, err
+	}
+	if previous == nil {
+		return l, nil
 	}
 	if !previous.notSent && !h.scheduler.tryRetry(cr.service) {
 		h.releaseUnused(cr, l)
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -34,6 +34,8 @@
 	// errNoEvent is the error of an attempt whose caller is about to leave.
 	errNoEvent = errors.New("the server sent no event while the caller waits")
 	errEnding  = errors.New("the process is about to exit")
+	// errSuspected is the error of an attempt whose prompt has a suspected part.
+	errSuspected = errors.New("a part of the prompt is suspected of crashing servers")
 )
 
 // watch follows one attempt. Once its server has been silent for patience, it looks
@@ -61,6 +63,9 @@
 	// don't. changed is closed when that may be another time.
 	expiry  boottime.Instant
 	changed <-chan struct{}
+	// suspected is closed when a part of a prompt is suspected; nil once that does not
+	// concern the request.
+	suspected <-chan struct{}
 	// overdue is set while the server has been silent for longer than patience.
 	overdue bool
 	// search waits for a slot on another server; nil if none is searched for.
@@ -75,6 +80,9 @@
 func (h *Handler) watch(cr *callerRequest, a *attempt, patience time.Duration, maySwitch func() bool) *watch {
 	w := &watch{h: h, cr: cr, a: a, patience: patience, maySwitch: maySwitch, silentSince: h.clock.Now()}
 	w.expiry, w.changed = h.scheduler.weightsExpiry(cr.service, a.lease)
+	if len(a.trials) == 0 {
+		_, w.suspected = h.suspects.mustWithdraw(cr)
+	}
 	w.timer = h.clock.NewTimer(w.untilWake(w.silentSince))
 	return w
 }
@@ -115,6 +123,10 @@
 			}
 			w.a.giveUp(errEnding, placement.Canceled)
 			return part{}, false
+		case <-w.suspected:
+			if w.withdrawSuspected() {
+				return part{}, false
+			}
 		case <-w.changed:
 			w.expiry, w.changed = w.h.scheduler.weightsExpiry(w.cr.service, w.a.lease)
 			w.timer.Reset(w.untilWake(w.h.clock.Now()))
@@ -156,6 +168,19 @@
 	w.h.logSilence(w.cr, w.a.lease, w.silentSince, w.a.err)
 }
 
+// withdrawSuspected gives up the attempt if a part of its prompt is suspected and it has not
+// begun: it would end another server.
+func (w *watch) withdrawSuspected() bool {
+	var refused bool
+	refused, w.suspected = w.h.suspects.mustWithdraw(w.cr)
+	if !refused {
+		return false
+	}
+	w.a.giveUp(errSuspected, placement.Canceled)
+	w.h.log.Info("request withdrawn because of a suspected part", "id", w.cr.id, "server", w.a.lease.Server.ID, "parts", w.cr.parts)
+	return true
+}
+
 // untilWithdrawal returns the time until the request must be withdrawn. It returns
 // false if there is no such time.
 func (w *watch) untilWithdrawal() (time.Duration, bool) {
@@ -168,7 +193,7 @@
 // resume notes a part, or the end of the attempt if ok is false.
 func (w *watch) resume(p part, ok bool) {
 	if w.begun = w.begun || w.begins(p); w.begun {
-		w.changed = nil
+		w.changed, w.suspected = nil, nil
 	}
 	var err error
 	if !ok {
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -23,7 +23,9 @@
 type Server struct {
 	ID      string
 	Address string
-	Zone    string
+	// Born is the server's start in Unix milliseconds: it may start again under its ID.
+	Born int64
+	Zone string
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int
 	// Usable is false for servers that are draining or lack the weights. They get
--- /dev/null
+++ b/request/quarantine/table.go
@@ -0,0 +1,475 @@
+package quarantine
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
+)
+
+// report is a Report and its time.
+type report struct {
+	Report
+	at boottime.Instant
+}
+
+// serverEnd is the possible end of one server.
+type serverEnd struct {
+	reports map[string]report
+	// aliveAt is when the server was last known to be alive after a report.
+	aliveAt boottime.Instant
+}
+
+// valid returns the reports that no sign of life has refuted, and the time of the first
+// one. It is zero if there are none.
+func (e *serverEnd) valid() (reports []report, at boottime.Instant) {
+	for _, r := range e.reports {
+		if !r.at.After(e.aliveAt) {
+			continue
+		}
+		reports = append(reports, r)
+		if at.IsZero() || r.at.Before(at) {
+			at = r.at
+		}
+	}
+	return reports, at
+}
+
+// confirmed reports whether the server has ended and not only closed one connection:
+// requests at several connections were broken off within a moment, or its address refuses
+// connections.
+func confirmed(reports []report) bool {
+	for _, r := range reports {
+		runs := 0
+		for _, o := range reports {
+			if apart := o.at.Sub(r.at); apart >= 0 && apart < sameMoment {
+				runs += o.Runs
+			}
+		}
+		if r.Refused || runs >= 2 {
+			return true
+		}
+	}
+	return false
+}
+
+// latest returns the time of the latest report.
+func (e *serverEnd) latest() boottime.Instant {
+	var at boottime.Instant
+	for _, r := range e.reports {
+		if r.at.After(at) {
+			at = r.at
+		}
+	}
+	return at
+}
+
+// hold is the quarantine of a part.
+type hold struct {
+	Hold
+	since boottime.Instant
+	// trials is the number of requests with the part that are being tried.
+	trials int
+}
+
+func (h *hold) until(stagger time.Duration) boottime.Instant {
+	return h.since.Add(h.duration() + stagger)
+}
+
+// Table holds what is known of servers that ended and of suspected parts.
+type Table struct {
+	// stagger is how much later than others this entry tries a suspected part.
+	stagger time.Duration
+	ends    map[string]*serverEnd
+	holds   map[Part]*hold
+	// cleared holds when parts were cleared, so that an earlier hold does not come back.
+	cleared map[Part]boottime.Instant
+	// proven and olderProven hold when a server has proven a part sound.
+	proven, olderProven map[Part]boottime.Instant
+	// watched holds the candidates of servers that ended.
+	watched map[Part]watch
+	cuts    cutRate
+	// dueUntil is until when Decide must compare the ends again, and swept when it last
+	// removed what is too old.
+	dueUntil, swept boottime.Instant
+}
+
+// watch is what is known of a candidate.
+type watch struct {
+	// lastEnd is when a server last broke off a request with the part, and told when a
+	// proof of it was last told to the other entries.
+	lastEnd, told boottime.Instant
+}
+
+// NewTable returns an empty table. stagger, from 0 to 1, spreads the trials of the
+// entries.
+func NewTable(stagger float64) *Table {
+	return &Table{
+		stagger: time.Duration(stagger * float64(trialSpread)),
+		ends:    map[string]*serverEnd{}, holds: map[Part]*hold{}, cleared: map[Part]boottime.Instant{},
+		proven: map[Part]boottime.Instant{}, watched: map[Part]watch{},
+	}
+}
+
+// Candidates returns the candidates of a prompt to a model.
+func Candidates(model string, ids []string) []Candidate {
+	model = shorten(model)
+	candidates := make([]Candidate, len(ids))
+	for i, id := range ids {
+		candidates[i] = Candidate{Part: Part{Model: model, ID: shorten(id)}, Depth: i}
+	}
+	return candidates
+}
+
+// shorten replaces a long name by its digest.
+func shorten(name string) string {
+	if len(name) <= maxNameBytes {
+		return name
+	}
+	return strconv.FormatUint(xxhash.Sum64String(name), 16)
+}
+
+// RecordBrokenOff records that a server has broken off a request of this entry, which
+// origin identifies. It returns what this entry must tell the others of that end of the
+// server, and its time.
+func (t *Table) RecordBrokenOff(origin, server string, candidates []Candidate, now boottime.Instant) (Report, boottime.Instant) {
+	if len(candidates) > 0 {
+		t.cuts.recordCut(now)
+	}
+	r := report{Report: Report{Candidates: candidates, Runs: 1}, at: now}
+	if known, ok := t.ownReport(origin, server, now); ok {
+		r.at, r.Runs, r.Refused = known.at, known.Runs, known.Refused
+		r.Candidates = t.union(known.Candidates, candidates)
+		if now.Sub(r.at) < sameMoment {
+			r.Runs++
+		}
+	}
+	t.ApplyReport(origin, server, r.Report, r.at, now)
+	return r.Report, r.at
+}
+
+// RecordRefused records that the address of a server has refused a connection. It returns
+// false if the other entries need not hear of it.
+func (t *Table) RecordRefused(origin, server string, now boottime.Instant) (Report, boottime.Instant, bool) {
+	e := t.ends[server]
+	if e == nil {
+		return Report{}, now, false
+	}
+	reports, at := e.valid()
+	if len(reports) == 0 || confirmed(reports) {
+		return Report{}, now, false
+	}
+	r := report{Report: Report{Refused: true}, at: at}
+	if known, ok := t.ownReport(origin, server, now); ok {
+		r = known
+		r.Refused = true
+	}
+	t.ApplyReport(origin, server, r.Report, r.at, now)
+	return r.Report, r.at, true
+}
+
+// ownReport returns this entry's report on the present end of a server.
+func (t *Table) ownReport(origin, server string, now boottime.Instant) (report, bool) {
+	e := t.ends[server]
+	if e == nil {
+		return report{}, false
+	}
+	r, ok := e.reports[origin]
+	return r, ok && r.at.After(e.aliveAt) && now.Sub(r.at) < sameEnd
+}
+
+// union returns the candidates of two lists. If there are too many, those that are in
+// other ends stay: callers may send any number of parts once.
+func (t *Table) union(a, b []Candidate) []Candidate {
+	all := slices.Clone(a)
+	for _, c := range b {
+		if slices.ContainsFunc(a, func(o Candidate) bool { return o.Part == c.Part }) {
+			continue
+		}
+		if len(all) < maxParts {
+			all = append(all, c)
+			continue
+		}
+		if _, isWatched := t.watched[c.Part]; !isWatched {
+			continue
+		}
+		if i := slices.IndexFunc(all, func(o Candidate) bool { _, other := t.watched[o.Part]; return !other }); i >= 0 {
+			all[i] = c
+		}
+	}
+	return all
+}
+
+// ApplyReport applies the report of an entry on the end of a server. It returns the parts
+// that were proven sound since, which the other entries may not know.
+func (t *Table) ApplyReport(origin, server string, r Report, at, now boottime.Instant) []Part {
+	e := t.end(server)
+	r.Candidates = r.Candidates[:min(len(r.Candidates), maxParts)]
+	e.reports[origin] = report{Report: r, at: at}
+	var known []Part
+	for _, c := range r.Candidates {
+		w := t.watched[c.Part]
+		if at.After(w.lastEnd) {
+			w.lastEnd = at
+		}
+		if proven := t.provenAt(c.Part); proven.After(at) && !w.told.After(at) {
+			w.told = proven
+			known = append(known, c.Part)
+		}
+		t.watched[c.Part] = w
+	}
+	t.decideUntil(now.Add(2 * settleTime))
+	return known
+}
+
+// decideUntil makes Decide compare the ends again until a time.
+func (t *Table) decideUntil(until boottime.Instant) {
+	if until.After(t.dueUntil) {
+		t.dueUntil = until
+	}
+}
+
+// end returns the record of a server, and creates it on first use. If there is no room,
+// one that is refuted or not confirmed makes room, or else the earliest one.
+func (t *Table) end(server string) *serverEnd {
+	if e := t.ends[server]; e != nil {
+		return e
+	}
+	if len(t.ends) >= maxEnds {
+		var oldest string
+		var at boottime.Instant
+		oldestConfirmed := true
+		for id, e := range t.ends {
+			latest := e.latest()
+			reports, _ := e.valid()
+			isConfirmed := confirmed(reports)
+			if oldest == "" || !isConfirmed && oldestConfirmed || isConfirmed == oldestConfirmed && latest.Before(at) {
+				oldest, at, oldestConfirmed = id, latest, isConfirmed
+			}
+		}
+		delete(t.ends, oldest)
+	}
+	e := &serverEnd{reports: map[string]report{}}
+	t.ends[server] = e
+	return e
+}
+
+// RecordAlive records that a server has sent something. It returns true if that shows
+// that the server has not ended, contrary to a report.
+func (t *Table) RecordAlive(server string, now boottime.Instant) bool {
+	e := t.ends[server]
+	if e == nil {
+		return false
+	}
+	if latest := e.latest(); !latest.After(e.aliveAt) || now.Sub(latest) < aliveMargin {
+		return false
+	}
+	e.aliveAt = now
+	return true
+}
+
+// ApplyAlive applies another entry's sign of life from a server.
+func (t *Table) ApplyAlive(server string, at boottime.Instant) {
+	e := t.end(server)
+	if at.After(e.aliveAt) {
+		e.aliveAt = at
+	}
+}
+
+// RecordProven records that a server has proven parts sound. It returns those that the
+// other entries must hear of.
+func (t *Table) RecordProven(candidates []Candidate, now boottime.Instant) []Part {
+	t.cuts.recordProven(now)
+	var news []Part
+	for _, c := range candidates {
+		t.ApplyProven(c.Part, now)
+		held := t.holds[c.Part] != nil
+		if w, isWatched := t.watched[c.Part]; isWatched && !w.told.After(w.lastEnd) || held {
+			w.told = now
+			t.watched[c.Part] = w
+			news = append(news, c.Part)
+		}
+		if held {
+			t.decideUntil(now)
+		}
+	}
+	return news
+}
+
+// ApplyProven applies a proof that a part is sound.
+func (t *Table) ApplyProven(p Part, at boottime.Instant) {
+	if !at.After(t.provenAt(p)) {
+		return
+	}
+	if t.holds[p] != nil {
+		t.decideUntil(at)
+	}
+	if len(t.proven) >= maxProven {
+		t.olderProven, t.proven = t.proven, make(map[Part]boottime.Instant, maxProven)
+	}
+	t.proven[p] = at
+}
+
+func (t *Table) provenAt(p Part) boottime.Instant {
+	if at, ok := t.proven[p]; ok {
+		return at
+	}
+	return t.olderProven[p]
+}
+
+// lastEnd returns when a server last ended that had a request with a part.
+func (t *Table) lastEnd(p Part) boottime.Instant {
+	var last boottime.Instant
+	for _, e := range t.ends {
+		reports, at := e.valid()
+		if at.After(last) && contains(reports, p) {
+			last = at
+		}
+	}
+	return last
+}
+
+func contains(reports []report, p Part) bool {
+	for _, r := range reports {
+		for _, c := range r.Candidates {
+			if c.Part == p {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// ApplyHold applies another entry's decision. It reports whether that changed the
+// quarantine of the part.
+func (t *Table) ApplyHold(h Hold, at boottime.Instant) bool {
+	known := t.holds[h.Part]
+	switch {
+	case h.Count <= 0:
+		if known == nil || !known.since.Before(at) {
+			return false
+		}
+		t.clear(h.Part, at)
+	case !at.After(t.cleared[h.Part]) || known != nil && !at.After(known.since):
+		return false
+	default:
+		t.setHold(h, at)
+	}
+	return true
+}
+
+// Ends returns the number of servers that may have ended.
+func (t *Table) Ends() int { return len(t.ends) }
+
+func (t *Table) setHold(h Hold, at boottime.Instant) {
+	if known := t.holds[h.Part]; known != nil {
+		known.Hold, known.since = h, at
+		return
+	}
+	if len(t.holds) >= maxHolds {
+		t.removeOldestHold()
+	}
+	t.holds[h.Part] = &hold{Hold: h, since: at}
+}
+
+func (t *Table) removeOldestHold() {
+	var oldest *hold
+	for _, h := range t.holds {
+		if oldest == nil || h.since.Before(oldest.since) {
+			oldest = h
+		}
+	}
+	delete(t.holds, oldest.Part)
+}
+
+func (t *Table) clear(p Part, at boottime.Instant) {
+	delete(t.holds, p)
+	if len(t.cleared) >= maxHolds {
+		clear(t.cleared)
+	}
+	t.cleared[p] = at
+}
+
+// Refused returns for how long a request with a prompt must not be sent, and the part
+// that is the reason. It returns false if the request may be sent.
+func (t *Table) Refused(candidates []Candidate, now boottime.Instant) (time.Duration, Part, bool) {
+	if len(t.holds) == 0 {
+		return 0, Part{}, false
+	}
+	for _, c := range candidates {
+		h := t.holds[c.Part]
+		switch {
+		case h == nil:
+		case now.Before(h.until(t.stagger)):
+			return h.until(t.stagger).Sub(now), c.Part, true
+		case h.trials > 0 || t.lastEnd(c.Part).After(h.until(0)):
+			return trialRetryAfter, c.Part, true
+		}
+	}
+	return 0, Part{}, false
+}
+
+// Dump returns the suspected parts and the number of ends that are compared, for the
+// state dump.
+func (t *Table) Dump(now boottime.Instant) any {
+	type suspected struct {
+		Part     Part
+		Count    int
+		HeldFor  time.Duration
+		HoldLeft time.Duration
+		Trials   int
+	}
+	dump := struct {
+		Suspected []suspected
+		Ends      int
+		Required  int
+	}{Ends: len(t.ends), Required: t.cuts.requiredMoments()}
+	for p, h := range t.holds {
+		dump.Suspected = append(dump.Suspected, suspected{
+			Part: p, Count: h.Count, HeldFor: now.Sub(h.since), HoldLeft: max(h.until(t.stagger).Sub(now), 0), Trials: h.trials,
+		})
+	}
+	return dump
+}
+
+// StartTrial records that a request is sent. If it has a suspected part, that is a
+// trial, and the returned parts must be passed to EndTrial.
+func (t *Table) StartTrial(candidates []Candidate) []Part {
+	if len(t.holds) == 0 {
+		return nil
+	}
+	var trials []Part
+	for _, c := range candidates {
+		if h := t.holds[c.Part]; h != nil {
+			h.trials++
+			trials = append(trials, c.Part)
+		}
+	}
+	return trials
+}
+
+// EndTrial records that a trial has ended.
+func (t *Table) EndTrial(trials []Part) {
+	for _, p := range trials {
+		if h := t.holds[p]; h != nil && h.trials > 0 {
+			h.trials--
+		}
+	}
+}
+
+// Doubtful reports whether a request that a server broke off must not be sent to
+// another one: a part of its prompt may be the cause.
+func (t *Table) Doubtful(candidates []Candidate) bool {
+	for _, c := range candidates {
+		if t.holds[c.Part] != nil {
+			return true
+		}
+		if times, anyConfirmed := t.endsSinceProof(c.Part); anyConfirmed && countMoments(times) >= doubtfulMoments {
+			return true
+		}
+	}
+	return false
+}
