forward: an unframed stream that ends after an event is complete

What callers saw: a stream without length or chunks that had come whole was taken for a broken one: another server was asked to go on after the last event, and where none had a slot or the retry budget was spent, the connection was aborted. An unframed short answer, on the other hand, counted as whole even if the server had ended in the middle of it.

Cause: the end of an unframed response was judged by its kind alone.

Change: an unframed response is complete unless it ends inside an event or before the first one, or its server accepts no connection afterwards: then it has ended and has cut the response. The connection opened for that is kept.

Evidence: TestUnframedStreamThatEndsAfterAnEventIsComplete (aborted before) and TestUnframedAnswerOfAServerThatEndedIsNotForwarded ("ended": the cut answer was forwarded before) failed and pass.

--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -121,6 +121,17 @@
 	}
 }
 
+// Check returns an error if the server accepts no connection. The connection that it opens
+// is kept for reuse.
+func (c *Client) Check(ctx context.Context, address string) error {
+	k, err := c.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.putIdle(k, time.Now())
+	return nil
+}
+
 // connect opens a connection.
 func (c *Client) connect(ctx context.Context, address string) (*conn, error) {
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -100,6 +100,9 @@
 	case a.result == resultAnswered:
 		err = a.readEvents(ctx, events)
 	}
+	if err == nil && !a.ex.Framed() {
+		err = a.checkUnframedEnd(ctx, client)
+	}
 	if err != nil {
 		a.err, a.result, a.outcome = err, resultUnknown, errorOutcome(ctx, err)
 	}
@@ -115,8 +118,17 @@
 	}
 }
 
-// readEvents delivers the events of a stream until its end. A response without
-// framing counts as failed: its end can't be distinguished from a truncation.
+// checkUnframedEnd returns an error if the server has ended. A response without framing
+// ends with its connection, which the end of the server closes as well.
+func (a *attempt) checkUnframedEnd(ctx context.Context, client *backend.Client) error {
+	if err := client.Check(ctx, a.lease.Server.Address); err != nil {
+		return errors.CombineErrors(io.ErrUnexpectedEOF, err)
+	}
+	return nil
+}
+
+// readEvents delivers the events of a stream until its end. A response without framing
+// that ends before its first event is incomplete.
 func (a *attempt) readEvents(ctx context.Context, events *eventReader) error {
 	events.reset(a.ex)
 	for {
@@ -128,7 +140,7 @@
 			}
 		}
 		switch {
-		case err == io.EOF && a.ex.Framed(): //nolint:errorlint // next returns io.EOF itself
+		case err == io.EOF && (a.ex.Framed() || events.hasLastID): //nolint:errorlint // next returns io.EOF itself
 			return nil
 		case err == io.EOF: //nolint:errorlint // next returns io.EOF itself
 			return io.ErrUnexpectedEOF
