forward: a complete plain answer proves its prompt sound

A request with a prompt whose answer is no stream was never taken as proof, as it has no events: on such a route a sound part could be suspected after ends of servers that it only was near to. TestAnswersOfAnyKindProveTheirPromptsSound failed for "plain" before.

--- a/request/forward/suspects.go
+++ b/request/forward/suspects.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingpost/waxwingpost/process/boottime"
+	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/observation"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/quarantine"
@@ -184,7 +185,7 @@
 	s.table.EndTrial(a.trials)
 	now := s.ageClock.Now()
 	switch {
-	case a.result == resultAnswered && a.events > 0:
+	case a.result == resultAnswered && (a.events > 0 || cr.route.Kind != deployment.Stream):
 		s.recordAlive(a)
 		if !a.proven {
 			s.recordProven(cr, a)
--- /dev/null
+++ b/request/forward/suspects_test.go
@@ -0,0 +1,39 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/request/quarantine"
+)
+
+func TestAnswersOfAnyKindProveTheirPromptsSound(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind    deployment.Repeatability
+		respond respondFunc
+	}{"plain": {deployment.Repeatable, echo}, "stream": {deployment.Stream, streamEvents(3, 0)}} {
+		config := testConfig(c.kind, testTimeout)
+		config.Routes[0].Generation = true
+		s := newFakeServer(t, "s1", c.respond)
+		e := newTestEntry(t, config, s)
+		candidates := quarantine.Candidates("m", []string{"part"})
+		now := e.handler.ageClock.Now()
+		for server, ago := range map[string]time.Duration{"x": time.Second, "y": 2 * time.Second} {
+			for range 2 {
+				e.handler.suspects.table.RecordBrokenOff("other", server, candidates, now.Add(-ago))
+			}
+		}
+		if !e.handler.suspects.table.Doubtful(candidates) {
+			t.Fatalf("%s: two ends of servers raise no doubt", name)
+		}
+		_, _, err := e.send(t, func(r *http.Request) {
+			r.Header.Set("Model", "m")
+			r.Header.Set("Prompt-Prefix", "part:10,own:10")
+		})
+		if err != nil || e.handler.suspects.table.Doubtful(candidates) {
+			t.Errorf("%s: an answer does not prove its prompt; error %v", name, err)
+		}
+	}
+}
