--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -76,6 +76,7 @@
 		RetryAllowance: settings.Bounds.RetryAllowance, RetryWindow: settings.Bounds.RetryWindow, Observe: f.follower.Observe,
 	}, f.client, rt.Clock, rt.AgeClock, rt.Log, rt.Scope)
 	rt.Dump.Add("pools", f.handler.Dump)
+	rt.Dump.Add("limits", f.handler.DumpLimits)
 	rt.Dump.Add("quarantine", f.handler.DumpQuarantine)
 	rt.Dump.Add("view", func() any { return f.follower.View() })
 	return f
--- a/process/observation/observation.go
+++ b/process/observation/observation.go
@@ -29,6 +29,8 @@
 	Proven Kind = 3
 	// Quarantine means that prompts with the part that is the key are refused.
 	Quarantine Kind = 4
+	// Limit is what a server last said of the requests per second that it takes.
+	Limit Kind = 5
 )
 
 const (
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -70,12 +70,12 @@
 		Header: h.serverHeader(cr, l, events.position()), Body: cr.body,
 		ID: cr.id, EchoHeader: platform.HeaderRequestID, HeadDeadline: cr.deadline.Add(-responseMargin), SendDeadline: l.SendDeadline(),
 	}
-	go a.run(ctx, h.client, req, cr.route.Kind == deployment.Stream, events)
+	go a.run(ctx, h, req, cr.route.Kind == deployment.Stream, events)
 	return a
 }
 
 // run sends the request, delivers the parts of the response and sets the result.
-func (a *attempt) run(ctx context.Context, client *backend.Client, req *backend.Request, streams bool, events *eventReader) {
+func (a *attempt) run(ctx context.Context, h *Handler, req *backend.Request, streams bool, events *eventReader) {
 	defer close(a.parts)
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -83,11 +83,12 @@
 			a.result, a.outcome = resultUnknown, placement.Canceled
 		}
 	}()
-	a.ex, a.err = client.Do(ctx, a.lease.Server.Address, req)
+	a.ex, a.err = h.client.Do(ctx, a.lease.Server.Address, req)
 	if a.err != nil {
 		a.classifyError(ctx)
 		return
 	}
+	h.recordLimit(a)
 	a.classifyResponse(streams)
 	if a.result != resultAnswered && a.result != resultFailed {
 		return
@@ -101,7 +102,7 @@
 		err = a.readEvents(ctx, events)
 	}
 	if err == nil && !a.ex.Framed() {
-		err = a.checkUnframedEnd(ctx, client)
+		err = a.checkUnframedEnd(ctx, h.client)
 	}
 	if err != nil {
 		a.err, a.result, a.outcome = err, resultUnknown, errorOutcome(ctx, err)
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 	"github.com/waxwingpost/waxwingpost/request/retry"
+	"github.com/waxwingpost/waxwingpost/request/serverlimit"
 )
 
 const (
@@ -55,13 +57,14 @@
 	// viewTime is when the view was received.
 	viewTime      time.Time
 	services      map[string]*serviceState
+	limits        *serverlimit.Table
 	demandSampled time.Time
 }
 
 func newScheduler(cfg Config, clock clockwork.Clock, ageClock boottime.Clock) *scheduler {
 	return &scheduler{
 		cfg: cfg, clock: clock, ageClock: ageClock, view: &feed.View{}, weightsChanged: make(chan struct{}), ending: make(chan struct{}),
-		services: map[string]*serviceState{}, demandSampled: clock.Now(),
+		services: map[string]*serviceState{}, demandSampled: clock.Now(), limits: serverlimit.NewTable(rand.Float64),
 	}
 }
 
@@ -75,6 +78,7 @@
 	}
 	sc.view, sc.viewTime = v, sc.clock.Now()
 	sc.updatePools()
+	sc.forgetLimits()
 }
 
 // updatePools applies the view to the pools and retry budgets. A service that is no
@@ -95,7 +99,7 @@
 		}
 		st.retryBudget.Share = sc.cfg.RetryShare * retryBudgetFraction
 		st.retryBudget.Allowance = sc.cfg.RetryAllowance * retryBudgetFraction / float64(entries)
-		st.pool.Update(now, poolConfig(sc.cfg.Zone, st.config), sc.poolServers(st.config, now), sc.entryShare(name, st))
+		st.pool.Update(now, sc.poolConfig(st.config, entries), sc.poolServers(st.config, now), sc.entryShare(name, st))
 	}
 }
 
@@ -113,8 +117,9 @@
 	return st
 }
 
-func poolConfig(zone string, s *deployment.Service) placement.Config {
-	cfg := placement.Config{Zone: zone}
+// poolConfig returns the settings of the pool of a service.
+func (sc *scheduler) poolConfig(s *deployment.Service, entries int) placement.Config {
+	cfg := placement.Config{Zone: sc.cfg.Zone, Limits: sc.limits, Entries: entries}
 	if e := s.Engine; e != nil {
 		cfg.ReadPerSecond = e.ReadPerSecond
 	}
--- a/request/forward/suspects.go
+++ b/request/forward/suspects.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -64,7 +63,17 @@
 
 // ApplyObservations applies what other entries have learned. It must not be called
 // concurrently.
-func (h *Handler) ApplyObservations(records []observation.Record) { h.suspects.apply(records) }
+func (h *Handler) ApplyObservations(records []observation.Record) {
+	for _, r := range records {
+		apply := h.suspects.apply
+		if r.Kind == observation.Limit {
+			apply = h.applyLimit
+		}
+		if err := apply(r); err != nil {
+			h.log.Warn("failed to decode observation", "kind", int(r.Kind), "origin", r.Origin, "code", int(result.BadMessage), "error", err)
+		}
+	}
+}
 
 // Decide compares what is known of servers that ended. It must be called periodically.
 func (h *Handler) Decide() { h.suspects.decide() }
@@ -131,11 +140,6 @@
 	return true
 }
 
-// incarnation identifies one start of a server.
-func (a *attempt) incarnation() string {
-	return fmt.Sprintf("%s/%d", a.lease.Server.ID, a.lease.Server.Born)
-}
-
 // recordEvents records that the server of an attempt has sent events, received of them so
 // far.
 func (s *suspects) recordEvents(cr *callerRequest, a *attempt, received int) {
@@ -155,7 +159,7 @@
 	if s.table.Ends() == 0 {
 		return
 	}
-	if server, now := a.incarnation(), s.ageClock.Now(); s.table.RecordAlive(server, now) {
+	if server, now := a.lease.Server.Incarnation(), s.ageClock.Now(); s.table.RecordAlive(server, now) {
 		s.log.Info("server is alive after it broke off a request", "server", server)
 		s.observe(observation.Alive, server, nil, now, endTTL)
 	}
@@ -195,12 +199,12 @@
 		if !a.proven {
 			candidates = cr.candidates
 		}
-		r, at := s.table.RecordBrokenOff(ownOrigin, a.incarnation(), candidates, now)
-		s.observe(observation.BrokenOff, a.incarnation(), encode(r), at, endTTL)
+		r, at := s.table.RecordBrokenOff(ownOrigin, a.lease.Server.Incarnation(), candidates, now)
+		s.observe(observation.BrokenOff, a.lease.Server.Incarnation(), encode(r), at, endTTL)
 	case errors.Is(a.err, syscall.ECONNREFUSED):
-		if r, at, news := s.table.RecordRefused(ownOrigin, a.incarnation(), now); news {
-			s.log.Info("server has ended", "server", a.incarnation(), "error", a.err)
-			s.observe(observation.BrokenOff, a.incarnation(), encode(r), at, endTTL)
+		if r, at, news := s.table.RecordRefused(ownOrigin, a.lease.Server.Incarnation(), now); news {
+			s.log.Info("server has ended", "server", a.lease.Server.Incarnation(), "error", a.err)
+			s.observe(observation.BrokenOff, a.lease.Server.Incarnation(), encode(r), at, endTTL)
 		}
 	}
 }
@@ -232,19 +236,11 @@
 	s.changed = make(chan struct{})
 }
 
-// apply applies what other entries have learned.
-func (s *suspects) apply(records []observation.Record) {
+// apply applies what another entry has learned.
+func (s *suspects) apply(r observation.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.ageClock.Now()
-	for _, r := range records {
-		if err := s.applyRecord(r, now); err != nil {
-			s.log.Warn("failed to decode observation", "kind", int(r.Kind), "origin", r.Origin, "code", int(result.BadMessage), "error", err)
-		}
-	}
-}
-
-func (s *suspects) applyRecord(r observation.Record, now boottime.Instant) error {
 	switch r.Kind {
 	case observation.Alive:
 		s.table.ApplyAlive(r.Key, r.At)
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/process/boottime"
+	"github.com/waxwingpost/waxwingpost/request/serverlimit"
 )
 
 const (
@@ -26,6 +27,11 @@
 	// slotEWMAWeight is the weight of the newest sample in the moving averages of
 	// the interval between freed slots and of the time a slot is held.
 	slotEWMAWeight = 0.1
+	// minMeanHold is the least time for which a request is taken to hold a slot at a
+	// server with a limit.
+	minMeanHold = 500 * time.Millisecond
+	// maxLimitInterval bounds the time between two requests that limits allow.
+	maxLimitInterval = time.Minute
 )
 
 // Pool assigns the requests of one entry to the servers of one service and
@@ -76,6 +82,7 @@
 			p.servers[listed.ID] = s
 		}
 		s.Server, s.removed = listed, false
+		s.incarnation = listed.Incarnation()
 		p.active = append(p.active, s)
 		p.expiring = p.expiring || !s.WeightsUntil.IsZero()
 	}
@@ -105,12 +112,26 @@
 	slots := 0
 	for _, s := range p.active {
 		if s.Usable {
-			slots += s.Slots
+			slots += p.usableSlots(s)
 		}
 	}
 	return max(1, int(math.Round(float64(slots)*p.share)))
 }
 
+// usableSlots returns the number of a server's slots that its limit lets requests use.
+func (p *Pool) usableSlots(s *server) int {
+	limit, limited := p.cfg.Limits.Limit(s.incarnation)
+	if !limited {
+		return s.Slots
+	}
+	return min(s.Slots, int(math.Ceil(limit*max(p.meanHold, minMeanHold).Seconds())))
+}
+
+// limitPart returns the entry's part of the servers' limits.
+func (p *Pool) limitPart() serverlimit.Part {
+	return serverlimit.Part{Share: p.share, Entries: p.cfg.Entries}
+}
+
 // TryAcquire assigns a free slot to a request, or returns nil if there is none.
 func (p *Pool) TryAcquire(now time.Time, req Request) *Lease {
 	limit := p.slotLimit()
@@ -124,6 +145,7 @@
 	if s == nil {
 		return nil
 	}
+	p.cfg.Limits.Take(s.incarnation, p.limitPart(), now)
 	s.inFlight++
 	s.prefillTokens += req.PromptTokens
 	p.inFlight++
@@ -146,7 +168,7 @@
 			// A slow server gets one request at a time as a probe.
 			continue
 		}
-		if !s.Usable || !s.available(now) || slices.Contains(req.Exclude, s.ID) || !p.accepts(s, req) {
+		if !s.Usable || !s.available(now) || slices.Contains(req.Exclude, s.ID) || !p.accepts(s, req) || !p.cfg.Limits.Due(s.incarnation, p.limitPart(), now) {
 			continue
 		}
 		key := p.load(s)
@@ -303,13 +325,33 @@
 	if useful <= 0 || !p.HasUsable() {
 		return false
 	}
-	if time.Duration(p.queuePosition(w))*p.freeInterval > useful {
+	if time.Duration(p.queuePosition(w))*max(p.freeInterval, p.limitInterval()) > useful {
 		return false
 	}
 	p.waiting = append(p.waiting, w)
 	return true
 }
 
+// limitInterval returns the mean time between two requests that the limits of the servers
+// allow, or 0 if a usable server has none.
+func (p *Pool) limitInterval() time.Duration {
+	rate := 0.0
+	for _, s := range p.active {
+		if !s.Usable {
+			continue
+		}
+		r, limited := p.cfg.Limits.Rate(s.incarnation, p.limitPart())
+		if !limited {
+			return 0
+		}
+		rate += r
+	}
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(min(1/rate, maxLimitInterval.Seconds()) * float64(time.Second))
+}
+
 // queuePosition returns the position, from 1, that a request would take in the
 // queue.
 func (p *Pool) queuePosition(w *Waiter) int {
@@ -385,7 +427,7 @@
 // which all slots now in use are freed once, within fixed bounds.
 func (p *Pool) RetryAfter() time.Duration {
 	const shortest, longest = 300 * time.Millisecond, 3 * time.Second
-	return min(max(p.meanHold, shortest), longest)
+	return min(max(p.meanHold, shortest, p.limitInterval()), longest)
 }
 
 // Load returns the number of requests in flight and the limit on it.
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -50,6 +50,7 @@
 // requests.
 type server struct {
 	Server
+	incarnation string
 	// inFlight counts this entry's requests at the server, and prefillTokens the
 	// prompt tokens of those without a first event.
 	inFlight      int
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -13,10 +13,12 @@
 package placement
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/directory"
+	"github.com/waxwingpost/waxwingpost/request/serverlimit"
 )
 
 // Server is a backend server as listed in the directory.
@@ -41,6 +43,9 @@
 	WeightsUntil boottime.Instant
 }
 
+// Incarnation identifies one start of the server.
+func (s *Server) Incarnation() string { return s.ID + "/" + strconv.FormatInt(s.Born, 10) }
+
 // Config holds the settings of one service at one entry.
 type Config struct {
 	// Zone is the entry's availability zone.
@@ -48,6 +53,10 @@
 	// ReadPerSecond is the prefill rate of a server in prompt tokens per second; 0
 	// for a service whose servers are not model engines.
 	ReadPerSecond float64
+	// Limits holds the limits that servers have named; nil if they name none.
+	Limits *serverlimit.Table
+	// Entries is the number of entries that share the servers.
+	Entries int
 }
 
 // hasEngines reports whether the service's servers are model engines.
