quarantine: bounds over all entries, fewer reports of live servers; a test of restarts

New: TestQuarantineSurvivesRestartsOfEntriesAndControlProcesses, in which all control processes and entries restart one after the other and no request with the part reaches a server afterwards.

--- a/process/frontend/crash_test.go
+++ b/process/frontend/crash_test.go
@@ -97,3 +97,32 @@
 		}
 	}
 }
+
+func TestQuarantineSurvivesRestartsOfEntriesAndControlProcesses(t *testing.T) {
+	f := newFleet(t, 80, 2, 8, engineBehavior{crashPart: "crashing", downFor: 400 * time.Millisecond})
+	traffic := &crashTraffic{f: f}
+	traffic.run(5*time.Second, 100*time.Millisecond, "crashing")
+	crashes := f.crashTimes()
+	if len(crashes) < 2 {
+		t.Fatalf("%d servers crashed", len(crashes))
+	}
+	quiet := time.Now()
+	for i := range fleetControls {
+		f.stopControl[i]()
+		f.startControl(i, false)
+		time.Sleep(500 * time.Millisecond)
+	}
+	for _, e := range f.entries {
+		e.stop()
+		e.start()
+		e.awaitService()
+		for range 10 {
+			if status := e.send("system", "crashing"); status != http.StatusServiceUnavailable {
+				t.Errorf("status %d for a request with the part after a restart of the entry", status)
+			}
+		}
+	}
+	if n := countAfter(f.arrivalTimes("crashing"), quiet); n != 0 {
+		t.Errorf("%d requests with the part reached servers after restarts", n)
+	}
+}
--- a/process/frontend/fleet_test.go
+++ b/process/frontend/fleet_test.go
@@ -39,10 +39,13 @@
 	t       *testing.T
 	net     uint64
 	control []string
-	entries []*fleetEntry
-	engines []*fleetEngine
-	log     *logBuffer
-	ids     atomic.Int64
+	// stopControl stops a control process; dataDirs holds the disks.
+	stopControl []func()
+	dataDirs    []string
+	entries     []*fleetEntry
+	engines     []*fleetEngine
+	log         *logBuffer
+	ids         atomic.Int64
 }
 
 // fleetEntry is an entry that can be stopped and started again.
@@ -61,8 +64,11 @@
 	for i := range fleetControls {
 		f.control = append(f.control, net.JoinHostPort(testIP(n+uint64(i)), fleetOperatorPort))
 	}
+	f.stopControl = make([]func(), fleetControls)
 	for i := range fleetControls {
-		f.startControl(i)
+		f.dataDirs = append(f.dataDirs, t.TempDir())
+		f.startControl(i, true)
+		t.Cleanup(func() { f.stopControl[i]() })
 	}
 	f.post("/-/Config.Put", []byte(fleetConfiguration))
 	for range engines {
@@ -110,15 +116,15 @@
 	}
 }
 
-func (f *fleet) startControl(i int) {
+func (f *fleet) startControl(i int, first bool) {
 	ip := testIP(f.net + uint64(i))
 	name := fmt.Sprint("control-", i)
 	rt := f.runtime(name)
 	c := controller.New(platform.Settings{
-		VM: name, IP: ip, PeerPort: fleetPeerPort, FirstStart: true, DataDir: f.t.TempDir(), FaultTolerance: 1,
+		VM: name, IP: ip, PeerPort: fleetPeerPort, FirstStart: first, DataDir: f.dataDirs[i], FaultTolerance: 1,
 		OperatorAddress: f.control[i], Seeds: f.control,
 	}, rt)
-	f.t.Cleanup(f.run(name, rt, c.Run))
+	f.stopControl[i] = f.run(name, rt, c.Run)
 }
 
 // post sends a call to the control processes until one accepts it.
--- a/process/observation/observation.go
+++ b/process/observation/observation.go
@@ -37,7 +37,7 @@
 	// maxRecords bounds the records of one kind.
 	maxRecords = 1024
 	// maxBodyBytes and maxKeyBytes bound one record.
-	maxBodyBytes = 16 << 10
+	maxBodyBytes = 8 << 10
 	maxKeyBytes  = 512
 )
 
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -83,8 +83,10 @@
 type Table struct {
 	// stagger is how much later than others this entry tries a suspected part.
 	stagger time.Duration
-	ends    map[string]*serverEnd
-	holds   map[Part]*hold
+	// aliveDelay is how much later than others this entry reports a server as alive.
+	aliveDelay time.Duration
+	ends       map[string]*serverEnd
+	holds      map[Part]*hold
 	// cleared holds when parts were cleared, so that an earlier hold does not come back.
 	cleared map[Part]boottime.Instant
 	// proven and olderProven hold when a server has proven a part sound.
@@ -104,12 +106,12 @@
 	lastEnd, told boottime.Instant
 }
 
-// NewTable returns an empty table. stagger, from 0 to 1, spreads the trials of the
-// entries.
+// NewTable returns an empty table. stagger, from 0 to 1, spreads what all entries would
+// do at the same time.
 func NewTable(stagger float64) *Table {
 	return &Table{
-		stagger: time.Duration(stagger * float64(trialSpread)),
-		ends:    map[string]*serverEnd{}, holds: map[Part]*hold{}, cleared: map[Part]boottime.Instant{},
+		stagger: time.Duration(stagger * float64(trialSpread)), aliveDelay: time.Duration(stagger * float64(aliveSpread)),
+		ends: map[string]*serverEnd{}, holds: map[Part]*hold{}, cleared: map[Part]boottime.Instant{},
 		proven: map[Part]boottime.Instant{}, watched: map[Part]watch{},
 	}
 }
@@ -207,7 +209,13 @@
 // that were proven sound since, which the other entries may not know.
 func (t *Table) ApplyReport(origin, server string, r Report, at, now boottime.Instant) []Part {
 	e := t.end(server)
-	r.Candidates = r.Candidates[:min(len(r.Candidates), maxParts)]
+	room := maxEndParts
+	for other, known := range e.reports {
+		if other != origin {
+			room -= len(known.Candidates)
+		}
+	}
+	r.Candidates = r.Candidates[:min(len(r.Candidates), maxParts, max(room, 0))]
 	e.reports[origin] = report{Report: r, at: at}
 	var known []Part
 	for _, c := range r.Candidates {
@@ -264,7 +272,7 @@
 	if e == nil {
 		return false
 	}
-	if latest := e.latest(); !latest.After(e.aliveAt) || now.Sub(latest) < aliveMargin {
+	if latest := e.latest(); !latest.After(e.aliveAt) || now.Sub(latest) < aliveMargin+t.aliveDelay {
 		return false
 	}
 	e.aliveAt = now
--- a/request/quarantine/types.go
+++ b/request/quarantine/types.go
@@ -32,6 +32,9 @@
 	// aliveMargin is the time after a broken connection from which a response shows that
 	// the server is alive. Earlier ones may have waited in buffers.
 	aliveMargin = 100 * time.Millisecond
+	// aliveSpread is the time over which the entries report a sign of life, so that one
+	// report spares the others.
+	aliveSpread = 100 * time.Millisecond
 	// sameEnd is the time within which several reports concern one end of a server.
 	sameEnd = time.Second
 	// sameMoment is the time within which the ends of several servers count as one: a
@@ -61,13 +64,14 @@
 	trialSpread = time.Minute
 	// trialRetryAfter is the retry delay while another request is tried.
 	trialRetryAfter = 2 * time.Second
-	// maxEnds bounds the servers whose ends are compared, maxParts the parts that are
-	// recorded for one, maxHolds the suspected parts, and maxProven the parts of each of
+	// maxEnds bounds the servers whose ends are compared, maxParts the parts that one entry
+	// records for a server, maxEndParts those that all entries do, maxHolds the suspected parts, and maxProven the parts of each of
 	// two generations whose proofs are remembered.
-	maxEnds   = 64
-	maxParts  = 256
-	maxHolds  = 128
-	maxProven = 4096
+	maxEnds     = 64
+	maxParts    = 256
+	maxEndParts = 1024
+	maxHolds    = 128
+	maxProven   = 4096
 	// maxNameBytes is the length up to which the name of a model or part is kept.
 	maxNameBytes = 32
 	// sweepInterval is the time between two removals of what is too old.
