placement: a server that turns requests away gets none for the time it names

What servers saw: an engine that answered 503 with Retry-After got the next request of the same entry 100 ms later: a refusal was always taken for a full batch. Allowed are two requests between half a second after the answer and the end of its time (rule BUDGET on engines that turn away, in force without code).

Change: the server is closed to this entry for the time that it named; other entries have not been told anything by it. Where all servers of a service are closed for longer than a request may wait, it is refused at once, with the time until the first opens as Retry-After.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -70,12 +70,12 @@
 		Header: h.serverHeader(cr, l, events.position()), Body: cr.body,
 		ID: cr.id, EchoHeader: platform.HeaderRequestID, HeadDeadline: cr.deadline.Add(-responseMargin), SendDeadline: l.SendDeadline(),
 	}
-	go a.run(ctx, h, req, cr.route.Kind == deployment.Stream, events)
+	go a.run(ctx, h, cr.service, req, cr.route.Kind == deployment.Stream, events)
 	return a
 }
 
 // run sends the request, delivers the parts of the response and sets the result.
-func (a *attempt) run(ctx context.Context, h *Handler, req *backend.Request, streams bool, events *eventReader) {
+func (a *attempt) run(ctx context.Context, h *Handler, service string, req *backend.Request, streams bool, events *eventReader) {
 	defer close(a.parts)
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -89,6 +89,7 @@
 		return
 	}
 	h.recordLimit(a)
+	h.recordTurnedAway(service, a)
 	a.classifyResponse(streams)
 	if a.result != resultAnswered && a.result != resultFailed {
 		return
--- a/request/forward/slotwait.go
+++ b/request/forward/slotwait.go
@@ -44,7 +44,7 @@
 		}
 	}
 	if !pool.Enqueue(now, w.waiter) {
-		return nil, refusalError(pool.HasUsable(), pool.RetryAfter())
+		return nil, refusalError(pool.HasUsable(), max(pool.RetryAfter(), pool.OpensIn(now)))
 	}
 	if !mayOvertake {
 		// The queued requests may exclude the servers that are free.
@@ -98,7 +98,9 @@
 func (sc *scheduler) retryAfter(service string) time.Duration {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return sc.service(service, sc.clock.Now()).pool.RetryAfter()
+	now := sc.clock.Now()
+	pool := sc.service(service, now).pool
+	return max(pool.RetryAfter(), pool.OpensIn(now))
 }
 
 // refusalError returns the error for a request that got no slot.
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -225,6 +225,13 @@
 	}
 }
 
+// OnTurnedAway records that the server wants no request from this entry for a time.
+func (p *Pool) OnTurnedAway(now time.Time, l *Lease, wait time.Duration) {
+	if until := now.Add(wait); until.After(l.state.closedUntil) {
+		l.state.closedUntil = until
+	}
+}
+
 // OnSilent records that the server has sent nothing for long on a request that
 // still waits for it. The server is ejected as after a failure.
 func (p *Pool) OnSilent(now time.Time, l *Lease) {
@@ -325,6 +332,9 @@
 	if useful <= 0 || !p.HasUsable() {
 		return false
 	}
+	if p.OpensIn(now) > useful {
+		return false
+	}
 	if time.Duration(p.queuePosition(w))*max(p.freeInterval, p.limitInterval()) > useful {
 		return false
 	}
@@ -332,6 +342,20 @@
 	return true
 }
 
+// OpensIn returns the time until the first usable server wants requests of this entry.
+func (p *Pool) OpensIn(now time.Time) time.Duration {
+	first := time.Duration(math.MaxInt64)
+	for _, s := range p.active {
+		if s.Usable {
+			first = min(first, max(s.closedUntil.Sub(now), 0))
+		}
+	}
+	if first == math.MaxInt64 {
+		return 0
+	}
+	return first
+}
+
 // limitInterval returns the mean time between two requests that the limits of the servers
 // allow, or 0 if a usable server has none.
 func (p *Pool) limitInterval() time.Duration {
