forward: a server that says it leaves gets no new requests

Change: the first response with the header makes that incarnation of the server unusable at this entry, and the others are told by the exchange of observations.

--- a/process/observation/observation.go
+++ b/process/observation/observation.go
@@ -31,6 +31,8 @@
 	Quarantine Kind = 4
 	// Limit is what a server last said of the requests per second that it takes.
 	Limit Kind = 5
+	// Leaving means that a server has said that it leaves.
+	Leaving Kind = 6
 )
 
 const (
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -89,6 +89,7 @@
 		return
 	}
 	h.recordLimit(a)
+	h.recordLeaving(a)
 	h.recordTurnedAway(service, a)
 	a.classifyResponse(streams)
 	if a.result != resultAnswered && a.result != resultFailed {
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -67,9 +67,9 @@
 }
 
 type metrics struct {
-	requests, retried, panics, firstEventLate, withdrawn, brokenOff, limitsChanged, turnedAway tally.Counter
-	outcomes                                                                                   [outcomeCount]tally.Counter
-	duration, firstByte                                                                        tally.Timer
+	requests, retried, panics, firstEventLate, withdrawn, brokenOff, limitsChanged, turnedAway, leaving tally.Counter
+	outcomes                                                                                            [outcomeCount]tally.Counter
+	duration, firstByte                                                                                 tally.Timer
 }
 
 // New returns a handler that refuses all requests until Update. ageClock must be the
@@ -81,7 +81,7 @@
 		scheduler: newScheduler(cfg, clock, ageClock), suspects: newSuspects(cfg, ageClock, log, scope),
 		metrics: metrics{
 			requests: scope.Counter("received"), retried: scope.Counter("sent_again"), panics: scope.Counter("panics"),
-			firstEventLate: scope.Counter("first_event_after_expiry"), withdrawn: scope.Counter("withdrawn"), brokenOff: scope.Counter("broken_off"), limitsChanged: scope.Counter("server_limits_changed"), turnedAway: scope.Counter("turned_away"), outcomes: outcomeCounters(scope),
+			firstEventLate: scope.Counter("first_event_after_expiry"), withdrawn: scope.Counter("withdrawn"), brokenOff: scope.Counter("broken_off"), limitsChanged: scope.Counter("server_limits_changed"), turnedAway: scope.Counter("turned_away"), leaving: scope.Counter("servers_leaving"), outcomes: outcomeCounters(scope),
 			duration: scope.Timer("duration"), firstByte: scope.Timer("first_byte"),
 		},
 	}
--- a/request/forward/limits.go
+++ b/request/forward/limits.go
@@ -8,7 +8,6 @@
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/observation"
-	"github.com/waxwingpost/waxwingpost/request/placement"
 	"github.com/waxwingpost/waxwingpost/request/serverlimit"
 )
 
@@ -65,18 +64,3 @@
 	defer sc.mu.Unlock()
 	return sc.limits.Apply(id, s, at)
 }
-
-// forgetLimits removes the limits of servers that are not listed. The caller holds mu.
-func (sc *scheduler) forgetLimits() {
-	if sc.limits.Len() == 0 {
-		return
-	}
-	listed := map[string]bool{}
-	for _, records := range sc.view.Servers {
-		for i := range records {
-			s := placement.Server{ID: records[i].ID, Born: records[i].Born}
-			listed[s.Incarnation()] = true
-		}
-	}
-	sc.limits.Keep(func(id string) bool { return listed[id] })
-}
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -55,16 +55,18 @@
 	// weightsChanged is closed and replaced when the versions in the view change.
 	weightsChanged chan struct{}
 	// viewTime is when the view was received.
-	viewTime      time.Time
-	services      map[string]*serviceState
-	limits        *serverlimit.Table
+	viewTime time.Time
+	services map[string]*serviceState
+	limits   *serverlimit.Table
+	// leaving holds the incarnations of servers that have said that they leave.
+	leaving       map[string]bool
 	demandSampled time.Time
 }
 
 func newScheduler(cfg Config, clock clockwork.Clock, ageClock boottime.Clock) *scheduler {
 	return &scheduler{
 		cfg: cfg, clock: clock, ageClock: ageClock, view: &feed.View{}, weightsChanged: make(chan struct{}), ending: make(chan struct{}),
-		services: map[string]*serviceState{}, demandSampled: clock.Now(), limits: serverlimit.NewTable(rand.Float64),
+		services: map[string]*serviceState{}, demandSampled: clock.Now(), limits: serverlimit.NewTable(rand.Float64), leaving: map[string]bool{},
 	}
 }
 
@@ -78,7 +80,7 @@
 	}
 	sc.view, sc.viewTime = v, sc.clock.Now()
 	sc.updatePools()
-	sc.forgetLimits()
+	sc.forgetServers()
 }
 
 // updatePools applies the view to the pools and retry budgets. A service that is no
@@ -149,10 +151,11 @@
 		}
 		weightsHeld, version, until := sc.usableWeights(engineModels(s), record.Held)
 		loading := record.LoadingUntil > sc.view.At+now.Sub(sc.viewTime)
-		servers = append(servers, placement.Server{
+		server := placement.Server{
 			ID: record.ID, Address: record.Address, Born: record.Born, Zone: record.Zone, Slots: slots, Held: record.Held, WeightsVersion: version, WeightsUntil: until,
-			Usable: record.State == directory.Ready && weightsHeld && !loading,
-		})
+		}
+		server.Usable = record.State == directory.Ready && weightsHeld && !loading && (len(sc.leaving) == 0 || !sc.leaving[server.Incarnation()])
+		servers = append(servers, server)
 	}
 	return servers
 }
--- a/request/forward/suspects.go
+++ b/request/forward/suspects.go
@@ -66,8 +66,12 @@
 func (h *Handler) ApplyObservations(records []observation.Record) {
 	for _, r := range records {
 		apply := h.suspects.apply
-		if r.Kind == observation.Limit {
+		switch r.Kind {
+		case observation.Limit:
 			apply = h.applyLimit
+		case observation.Leaving:
+			h.markLeaving(r.Key, r.Origin)
+			continue
 		}
 		if err := apply(r); err != nil {
 			h.log.Warn("failed to decode observation", "kind", int(r.Kind), "origin", r.Origin, "code", int(result.BadMessage), "error", err)
