--- a/process/frontend/fleet_test.go
+++ b/process/frontend/fleet_test.go
@@ -70,7 +70,7 @@
 		f.startControl(i, true)
 		t.Cleanup(func() { f.stopControl[i]() })
 	}
-	f.post("/-/Config.Put", []byte(fleetConfiguration))
+	f.post(platform.PathPutConfig, []byte(fleetConfiguration), nil)
 	for range engines {
 		e := &fleetEngine{f: f, address: "127.0.0.1:0", behavior: behavior, arrivals: map[string][]time.Time{}}
 		e.start()
@@ -127,10 +127,15 @@
 	f.stopControl[i] = f.run(name, rt, c.Run)
 }
 
-// post sends a call to the control processes until one accepts it.
-func (f *fleet) post(path string, body []byte) {
+// post sends a call to the control processes until one accepts it or stopped is closed.
+func (f *fleet) post(path string, body []byte, stopped <-chan struct{}) {
 	deadline := time.Now().Add(20 * time.Second)
 	for i := 0; time.Now().Before(deadline); i++ {
+		select {
+		case <-stopped:
+			return
+		default:
+		}
 		resp, err := http.Post("http://"+f.control[i%len(f.control)]+path, "application/json", bytes.NewReader(body))
 		if err == nil {
 			_ = resp.Body.Close()
@@ -246,7 +251,7 @@
 func (e *fleetEngine) beat(id string, born int64, stopped <-chan struct{}) {
 	for seq := 1; ; seq++ {
 		body, _ := json.Marshal(map[string]any{"service": "engines", "addr": e.address, "zone": "z1", "slots": 6, "state": "ready", "seq": seq, "born": born})
-		e.f.post(platform.PathHeartbeat+strings.ReplaceAll(id, "/", "-"), body)
+		e.f.post(platform.PathHeartbeat+strings.ReplaceAll(id, "/", "-"), body, stopped)
 		select {
 		case <-stopped:
 			return
