quarantine: a connection that breaks just before a server's end does not hide it

A report now has the time of the last broken connection. TestConnectionThatBreaksJustBeforeAnEndDoesNotHideIt failed before.

--- a/request/quarantine/sim_test.go
+++ b/request/quarantine/sim_test.go
@@ -64,6 +64,13 @@
 	trials     []Part
 }
 
+// reportKey identifies the reports of an entry on a server at another entry.
+type reportKey struct {
+	to     *Table
+	from   int
+	server string
+}
+
 // sim plays entries, servers, requests and the messages between the entries.
 type sim struct {
 	t       *testing.T
@@ -78,16 +85,19 @@
 	// crashes are the times at which servers crashed on a part, badSent those at which
 	// requests with such a part were sent.
 	crashes, badSent map[string][]time.Duration
-	soundRefused     int
-	sound            int
-	suspected        []string
+	// reports counts the reports; applied holds the number of the last one that arrived.
+	reports      int
+	applied      map[reportKey]int
+	soundRefused int
+	sound        int
+	suspected    []string
 }
 
 func newSim(t *testing.T, seed uint64) *sim {
 	clock := clockwork.NewFakeClock()
 	s := &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), clock: clock, age: boottime.NewFake(clock),
-		bad: map[string]bool{}, crashes: map[string][]time.Duration{}, badSent: map[string][]time.Duration{},
+		bad: map[string]bool{}, crashes: map[string][]time.Duration{}, badSent: map[string][]time.Duration{}, applied: map[reportKey]int{},
 	}
 	for range 2 + s.rng.IntN(12) {
 		s.tables = append(s.tables, NewTable(s.rng.Float64()))
@@ -121,8 +131,18 @@
 	}
 }
 
+// tellReport tells a report. As in package observation, one that arrives after a later
+// one of the same entry is ignored.
 func (s *sim) tellReport(from int, server string, r Report, at boottime.Instant) {
-	s.tell(from, func(t *Table) { _ = t.ApplyReport(strconv.Itoa(from), server, r, at, s.age.Now()) })
+	s.reports++
+	number := s.reports
+	s.tell(from, func(t *Table) {
+		key := reportKey{t, from, server}
+		if s.applied[key] < number {
+			s.applied[key] = number
+			_ = t.ApplyReport(strconv.Itoa(from), server, r, at, s.age.Now())
+		}
+	})
 }
 
 func (s *sim) tellProven(from int, parts []Part) {
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -143,10 +143,10 @@
 	}
 	r := report{Report: Report{Candidates: candidates, Runs: 1}, at: now}
 	if known, ok := t.ownReport(origin, server, now); ok {
-		r.at, r.Runs, r.Refused = known.at, known.Runs, known.Refused
+		r.Refused = known.Refused
 		r.Candidates = t.union(known.Candidates, candidates)
-		if now.Sub(r.at) < sameMoment {
-			r.Runs++
+		if now.Sub(known.at) < sameMoment {
+			r.Runs += known.Runs
 		}
 	}
 	t.ApplyReport(origin, server, r.Report, r.at, now)
--- a/request/quarantine/table_test.go
+++ b/request/quarantine/table_test.go
@@ -111,6 +111,28 @@
 	}
 }
 
+func TestConnectionThatBreaksJustBeforeAnEndDoesNotHideIt(t *testing.T) {
+	r := newRig(t)
+	r.prove()
+	for i := range minMoments {
+		server := fmt.Sprint("server", i)
+		r.table.RecordBrokenOff("", server, Candidates("m", []string{"other"}), r.age.Now())
+		r.clock.Advance(2 * aliveMargin)
+		alive := r.age.Now()
+		r.clock.Advance(2 * aliveMargin)
+		for range 2 {
+			r.table.RecordBrokenOff("", server, Candidates("m", []string{"bad"}), r.age.Now())
+		}
+		r.table.ApplyAlive(server, alive)
+		r.table.RecordProven(Candidates("m", []string{"other"}), r.age.Now())
+		r.clock.Advance(time.Second)
+		r.table.Decide(r.age.Now())
+	}
+	if !r.refused("bad") {
+		t.Errorf("got %+v", r.table.Dump(r.age.Now()))
+	}
+}
+
 func TestPartThatOnlyAccompaniesASuspectedOneIsCleared(t *testing.T) {
 	r := newRig(t)
 	r.prove()
