--- a/process/frontend/fleet_test.go
+++ b/process/frontend/fleet_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	_ "embed"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -21,8 +20,14 @@
 	"github.com/waxwingpost/waxwingpost/process/settings"
 )
 
-//go:embed testdata/fleet-configuration.json
-var fleetConfiguration string
+// The documents use the platform's field names, not the project's, and are therefore kept
+// in files.
+var (
+	//go:embed testdata/fleet-configuration.json
+	fleetConfiguration string
+	//go:embed testdata/fleet-heartbeat.json
+	fleetHeartbeat string
+)
 
 const (
 	fleetControls     = 3
@@ -250,7 +255,7 @@
 // beat sends heartbeats of an incarnation until it ends.
 func (e *fleetEngine) beat(id string, born int64, stopped <-chan struct{}) {
 	for seq := 1; ; seq++ {
-		body, _ := json.Marshal(map[string]any{"service": "engines", "addr": e.address, "zone": "z1", "slots": 6, "state": "ready", "seq": seq, "born": born})
+		body := fmt.Appendf(nil, fleetHeartbeat, e.address, seq, born)
 		e.f.post(platform.PathHeartbeat+strings.ReplaceAll(id, "/", "-"), body, stopped)
 		select {
 		case <-stopped:
@@ -305,7 +310,7 @@
 	limit := e.limit
 	e.mu.Unlock()
 	if limit != "" {
-		w.Header().Set("Server-Limit", limit)
+		w.Header().Set(platform.HeaderServerLimit, limit)
 	}
 	w.Header().Set(platform.HeaderSignature, "signed-by-"+id)
 	w.Header().Set("Content-Type", "text/event-stream")
