forward: an unframed answer is not dropped because a check of its server is lost

Only a refused connection shows that the server has ended. TestUnframedAnswerIsForwardedIfTheCheckOfItsServerIsLost failed before.

--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -34,6 +35,8 @@
 	// AgeClock is the clock of Request.SendDeadline; by default the system's.
 	AgeClock boottime.Clock
 	Scope    tally.Scope
+	// Control is called before a connection is opened, as that of net.Dialer; it may be nil.
+	Control func(network, address string, c syscall.RawConn) error
 }
 
 // Client holds idle connections to backend servers for reuse.
@@ -55,9 +58,13 @@
 	if cfg.AgeClock == nil {
 		cfg.AgeClock = boottime.System()
 	}
+	control := cfg.Control
+	if control == nil {
+		control = userTimeoutControl(cfg.UnackedTimeout)
+	}
 	c := &Client{
 		ageClock:       cfg.AgeClock,
-		dialer:         net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: userTimeoutControl(cfg.UnackedTimeout)},
+		dialer:         net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: control},
 		connsOpened:    cfg.Scope.Counter("backend_connections_opened"),
 		strayResponses: cfg.Scope.Counter("backend_stray_bytes"),
 		idle:           map[string][]*conn{},
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -122,9 +122,10 @@
 }
 
 // checkUnframedEnd returns an error if the server has ended. A response without framing
-// ends with its connection, which the end of the server closes as well.
+// ends with its connection, which the end of the server closes as well. A connection that
+// fails otherwise shows nothing: its packets may have been lost.
 func (a *attempt) checkUnframedEnd(ctx context.Context, client *backend.Client) error {
-	if err := client.Check(ctx, a.lease.Server.Address); err != nil {
+	if err := client.Check(ctx, a.lease.Server.Address); errors.Is(err, syscall.ECONNREFUSED) {
 		return errors.CombineErrors(io.ErrUnexpectedEOF, err)
 	}
 	return nil
--- a/request/forward/unframed_test.go
+++ b/request/forward/unframed_test.go
@@ -3,9 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingpost/waxwingpost/connection/backend"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 )
 
@@ -86,3 +91,18 @@
 		})
 	}
 }
+
+func TestUnframedAnswerIsForwardedIfTheCheckOfItsServerIsLost(t *testing.T) {
+	s1 := newFakeServer(t, "s1", respondUnframed("text/plain", "from s1", false))
+	e := newTestEntry(t, testConfig(deployment.Unrepeatable, testTimeout), s1)
+	connections := 0
+	e.handler.client = backend.New(backend.Config{Scope: tally.NoopScope, Control: func(string, string, syscall.RawConn) error {
+		if connections++; connections > 1 {
+			return os.ErrDeadlineExceeded
+		}
+		return nil
+	}})
+	if resp, body, err := e.send(t, nil); err != nil || body != "from s1" {
+		t.Errorf("got response %v, body %q, error %v", resp, body, err)
+	}
+}
