Simplify the exchange of observations and its users

From reading the whole change once more; behavior stays as it is. - feed: a field that nothing read is gone. - forward: the absence of Config.Observe is handled once, in New; a report on a server is told in one place; a check that the parser has made is gone. - placement: the name of a server's incarnation is formatted when it changes, not at each update of the view (ten a second for each server of the fleet). - quarantine, observation: orders are written with cmp.Or, and the ends of servers with a part are selected by one function.

--- a/process/feed/observations.go
+++ b/process/feed/observations.go
@@ -81,13 +81,12 @@
 	mu        sync.Mutex
 	store     *observation.Store
 	publisher *observation.Publisher
-	origin    string
 	armed     bool
 }
 
 func newFollowerObservations() followerObservations {
-	store, origin := observation.NewStore(), uuid.New().String()
-	return followerObservations{store: store, origin: origin, publisher: observation.NewPublisher(store, origin)}
+	store := observation.NewStore()
+	return followerObservations{store: store, publisher: observation.NewPublisher(store, uuid.New().String())}
 }
 
 // Observe publishes a record of this process to the control processes, which pass it on to
--- a/process/observation/observation.go
+++ b/process/observation/observation.go
@@ -8,8 +8,8 @@
 package observation
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/process/boottime"
@@ -149,8 +149,8 @@
 	}
 }
 
-// Select returns the records for which keep returns true, with their current age, in
-// the order of their sequence numbers.
+// Select returns the records for which keep returns true, with their current age, by
+// origin in the order of their sequence numbers.
 func (s *Store) Select(now boottime.Instant, keep func(ID) bool) []Record {
 	var selected []Record
 	for id, r := range s.records {
@@ -162,17 +162,7 @@
 		selected = append(selected, r)
 	}
 	slices.SortFunc(selected, func(a, b Record) int {
-		if c := strings.Compare(a.Origin, b.Origin); c != 0 {
-			return c
-		}
-		switch {
-		case a.Seq < b.Seq:
-			return -1
-		case a.Seq > b.Seq:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Or(cmp.Compare(a.Origin, b.Origin), cmp.Compare(a.Seq, b.Seq))
 	})
 	return selected
 }
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -75,6 +75,9 @@
 // New returns a handler that refuses all requests until Update. ageClock must be the
 // clock of the views' versions.
 func New(cfg Config, client *backend.Client, clock clockwork.Clock, ageClock boottime.Clock, log *slog.Logger, scope tally.Scope) *Handler {
+	if cfg.Observe == nil {
+		cfg.Observe = func(observation.Kind, string, []byte, boottime.Instant, time.Duration) {}
+	}
 	scope = scope.SubScope("requests")
 	h := &Handler{
 		cfg: cfg, client: client, clock: clock, ageClock: ageClock, log: log,
--- a/request/forward/leaving.go
+++ b/request/forward/leaving.go
@@ -21,7 +21,7 @@
 		return
 	}
 	id := a.lease.Server.Incarnation()
-	if h.markLeaving(id, "response") && h.cfg.Observe != nil {
+	if h.markLeaving(id, "response") {
 		h.cfg.Observe(observation.Leaving, id, nil, h.ageClock.Now(), leavingTTL)
 	}
 }
--- a/request/forward/limits.go
+++ b/request/forward/limits.go
@@ -22,7 +22,7 @@
 	if changed {
 		h.logLimit(id, s, "response", 0)
 	}
-	if tell && h.cfg.Observe != nil {
+	if tell {
 		h.cfg.Observe(observation.Limit, id, encode(s), now, serverlimit.TTL)
 	}
 }
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -57,7 +57,8 @@
 	// viewTime is when the view was received.
 	viewTime time.Time
 	services map[string]*serviceState
-	limits   *serverlimit.Table
+	// limits holds the limits that servers have named.
+	limits *serverlimit.Table
 	// leaving holds the incarnations of servers that have said that they leave.
 	leaving       map[string]bool
 	demandSampled time.Time
--- a/request/forward/suspects.go
+++ b/request/forward/suspects.go
@@ -48,12 +48,8 @@
 }
 
 func newSuspects(cfg Config, ageClock boottime.Clock, log *slog.Logger, scope tally.Scope) *suspects {
-	observe := cfg.Observe
-	if observe == nil {
-		observe = func(observation.Kind, string, []byte, boottime.Instant, time.Duration) {}
-	}
 	return &suspects{
-		observe: observe, ageClock: ageClock, log: log, table: quarantine.NewTable(rand.Float64()), changed: make(chan struct{}),
+		observe: cfg.Observe, ageClock: ageClock, log: log, table: quarantine.NewTable(rand.Float64()), changed: make(chan struct{}),
 		metrics: suspectMetrics{
 			suspected: scope.Counter("parts_suspected"), cleared: scope.Counter("parts_cleared"),
 			refused: scope.Counter("refused_for_part"), notRetried: scope.Counter("not_sent_again_for_part"),
@@ -204,15 +200,19 @@
 			candidates = cr.candidates
 		}
 		r, at := s.table.RecordBrokenOff(ownOrigin, a.lease.Server.Incarnation(), candidates, now)
-		s.observe(observation.BrokenOff, a.lease.Server.Incarnation(), encode(r), at, endTTL)
+		s.tellReport(a, r, at)
 	case errors.Is(a.err, syscall.ECONNREFUSED):
 		if r, at, news := s.table.RecordRefused(ownOrigin, a.lease.Server.Incarnation(), now); news {
 			s.log.Info("server has ended", "server", a.lease.Server.Incarnation(), "error", a.err)
-			s.observe(observation.BrokenOff, a.lease.Server.Incarnation(), encode(r), at, endTTL)
+			s.tellReport(a, r, at)
 		}
 	}
 }
 
+func (s *suspects) tellReport(a *attempt, r quarantine.Report, at boottime.Instant) {
+	s.observe(observation.BrokenOff, a.lease.Server.Incarnation(), encode(r), at, endTTL)
+}
+
 // decide applies and logs the decisions that follow from what is known.
 func (s *suspects) decide() {
 	s.mu.Lock()
--- a/request/forward/turnaway.go
+++ b/request/forward/turnaway.go
@@ -15,7 +15,7 @@
 		return
 	}
 	wait, ok := platform.ParseSeconds(a.ex.Header.Get(platform.HeaderRetryAfter))
-	if !ok || wait <= 0 {
+	if !ok {
 		return
 	}
 	h.metrics.turnedAway.Inc(1)
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -81,8 +81,10 @@
 			s = &server{}
 			p.servers[listed.ID] = s
 		}
+		if s.incarnation == "" || s.Born != listed.Born {
+			s.incarnation = listed.Incarnation()
+		}
 		s.Server, s.removed = listed, false
-		s.incarnation = listed.Incarnation()
 		p.active = append(p.active, s)
 		p.expiring = p.expiring || !s.WeightsUntil.IsZero()
 	}
--- a/request/quarantine/decide.go
+++ b/request/quarantine/decide.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/waxwingpost/waxwingpost/process/boottime"
@@ -254,20 +255,7 @@
 		ranked = append(ranked, *s)
 	}
 	slices.SortFunc(ranked, func(a, b support) int {
-		switch {
-		case a.moments != b.moments:
-			return b.moments - a.moments
-		case a.total != b.total:
-			return b.total - a.total
-		case len(a.servers) != len(b.servers):
-			return len(b.servers) - len(a.servers)
-		case a.depth != b.depth:
-			return b.depth - a.depth
-		case a.part.less(b.part):
-			return -1
-		default:
-			return 1
-		}
+		return cmp.Or(b.moments-a.moments, b.total-a.total, len(b.servers)-len(a.servers), b.depth-a.depth, a.part.compare(b.part))
 	})
 	return ranked
 }
@@ -280,18 +268,20 @@
 	}
 	var decisions []Decision
 	for p := range t.holds {
-		with := slices.DeleteFunc(slices.Clone(ends), func(e end) bool { return !has(e, p) })
-		if len(with) == 0 {
-			continue
-		}
+		with := endsWith(ends, p)
 		for other := range t.holds {
-			all := len(slices.DeleteFunc(slices.Clone(ends), func(e end) bool { return !has(e, other) }))
-			if other != p && all > len(with) && !slices.ContainsFunc(with, func(e end) bool { return !has(e, other) }) {
-				t.clear(p, now)
-				decisions = append(decisions, Decision{Action: Explained, Hold: Hold{Part: p}, At: now})
-				break
+			if other == p || len(with) == 0 || len(endsWith(with, other)) < len(with) || len(endsWith(ends, other)) == len(with) {
+				continue
 			}
+			t.clear(p, now)
+			decisions = append(decisions, Decision{Action: Explained, Hold: Hold{Part: p}, At: now})
+			break
 		}
 	}
 	return decisions
 }
+
+// endsWith returns the ends of servers that had a request with a part.
+func endsWith(ends []end, p Part) []end {
+	return slices.DeleteFunc(slices.Clone(ends), func(e end) bool { return !has(e, p) })
+}
--- a/request/quarantine/types.go
+++ b/request/quarantine/types.go
@@ -18,6 +18,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/process/boottime"
@@ -65,8 +66,8 @@
 	// trialRetryAfter is the retry delay while another request is tried.
 	trialRetryAfter = 2 * time.Second
 	// maxEnds bounds the servers whose ends are compared, maxParts the parts that one entry
-	// records for a server, maxEndParts those that all entries do, maxHolds the suspected parts, and maxProven the parts of each of
-	// two generations whose proofs are remembered.
+	// records for a server, maxEndParts those that all entries do, maxHolds the suspected
+	// parts, and maxProven the parts of each of two generations whose proofs are remembered.
 	maxEnds     = 64
 	maxParts    = 256
 	maxEndParts = 1024
@@ -84,12 +85,9 @@
 	ID    string `cbor:"2,keyasint"`
 }
 
-// less orders parts, so that all entries decide alike.
-func (p Part) less(o Part) bool {
-	if p.Model != o.Model {
-		return p.Model < o.Model
-	}
-	return p.ID < o.ID
+// compare orders parts, so that all entries decide alike.
+func (p Part) compare(o Part) int {
+	return cmp.Or(cmp.Compare(p.Model, o.Model), cmp.Compare(p.ID, o.ID))
 }
 
 // Candidate is a part that may have ended a server.
