--- /dev/null
+++ b/request/forward/identity.go
@@ -0,0 +1,30 @@
+package forward
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+)
+
+// identityBytes is the length of an identity. Callers choose all that it depends on, so it
+// must be too long for a collision to be found.
+const identityBytes = 16
+
+// identity returns a digest of what a repetition of the request has in common with it: the
+// caller, the method, the target and the body, but not its ID or the deadline.
+func (cr *callerRequest) identity() string {
+	account := ""
+	if cr.account != nil {
+		account = cr.account.Name
+	}
+	sum := sha256.New()
+	for _, field := range []string{account, cr.request.Method, stripPort(cr.request.Host), cr.request.RequestURI} {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		_, _ = sum.Write(length[:])
+		_, _ = io.WriteString(sum, field)
+	}
+	_, _ = sum.Write(cr.body)
+	return hex.EncodeToString(sum.Sum(nil)[:identityBytes])
+}
