frontend: a failing test of a request that crashes servers and comes again

The test plays it on three entries: a request with one path, caller and body that crashes each server as it begins to run it, every 150 ms and every 1.1 s, on a route with plain answers and on one that streams, without prompt parts.

The fleet's other requests now have a path of their own each: they stand for requests of which no two are alike, and had one path and one body.

--- a/process/frontend/fleet_test.go
+++ b/process/frontend/fleet_test.go
@@ -176,8 +176,14 @@
 // send sends a request whose prompt has the given shared parts, and returns its status:
 // 0 if there is no complete answer.
 func (e *fleetEntry) send(parts ...string) int {
+	return e.sendTo(fmt.Sprint("/stream/", e.f.ids.Add(1)), parts...)
+}
+
+// sendTo sends a request to a path, whose prompt has the given shared parts, and returns
+// its status: 0 if there is no complete answer.
+func (e *fleetEntry) sendTo(path string, parts ...string) int {
 	id := fmt.Sprintf("r%d", e.f.ids.Add(1))
-	r, err := http.NewRequest(http.MethodPost, "http://"+e.address+"/stream/x", strings.NewReader("body"))
+	r, err := http.NewRequest(http.MethodPost, "http://"+e.address+path, strings.NewReader("body"))
 	if err != nil {
 		e.f.t.Error(err)
 		return 0
@@ -185,12 +191,14 @@
 	r.Host = "h.example"
 	r.Header.Set(platform.HeaderRequestID, id)
 	r.Header.Set(platform.HeaderDeadline, "2800")
-	r.Header.Set(platform.HeaderTokenCount, "400,40")
-	var prefix strings.Builder
-	for _, p := range parts {
-		prefix.WriteString(p + ":100,")
+	if len(parts) > 0 {
+		r.Header.Set(platform.HeaderTokenCount, "400,40")
+		var prefix strings.Builder
+		for _, p := range parts {
+			prefix.WriteString(p + ":100,")
+		}
+		r.Header.Set(platform.HeaderPrefix, prefix.String()+id+":100")
 	}
-	r.Header.Set(platform.HeaderPrefix, prefix.String()+id+":100")
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0
@@ -206,6 +214,8 @@
 type engineBehavior struct {
 	// crashPart is the part of a prompt on which an engine crashes as it begins to write.
 	crashPart string
+	// crashPath is the path of requests that crash an engine as it begins to run them.
+	crashPath string
 	// downFor is how long a crashed engine is down.
 	downFor time.Duration
 }
@@ -227,7 +237,8 @@
 	crashes []time.Time
 	// limit is the number of requests per second that the engine names in its answers.
 	limit string
-	// arrivals holds when requests arrived, by the last shared part of their prompt.
+	// arrivals holds when requests arrived, by the last shared part of their prompt, or by
+	// their path if they have none.
 	arrivals map[string][]time.Time
 	all      []time.Time
 }
@@ -300,7 +311,7 @@
 		return
 	}
 	parts := strings.Split(r.Header.Get(platform.HeaderPrefix), ",")
-	shared := ""
+	shared := r.URL.Path
 	if len(parts) > 1 {
 		shared, _, _ = strings.Cut(parts[len(parts)-2], ":")
 	}
@@ -313,6 +324,16 @@
 		w.Header().Set(platform.HeaderServerLimit, limit)
 	}
 	w.Header().Set(platform.HeaderSignature, "signed-by-"+id)
+	if r.URL.Path == e.behavior.crashPath {
+		time.Sleep(20 * time.Millisecond)
+		e.crash(id)
+		return
+	}
+	if strings.HasPrefix(r.URL.Path, "/plain/") {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(w, "answer")
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for event := 1; event <= 8; event++ {
 		select {
@@ -340,7 +361,7 @@
 	return sortTimes(all)
 }
 
-// arrivalTimes returns when requests with a part arrived at engines, in order.
+// arrivalTimes returns when requests with a part or to a path arrived at engines, in order.
 func (f *fleet) arrivalTimes(part string) []time.Time {
 	var all []time.Time
 	for _, e := range f.engines {
