--- a/process/frontend/crash_test.go
+++ b/process/frontend/crash_test.go
@@ -39,7 +39,7 @@
 // settled reports whether twice the contact time has passed since the fifth crash.
 func (c *crashTraffic) settled() bool {
 	if c.fifth.Load() == 0 {
-		if times := c.f.crashTimes(); len(times) >= 5 {
+		if times := c.f.crashTimes("crashing"); len(times) >= 5 {
 			c.fifth.Store(times[4].UnixNano())
 		}
 	}
@@ -85,7 +85,7 @@
 	f := newFleet(t, 40, 3, 8, engineBehavior{crashPart: "crashing", downFor: 600 * time.Millisecond})
 	traffic := &crashTraffic{f: f}
 	traffic.run(9*time.Second, 100*time.Millisecond, "crashing")
-	crashes := f.crashTimes()
+	crashes := f.crashTimes("crashing")
 	sound, served := traffic.sound.Load(), traffic.served.Load()
 	t.Logf("%d crashes; %d of %d sound requests served", len(crashes), served, sound)
 	if len(crashes) >= 5 {
@@ -102,7 +102,7 @@
 	f := newFleet(t, 80, 2, 8, engineBehavior{crashPart: "crashing", downFor: 400 * time.Millisecond})
 	traffic := &crashTraffic{f: f}
 	traffic.run(5*time.Second, 100*time.Millisecond, "crashing")
-	crashes := f.crashTimes()
+	crashes := f.crashTimes("crashing")
 	if len(crashes) < 2 {
 		t.Fatalf("%d servers crashed", len(crashes))
 	}
--- a/process/frontend/crashrequest_test.go
+++ b/process/frontend/crashrequest_test.go
@@ -27,7 +27,7 @@
 }
 
 func (q *repeatedRequests) thirdCrash() (time.Time, bool) {
-	if times := q.f.crashTimes(); len(times) >= 3 {
+	if times := q.f.crashTimes(q.path); len(times) >= 3 {
 		return times[2], true
 	}
 	return time.Time{}, false
@@ -73,7 +73,7 @@
 	third, crashed := q.thirdCrash()
 	sound, served := q.sound.Load(), q.served.Load()
 	late := countAfter(q.f.arrivalTimes(q.path), third.Add(contactTime))
-	t.Logf("%d crashes; %d retries later than %v after the third; %d of %d sound requests served", len(q.f.crashTimes()), late, contactTime, served, sound)
+	t.Logf("%d crashes; %d retries later than %v after the third; %d of %d sound requests served", len(q.f.crashTimes(q.path)), late, contactTime, served, sound)
 	if !crashed {
 		return
 	}
--- a/process/frontend/fleet_test.go
+++ b/process/frontend/fleet_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -77,7 +78,7 @@
 	}
 	f.post(platform.PathPutConfig, []byte(fleetConfiguration), nil)
 	for range engines {
-		e := &fleetEngine{f: f, address: "127.0.0.1:0", behavior: behavior, arrivals: map[string][]time.Time{}}
+		e := &fleetEngine{f: f, address: "127.0.0.1:0", behavior: behavior, arrivals: map[string][]time.Time{}, crashes: map[string][]time.Time{}}
 		e.start()
 		t.Cleanup(e.shutDown)
 		f.engines = append(f.engines, e)
@@ -95,6 +96,19 @@
 	return f
 }
 
+// matching returns the lines that contain one of the texts.
+func (b *logBuffer) matching(texts ...string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []string
+	for _, line := range b.lines {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found, "")
+}
+
 func (f *fleet) runtime(name string) *runtime.Runtime {
 	rt, err := runtime.New(settings.Common{Name: name, Zone: "z1", LogLevel: "info"}, f.log)
 	if err != nil {
@@ -234,7 +248,8 @@
 	server      *http.Server
 	// stopped is closed when the incarnation ends.
 	stopped chan struct{}
-	crashes []time.Time
+	// crashes holds when the engine crashed, by the part or path that was the cause.
+	crashes map[string][]time.Time
 	// limit is the number of requests per second that the engine names in its answers.
 	limit string
 	// arrivals holds when requests arrived, by the last shared part of their prompt, or by
@@ -277,14 +292,14 @@
 }
 
 // crash ends the incarnation that has the given ID and starts another one later.
-func (e *fleetEngine) crash(id string) {
+func (e *fleetEngine) crash(id, cause string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.running || id != fmt.Sprintf("%s/%d", e.address, e.incarnation) {
 		return
 	}
 	e.running = false
-	e.crashes = append(e.crashes, time.Now())
+	e.crashes[cause] = append(e.crashes[cause], time.Now())
 	close(e.stopped)
 	_ = e.server.Close()
 	time.AfterFunc(e.behavior.downFor, e.start)
@@ -326,7 +341,7 @@
 	w.Header().Set(platform.HeaderSignature, "signed-by-"+id)
 	if r.URL.Path == e.behavior.crashPath {
 		time.Sleep(20 * time.Millisecond)
-		e.crash(id)
+		e.crash(id, e.behavior.crashPath)
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, "/plain/") {
@@ -342,7 +357,7 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		if event == 1 && e.behavior.crashPart != "" && strings.Contains(r.Header.Get(platform.HeaderPrefix), e.behavior.crashPart+":") {
-			e.crash(id)
+			e.crash(id, e.behavior.crashPart)
 			return
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", event)
@@ -350,12 +365,12 @@
 	}
 }
 
-// crashTimes returns when engines crashed, in order.
-func (f *fleet) crashTimes() []time.Time {
+// crashTimes returns when engines crashed because of a part or path, in order.
+func (f *fleet) crashTimes(cause string) []time.Time {
 	var all []time.Time
 	for _, e := range f.engines {
 		e.mu.Lock()
-		all = append(all, e.crashes...)
+		all = append(all, e.crashes[cause]...)
 		e.mu.Unlock()
 	}
 	return sortTimes(all)
--- a/process/frontend/fleetsoak_test.go
+++ b/process/frontend/fleetsoak_test.go
@@ -19,8 +19,8 @@
 	fleetSoakLength = 11 * time.Second
 )
 
-// fleetSoak is one run: engines that crash on a part of a prompt, engines that name
-// limits, and processes that restart meanwhile.
+// fleetSoak is one run: engines that crash on a part of a prompt and on a request that comes
+// again, engines that name limits, and processes that restart meanwhile.
 type fleetSoak struct {
 	f   *fleet
 	rng *rand.Rand
@@ -29,6 +29,8 @@
 	traffic crashTraffic
 	limits  map[int]float64
 	named   time.Time
+	// repeated is set if a request that crashes engines comes again and again.
+	repeated bool
 }
 
 // entry returns an entry that takes requests.
@@ -68,6 +70,17 @@
 	}
 }
 
+// sendRepeated sends the request that crashes engines.
+func (s *fleetSoak) sendRepeated(rng *rand.Rand, interval time.Duration, end time.Time) {
+	var senders sync.WaitGroup
+	defer senders.Wait()
+	for time.Now().Before(end) {
+		e := s.entry(rng)
+		senders.Go(func() { e.sendTo(s.f.engines[0].behavior.crashPath) })
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(interval)))
+	}
+}
+
 // restart restarts one entry and one control process after the other.
 func (s *fleetSoak) restart(rng *rand.Rand, end time.Time) {
 	for time.Until(end) > 3*time.Second {
@@ -97,6 +110,10 @@
 	}
 	interval := time.Duration(50+s.rng.IntN(600)) * time.Millisecond
 	tasks.Go(func() { s.sendBad(stream(2), interval, end) })
+	if s.repeated {
+		rng := stream(4)
+		tasks.Go(func() { s.sendRepeated(rng, time.Duration(50+rng.IntN(900))*time.Millisecond, end) })
+	}
 	tasks.Go(func() { s.restart(stream(3), end) })
 	time.Sleep(time.Duration(500+s.rng.IntN(1500)) * time.Millisecond)
 	for i, limit := range s.limits {
@@ -108,7 +125,7 @@
 
 func (s *fleetSoak) check(t *testing.T) {
 	const window = 4 * time.Second
-	crashes := s.f.crashTimes()
+	crashes := s.f.crashTimes("crashing")
 	sound, served := s.traffic.sound.Load(), s.traffic.served.Load()
 	t.Logf("%d entries, %d engines, limits %v, %d crashes, %d of %d sound requests served", len(s.f.entries), len(s.f.engines), s.limits, len(crashes), served, sound)
 	if len(crashes) >= 5 {
@@ -119,6 +136,14 @@
 			t.Errorf("%d of %d sound requests were served afterwards", served, sound)
 		}
 	}
+	path := s.f.engines[0].behavior.crashPath
+	if crashes := s.f.crashTimes(path); len(crashes) >= 3 {
+		n := countAfter(s.f.arrivalTimes(path), crashes[2].Add(contactTime))
+		t.Logf("%d crashes by the repeated request, %d later retries", len(crashes), n)
+		if n > maxLateRetries {
+			t.Errorf("%d retries reached servers later than %v after the third crash, want at most %d", n, contactTime, maxLateRetries)
+		}
+	}
 	for i, limit := range s.limits {
 		allowed := int(1.5*limit*window.Seconds() + 5)
 		if n := mostWithin(s.f.engines[i].arrivalsSince(s.named), s.named.Add(contactTime), window); n > allowed {
@@ -150,6 +175,7 @@
 			entries := 2 + rng.IntN(3)
 			f := newFleet(t, address, entries, 6+rng.IntN(5), engineBehavior{
 				crashPart: "crashing", downFor: time.Duration(300+rng.IntN(700)) * time.Millisecond,
+				crashPath: []string{"/stream/crash", "/plain/crash"}[seed%2],
 			})
 			s := &fleetSoak{f: f, rng: rng, up: make([]atomic.Bool, entries), limits: map[int]float64{}, traffic: crashTraffic{f: f}}
 			for i := range s.up {
@@ -158,8 +184,12 @@
 			for i := range rng.IntN(3) {
 				s.limits[i] = []float64{0, 0.7, 1.5, 4}[rng.IntN(4)]
 			}
+			s.repeated = seed%3 != 0
 			s.play(seed)
 			s.check(t)
+			if t.Failed() {
+				t.Log(f.log.matching("quarantine of", "broke off", "server has ended", "request failed"))
+			}
 		})
 	}
 }
--- a/process/observation/observation.go
+++ b/process/observation/observation.go
@@ -38,8 +38,8 @@
 const (
 	// maxRecords bounds the records of one kind.
 	maxRecords = 1024
-	// maxBodyBytes and maxKeyBytes bound one record.
-	maxBodyBytes = 8 << 10
+	// MaxBodyBytes and maxKeyBytes bound one record. Longer ones are not published.
+	MaxBodyBytes = 16 << 10
 	maxKeyBytes  = 512
 )
 
@@ -88,7 +88,7 @@
 	var added []Record
 	for _, r := range records {
 		r.At = now.Add(-time.Duration(max(r.Age, 0)) * time.Millisecond)
-		if len(r.Key) > maxKeyBytes || len(r.Body) > maxBodyBytes || !r.expires().After(now) {
+		if len(r.Key) > maxKeyBytes || len(r.Body) > MaxBodyBytes || !r.expires().After(now) {
 			continue
 		}
 		if s.put(r, now) {
--- a/process/observation/publisher.go
+++ b/process/observation/publisher.go
@@ -24,7 +24,7 @@
 func (p *Publisher) Publish(kind Kind, key string, body []byte, at boottime.Instant, ttl time.Duration, now boottime.Instant) {
 	p.seq++
 	r := Record{Kind: kind, Key: key, Origin: p.origin, Seq: p.seq, TTL: ttl.Milliseconds(), Body: body, At: at}
-	if len(key) <= maxKeyBytes && len(body) <= maxBodyBytes && p.store.put(r, now) {
+	if len(key) <= maxKeyBytes && len(body) <= MaxBodyBytes && p.store.put(r, now) {
 		p.unsent[r.ID()] = true
 	}
 }
--- a/process/result/code.go
+++ b/process/result/code.go
@@ -44,32 +44,33 @@
 
 // Codes of requests (3xxx).
 const (
-	BadRequest        Code = 3001
-	UnknownAccount    Code = 3002
-	UnknownService    Code = 3003
-	QueueFull         Code = 3004
-	DeadlineTooShort  Code = 3005
-	DeadlineExceeded  Code = 3006
-	NoBackend         Code = 3007
-	BackendFailed     Code = 3008
-	AnswerCut         Code = 3009
-	OutcomeUnknown    Code = 3010
-	KeyReused         Code = 3011
-	KeyExpired        Code = 3012
-	Draining          Code = 3013
-	VersionMismatch   Code = 3014
-	StaleLease        Code = 3015
-	AttemptTombstoned Code = 3016
-	CallerGone        Code = 3017
-	WrongIncarnation  Code = 3018
-	CutOff            Code = 3019
-	RateExceeded      Code = 3020
-	InProgress        Code = 3021
-	AnswerNotKept     Code = 3022
-	RecordsFull       Code = 3023
-	AlreadyRan        Code = 3024
-	NotSynced         Code = 3025
-	PromptQuarantined Code = 3026
+	BadRequest         Code = 3001
+	UnknownAccount     Code = 3002
+	UnknownService     Code = 3003
+	QueueFull          Code = 3004
+	DeadlineTooShort   Code = 3005
+	DeadlineExceeded   Code = 3006
+	NoBackend          Code = 3007
+	BackendFailed      Code = 3008
+	AnswerCut          Code = 3009
+	OutcomeUnknown     Code = 3010
+	KeyReused          Code = 3011
+	KeyExpired         Code = 3012
+	Draining           Code = 3013
+	VersionMismatch    Code = 3014
+	StaleLease         Code = 3015
+	AttemptTombstoned  Code = 3016
+	CallerGone         Code = 3017
+	WrongIncarnation   Code = 3018
+	CutOff             Code = 3019
+	RateExceeded       Code = 3020
+	InProgress         Code = 3021
+	AnswerNotKept      Code = 3022
+	RecordsFull        Code = 3023
+	AlreadyRan         Code = 3024
+	NotSynced          Code = 3025
+	PromptQuarantined  Code = 3026
+	RequestQuarantined Code = 3027
 )
 
 // Codes of weights, versions and orders (4xxx).
--- a/process/result/table.go
+++ b/process/result/table.go
@@ -77,6 +77,7 @@
 	{AlreadyRan, "already-ran", "a call under this Idempotency-Key ran; its recorded outcome is returned", "none"},
 	{NotSynced, "not-synced", "this entry has started but has not yet read the configuration in force from a quorum", "retry after Retry-After; another VM may answer"},
 	{PromptQuarantined, "prompt-quarantined", "a part of the prompt is suspected of crashing servers", "retry after Retry-After, or without that part"},
+	{RequestQuarantined, "request-quarantined", "this request, repeated unchanged, is suspected of crashing servers", "retry after Retry-After, or send another request"},
 	{ChunkCorrupt, "chunk-corrupt", "a chunk does not match its digest", "none: it is fetched again from another peer or source"},
 	{ChunkMissing, "chunk-missing", "a peer does not hold the chunk", "none: it is fetched from another peer or source"},
 	{SourceThrottled, "source-throttled", "the weight source reported that its rate limit is exceeded", "none: the request is retried later"},
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -206,7 +206,9 @@
 	}
 	a.cancel()
 	h.scheduler.release(cr.service, a.lease, a.outcome)
-	h.suspects.recordEnd(cr, a)
+	if h.suspects.recordEnd(cr, a) {
+		go h.checkEnded(a.lease.Server.Incarnation(), a.lease.Server.Address)
+	}
 	if a.brokenOff() {
 		h.recordBrokenOff(cr, a)
 	}
@@ -226,7 +228,7 @@
 func (h *Handler) recordBrokenOff(cr *callerRequest, a *attempt) {
 	h.metrics.brokenOff.Inc(1)
 	h.log.Info("server broke off a request", "id", cr.id, "server", a.lease.Server.ID, "address", a.lease.Server.Address,
-		"service", cr.service, "request", cr.identity(), "parts", cr.parts, "attempt_events", a.events, "tries", len(cr.triedServers), "error", a.err)
+		"service", cr.service, "request", cr.digest(), "parts", cr.parts, "attempt_events", a.events, "tries", len(cr.triedServers), "error", a.err)
 }
 
 // releaseUnused gives back a slot to which nothing was sent; nil is none.
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -56,7 +56,7 @@
 	ageClock  boottime.Clock
 	log       *slog.Logger
 	scheduler *scheduler
-	// suspects knows the parts of prompts that crash servers.
+	// suspects knows the requests and the parts of prompts that crash servers.
 	suspects *suspects
 	// current is the view that requests are resolved by. The scheduler has it, or a
 	// newer one.
@@ -150,8 +150,8 @@
 	account  *deployment.Account
 	service  string
 	tokens   platform.Tokens
-	// parts lists the IDs of the shared parts of the prompt, candidates the same for the
-	// quarantine.
+	// parts lists the IDs of the shared parts of the prompt. candidates holds the request
+	// and these parts for the quarantine.
 	parts      []string
 	candidates []quarantine.Candidate
 	// late is set if the caller has spent part of the route's timeout on earlier
@@ -253,8 +253,8 @@
 	if cr.route.Generation {
 		cr.tokens = platform.DecodeTokens(r.Header.Get)
 		cr.parts = platform.SharedParts(r.Header.Get(platform.HeaderPrefix), maxParts)
-		cr.candidates = quarantine.Candidates(cr.tokens.Model, cr.parts)
 	}
+	cr.setCandidates()
 	return h.suspects.refused(cr)
 }
 
--- a/request/forward/identity.go
+++ b/request/forward/identity.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+
+	"github.com/waxwingpost/waxwingpost/request/quarantine"
 )
 
 // identityBytes is the length of an identity. Callers choose all that it depends on, so it
@@ -28,3 +30,15 @@
 	_, _ = sum.Write(cr.body)
 	return hex.EncodeToString(sum.Sum(nil)[:identityBytes])
 }
+
+// digest returns the identity of a resolved request.
+func (cr *callerRequest) digest() string { return cr.candidates[0].Part.ID }
+
+// setCandidates sets what the quarantine may suspect: the request, and the shared parts of
+// its prompt.
+func (cr *callerRequest) setCandidates() {
+	cr.candidates = []quarantine.Candidate{quarantine.RequestCandidate(cr.identity())}
+	if cr.route.Generation {
+		cr.candidates = append(cr.candidates, quarantine.Candidates(cr.tokens.Model, cr.parts)...)
+	}
+}
--- a/request/forward/plain.go
+++ b/request/forward/plain.go
@@ -126,7 +126,7 @@
 	w.WriteHeader(a.ex.Status)
 	_, err := io.Copy(w, a.ex)
 	if err != nil {
-		a.outcome = errorOutcome(cr.request.Context(), err)
+		a.err, a.result, a.outcome = err, resultUnknown, errorOutcome(cr.request.Context(), err)
 	}
 	h.finishAttempt(cr, a)
 	if cr.request.Context().Err() != nil {
--- a/request/forward/suspects.go
+++ b/request/forward/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -44,7 +45,8 @@
 }
 
 type suspectMetrics struct {
-	suspected, cleared, refused, notRetried tally.Counter
+	suspected, cleared, refused, notRetried             tally.Counter
+	requestsSuspected, requestsCleared, requestsRefused tally.Counter
 }
 
 func newSuspects(cfg Config, ageClock boottime.Clock, log *slog.Logger, scope tally.Scope) *suspects {
@@ -53,6 +55,8 @@
 		metrics: suspectMetrics{
 			suspected: scope.Counter("parts_suspected"), cleared: scope.Counter("parts_cleared"),
 			refused: scope.Counter("refused_for_part"), notRetried: scope.Counter("not_sent_again_for_part"),
+			requestsSuspected: scope.Counter("repeated_suspected"), requestsCleared: scope.Counter("repeated_cleared"),
+			requestsRefused: scope.Counter("refused_for_repeated"),
 		},
 	}
 }
@@ -86,27 +90,26 @@
 	return s.table.Dump(s.ageClock.Now())
 }
 
-// refused returns the error for a request that has a suspected part, or nil.
+// refused returns the error for a request that is suspected or has a suspected part, or
+// nil.
 func (s *suspects) refused(cr *callerRequest) error {
-	if len(cr.candidates) == 0 {
-		return nil
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wait, part, refused := s.table.Refused(cr.candidates, s.ageClock.Now())
 	if !refused {
 		return nil
 	}
+	if part.Request {
+		s.metrics.requestsRefused.Inc(1)
+		return result.Refuse(result.RequestQuarantined, wait, "the request %s is suspected of crashing servers", part.ID)
+	}
 	s.metrics.refused.Inc(1)
 	return result.Refuse(result.PromptQuarantined, wait, "part %q of the prompt is suspected of crashing servers", part.ID)
 }
 
-// mustWithdraw reports whether a request has a suspected part, and returns a channel that is
-// closed when another part is suspected.
+// mustWithdraw reports whether a request is suspected or has a suspected part, and returns a
+// channel that is closed when something else is suspected.
 func (s *suspects) mustWithdraw(cr *callerRequest) (bool, <-chan struct{}) {
-	if len(cr.candidates) == 0 {
-		return false, nil
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, _, refused := s.table.Refused(cr.candidates, s.ageClock.Now())
@@ -115,18 +118,15 @@
 
 // startTrial records that a request is sent to a server.
 func (s *suspects) startTrial(cr *callerRequest) []quarantine.Part {
-	if len(cr.candidates) == 0 {
-		return nil
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.table.StartTrial(cr.candidates)
 }
 
-// doubtful reports whether a request must not be sent to another server, because its
+// doubtful reports whether a request must not be sent to another server, because it or its
 // prompt is suspected or may have ended the server of the attempt.
 func (s *suspects) doubtful(cr *callerRequest, a *attempt) bool {
-	if len(cr.candidates) == 0 || a.proven {
+	if a.proven {
 		return false
 	}
 	s.mu.Lock()
@@ -136,16 +136,13 @@
 		return false
 	}
 	s.metrics.notRetried.Inc(1)
-	s.log.Info("request not sent to another server because its prompt may have ended one", "id", cr.id, "server", a.lease.Server.ID, "parts", cr.parts)
+	s.log.Info("request not sent to another server because it may have ended one", "id", cr.id, "server", a.lease.Server.ID, "request", cr.digest(), "parts", cr.parts)
 	return true
 }
 
 // recordEvents records that the server of an attempt has sent events, received of them so
 // far.
 func (s *suspects) recordEvents(cr *callerRequest, a *attempt, received int) {
-	if len(cr.candidates) == 0 {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordAlive(a)
@@ -179,17 +176,15 @@
 	}
 }
 
-// recordEnd records the end of an attempt.
-func (s *suspects) recordEnd(cr *callerRequest, a *attempt) {
-	if len(cr.candidates) == 0 {
-		return
-	}
+// recordEnd records the end of an attempt. It returns true if the address of its server must
+// be checked.
+func (s *suspects) recordEnd(cr *callerRequest, a *attempt) (check bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.EndTrial(a.trials)
 	now := s.ageClock.Now()
 	switch {
-	case a.result == resultAnswered && (a.events > 0 || cr.route.Kind != deployment.Stream):
+	case a.answers(cr):
 		s.recordAlive(a)
 		if !a.proven {
 			s.recordProven(cr, a)
@@ -200,17 +195,39 @@
 			candidates = cr.candidates
 		}
 		r, at := s.table.RecordBrokenOff(ownOrigin, a.lease.Server.Incarnation(), candidates, now)
-		s.tellReport(a, r, at)
+		s.tellReport(a.lease.Server.Incarnation(), r, at)
+		return s.table.StartCheck(a.lease.Server.Incarnation(), now)
 	case errors.Is(a.err, syscall.ECONNREFUSED):
-		if r, at, news := s.table.RecordRefused(ownOrigin, a.lease.Server.Incarnation(), now); news {
-			s.log.Info("server has ended", "server", a.lease.Server.Incarnation(), "error", a.err)
-			s.tellReport(a, r, at)
-		}
+		s.recordRefused(a.lease.Server.Incarnation(), a.err)
+	}
+	return false
+}
+
+// answers reports whether the server has completed a response, which shows that the request
+// does not crash it. A server's own failure is no such response: a request may fail before
+// the server begins to run it.
+func (a *attempt) answers(cr *callerRequest) bool {
+	switch a.result {
+	case resultAnswered:
+		return a.events > 0 || cr.route.Kind != deployment.Stream
+	case resultFailed:
+		return a.ex.Status < http.StatusInternalServerError
+	default:
+		return false
+	}
+}
+
+// recordRefused records that the address of a server has refused a connection. The caller
+// holds mu.
+func (s *suspects) recordRefused(server string, err error) {
+	if r, at, news := s.table.RecordRefused(ownOrigin, server, s.ageClock.Now()); news {
+		s.log.Info("server has ended", "server", server, "error", err)
+		s.tellReport(server, r, at)
 	}
 }
 
-func (s *suspects) tellReport(a *attempt, r quarantine.Report, at boottime.Instant) {
-	s.observe(observation.BrokenOff, a.lease.Server.Incarnation(), encode(r), at, endTTL)
+func (s *suspects) tellReport(server string, r quarantine.Report, at boottime.Instant) {
+	s.observe(observation.BrokenOff, server, encode(r), at, endTTL)
 }
 
 // decide applies and logs the decisions that follow from what is known.
@@ -225,16 +242,28 @@
 
 // logDecision counts and logs a decision. The caller holds mu.
 func (s *suspects) logDecision(d quarantine.Decision) {
+	suspected, cleared := s.metrics.suspected, s.metrics.cleared
+	if d.Hold.Part.Request {
+		suspected, cleared = s.metrics.requestsSuspected, s.metrics.requestsCleared
+	}
 	if d.Action == quarantine.Suspected {
-		s.metrics.suspected.Inc(1)
+		suspected.Inc(1)
 		s.wakeRequests()
 	} else {
-		s.metrics.cleared.Inc(1)
+		cleared.Inc(1)
 	}
-	s.log.Warn("quarantine of a prompt part changed", "part", d.Hold.Part.ID, "model", d.Hold.Part.Model, "action", d.Action.String(),
+	s.log.Warn("quarantine of a "+subject(d.Hold.Part)+" changed", "part", d.Hold.Part.ID, "model", d.Hold.Part.Model, "action", d.Action.String(),
 		"count", d.Hold.Count, "moments", d.Moments, "required", d.Required, "runner_up", d.RunnerUp, "servers", d.Servers[:min(len(d.Servers), maxLoggedServers)])
 }
 
+// subject names what is suspected in log lines.
+func subject(p quarantine.Part) string {
+	if p.Request {
+		return "request"
+	}
+	return "prompt part"
+}
+
 func (s *suspects) wakeRequests() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -266,14 +295,20 @@
 			return err
 		}
 		if s.table.ApplyHold(hold, r.At) {
-			s.log.Warn("quarantine of a prompt part learned", "part", hold.Part.ID, "model", hold.Part.Model, "count", hold.Count, "age", now.Sub(r.At), "origin", r.Origin)
+			s.log.Warn("quarantine of a "+subject(hold.Part)+" learned", "part", hold.Part.ID, "model", hold.Part.Model, "count", hold.Count, "age", now.Sub(r.At), "origin", r.Origin)
 			s.wakeRequests()
 		}
 	}
 	return nil
 }
 
-func partKey(p quarantine.Part) string { return p.Model + "/" + p.ID }
+// partKey returns the key of the records on a part. That of a request has no slash.
+func partKey(p quarantine.Part) string {
+	if p.Request {
+		return p.ID
+	}
+	return p.Model + "/" + p.ID
+}
 
 // encode encodes the body of an observation.
 func encode(v any) []byte {
--- a/request/forward/suspects_test.go
+++ b/request/forward/suspects_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -37,3 +38,28 @@
 		}
 	}
 }
+
+func TestTruncatedLongResponseDoesNotProveItsRequest(t *testing.T) {
+	s := newFakeServer(t, "s1", func(s *fakeServer, w http.ResponseWriter, r *http.Request) {
+		s.startResponse(w, r)
+		w.Header().Set("Content-Length", fmt.Sprint(2*maxBufferedBody))
+		_, _ = w.Write(make([]byte, maxBufferedBody))
+		panic(http.ErrAbortHandler)
+	})
+	e := newTestEntry(t, testConfig(deployment.Repeatable, testTimeout), s)
+	if _, _, err := e.send(t, nil); err == nil {
+		t.Error("a truncated response looks complete")
+	}
+	suspects := e.handler.suspects
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		suspects.mu.Lock()
+		ends := suspects.table.Ends()
+		suspects.mu.Unlock()
+		if ends == 1 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the broken connection was not recorded")
+		}
+	}
+}
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -34,8 +34,9 @@
 	// errNoEvent is the error of an attempt whose caller is about to leave.
 	errNoEvent = errors.New("the server sent no event while the caller waits")
 	errEnding  = errors.New("the process is about to exit")
-	// errSuspected is the error of an attempt whose prompt has a suspected part.
-	errSuspected = errors.New("a part of the prompt is suspected of crashing servers")
+	// errSuspected is the error of an attempt of a request that the quarantine has come to
+	// refuse.
+	errSuspected = errors.New("the request or a part of its prompt is suspected of crashing servers")
 )
 
 // watch follows one attempt. Once its server has been silent for patience, it looks
@@ -63,8 +64,8 @@
 	// don't. changed is closed when that may be another time.
 	expiry  boottime.Instant
 	changed <-chan struct{}
-	// suspected is closed when a part of a prompt is suspected; nil once that does not
-	// concern the request.
+	// suspected is closed when a request or a part of a prompt is suspected; nil once that
+	// does not concern the request.
 	suspected <-chan struct{}
 	// overdue is set while the server has been silent for longer than patience.
 	overdue bool
@@ -168,8 +169,8 @@
 	w.h.logSilence(w.cr, w.a.lease, w.silentSince, w.a.err)
 }
 
-// withdrawSuspected gives up the attempt if a part of its prompt is suspected and it has not
-// begun: it would end another server.
+// withdrawSuspected gives up the attempt if the request or a part of its prompt is suspected
+// and it has not begun: it would end another server.
 func (w *watch) withdrawSuspected() bool {
 	var refused bool
 	refused, w.suspected = w.h.suspects.mustWithdraw(w.cr)
@@ -177,7 +178,7 @@
 		return false
 	}
 	w.a.giveUp(errSuspected, placement.Canceled)
-	w.h.log.Info("request withdrawn because of a suspected part", "id", w.cr.id, "server", w.a.lease.Server.ID, "parts", w.cr.parts)
+	w.h.log.Info("request withdrawn because it is suspected", "id", w.cr.id, "server", w.a.lease.Server.ID, "request", w.cr.digest(), "parts", w.cr.parts)
 	return true
 }
 
--- a/request/quarantine/cuts.go
+++ b/request/quarantine/cuts.go
@@ -32,10 +32,10 @@
 	c.proven++
 }
 
-// requiredMoments returns the number of ends in a row that a sound part has only by a
-// small chance.
-func (c *cutRate) requiredMoments() int {
+// requiredMoments returns the number of ends in a row that something sound has by less
+// than a chance.
+func (c *cutRate) requiredMoments(chance float64) int {
 	fraction := (c.cut + 1) / (c.cut + c.proven + priorProven)
-	n := math.Ceil(math.Log(maxChance) / math.Log(fraction))
+	n := math.Ceil(math.Log(chance) / math.Log(fraction))
 	return int(min(max(n, minMoments), maxMoments))
 }
--- a/request/quarantine/decide.go
+++ b/request/quarantine/decide.go
@@ -13,6 +13,9 @@
 	at     boottime.Instant
 	// depths holds the candidates and their greatest position in a prompt.
 	depths map[Part]int
+	// bit identifies the end among those that are compared, and shared has the bits of those
+	// that had a request in common with it.
+	bit, shared uint64
 }
 
 // validEnds returns the confirmed ends up to a time, earliest first.
@@ -32,9 +35,30 @@
 		ends = append(ends, end{server: server, at: at, depths: depths})
 	}
 	slices.SortFunc(ends, func(a, b end) int { return compareInstants(a.at, b.at) })
+	t.markShared(ends)
 	return ends
 }
 
+// markShared finds the ends that had a request in common which was not proven sound since.
+func (t *Table) markShared(ends []end) {
+	byRequest := map[Part]uint64{}
+	for i := range ends {
+		ends[i].bit = 1 << i
+		for p := range ends[i].depths {
+			if p.Request && ends[i].at.After(t.provenAt(p)) {
+				byRequest[p] |= ends[i].bit
+			}
+		}
+	}
+	for i := range ends {
+		for p := range ends[i].depths {
+			if bits := byRequest[p]; bits&ends[i].bit != 0 {
+				ends[i].shared |= bits
+			}
+		}
+	}
+}
+
 func compareInstants(a, b boottime.Instant) int {
 	switch {
 	case a.Before(b):
@@ -93,7 +117,7 @@
 	ends := t.validEnds(now.Add(-settleTime))
 	decisions := t.clearProven(now)
 	decisions = append(decisions, t.repeatHolds(now, ends)...)
-	for len(t.holds) < maxHolds {
+	for len(ends) >= minMoments && len(t.holds) < maxHolds {
 		d, found := t.suspect(now, ends)
 		if !found {
 			break
@@ -161,7 +185,7 @@
 func (t *Table) repeatHolds(now boottime.Instant, ends []end) []Decision {
 	var decisions []Decision
 	for p, h := range t.holds {
-		i := slices.IndexFunc(ends, func(e end) bool { return e.at.After(h.until(0)) && has(e, p) })
+		i := slices.IndexFunc(ends, func(e end) bool { return !e.at.Before(h.until(0)) && has(e, p) })
 		if i < 0 {
 			continue
 		}
@@ -177,7 +201,8 @@
 	return ok
 }
 
-// unexplained returns the ends of servers that had no request with a suspected part.
+// unexplained returns the ends of servers that had no suspected request and none with a
+// suspected part.
 func (t *Table) unexplained(ends []end) []end {
 	var rest []end
 	for _, e := range ends {
@@ -197,40 +222,51 @@
 	part    Part
 	depth   int
 	servers []string
-	times   []boottime.Instant
-	// moments counts those at which no server had a request with a suspected part; total
-	// counts all.
-	moments, total int
+	ends    []end
+	// moments counts those at which no server had a suspected request or part; total counts
+	// all. independent counts moments without those whose server had a request that is in an
+	// earlier one.
+	independent, moments, total int
 }
 
 // suspect suspects the part that explains the most ends, unless another one explains as
-// many. Of two that can't be told apart for long, the one later in the prompt is taken:
-// requests share their first parts most widely.
+// many. Of a request and a part of its prompt the request is taken. Of two parts that can't
+// be told apart for long, the one later in the prompt is taken: requests share their first
+// parts most widely.
 func (t *Table) suspect(now boottime.Instant, ends []end) (Decision, bool) {
-	all := t.collect(ends)
-	ranked := rank(t.collect(t.unexplained(ends)), all)
-	required := t.cuts.requiredMoments()
-	if len(ranked) == 0 || ranked[0].moments < required {
+	ranked := t.rank(ends)
+	if len(ranked) == 0 {
 		return Decision{}, false
 	}
 	best, runnerUp := ranked[0], 0
+	required := t.required(best.part)
+	if best.moments < required || best.independent < minMoments {
+		return Decision{}, false
+	}
 	if len(ranked) > 1 {
 		runnerUp = ranked[1].moments
-	}
-	if runnerUp == best.moments && ranked[1].total == best.total && best.moments < maxMoments {
-		return Decision{}, false
+		if best.moments < maxMoments && best.ties(&ranked[1]) {
+			return Decision{}, false
+		}
 	}
 	h := Hold{Part: best.part, Count: 1}
 	t.setHold(h, now)
 	return Decision{Action: Suspected, Hold: h, At: now, Servers: best.servers, Moments: best.moments, Required: required, RunnerUp: runnerUp}, true
 }
 
-// collect returns the evidence against the parts since each was last proven sound.
+// collect returns the evidence against the parts since each was last proven sound. It leaves
+// out those in fewer ends than are required at least.
 func (t *Table) collect(ends []end) map[Part]*support {
+	counts := map[Part]int{}
+	for _, e := range ends {
+		for p := range e.depths {
+			counts[p]++
+		}
+	}
 	byPart := map[Part]*support{}
 	for _, e := range ends {
 		for p, depth := range e.depths {
-			if !e.at.After(t.provenAt(p)) {
+			if counts[p] < minMoments || !e.at.After(t.provenAt(p)) {
 				continue
 			}
 			s := byPart[p]
@@ -240,26 +276,63 @@
 			}
 			s.depth = max(s.depth, depth)
 			s.servers = append(s.servers, e.server)
-			s.times = append(s.times, e.at)
+			s.ends = append(s.ends, e)
 		}
 	}
 	return byPart
 }
 
+// ties reports whether the evidence does not distinguish between two parts, or between two
+// requests.
+func (s *support) ties(o *support) bool {
+	return s.independent == o.independent && s.moments == o.moments && s.total == o.total && s.part.Request == o.part.Request
+}
+
+// required returns the number of moments from which a part is suspected.
+func (t *Table) required(p Part) int {
+	if p.Request {
+		return t.cuts.requiredMoments(maxRequestChance)
+	}
+	return t.cuts.requiredMoments(maxChance)
+}
+
 // rank returns the evidence from unexplained ends, strongest first. Where it is equal, that
 // from all ends decides.
-func rank(unexplained, all map[Part]*support) []support {
+func (t *Table) rank(ends []end) []support {
+	all, unexplained := t.collect(ends), t.collect(t.unexplained(ends))
 	ranked := make([]support, 0, len(unexplained))
 	for p, s := range unexplained {
-		s.moments, s.total = countMoments(s.times), countMoments(all[p].times)
+		s.independent, s.moments = s.countMoments()
+		_, s.total = all[p].countMoments()
 		ranked = append(ranked, *s)
 	}
 	slices.SortFunc(ranked, func(a, b support) int {
-		return cmp.Or(b.moments-a.moments, b.total-a.total, len(b.servers)-len(a.servers), b.depth-a.depth, a.part.compare(b.part))
+		return cmp.Or(b.independent-a.independent, b.moments-a.moments, b.total-a.total, a.part.width()-b.part.width(),
+			len(b.servers)-len(a.servers), b.depth-a.depth, a.part.compare(b.part))
 	})
 	return ranked
 }
 
+// countMoments counts the moments at which servers ended. A request that comes again always
+// has the same parts: moments of a part are independent if no request is in two of them.
+func (s *support) countMoments() (independent, moments int) {
+	var counted uint64
+	var last boottime.Instant
+	for i := range s.ends {
+		e := &s.ends[i]
+		if moments > 0 && e.at.Sub(last) < sameMoment {
+			continue
+		}
+		moments++
+		last = e.at
+		if s.part.Request || e.shared&counted == 0 {
+			independent++
+			counted |= e.bit
+		}
+	}
+	return independent, moments
+}
+
 // clearExplained clears suspected parts that were only in requests with another one that
 // explains more ends.
 func (t *Table) clearExplained(now boottime.Instant, ends []end) []Decision {
--- a/request/quarantine/sim_test.go
+++ b/request/quarantine/sim_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,6 +83,8 @@
 	tables  []*Table
 	servers []*simServer
 	bad     map[string]bool
+	// requests numbers the requests that are not repeated.
+	requests int
 	// crashes are the times at which servers crashed on a part, badSent those at which
 	// requests with such a part were sent.
 	crashes, badSent map[string][]time.Duration
@@ -242,11 +245,24 @@
 	id := s.id(srv)
 	own, at := table.RecordBrokenOff(strconv.Itoa(r.entry), id, candidates, s.age.Now())
 	s.tellReport(r.entry, id, own, at)
+	if table.StartCheck(id, s.age.Now()) {
+		s.after(time.Duration(1+s.rng.IntN(8))*time.Millisecond, func() { s.check(r.entry, srv, id) })
+	}
 	if !r.retry && (candidates == nil || !table.Doubtful(candidates)) {
 		s.after(time.Duration(1+s.rng.IntN(30))*time.Millisecond, func() { s.send(r.entry, r.candidates, true) })
 	}
 }
 
+// check connects to the address of a server that has broken off a request.
+func (s *sim) check(entry int, srv *simServer, id string) {
+	if srv.up {
+		return
+	}
+	if r, at, news := s.tables[entry].RecordRefused(strconv.Itoa(entry), id, s.age.Now()); news {
+		s.tellReport(entry, id, r, at)
+	}
+}
+
 func (s *sim) crash(srv *simServer) {
 	if !srv.up {
 		return
@@ -258,11 +274,17 @@
 	s.after(3500*time.Millisecond, func() { srv.up, srv.incarnation = true, srv.incarnation+1 })
 }
 
+// request returns the candidates of a request with shared parts that is not repeated.
+func (s *sim) request(ids ...string) []Candidate {
+	s.requests++
+	return append(Candidates("m", ids), RequestCandidate(fmt.Sprint("request", s.requests)))
+}
+
 // traffic sends sound requests.
 func (s *sim) traffic(perSecond float64) {
 	kind := s.rng.IntN(3)
 	topic := int(60 * s.rng.Float64() * s.rng.Float64())
-	s.send(s.rng.IntN(len(s.tables)), Candidates("m", []string{fmt.Sprint("kind", kind), fmt.Sprint("topic", kind, "-", topic)}), false)
+	s.send(s.rng.IntN(len(s.tables)), s.request(fmt.Sprint("kind", kind), fmt.Sprint("topic", kind, "-", topic)), false)
 	s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), func() { s.traffic(perSecond) })
 }
 
@@ -272,10 +294,36 @@
 	if first {
 		parts = []string{part, fmt.Sprint("topic0-", s.rng.IntN(60))}
 	}
-	s.send(s.rng.IntN(len(s.tables)), Candidates("m", parts), false)
+	s.send(s.rng.IntN(len(s.tables)), s.request(parts...), false)
 	s.after(time.Duration(s.rng.ExpFloat64()*float64(interval)), func() { s.badTraffic(part, interval, first) })
 }
 
+// repeated sends one request again and again.
+func (s *sim) repeated(candidates []Candidate, interval time.Duration) {
+	s.send(s.rng.IntN(len(s.tables)), candidates, false)
+	s.after(time.Duration(s.rng.ExpFloat64()*float64(interval)), func() { s.repeated(candidates, interval) })
+}
+
+// repeatedRequests starts sound requests that are repeated, and up to two that crash servers.
+func (s *sim) repeatedRequests() {
+	start := func(id string, after time.Duration) {
+		candidates := []Candidate{RequestCandidate(id)}
+		if s.rng.IntN(2) == 0 {
+			candidates = append(candidates, Candidates("m", []string{"kind0", fmt.Sprint("topic0-", s.rng.IntN(60))})...)
+		}
+		interval := time.Duration(40+s.rng.IntN(4000)) * time.Millisecond
+		s.after(after, func() { s.repeated(candidates, interval) })
+	}
+	for i := range s.rng.IntN(6) {
+		start(fmt.Sprint("polled", i), 0)
+	}
+	for i := range s.rng.IntN(3) {
+		id := fmt.Sprint("bad-request", i)
+		s.bad[id] = true
+		start(id, time.Duration(2000+s.rng.IntN(6000))*time.Millisecond)
+	}
+}
+
 // outages crashes all servers of a zone at the same time, or single ones.
 func (s *sim) outages(single bool) {
 	zone, one := s.rng.IntN(3), s.servers[s.rng.IntN(len(s.servers))]
@@ -320,10 +368,20 @@
 		first := s.rng.IntN(3) == 0
 		s.after(time.Duration(2000+s.rng.IntN(6000))*time.Millisecond, func() { s.badTraffic(part, interval, first) })
 	}
+	s.repeatedRequests()
 	s.run()
 }
 
-func TestOnlyPartsThatCrashServersAreSuspected(t *testing.T) {
+// evidence returns the number of crashes after which something is suspected: the platform's
+// bounds for a part of a prompt and for a repeated request.
+func evidence(id string) int {
+	if strings.HasPrefix(id, "bad-request") {
+		return 3
+	}
+	return 5
+}
+
+func TestOnlyPartsAndRequestsThatCrashServersAreSuspected(t *testing.T) {
 	seeds := uint64(simSeeds)
 	if n, err := strconv.ParseUint(os.Getenv(simSeedsVariable), 10, 64); err == nil {
 		seeds = n
@@ -334,24 +392,25 @@
 			s := newSim(t, seed)
 			s.play()
 			for part, crashes := range s.crashes {
-				if len(crashes) < 5 {
+				n := evidence(part)
+				if len(crashes) < n {
 					continue
 				}
 				late := 0
 				for _, at := range s.badSent[part] {
-					if at > crashes[4]+simContact {
+					if at > crashes[n-1]+simContact {
 						late++
 					}
 				}
 				if late > 3 {
-					t.Errorf("%d requests with %s were sent later than %v after the fifth crash, want at most 3", late, part, simContact)
+					t.Errorf("%d requests with %s were sent later than %v after crash %d, want at most 3", late, part, simContact, n)
 				}
 			}
 			for _, what := range s.suspected {
 				t.Errorf("a sound part was suspected: %s", what)
 			}
-			t.Logf("%d entries, %d servers, crashes %d and %d, sound requests refused %d of %d",
-				len(s.tables), len(s.servers), len(s.crashes["bad0"]), len(s.crashes["bad1"]), s.soundRefused, s.sound)
+			t.Logf("%d entries, %d servers, crashes %d, %d by requests, sound requests refused %d of %d",
+				len(s.tables), len(s.servers), len(s.crashes["bad0"])+len(s.crashes["bad1"]), len(s.crashes["bad-request0"])+len(s.crashes["bad-request1"]), s.soundRefused, s.sound)
 		})
 	}
 }
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -19,8 +18,9 @@
 // serverEnd is the possible end of one server.
 type serverEnd struct {
 	reports map[string]report
-	// aliveAt is when the server was last known to be alive after a report.
-	aliveAt boottime.Instant
+	// aliveAt is when the server was last known to be alive after a report, and checkedAt
+	// when its address was last checked.
+	aliveAt, checkedAt boottime.Instant
 }
 
 // valid returns the reports that no sign of life has refuted, and the time of the first
@@ -89,8 +89,8 @@
 	holds      map[Part]*hold
 	// cleared holds when parts were cleared, so that an earlier hold does not come back.
 	cleared map[Part]boottime.Instant
-	// proven and olderProven hold when a server has proven a part sound.
-	proven, olderProven map[Part]boottime.Instant
+	// provenParts and provenRequests hold when a server has proven a part or a request sound.
+	provenParts, provenRequests proofs
 	// watched holds the candidates of servers that ended.
 	watched map[Part]watch
 	cuts    cutRate
@@ -101,9 +101,9 @@
 
 // watch is what is known of a candidate.
 type watch struct {
-	// lastEnd is when a server last broke off a request with the part, and told when a
-	// proof of it was last told to the other entries.
-	lastEnd, told boottime.Instant
+	// lastEnd is when a server last broke off a request with the part, proven when one has
+	// last proven it sound, and told when a proof was last told to the other entries.
+	lastEnd, proven, told boottime.Instant
 }
 
 // NewTable returns an empty table. stagger, from 0 to 1, spreads what all entries would
@@ -112,7 +112,7 @@
 	return &Table{
 		stagger: time.Duration(stagger * float64(trialSpread)), aliveDelay: time.Duration(stagger * float64(aliveSpread)),
 		ends: map[string]*serverEnd{}, holds: map[Part]*hold{}, cleared: map[Part]boottime.Instant{},
-		proven: map[Part]boottime.Instant{}, watched: map[Part]watch{},
+		watched: map[Part]watch{},
 	}
 }
 
@@ -126,6 +126,12 @@
 	return candidates
 }
 
+// RequestCandidate returns the candidate for a request as a whole. Its repetitions must have
+// the same digest, and no other request.
+func RequestCandidate(digest string) Candidate {
+	return Candidate{Part: Part{ID: shorten(digest), Request: true}}
+}
+
 // shorten replaces a long name by its digest.
 func shorten(name string) string {
 	if len(name) <= maxNameBytes {
@@ -173,6 +179,21 @@
 	return r.Report, r.at, true
 }
 
+// StartCheck reports whether the address of a server that broke off a request must be
+// checked: nothing has confirmed its end, and no check has just begun.
+func (t *Table) StartCheck(server string, now boottime.Instant) bool {
+	e := t.ends[server]
+	if e == nil {
+		return false
+	}
+	reports, at := e.valid()
+	if at.IsZero() || confirmed(reports) || !e.checkedAt.IsZero() && now.Sub(e.checkedAt) < sameEnd {
+		return false
+	}
+	e.checkedAt = now
+	return true
+}
+
 // ownReport returns this entry's report on the present end of a server.
 func (t *Table) ownReport(origin, server string, now boottime.Instant) (report, bool) {
 	e := t.ends[server]
@@ -183,28 +204,6 @@
 	return r, ok && r.at.After(e.aliveAt) && now.Sub(r.at) < sameEnd
 }
 
-// union returns the candidates of two lists. If there are too many, those that are in
-// other ends stay: callers may send any number of parts once.
-func (t *Table) union(a, b []Candidate) []Candidate {
-	all := slices.Clone(a)
-	for _, c := range b {
-		if slices.ContainsFunc(a, func(o Candidate) bool { return o.Part == c.Part }) {
-			continue
-		}
-		if len(all) < maxParts {
-			all = append(all, c)
-			continue
-		}
-		if _, isWatched := t.watched[c.Part]; !isWatched {
-			continue
-		}
-		if i := slices.IndexFunc(all, func(o Candidate) bool { _, other := t.watched[o.Part]; return !other }); i >= 0 {
-			all[i] = c
-		}
-	}
-	return all
-}
-
 // ApplyReport applies the report of an entry on the end of a server. It returns the parts
 // that were proven sound since, which the other entries may not know.
 func (t *Table) ApplyReport(origin, server string, r Report, at, now boottime.Instant) []Part {
@@ -215,7 +214,7 @@
 			room -= len(known.Candidates)
 		}
 	}
-	r.Candidates = r.Candidates[:min(len(r.Candidates), maxParts, max(room, 0))]
+	r.Candidates = r.Candidates[:min(len(r.Candidates), 2*maxParts, max(room, 0))]
 	e.reports[origin] = report{Report: r, at: at}
 	var known []Part
 	for _, c := range r.Candidates {
@@ -223,8 +222,9 @@
 		if at.After(w.lastEnd) {
 			w.lastEnd = at
 		}
-		if proven := t.provenAt(c.Part); proven.After(at) && !w.told.After(at) {
-			w.told = proven
+		w.proven = t.provenAt(c.Part)
+		if w.proven.After(at) && !w.told.After(at) {
+			w.told = w.proven
 			known = append(known, c.Part)
 		}
 		t.watched[c.Part] = w
@@ -315,17 +315,29 @@
 	if t.holds[p] != nil {
 		t.decideUntil(at)
 	}
-	if len(t.proven) >= maxProven {
-		t.olderProven, t.proven = t.proven, make(map[Part]boottime.Instant, maxProven)
+	if w, isWatched := t.watched[p]; isWatched {
+		w.proven = at
+		t.watched[p] = w
 	}
-	t.proven[p] = at
+	t.proofs(p).record(p, at)
 }
 
+// proofs returns where proofs of a part are remembered. Requests that come once only must not
+// push out the proofs of parts.
+func (t *Table) proofs(p Part) *proofs {
+	if p.Request {
+		return &t.provenRequests
+	}
+	return &t.provenParts
+}
+
+// provenAt returns when a server has last proven a part sound.
 func (t *Table) provenAt(p Part) boottime.Instant {
-	if at, ok := t.proven[p]; ok {
-		return at
+	at := t.proofs(p).at(p)
+	if w := t.watched[p]; w.proven.After(at) {
+		return w.proven
 	}
-	return t.olderProven[p]
+	return at
 }
 
 // lastEnd returns when a server last ended that had a request with a part.
@@ -350,134 +362,3 @@
 	}
 	return false
 }
-
-// ApplyHold applies another entry's decision. It reports whether that changed the
-// quarantine of the part.
-func (t *Table) ApplyHold(h Hold, at boottime.Instant) bool {
-	known := t.holds[h.Part]
-	switch {
-	case h.Count <= 0:
-		if known == nil || !known.since.Before(at) {
-			return false
-		}
-		t.clear(h.Part, at)
-	case !at.After(t.cleared[h.Part]) || known != nil && !at.After(known.since):
-		return false
-	default:
-		t.setHold(h, at)
-	}
-	return true
-}
-
-// Ends returns the number of servers that may have ended.
-func (t *Table) Ends() int { return len(t.ends) }
-
-func (t *Table) setHold(h Hold, at boottime.Instant) {
-	if known := t.holds[h.Part]; known != nil {
-		known.Hold, known.since = h, at
-		return
-	}
-	if len(t.holds) >= maxHolds {
-		t.removeOldestHold()
-	}
-	t.holds[h.Part] = &hold{Hold: h, since: at}
-}
-
-func (t *Table) removeOldestHold() {
-	var oldest *hold
-	for _, h := range t.holds {
-		if oldest == nil || h.since.Before(oldest.since) {
-			oldest = h
-		}
-	}
-	delete(t.holds, oldest.Part)
-}
-
-func (t *Table) clear(p Part, at boottime.Instant) {
-	delete(t.holds, p)
-	if len(t.cleared) >= maxHolds {
-		clear(t.cleared)
-	}
-	t.cleared[p] = at
-}
-
-// Refused returns for how long a request with a prompt must not be sent, and the part
-// that is the reason. It returns false if the request may be sent.
-func (t *Table) Refused(candidates []Candidate, now boottime.Instant) (time.Duration, Part, bool) {
-	if len(t.holds) == 0 {
-		return 0, Part{}, false
-	}
-	for _, c := range candidates {
-		h := t.holds[c.Part]
-		switch {
-		case h == nil:
-		case now.Before(h.until(t.stagger)):
-			return h.until(t.stagger).Sub(now), c.Part, true
-		case h.trials > 0 || t.lastEnd(c.Part).After(h.until(0)):
-			return trialRetryAfter, c.Part, true
-		}
-	}
-	return 0, Part{}, false
-}
-
-// Dump returns the suspected parts and the number of ends that are compared, for the
-// state dump.
-func (t *Table) Dump(now boottime.Instant) any {
-	type suspected struct {
-		Part     Part
-		Count    int
-		HeldFor  time.Duration
-		HoldLeft time.Duration
-		Trials   int
-	}
-	dump := struct {
-		Suspected []suspected
-		Ends      int
-		Required  int
-	}{Ends: len(t.ends), Required: t.cuts.requiredMoments()}
-	for p, h := range t.holds {
-		dump.Suspected = append(dump.Suspected, suspected{
-			Part: p, Count: h.Count, HeldFor: now.Sub(h.since), HoldLeft: max(h.until(t.stagger).Sub(now), 0), Trials: h.trials,
-		})
-	}
-	return dump
-}
-
-// StartTrial records that a request is sent. If it has a suspected part, that is a
-// trial, and the returned parts must be passed to EndTrial.
-func (t *Table) StartTrial(candidates []Candidate) []Part {
-	if len(t.holds) == 0 {
-		return nil
-	}
-	var trials []Part
-	for _, c := range candidates {
-		if h := t.holds[c.Part]; h != nil {
-			h.trials++
-			trials = append(trials, c.Part)
-		}
-	}
-	return trials
-}
-
-// EndTrial records that a trial has ended.
-func (t *Table) EndTrial(trials []Part) {
-	for _, p := range trials {
-		if h := t.holds[p]; h != nil && h.trials > 0 {
-			h.trials--
-		}
-	}
-}
-
-// Doubtful reports whether a request that a server broke off must not be sent to
-// another one: a part of its prompt may be the cause.
-func (t *Table) Doubtful(candidates []Candidate) bool {
-	for _, c := range candidates {
-		if t.holds[c.Part] != nil {
-			return true
-		}
-		if times, anyConfirmed := t.endsSinceProof(c.Part); anyConfirmed && countMoments(times) >= doubtfulMoments {
-			return true
-		}
-	}
-	return false
-}
--- a/request/quarantine/table_test.go
+++ b/request/quarantine/table_test.go
@@ -155,7 +155,7 @@
 func TestSuspectedPartIsTriedOnceAtATimeAfterItsHold(t *testing.T) {
 	r := newRig(t)
 	r.suspect("bad")
-	r.clock.Advance(minHold - time.Minute)
+	r.clock.Advance(firstHold - time.Minute)
 	if !r.refused("bad") {
 		t.Error("the part is not refused before the end of its hold")
 	}
@@ -175,7 +175,7 @@
 	if d := r.table.Decide(r.age.Now()); len(d) != 1 || d[0].Action != Suspected || d[0].Hold.Count != 2 {
 		t.Errorf("after a failed trial: %+v", d)
 	}
-	r.clock.Advance(2*minHold + time.Second)
+	r.clock.Advance(2*firstHold + time.Second)
 	if r.refused("bad") {
 		t.Fatal("the part is not tried after its second hold")
 	}
@@ -219,7 +219,7 @@
 			t.Error("the flood hides a part that ends servers")
 		}
 	}
-	if len(r.table.ends) > maxEnds || len(r.table.watched) > (maxEnds+1)*maxParts || len(r.table.holds) > maxHolds || len(r.table.proven) > maxProven {
-		t.Errorf("the table holds %d ends, %d watched parts, %d holds, %d proofs", len(r.table.ends), len(r.table.watched), len(r.table.holds), len(r.table.proven))
+	if len(r.table.ends) > maxEnds || len(r.table.watched) > (maxEnds+1)*maxParts || len(r.table.holds) > maxHolds || len(r.table.provenParts.recent) > maxProven {
+		t.Errorf("the table holds %d ends, %d watched parts, %d holds, %d proofs", len(r.table.ends), len(r.table.watched), len(r.table.holds), len(r.table.provenParts.recent))
 	}
 }
--- a/request/quarantine/types.go
+++ b/request/quarantine/types.go
@@ -1,5 +1,5 @@
-// Package quarantine decides which parts of prompts crash servers, and which requests
-// must not be sent because of them.
+// Package quarantine decides which parts of prompts and which requests crash servers, and
+// which requests must not be sent because of that.
 //
 // A server that ends breaks off all its requests, at all entries, and nothing in the
 // requests tells which one caused it. The package compares the requests that each server
@@ -9,9 +9,14 @@
 // explains these ends better. Parts that requests only share with a suspected one are
 // not suspected: another part explains the same ends and more.
 //
+// A request as a whole is a candidate like a part of its prompt, identified by a digest
+// that its repetitions share. Where it explains the same ends as a part, the request is
+// suspected and not the part: that concerns no other request. A part that explains further
+// ends is suspected in its place.
+//
 // Requests with a suspected part are refused for a time. After that one at a time is
 // tried, and the part is cleared once a server goes on, or suspected again for twice the
-// time once another one ends.
+// time once another one ends, and for a day after the third such trial.
 //
 // The package does no I/O and has no clock. Memory is bounded whatever callers send. A
 // Table is not safe for concurrent use.
@@ -48,6 +53,8 @@
 	minMoments = 3
 	maxMoments = 5
 	maxChance  = 1e-6
+	// maxRequestChance is the same for a request as a whole, whose hold concerns nothing else.
+	maxRequestChance = 1e-4
 	// cutMemory is the time constant of the fraction of requests that ends of servers cut.
 	cutMemory = 20 * time.Second
 	// priorProven is the number of proven requests that the fraction starts with.
@@ -57,17 +64,22 @@
 	// ProvenEvents is the number of events after which a server has proven the parts of a
 	// prompt sound. A crash follows within a few.
 	ProvenEvents = 6
-	// minHold and maxHold bound the time for which a part is refused. It doubles each time.
-	minHold = 5 * time.Minute
-	maxHold = 2 * time.Hour
+	// firstHold and firstRequestHold are the times for which a part and a request are refused
+	// first. They double after each trial that ends a server, up to maxTrials of them; then
+	// lastHold is the time.
+	firstHold        = 5 * time.Minute
+	firstRequestHold = time.Minute
+	maxTrials        = 3
+	lastHold         = 24 * time.Hour
 	// trialSpread is the time over which the entries begin to try a part again, so that
 	// one server ends at most before all know of it.
 	trialSpread = time.Minute
 	// trialRetryAfter is the retry delay while another request is tried.
 	trialRetryAfter = 2 * time.Second
-	// maxEnds bounds the servers whose ends are compared, maxParts the parts that one entry
-	// records for a server, maxEndParts those that all entries do, maxHolds the suspected
-	// parts, and maxProven the parts of each of two generations whose proofs are remembered.
+	// maxEnds bounds the servers whose ends are compared, maxParts the parts and the requests
+	// that one entry records for a server, maxEndParts those that all entries do, maxHolds
+	// the suspected ones, and maxProven the parts, and the requests, of each of two generations
+	// whose proofs are remembered.
 	maxEnds     = 64
 	maxParts    = 256
 	maxEndParts = 1024
@@ -79,15 +91,25 @@
 	sweepInterval = time.Second
 )
 
-// Part is a part of a prompt to a model.
+// Part is a part of a prompt to a model, or a request as a whole.
 type Part struct {
 	Model string `cbor:"1,keyasint"`
 	ID    string `cbor:"2,keyasint"`
+	// Request is set if ID is the digest of a request.
+	Request bool `cbor:"3,keyasint,omitempty"`
 }
 
 // compare orders parts, so that all entries decide alike.
 func (p Part) compare(o Part) int {
-	return cmp.Or(cmp.Compare(p.Model, o.Model), cmp.Compare(p.ID, o.ID))
+	return cmp.Or(p.width()-o.width(), cmp.Compare(p.Model, o.Model), cmp.Compare(p.ID, o.ID))
+}
+
+// width orders parts by how many requests have them: fewest have a digest.
+func (p Part) width() int {
+	if p.Request {
+		return 0
+	}
+	return 1
 }
 
 // Candidate is a part that may have ended a server.
@@ -115,7 +137,14 @@
 
 // duration returns how long a part is refused.
 func (h Hold) duration() time.Duration {
-	return min(minHold<<min(max(h.Count-1, 0), 8), maxHold)
+	first := firstHold
+	if h.Part.Request {
+		first = firstRequestHold
+	}
+	if h.Count > maxTrials {
+		return lastHold
+	}
+	return first << max(h.Count-1, 0)
 }
 
 // TTL returns how long the hold is remembered.
