forward: log whether a server that turns a request away was closed already

The record of second1 shows arrivals at servers, not why an entry sent them. The line has what was left of an earlier time now, and the incarnation instead of the ID, which a server may keep over a restart.

--- a/request/forward/turnaway.go
+++ b/request/forward/turnaway.go
@@ -19,13 +19,13 @@
 		return
 	}
 	h.metrics.turnedAway.Inc(1)
-	h.log.Info("server turned a request away", "server", a.lease.Server.ID, "service", service, "retry_after", wait)
-	h.scheduler.turnAway(service, a.lease, wait)
+	left := h.scheduler.turnAway(service, a.lease, wait)
+	h.log.Info("server turned a request away", "server", a.lease.Server.Incarnation(), "service", service, "retry_after", wait, "was_closed_for", left)
 }
 
-func (sc *scheduler) turnAway(service string, l *placement.Lease, wait time.Duration) {
+func (sc *scheduler) turnAway(service string, l *placement.Lease, wait time.Duration) (left time.Duration) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	now := sc.clock.Now()
-	sc.service(service, now).pool.OnTurnedAway(now, l, wait)
+	return sc.service(service, now).pool.OnTurnedAway(now, l, wait)
 }
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -227,11 +227,14 @@
 	}
 }
 
-// OnTurnedAway records that the server wants no request from this entry for a time.
-func (p *Pool) OnTurnedAway(now time.Time, l *Lease, wait time.Duration) {
+// OnTurnedAway records that the server wants no request from this entry for a time. It
+// returns what was left of an earlier such time.
+func (p *Pool) OnTurnedAway(now time.Time, l *Lease, wait time.Duration) (left time.Duration) {
+	left = max(l.state.closedUntil.Sub(now), 0)
 	if until := now.Add(wait); until.After(l.state.closedUntil) {
 		l.state.closedUntil = until
 	}
+	return left
 }
 
 // OnSilent records that the server has sent nothing for long on a request that
