--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -390,6 +390,36 @@
 	}
 }
 
+func TestWithheldRequestIsNotSentAndKeepsItsConnection(t *testing.T) {
+	var conns, requests atomic.Int64
+	address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
+		conns.Add(1)
+		for {
+			id, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			requests.Add(1)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		}
+	})
+	client, req := newClient(), newRequest("1")
+	req.MaySend = func() bool { return false }
+	_, err := client.Do(t.Context(), address, req)
+	var failure *Error
+	if !errors.As(err, &failure) || failure.Sent != NotSent || !errors.Is(err, ErrWithheld) {
+		t.Errorf("got %v", err)
+	}
+	if ex, err := client.Do(t.Context(), address, newRequest("2")); err != nil {
+		t.Error(err)
+	} else {
+		ex.Close()
+	}
+	if conns.Load() != 1 || requests.Load() != 1 {
+		t.Errorf("the server got %d connections and %d requests, want 1 and 1", conns.Load(), requests.Load())
+	}
+}
+
 // A panic in the goroutine that writes a long request would end the process.
 func TestLongRequestWhoseDeadlineHasPassedOnlyFails(t *testing.T) {
 	address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -33,6 +33,9 @@
 	// Opening a connection can take longer than expected: TCP retransmits a lost
 	// SYN after one second.
 	SendDeadline boottime.Instant
+	// MaySend, if not nil, is called once a connection is open. The request is not sent if it
+	// returns false.
+	MaySend func() bool
 }
 
 // SendState is how far a failed request got.
@@ -88,6 +91,9 @@
 	keepAlive bool
 }
 
+// ErrWithheld is the error of a request that MaySend has stopped.
+var ErrWithheld = errors.New("the request was withheld")
+
 var errSendDeadline = errors.New("send deadline passed before the request was sent")
 
 var errBodyTooLong = errors.New("response body too long")
@@ -123,6 +129,10 @@
 		k.close()
 		return nil, &Error{Sent: NotSent, Err: errSendDeadline}
 	}
+	if req.MaySend != nil && !req.MaySend() {
+		c.putIdle(k, time.Now())
+		return nil, &Error{Sent: NotSent, Err: ErrWithheld}
+	}
 	ex := &Exchange{client: c, conn: k, stopCancel: context.AfterFunc(ctx, k.reset)}
 	_ = k.SetDeadline(req.HeadDeadline)
 	if err := ex.roundTrip(req); err != nil {
--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -78,6 +78,7 @@
 	rt.Dump.Add("pools", f.handler.Dump)
 	rt.Dump.Add("limits", f.handler.DumpLimits)
 	rt.Dump.Add("quarantine", f.handler.DumpQuarantine)
+	rt.Dump.Add("turned_away", f.handler.DumpTurnedAway)
 	rt.Dump.Add("view", func() any { return f.follower.View() })
 	return f
 }
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -67,9 +67,9 @@
 }
 
 type metrics struct {
-	requests, retried, panics, firstEventLate, withdrawn, brokenOff, limitsChanged, turnedAway, leaving tally.Counter
-	outcomes                                                                                            [outcomeCount]tally.Counter
-	duration, firstByte                                                                                 tally.Timer
+	requests, retried, panics, firstEventLate, withdrawn, brokenOff, limitsChanged, turnedAway, reopened, leaving tally.Counter
+	outcomes                                                                                                      [outcomeCount]tally.Counter
+	duration, firstByte                                                                                           tally.Timer
 }
 
 // New returns a handler that refuses all requests until Update. ageClock must be the
@@ -84,7 +84,7 @@
 		scheduler: newScheduler(cfg, clock, ageClock), suspects: newSuspects(cfg, ageClock, log, scope),
 		metrics: metrics{
 			requests: scope.Counter("received"), retried: scope.Counter("sent_again"), panics: scope.Counter("panics"),
-			firstEventLate: scope.Counter("first_event_after_expiry"), withdrawn: scope.Counter("withdrawn"), brokenOff: scope.Counter("broken_off"), limitsChanged: scope.Counter("server_limits_changed"), turnedAway: scope.Counter("turned_away"), leaving: scope.Counter("servers_leaving"), outcomes: outcomeCounters(scope),
+			firstEventLate: scope.Counter("first_event_after_expiry"), withdrawn: scope.Counter("withdrawn"), brokenOff: scope.Counter("broken_off"), limitsChanged: scope.Counter("server_limits_changed"), turnedAway: scope.Counter("turned_away"), reopened: scope.Counter("servers_reopened"), leaving: scope.Counter("servers_leaving"), outcomes: outcomeCounters(scope),
 			duration: scope.Timer("duration"), firstByte: scope.Timer("first_byte"),
 		},
 	}
@@ -107,7 +107,10 @@
 
 // DispatchWaiting assigns slots to queued requests. It must be called periodically,
 // because the backoff of a server ends without any event.
-func (h *Handler) DispatchWaiting() { h.scheduler.dispatchWaiting() }
+func (h *Handler) DispatchWaiting() {
+	h.scheduler.dispatchWaiting()
+	h.logReopened()
+}
 
 // Dump returns the handler's part of the state dump.
 func (h *Handler) Dump() any { return h.scheduler.dump() }
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingpost/waxwingpost/request/placement"
 	"github.com/waxwingpost/waxwingpost/request/retry"
 	"github.com/waxwingpost/waxwingpost/request/serverlimit"
+	"github.com/waxwingpost/waxwingpost/request/turnaway"
 )
 
 const (
@@ -59,6 +60,8 @@
 	services map[string]*serviceState
 	// limits holds the limits that servers have named.
 	limits *serverlimit.Table
+	// turnedAway holds the servers that want no requests from this entry for a time.
+	turnedAway *turnaway.Table
 	// leaving holds the incarnations of servers that have said that they leave.
 	leaving       map[string]bool
 	demandSampled time.Time
@@ -67,7 +70,7 @@
 func newScheduler(cfg Config, clock clockwork.Clock, ageClock boottime.Clock) *scheduler {
 	return &scheduler{
 		cfg: cfg, clock: clock, ageClock: ageClock, view: &feed.View{}, weightsChanged: make(chan struct{}), ending: make(chan struct{}),
-		services: map[string]*serviceState{}, demandSampled: clock.Now(), limits: serverlimit.NewTable(rand.Float64), leaving: map[string]bool{},
+		services: map[string]*serviceState{}, demandSampled: clock.Now(), limits: serverlimit.NewTable(rand.Float64), turnedAway: turnaway.NewTable(), leaving: map[string]bool{},
 	}
 }
 
@@ -122,7 +125,7 @@
 
 // poolConfig returns the settings of the pool of a service.
 func (sc *scheduler) poolConfig(s *deployment.Service, entries int) placement.Config {
-	cfg := placement.Config{Zone: sc.cfg.Zone, Limits: sc.limits, Entries: entries}
+	cfg := placement.Config{Zone: sc.cfg.Zone, Limits: sc.limits, TurnedAway: sc.turnedAway, Entries: entries}
 	if e := s.Engine; e != nil {
 		cfg.ReadPerSecond = e.ReadPerSecond
 	}
@@ -276,6 +279,7 @@
 	for _, st := range sc.services {
 		st.pool.DispatchWaiting(now)
 	}
+	sc.turnedAway.Sweep(now)
 }
 
 // mayRetry reports whether the retry budget of a service allows another retry.
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -42,7 +42,10 @@
 	var failure *backend.Error
 	if errors.As(a.err, &failure) && failure.Sent == backend.NotSent {
 		a.result, a.notSent = resultNotRun, true
-		if ctx.Err() == nil {
+		switch {
+		case errors.Is(a.err, backend.ErrWithheld):
+			a.outcome = placement.Unused
+		case ctx.Err() == nil:
 			a.outcome = placement.Failed
 		}
 	}
--- a/request/forward/turnaway.go
+++ b/request/forward/turnaway.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/request/placement"
@@ -14,18 +13,42 @@
 	if a.ex.Status != http.StatusServiceUnavailable {
 		return
 	}
-	wait, ok := platform.ParseSeconds(a.ex.Header.Get(platform.HeaderRetryAfter))
+	wait, ok := platform.ParseRetryAfter(a.ex.Header.Values(platform.HeaderRetryAfter), h.clock.Now())
 	if !ok {
 		return
 	}
+	sc, id := h.scheduler, a.lease.Server.Incarnation()
+	sc.mu.Lock()
+	left := sc.turnedAway.Record(id, wait, sc.clock.Now())
+	sc.mu.Unlock()
 	h.metrics.turnedAway.Inc(1)
-	left := h.scheduler.turnAway(service, a.lease, wait)
-	h.log.Info("server turned a request away", "server", a.lease.Server.Incarnation(), "service", service, "retry_after", wait, "was_closed_for", left)
+	h.log.Info("server turned a request away", "server", id, "service", service, "retry_after", wait, "was_closed_for", left)
+}
+
+// logReopened counts and logs the servers that take requests again.
+func (h *Handler) logReopened() {
+	sc := h.scheduler
+	sc.mu.Lock()
+	changes := sc.turnedAway.TakeChanges()
+	sc.mu.Unlock()
+	for _, c := range changes {
+		h.metrics.reopened.Inc(1)
+		h.log.Info("server takes requests again", "server", c.Server, "since_end_of_time", c.Ended)
+	}
+}
+
+// DumpTurnedAway returns the servers that turn requests away for the state dump.
+func (h *Handler) DumpTurnedAway() any {
+	sc := h.scheduler
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.turnedAway.Dump(sc.clock.Now())
 }
 
-func (sc *scheduler) turnAway(service string, l *placement.Lease, wait time.Duration) (left time.Duration) {
+// wantsRequest reports whether the server of a lease has not turned requests away since the
+// lease was granted.
+func (sc *scheduler) wantsRequest(l *placement.Lease) bool {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	now := sc.clock.Now()
-	return sc.service(service, now).pool.OnTurnedAway(now, l, wait)
+	return sc.turnedAway.Left(l.Server.Incarnation(), sc.clock.Now()) == 0
 }
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -148,6 +148,7 @@
 		return nil
 	}
 	p.cfg.Limits.Take(s.incarnation, p.limitPart(), now)
+	p.cfg.TurnedAway.Ask(s.incarnation, now)
 	s.inFlight++
 	s.prefillTokens += req.PromptTokens
 	p.inFlight++
@@ -170,7 +171,7 @@
 			// A slow server gets one request at a time as a probe.
 			continue
 		}
-		if !s.Usable || !s.available(now) || slices.Contains(req.Exclude, s.ID) || !p.accepts(s, req) || !p.cfg.Limits.Due(s.incarnation, p.limitPart(), now) {
+		if !s.Usable || !s.available(now) || !p.cfg.TurnedAway.MayAsk(s.incarnation, now) || slices.Contains(req.Exclude, s.ID) || !p.accepts(s, req) || !p.cfg.Limits.Due(s.incarnation, p.limitPart(), now) {
 			continue
 		}
 		key := p.load(s)
@@ -223,20 +224,11 @@
 		l.awaitingFirst = false
 		l.state.prefillTokens -= l.req.PromptTokens
 		l.state.recordFirstEvent(now, l, p.prefillTime(l.req))
+		p.cfg.TurnedAway.Accept(l.Server.Incarnation(), l.granted, now)
 		p.DispatchWaiting(now)
 	}
 }
 
-// OnTurnedAway records that the server wants no request from this entry for a time. It
-// returns what was left of an earlier such time.
-func (p *Pool) OnTurnedAway(now time.Time, l *Lease, wait time.Duration) (left time.Duration) {
-	left = max(l.state.closedUntil.Sub(now), 0)
-	if until := now.Add(wait); until.After(l.state.closedUntil) {
-		l.state.closedUntil = until
-	}
-	return left
-}
-
 // OnSilent records that the server has sent nothing for long on a request that
 // still waits for it. The server is ejected as after a failure.
 func (p *Pool) OnSilent(now time.Time, l *Lease) {
@@ -291,6 +283,12 @@
 	}
 	l.state.inFlight--
 	p.inFlight--
+	switch o {
+	case Served:
+		p.cfg.TurnedAway.Accept(l.Server.Incarnation(), l.granted, now)
+	case Unused:
+		p.cfg.TurnedAway.Withdraw(l.Server.Incarnation(), l.granted)
+	}
 	switch {
 	case l.silent && o == Served:
 		l.state.endSilence(now)
@@ -352,7 +350,7 @@
 	first := time.Duration(math.MaxInt64)
 	for _, s := range p.active {
 		if s.Usable {
-			first = min(first, max(s.closedUntil.Sub(now), 0))
+			first = min(first, p.cfg.TurnedAway.Left(s.incarnation, now))
 		}
 	}
 	if first == math.MaxInt64 {
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -68,8 +68,6 @@
 	// sets its length.
 	backoffUntil        time.Time
 	consecutiveRefusals int
-	// closedUntil is until when the server wants no requests from this entry.
-	closedUntil time.Time
 	// firstEventDelay is the moving average of the time to the first event less
 	// the expected prefill time.
 	firstEventDelay time.Duration
@@ -79,15 +77,13 @@
 	removed bool
 }
 
-// available reports whether the server is neither ejected nor in backoff, and wants
-// requests. A
-// server whose weights expire is not probed after an ejection: the probe could
+// available reports whether the server is neither ejected nor in backoff. A server whose weights expire is not probed after an ejection: the probe could
 // reach it late, after the weights have expired.
 func (s *server) available(now time.Time) bool {
 	if s.probing && (s.inFlight > 0 || !s.WeightsUntil.IsZero()) {
 		return false
 	}
-	return !now.Before(s.ejectedUntil) && !now.Before(s.backoffUntil) && !now.Before(s.closedUntil)
+	return !now.Before(s.ejectedUntil) && !now.Before(s.backoffUntil)
 }
 
 // weightsExpiring reports whether a request that is sent now could start after
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -19,6 +19,7 @@
 	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/request/serverlimit"
+	"github.com/waxwingpost/waxwingpost/request/turnaway"
 )
 
 // Server is a backend server as listed in the directory.
@@ -55,6 +56,9 @@
 	ReadPerSecond float64
 	// Limits holds the limits that servers have named; nil if they name none.
 	Limits *serverlimit.Table
+	// TurnedAway holds the servers that want no requests from this entry for a time; nil if
+	// there are none.
+	TurnedAway *turnaway.Table
 	// Entries is the number of entries that share the servers.
 	Entries int
 }
