controller: a control process that stops closes the links to its followers

Two of three entries sent to servers that had ended seconds before and refused with 3004.

Cause: http.Server.Close does not close connections that were upgraded. A control process that had returned from Run still answered the pings of its followers. They took no link for lost, did not open one to the process that had started at its address, and missed what servers told that one first. The exit of a real process closes its connections, so that callers could only meet this between the end of Run and the exit; it is the soak that could not see restarts of control processes.

Ruled out: leaked slots (Own 0 in the pools' dump) and servers that count as slow under load.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -145,6 +145,7 @@
 	defer cancel()
 	_ = operatorServer.Shutdown(stopCtx)
 	_ = linkServer.Close()
+	c.hub.CloseFollowers()
 	err = runtime.IgnoreCanceled(group.Wait())
 	c.Log.Info("control process stopped", "code", int(result.CodeOf(err)))
 	return err
--- a/process/frontend/fleet_test.go
+++ b/process/frontend/fleet_test.go
@@ -60,6 +60,7 @@
 	ip      string
 	address string
 	stop    func()
+	running *Frontend
 }
 
 // newFleet starts a fleet whose configuration is in force at all entries. n
@@ -174,6 +175,7 @@
 		PeerPort: fleetPeerPort, Seeds: e.f.control,
 		Bounds: platform.Bounds{StopGrace: time.Second, OldVersionGrace: 8 * time.Second, RetryShare: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second},
 	}, rt)
+	e.running = fe
 	e.stop = e.f.run(e.ip, rt, fe.Run)
 }
 
--- a/process/frontend/fleetsoak_test.go
+++ b/process/frontend/fleetsoak_test.go
@@ -188,6 +188,9 @@
 			s.play(seed)
 			s.check(t)
 			if t.Failed() {
+				for _, e := range f.entries {
+					t.Logf("%s: pools %+v, limits %+v, turned away %+v", e.ip, e.running.handler.Dump(), e.running.handler.DumpLimits(), e.running.handler.DumpTurnedAway())
+				}
 				t.Log(f.log.matching("quarantine of", "broke off", "server has ended", "request failed"))
 			}
 		})
