--- a/request/forward/leaving.go
+++ b/request/forward/leaving.go
@@ -13,6 +13,12 @@
 	leavingTTL = 10 * time.Minute
 	// maxLeaving bounds the servers that are remembered.
 	maxLeaving = 8192
+	// statementTTL is how long what a server has said is kept while it is not listed. A
+	// server whose heartbeats are late is dropped and listed again.
+	statementTTL = 10 * time.Minute
+	// maxUnlisted is the number of remembered servers up to which those that are not listed
+	// are kept.
+	maxUnlisted = maxLeaving / 2
 )
 
 // recordLeaving records that the server of an attempt has said that it leaves.
@@ -49,7 +55,8 @@
 	return true
 }
 
-// forgetServers removes what is known of servers that are not listed. The caller holds mu.
+// forgetServers removes what is known of servers that have not been listed for
+// statementTTL, or that are not listed if there are many. The caller holds mu.
 func (sc *scheduler) forgetServers() {
 	if sc.limits.Len()+len(sc.leaving) == 0 {
 		return
@@ -61,10 +68,25 @@
 			listed[s.Incarnation()] = true
 		}
 	}
-	sc.limits.Keep(func(id string) bool { return listed[id] })
+	now, unlisted := sc.clock.Now(), map[string]time.Time{}
+	keep := func(id string, count int) bool {
+		if listed[id] {
+			return true
+		}
+		since, known := sc.unlisted[id]
+		if !known {
+			since = now
+		}
+		unlisted[id] = since
+		return count <= maxUnlisted && now.Sub(since) < statementTTL
+	}
+	limits := sc.limits.Len()
+	sc.limits.Keep(func(id string) bool { return keep(id, limits) })
+	leaving := len(sc.leaving)
 	for id := range sc.leaving {
-		if !listed[id] {
+		if !keep(id, leaving) {
 			delete(sc.leaving, id)
 		}
 	}
+	sc.unlisted = unlisted
 }
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -63,7 +63,9 @@
 	// turnedAway holds the servers that want no requests from this entry for a time.
 	turnedAway *turnaway.Table
 	// leaving holds the incarnations of servers that have said that they leave.
-	leaving       map[string]bool
+	leaving map[string]bool
+	// unlisted holds since when servers with a limit, or that leave, are not listed.
+	unlisted      map[string]time.Time
 	demandSampled time.Time
 }
 
