quarantine: the rate of cut requests is that of the service with most of them

A request that is repeated to a small service beside outages was refused after three ends. The fraction is kept by service now, and the greatest one counts, as cautiously for requests as for parts.

Evidence: TestSoundTrafficOfAnotherServiceDoesNotLowerTheEvidenceThatIsRequired fails with one rate for all services and passes.

--- a/request/forward/identity.go
+++ b/request/forward/identity.go
@@ -37,7 +37,7 @@
 // setCandidates sets what the quarantine may suspect: the request, and the shared parts of
 // its prompt.
 func (cr *callerRequest) setCandidates() {
-	cr.candidates = []quarantine.Candidate{quarantine.RequestCandidate(cr.identity())}
+	cr.candidates = []quarantine.Candidate{quarantine.RequestCandidate(cr.service, cr.identity())}
 	if cr.route.Generation {
 		cr.candidates = append(cr.candidates, quarantine.Candidates(cr.tokens.Model, cr.parts)...)
 	}
--- a/request/quarantine/decide.go
+++ b/request/quarantine/decide.go
@@ -239,7 +239,7 @@
 		return Decision{}, false
 	}
 	best, runnerUp := ranked[0], 0
-	required := t.required(best.part)
+	required := t.required(best.part, now)
 	if best.moments < required || best.independent < minMoments {
 		return Decision{}, false
 	}
@@ -289,11 +289,11 @@
 }
 
 // required returns the number of moments from which a part is suspected.
-func (t *Table) required(p Part) int {
+func (t *Table) required(p Part, now boottime.Instant) int {
 	if p.Request {
-		return t.cuts.requiredMoments(maxRequestChance)
+		return t.cuts.requiredMoments(maxRequestChance, now)
 	}
-	return t.cuts.requiredMoments(maxChance)
+	return t.cuts.requiredMoments(maxChance, now)
 }
 
 // rank returns the evidence from unexplained ends, strongest first. Where it is equal, that
--- a/request/quarantine/holds.go
+++ b/request/quarantine/holds.go
@@ -90,7 +90,7 @@
 		Ends      int
 		// Required and RequiredOfRequest are the numbers of moments that are required now.
 		Required, RequiredOfRequest int
-	}{Ends: len(t.ends), Required: t.required(Part{}), RequiredOfRequest: t.required(Part{Request: true})}
+	}{Ends: len(t.ends), Required: t.required(Part{}, now), RequiredOfRequest: t.required(Part{Request: true}, now)}
 	for p, h := range t.holds {
 		dump.Suspected = append(dump.Suspected, suspected{
 			Part: p, Count: h.Count, HeldFor: now.Sub(h.since), HoldLeft: max(h.until(t.stagger).Sub(now), 0), Trials: h.trials,
--- a/request/quarantine/request_test.go
+++ b/request/quarantine/request_test.go
@@ -32,7 +32,7 @@
 }
 
 func withParts(digest string, ids ...string) []Candidate {
-	return append([]Candidate{RequestCandidate(digest)}, Candidates("m", ids)...)
+	return append([]Candidate{RequestCandidate("", digest)}, Candidates("m", ids)...)
 }
 
 func TestRepeatedRequestIsRefusedWithoutThePartsOfItsPrompt(t *testing.T) {
@@ -109,6 +109,30 @@
 	}
 }
 
+func TestSoundTrafficOfAnotherServiceDoesNotLowerTheEvidenceThatIsRequired(t *testing.T) {
+	r := newRig(t)
+	polled := []Candidate{RequestCandidate("small", "polled")}
+	for i := range 3 * minMoments {
+		r.table.RecordProven([]Candidate{RequestCandidate("small", fmt.Sprint("sound", i))}, r.age.Now())
+	}
+	r.prove()
+	for range minMoments {
+		for i := range 4 {
+			r.table.RecordBrokenOff("", fmt.Sprint("killed", r.ended), []Candidate{RequestCandidate("small", fmt.Sprint("cut", r.ended, i))}, r.age.Now())
+		}
+		r.endWith(polled)
+		r.prove()
+	}
+	if r.refusedWith(polled) {
+		t.Errorf("a request is refused after %d ends at a service that cuts most of its requests: %+v", minMoments, r.table.Dump(r.age.Now()))
+	}
+	r.clock.Advance(10 * cutMemory)
+	r.prove()
+	if n := r.table.required(Part{Request: true}, r.age.Now()); n != minMoments {
+		t.Errorf("%d moments are required long after the last cut, want %d", n, minMoments)
+	}
+}
+
 func TestFloodOfRequestsDoesNotDisplaceASuspectedOne(t *testing.T) {
 	r := newRig(t)
 	r.prove()
@@ -121,7 +145,7 @@
 		for j := range 3 * maxProven / maxEnds {
 			r.table.RecordProven(withParts(fmt.Sprint("proven", i, "-", j)), r.age.Now())
 		}
-		if i >= maxMoments && r.table.holds[RequestCandidate("bad").Part] == nil {
+		if i >= maxMoments && r.table.holds[RequestCandidate("", "bad").Part] == nil {
 			t.Fatalf("the flood hides a request that ends servers after %d ends: %+v", i, r.table.Dump(r.age.Now()))
 		}
 	}
--- a/request/quarantine/sim_test.go
+++ b/request/quarantine/sim_test.go
@@ -277,7 +277,7 @@
 // request returns the candidates of a request with shared parts that is not repeated.
 func (s *sim) request(ids ...string) []Candidate {
 	s.requests++
-	return append(Candidates("m", ids), RequestCandidate(fmt.Sprint("request", s.requests)))
+	return append(Candidates("m", ids), RequestCandidate("", fmt.Sprint("request", s.requests)))
 }
 
 // traffic sends sound requests.
@@ -307,7 +307,7 @@
 // repeatedRequests starts sound requests that are repeated, and up to two that crash servers.
 func (s *sim) repeatedRequests() {
 	start := func(id string, after time.Duration) {
-		candidates := []Candidate{RequestCandidate(id)}
+		candidates := []Candidate{RequestCandidate("", id)}
 		if s.rng.IntN(2) == 0 {
 			candidates = append(candidates, Candidates("m", []string{"kind0", fmt.Sprint("topic0-", s.rng.IntN(60))})...)
 		}
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -93,7 +93,7 @@
 	provenParts, provenRequests proofs
 	// watched holds the candidates of servers that ended.
 	watched map[Part]watch
-	cuts    cutRate
+	cuts    cutRates
 	// dueUntil is until when Decide must compare the ends again, and swept when it last
 	// removed what is too old.
 	dueUntil, swept boottime.Instant
@@ -126,10 +126,10 @@
 	return candidates
 }
 
-// RequestCandidate returns the candidate for a request as a whole. Its repetitions must have
-// the same digest, and no other request.
-func RequestCandidate(digest string) Candidate {
-	return Candidate{Part: Part{ID: shorten(digest), Request: true}}
+// RequestCandidate returns the candidate for a request to a service as a whole. Its
+// repetitions must have the same digest, and no other request.
+func RequestCandidate(service, digest string) Candidate {
+	return Candidate{Part: Part{ID: shorten(digest), Request: true}, Service: service}
 }
 
 // shorten replaces a long name by its digest.
@@ -145,7 +145,7 @@
 // server, and its time.
 func (t *Table) RecordBrokenOff(origin, server string, candidates []Candidate, now boottime.Instant) (Report, boottime.Instant) {
 	if len(candidates) > 0 {
-		t.cuts.recordCut(now)
+		t.cuts.of(serviceOf(candidates)).recordCut(now)
 	}
 	r := report{Report: Report{Candidates: candidates, Runs: 1}, at: now}
 	if known, ok := t.ownReport(origin, server, now); ok {
@@ -290,7 +290,7 @@
 // RecordProven records that a server has proven parts sound. It returns those that the
 // other entries must hear of.
 func (t *Table) RecordProven(candidates []Candidate, now boottime.Instant) []Part {
-	t.cuts.recordProven(now)
+	t.cuts.of(serviceOf(candidates)).recordProven(now)
 	var news []Part
 	for _, c := range candidates {
 		t.ApplyProven(c.Part, now)
--- a/request/quarantine/types.go
+++ b/request/quarantine/types.go
@@ -117,6 +117,8 @@
 	Part Part `cbor:"1,keyasint"`
 	// Depth is the position of the part in its prompt.
 	Depth int `cbor:"2,keyasint"`
+	// Service is the service to which this entry sends the request.
+	Service string `cbor:"-"`
 }
 
 // Report is what one entry saw of the end of a server.
