--- a/request/forward/harness_test.go
+++ b/request/forward/harness_test.go
@@ -213,3 +213,19 @@
 	}
 	return n
 }
+
+// relistFirst sends requests in rounds. After each the directory drops the first server and
+// lists it again.
+func (e *testEntry) relistFirst(t *testing.T, rounds int) {
+	t.Helper()
+	listed := e.handler.View()
+	without := *listed
+	without.Servers = map[string][]directory.Record{"svc": listed.Servers["svc"][1:]}
+	for range rounds {
+		for range 4 {
+			_, _, _ = e.send(t, nil)
+		}
+		e.handler.Update(&without)
+		e.handler.Update(listed)
+	}
+}
--- a/request/forward/leavingview_test.go
+++ b/request/forward/leavingview_test.go
@@ -8,7 +8,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingpost/waxwingpost/process/deployment"
-	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/observation"
 	"github.com/waxwingpost/waxwingpost/request/serverlimit"
 )
@@ -19,16 +18,7 @@
 		echo(s, w, r)
 	})
 	e := newTestEntry(t, testConfig(deployment.Repeatable, testTimeout), s1, newFakeServer(t, "s2", echo))
-	listed := e.handler.View()
-	without := *listed
-	without.Servers = map[string][]directory.Record{"svc": listed.Servers["svc"][1:]}
-	for range 5 {
-		for range 4 {
-			_, _, _ = e.send(t, nil)
-		}
-		e.handler.Update(&without)
-		e.handler.Update(listed)
-	}
+	e.relistFirst(t, 5)
 	if n := s1.receivedCount(); n != 1 {
 		t.Errorf("the server got %d requests, want 1", n)
 	}
@@ -40,16 +30,7 @@
 		echo(s, w, r)
 	})
 	e := newTestEntry(t, testConfig(deployment.Repeatable, testTimeout), s1, newFakeServer(t, "s2", echo))
-	listed := e.handler.View()
-	without := *listed
-	without.Servers = map[string][]directory.Record{"svc": listed.Servers["svc"][1:]}
-	for range 12 {
-		for range 4 {
-			_, _, _ = e.send(t, nil)
-		}
-		e.handler.Update(&without)
-		e.handler.Update(listed)
-	}
+	e.relistFirst(t, 12)
 	if n := s1.receivedCount(); n > 5 {
 		t.Errorf("a server with a limit of 0.3 a second got %d requests at once, want at most 5", n)
 	}
--- a/request/forward/suspects_test.go
+++ b/request/forward/suspects_test.go
@@ -6,7 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/process/observation"
 	"github.com/waxwingpost/waxwingpost/request/quarantine"
 )
 
@@ -63,3 +67,28 @@
 		}
 	}
 }
+
+func TestEndOfAServerThatRunsOneRequestAtATimeIsConfirmed(t *testing.T) {
+	var s *fakeServer
+	s = newFakeServer(t, "s1", func(_ *fakeServer, w http.ResponseWriter, r *http.Request) {
+		_ = s.Listener.Close()
+		crash(s, w, r)
+	})
+	e := newTestEntry(t, testConfig(deployment.Repeatable, testTimeout), s)
+	reports := make(chan quarantine.Report, 10)
+	e.handler.suspects.observe = func(kind observation.Kind, _ string, body []byte, _ boottime.Instant, _ time.Duration) {
+		var r quarantine.Report
+		if err := cbor.Unmarshal(body, &r); kind == observation.BrokenOff && err == nil {
+			reports <- r
+		}
+	}
+	_, _, _ = e.send(t, nil)
+	for refused := false; !refused; {
+		select {
+		case r := <-reports:
+			refused = r.Refused
+		case <-time.After(testTimeout):
+			t.Fatal("the end of the server is not confirmed")
+		}
+	}
+}
--- a/request/forward/turnawayview_test.go
+++ b/request/forward/turnawayview_test.go
@@ -24,16 +24,7 @@
 func TestServerThatTurnsRequestsAwayStaysClosedWhenItIsListedAgain(t *testing.T) {
 	s1 := newFakeServer(t, "s1", turnAway("30"))
 	e := newTestEntry(t, testConfig(deployment.Repeatable, testTimeout), s1, newFakeServer(t, "s2", echo))
-	listed := e.handler.View()
-	without := *listed
-	without.Servers = map[string][]directory.Record{"svc": listed.Servers["svc"][1:]}
-	for range 5 {
-		for range 4 {
-			_, _, _ = e.send(t, nil)
-		}
-		e.handler.Update(&without)
-		e.handler.Update(listed)
-	}
+	e.relistFirst(t, 5)
 	if n := s1.receivedCount(); n != 1 {
 		t.Errorf("the server got %d requests in its time, want 1", n)
 	}
