link: an accepted link ends with the context of its server

The entry of the product's own interface accepts the links of agents in the same way and left them open. The acceptor now ends a link with the context of its request, and both servers for links take the context of their process; Hub.CloseFollowers is gone.

--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -62,7 +62,8 @@
 	}
 }
 
-// Acceptor is the HTTP handler that accepts links at Path.
+// Acceptor is the HTTP handler that accepts links at Path. A link ends with the context of its
+// request: closing the server does not close connections that were upgraded.
 type Acceptor struct {
 	Auth Authenticator
 	// Self returns the hello message of this process.
@@ -93,19 +94,20 @@
 
 func (a *Acceptor) serve(ctx context.Context, ws *websocket.Conn) {
 	defer func() { _ = ws.CloseNow() }()
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	handshakeCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	peer, err := readHello(ctx, ws)
+	peer, err := readHello(handshakeCtx, ws)
 	if err != nil {
 		return
 	}
 	c := newConn(ws, peer, a.Handler, a.Stats)
 	closed, err := a.Open(c)
-	if sendErr := writeHello(ctx, ws, a.Self(), err); err != nil || sendErr != nil {
+	if sendErr := writeHello(handshakeCtx, ws, a.Self(), err); err != nil || sendErr != nil {
 		c.Close()
 		runHook(closed)
 		return
 	}
+	defer context.AfterFunc(ctx, c.Close)()
 	c.run()
 	runHook(closed)
 }
--- a/connection/link/link_test.go
+++ b/connection/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -209,3 +210,28 @@
 		t.Error("the link is still open")
 	}
 }
+
+func TestAcceptedLinkEndsWithTheContextOfItsServer(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	closed := make(chan struct{})
+	srv := httptest.NewUnstartedServer(&Acceptor{
+		Self: hello("server"), Handler: &recorder{received: make(chan struct{}, 1)},
+		Open: func(*Conn) (func(), error) { return func() { close(closed) }, nil },
+	})
+	srv.Config.BaseContext = func(net.Listener) context.Context { return ctx }
+	srv.Start()
+	t.Cleanup(srv.Close)
+	c, err := dial(t, strings.TrimPrefix(srv.URL, "http://"), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	stop()
+	for _, end := range []<-chan struct{}{c.Done(), closed} {
+		select {
+		case <-end:
+		case <-time.After(testTimeout):
+			t.Fatal("the link is still open")
+		}
+	}
+}
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -134,7 +134,7 @@
 	c.Log.Info("control process started", "operators", c.settings.OperatorAddress, "links", c.self, "first_start", c.settings.FirstStart)
 	group, groupCtx := errgroup.WithContext(ctx)
 	operatorServer := runtime.NewServer(c.operatorMux())
-	linkServer := runtime.NewServer(c.linkMux())
+	linkServer := runtime.NewLinkServer(groupCtx, c.linkMux())
 	group.Go(func() error { return runtime.Serve(operatorServer, operators) })
 	group.Go(func() error { return runtime.Serve(linkServer, links) })
 	group.Go(func() error { c.runReplica(groupCtx); return nil })
@@ -145,7 +145,6 @@
 	defer cancel()
 	_ = operatorServer.Shutdown(stopCtx)
 	_ = linkServer.Close()
-	c.hub.CloseFollowers()
 	err = runtime.IgnoreCanceled(group.Wait())
 	c.Log.Info("control process stopped", "code", int(result.CodeOf(err)))
 	return err
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -80,7 +80,7 @@
 	defer stopComponents()
 	group, groupCtx := errgroup.WithContext(componentsCtx)
 	callerServer := runtime.NewServer(e.callerMux())
-	peerServer := runtime.NewServer(e.peerMux())
+	peerServer := runtime.NewLinkServer(groupCtx, e.peerMux())
 	group.Go(func() error { return runtime.Serve(callerServer, callers) })
 	group.Go(func() error { return runtime.Serve(peerServer, peers) })
 	e.startComponents(groupCtx, group)
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -14,7 +14,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -235,17 +234,6 @@
 	delete(h.followers, c)
 }
 
-// CloseFollowers closes the links to all followers. They outlive the server that has accepted
-// them.
-func (h *Hub) CloseFollowers() {
-	h.mu.Lock()
-	links := slices.Collect(maps.Keys(h.followers))
-	h.mu.Unlock()
-	for _, c := range links {
-		c.Close()
-	}
-}
-
 // EntryCount returns the number of entries among the followers.
 func (h *Hub) EntryCount() int {
 	h.mu.Lock()
--- a/process/runtime/runtime.go
+++ b/process/runtime/runtime.go
@@ -143,6 +143,13 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 }
 
+// NewLinkServer returns a server for links to other processes, which end with ctx.
+func NewLinkServer(ctx context.Context, h http.Handler) *http.Server {
+	srv := NewServer(h)
+	srv.BaseContext = func(net.Listener) context.Context { return ctx }
+	return srv
+}
+
 // Serve serves connections from l until srv is closed, which is not an error.
 func Serve(srv *http.Server, l net.Listener) error {
 	return ignoreError(srv.Serve(l), http.ErrServerClosed)
