placement: a lease has the incarnation of its server

Each request that was sent, served or given back made the text of its server's incarnation anew, most of the time to look it up in an empty table; the pool has it already. What servers take requests again is read under the lock that dispatching holds, not under one more. Behaviour is the same: packages request/placement and request/forward pass.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -208,7 +208,7 @@
 	a.cancel()
 	h.scheduler.release(cr.service, a.lease, a.outcome)
 	if h.suspects.recordEnd(cr, a) {
-		go h.checkEnded(a.lease.Server.Incarnation(), a.lease.Server.Address)
+		go h.checkEnded(a.lease.Incarnation, a.lease.Server.Address)
 	}
 	if a.brokenOff() {
 		h.recordBrokenOff(cr, a)
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -108,8 +108,10 @@
 // DispatchWaiting assigns slots to queued requests. It must be called periodically,
 // because the backoff of a server ends without any event.
 func (h *Handler) DispatchWaiting() {
-	h.scheduler.dispatchWaiting()
-	h.logReopened()
+	for _, c := range h.scheduler.dispatchWaiting() {
+		h.metrics.reopened.Inc(1)
+		h.log.Info("server takes requests again", "server", c.Server, "since_end_of_time", c.Ended)
+	}
 }
 
 // Dump returns the handler's part of the state dump.
--- a/request/forward/leaving.go
+++ b/request/forward/leaving.go
@@ -26,7 +26,7 @@
 	if text := a.ex.Header.Get(platform.HeaderServerLeaving); text == "" || text == "0" {
 		return
 	}
-	id := a.lease.Server.Incarnation()
+	id := a.lease.Incarnation
 	if h.markLeaving(id, "response") {
 		h.cfg.Observe(observation.Leaving, id, nil, h.ageClock.Now(), leavingTTL)
 	}
--- a/request/forward/limits.go
+++ b/request/forward/limits.go
@@ -17,7 +17,7 @@
 	if !ok {
 		return
 	}
-	id, now := a.lease.Server.Incarnation(), h.ageClock.Now()
+	id, now := a.lease.Incarnation, h.ageClock.Now()
 	changed, tell := h.scheduler.recordLimit(id, s, now)
 	if changed {
 		h.logLimit(id, s, "response", 0)
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -273,8 +273,9 @@
 	return demands
 }
 
-// dispatchWaiting assigns free slots to queued requests of all services.
-func (sc *scheduler) dispatchWaiting() {
+// dispatchWaiting assigns free slots to queued requests of all services. It returns the
+// servers that have taken requests again since the last call.
+func (sc *scheduler) dispatchWaiting() []turnaway.Change {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	now := sc.clock.Now()
@@ -282,6 +283,7 @@
 		st.pool.DispatchWaiting(now)
 	}
 	sc.turnedAway.Sweep(now)
+	return sc.turnedAway.TakeChanges()
 }
 
 // mayRetry reports whether the retry budget of a service allows another retry.
--- a/request/forward/suspects.go
+++ b/request/forward/suspects.go
@@ -156,7 +156,7 @@
 	if s.table.Ends() == 0 {
 		return
 	}
-	if server, now := a.lease.Server.Incarnation(), s.ageClock.Now(); s.table.RecordAlive(server, now) {
+	if server, now := a.lease.Incarnation, s.ageClock.Now(); s.table.RecordAlive(server, now) {
 		s.log.Info("server is alive after it broke off a request", "server", server)
 		s.observe(observation.Alive, server, nil, now, endTTL)
 	}
@@ -194,11 +194,11 @@
 		if !a.proven {
 			candidates = cr.candidates
 		}
-		r, at := s.table.RecordBrokenOff(ownOrigin, a.lease.Server.Incarnation(), candidates, now)
-		s.tellReport(a.lease.Server.Incarnation(), r, at)
-		return s.table.StartCheck(a.lease.Server.Incarnation(), now)
+		r, at := s.table.RecordBrokenOff(ownOrigin, a.lease.Incarnation, candidates, now)
+		s.tellReport(a.lease.Incarnation, r, at)
+		return s.table.StartCheck(a.lease.Incarnation, now)
 	case errors.Is(a.err, syscall.ECONNREFUSED):
-		s.recordRefused(a.lease.Server.Incarnation(), a.err)
+		s.recordRefused(a.lease.Incarnation, a.err)
 	}
 	return false
 }
--- a/request/forward/turnaway.go
+++ b/request/forward/turnaway.go
@@ -17,7 +17,7 @@
 	if !ok {
 		return
 	}
-	sc, id := h.scheduler, a.lease.Server.Incarnation()
+	sc, id := h.scheduler, a.lease.Incarnation
 	sc.mu.Lock()
 	left := sc.turnedAway.Record(id, wait, sc.clock.Now())
 	sc.mu.Unlock()
@@ -25,18 +25,6 @@
 	h.log.Info("server turned a request away", "server", id, "service", service, "retry_after", wait, "was_closed_for", left)
 }
 
-// logReopened counts and logs the servers that take requests again.
-func (h *Handler) logReopened() {
-	sc := h.scheduler
-	sc.mu.Lock()
-	changes := sc.turnedAway.TakeChanges()
-	sc.mu.Unlock()
-	for _, c := range changes {
-		h.metrics.reopened.Inc(1)
-		h.log.Info("server takes requests again", "server", c.Server, "since_end_of_time", c.Ended)
-	}
-}
-
 // DumpTurnedAway returns the servers that turn requests away for the state dump.
 func (h *Handler) DumpTurnedAway() any {
 	sc := h.scheduler
@@ -50,5 +38,5 @@
 func (sc *scheduler) wantsRequest(l *placement.Lease) bool {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return sc.turnedAway.Left(l.Server.Incarnation(), sc.clock.Now()) == 0
+	return sc.turnedAway.Left(l.Incarnation, sc.clock.Now()) == 0
 }
--- a/request/placement/pool.go
+++ b/request/placement/pool.go
@@ -153,7 +153,7 @@
 	s.prefillTokens += req.PromptTokens
 	p.inFlight++
 	p.rotation++
-	l := &Lease{Server: s.Server, state: s, req: req, granted: now, awaitingFirst: true}
+	l := &Lease{Server: s.Server, Incarnation: s.incarnation, state: s, req: req, granted: now, awaitingFirst: true}
 	if req.LatencyTarget > 0 {
 		s.pending = append(s.pending, l)
 	}
@@ -224,7 +224,7 @@
 		l.awaitingFirst = false
 		l.state.prefillTokens -= l.req.PromptTokens
 		l.state.recordFirstEvent(now, l, p.prefillTime(l.req))
-		p.cfg.TurnedAway.Accept(l.Server.Incarnation(), l.granted, now)
+		p.cfg.TurnedAway.Accept(l.Incarnation, l.granted, now)
 		p.DispatchWaiting(now)
 	}
 }
@@ -285,9 +285,9 @@
 	p.inFlight--
 	switch o {
 	case Served:
-		p.cfg.TurnedAway.Accept(l.Server.Incarnation(), l.granted, now)
+		p.cfg.TurnedAway.Accept(l.Incarnation, l.granted, now)
 	case Unused:
-		p.cfg.TurnedAway.Withdraw(l.Server.Incarnation(), l.granted)
+		p.cfg.TurnedAway.Withdraw(l.Incarnation, l.granted)
 	}
 	switch {
 	case l.silent && o == Served:
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -77,8 +77,9 @@
 	removed bool
 }
 
-// available reports whether the server is neither ejected nor in backoff. A server whose weights expire is not probed after an ejection: the probe could
-// reach it late, after the weights have expired.
+// available reports whether the server is neither ejected nor in backoff. A server whose
+// weights expire is not probed after an ejection: the probe could reach it late, after the
+// weights have expired.
 func (s *server) available(now time.Time) bool {
 	if s.probing && (s.inFlight > 0 || !s.WeightsUntil.IsZero()) {
 		return false
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -128,11 +128,13 @@
 // Lease is a slot at a server that is assigned to a request. Pool.Release must be
 // called once for each lease.
 type Lease struct {
-	// Server is the server as listed when the slot was assigned.
-	Server  Server
-	state   *server
-	req     Request
-	granted time.Time
+	// Server is the server as listed when the slot was assigned, and Incarnation its
+	// incarnation.
+	Server      Server
+	Incarnation string
+	state       *server
+	req         Request
+	granted     time.Time
 	// awaitingFirst is set until the first event.
 	awaitingFirst bool
 	// silent is set while the server has been reported as silent.
