forward: one check of whether an address refuses connections

The end of an unframed response and a broken connection each had a check of their own, and a server found to refuse by the first was checked again by the second at once. Both call checkRefused now, and what the first has found counts.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -36,6 +36,9 @@
 	// notSent is set if no byte of the request was sent.
 	notSent bool
 	err     error
+	// refusal is the error of the server's address if it was found to refuse connections
+	// after the response.
+	refusal error
 	// events is the number of events that the server has sent.
 	events int
 	// body is the complete body of a short response that is not a stream.
@@ -123,13 +126,13 @@
 }
 
 // checkUnframedEnd returns an error if the server has ended. A response without framing
-// ends with its connection, which the end of the server closes as well. A connection that
-// fails otherwise shows nothing: its packets may have been lost.
+// ends with its connection, which the end of the server closes as well.
 func (a *attempt) checkUnframedEnd(ctx context.Context, client *backend.Client) error {
-	if err := client.Check(ctx, a.lease.Server.Address); errors.Is(err, syscall.ECONNREFUSED) {
-		return errors.CombineErrors(io.ErrUnexpectedEOF, err)
+	a.refusal = checkRefused(ctx, client, a.lease.Server.Address)
+	if a.refusal == nil {
+		return nil
 	}
-	return nil
+	return errors.CombineErrors(io.ErrUnexpectedEOF, a.refusal)
 }
 
 // readEvents delivers the events of a stream until its end. A response without framing
--- a/request/forward/endcheck.go
+++ b/request/forward/endcheck.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/connection/backend"
 )
 
 const (
@@ -27,13 +29,20 @@
 			h.clock.Sleep(endCheckDelay)
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
-		err := h.client.Check(ctx, address)
+		refusal := checkRefused(ctx, h.client, address)
 		cancel()
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			h.suspects.mu.Lock()
-			h.suspects.recordRefused(server, err)
-			h.suspects.mu.Unlock()
+		if refusal != nil {
+			h.suspects.confirmEnd(server, refusal)
 			return
 		}
 	}
 }
+
+// checkRefused returns the error of an address that refuses connections, or nil. A connection
+// that fails otherwise shows nothing: its packets may have been lost.
+func checkRefused(ctx context.Context, client *backend.Client, address string) error {
+	if err := client.Check(ctx, address); errors.Is(err, syscall.ECONNREFUSED) {
+		return err
+	}
+	return nil
+}
--- a/request/forward/suspects.go
+++ b/request/forward/suspects.go
@@ -196,6 +196,9 @@
 		}
 		r, at := s.table.RecordBrokenOff(ownOrigin, a.lease.Incarnation, candidates, now)
 		s.tellReport(a.lease.Incarnation, r, at)
+		if a.refusal != nil {
+			s.recordRefused(a.lease.Incarnation, a.refusal)
+		}
 		return s.table.StartCheck(a.lease.Incarnation, now)
 	case errors.Is(a.err, syscall.ECONNREFUSED):
 		s.recordRefused(a.lease.Incarnation, a.err)
@@ -217,6 +220,14 @@
 	}
 }
 
+// confirmEnd records that the address of a server that has broken off a request refuses
+// connections.
+func (s *suspects) confirmEnd(server string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordRefused(server, err)
+}
+
 // recordRefused records that the address of a server has refused a connection. The caller
 // holds mu.
 func (s *suspects) recordRefused(server string, err error) {
