quarantine: one count of moments

countMoments stood twice, over times and over ends, with the same rule for ends close to each other. The doubt about a broken-off request and the evidence against a part use one now. The evidence from all ends is not collected a second time while nothing is held. A method that had the name of its type is renamed.

--- a/request/quarantine/decide.go
+++ b/request/quarantine/decide.go
@@ -34,7 +34,7 @@
 		}
 		ends = append(ends, end{server: server, at: at, depths: depths})
 	}
-	slices.SortFunc(ends, func(a, b end) int { return compareInstants(a.at, b.at) })
+	sortEnds(ends)
 	t.markShared(ends)
 	return ends
 }
@@ -70,32 +70,46 @@
 	}
 }
 
-// endsSinceProof returns when servers may have ended that had a request with a part,
-// since one has last proven it sound, and whether an end is confirmed.
-func (t *Table) endsSinceProof(p Part) (times []boottime.Instant, anyConfirmed bool) {
+// sortEnds sorts ends by time, earliest first.
+func sortEnds(ends []end) {
+	slices.SortFunc(ends, func(a, b end) int { return compareInstants(a.at, b.at) })
+}
+
+// endsSinceProof returns the possible ends of servers that had a request with a part, since
+// one has last proven it sound, earliest first, and whether an end is confirmed. Only their
+// times are set.
+func (t *Table) endsSinceProof(p Part) (ends []end, anyConfirmed bool) {
 	proven := t.provenAt(p)
 	for _, e := range t.ends {
 		reports, at := e.valid()
 		if !at.IsZero() && at.After(proven) && contains(reports, p) {
-			times = append(times, at)
+			ends = append(ends, end{at: at})
 			anyConfirmed = anyConfirmed || confirmed(reports)
 		}
 	}
-	slices.SortFunc(times, compareInstants)
-	return times, anyConfirmed
+	sortEnds(ends)
+	return ends, anyConfirmed
 }
 
-// countMoments counts times in ascending order; times close to each other count once.
-func countMoments(times []boottime.Instant) int {
-	n := 0
+// countMoments counts the moments at which servers ended, earliest first: ends close to each
+// other count once. Moments of a part are independent if no request is in two of them: one
+// that comes again always has the same parts.
+func countMoments(ends []end) (independent, moments int) {
+	var counted uint64
 	var last boottime.Instant
-	for _, at := range times {
-		if n == 0 || at.Sub(last) >= sameMoment {
-			n++
-			last = at
+	for i := range ends {
+		e := &ends[i]
+		if moments > 0 && e.at.Sub(last) < sameMoment {
+			continue
+		}
+		moments++
+		last = e.at
+		if e.shared&counted == 0 {
+			independent++
+			counted |= e.bit
 		}
 	}
-	return n
+	return independent, moments
 }
 
 // Decide removes what is too old and returns the changes of quarantines that follow from
@@ -299,11 +313,18 @@
 // rank returns the evidence from unexplained ends, strongest first. Where it is equal, that
 // from all ends decides.
 func (t *Table) rank(ends []end) []support {
-	all, unexplained := t.collect(ends), t.collect(t.unexplained(ends))
+	all := t.collect(ends)
+	unexplained := all
+	if len(t.holds) > 0 {
+		unexplained = t.collect(t.unexplained(ends))
+	}
 	ranked := make([]support, 0, len(unexplained))
 	for p, s := range unexplained {
-		s.independent, s.moments = s.countMoments()
-		_, s.total = all[p].countMoments()
+		s.independent, s.moments = countMoments(s.ends)
+		if p.Request {
+			s.independent = s.moments
+		}
+		_, s.total = countMoments(all[p].ends)
 		ranked = append(ranked, *s)
 	}
 	slices.SortFunc(ranked, func(a, b support) int {
@@ -313,26 +334,6 @@
 	return ranked
 }
 
-// countMoments counts the moments at which servers ended. A request that comes again always
-// has the same parts: moments of a part are independent if no request is in two of them.
-func (s *support) countMoments() (independent, moments int) {
-	var counted uint64
-	var last boottime.Instant
-	for i := range s.ends {
-		e := &s.ends[i]
-		if moments > 0 && e.at.Sub(last) < sameMoment {
-			continue
-		}
-		moments++
-		last = e.at
-		if s.part.Request || e.shared&counted == 0 {
-			independent++
-			counted |= e.bit
-		}
-	}
-	return independent, moments
-}
-
 // clearExplained clears suspected parts that were only in requests with another one that
 // explains more ends.
 func (t *Table) clearExplained(now boottime.Instant, ends []end) []Decision {
--- a/request/quarantine/holds.go
+++ b/request/quarantine/holds.go
@@ -131,7 +131,8 @@
 		if t.holds[c.Part] != nil {
 			return true
 		}
-		if times, anyConfirmed := t.endsSinceProof(c.Part); anyConfirmed && countMoments(times) >= doubtfulMoments {
+		ends, anyConfirmed := t.endsSinceProof(c.Part)
+		if _, moments := countMoments(ends); anyConfirmed && moments >= doubtfulMoments {
 			return true
 		}
 	}
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -319,12 +319,12 @@
 		w.proven = at
 		t.watched[p] = w
 	}
-	t.proofs(p).record(p, at)
+	t.proofsOf(p).record(p, at)
 }
 
-// proofs returns where proofs of a part are remembered. Requests that come once only must not
+// proofsOf returns where proofs of a part are remembered. Requests that come once only must not
 // push out the proofs of parts.
-func (t *Table) proofs(p Part) *proofs {
+func (t *Table) proofsOf(p Part) *proofs {
 	if p.Request {
 		return &t.provenRequests
 	}
@@ -333,7 +333,7 @@
 
 // provenAt returns when a server has last proven a part sound.
 func (t *Table) provenAt(p Part) boottime.Instant {
-	at := t.proofs(p).at(p)
+	at := t.proofsOf(p).at(p)
 	if w := t.watched[p]; w.proven.After(at) {
 		return w.proven
 	}
