frontend: what the tests of a fleet and the soaks share is written once

The seeds to run, the count of sound requests and the search in the log each stood two or three times.

--- a/process/frontend/crash_test.go
+++ b/process/frontend/crash_test.go
@@ -27,13 +27,29 @@
 	return n
 }
 
-// crashTraffic sends sound requests and requests with a crashing part to all entries.
-type crashTraffic struct {
-	f *fleet
-	// sound and served count the sound requests since the fifth crash and twice the
-	// contact time, and those of them that were answered.
+// soundCounts counts the sound requests since the crashes must have ended, and those of them
+// that were answered.
+type soundCounts struct {
 	sound, served atomic.Int64
-	fifth         atomic.Int64
+}
+
+// count counts a request that was sent when the crashes must have ended, if settled is set.
+func (c *soundCounts) count(settled bool, status int) {
+	if !settled {
+		return
+	}
+	c.sound.Add(1)
+	if status == http.StatusOK {
+		c.served.Add(1)
+	}
+}
+
+// crashTraffic sends sound requests and requests with a crashing part to all entries. It
+// counts the sound ones since the fifth crash and twice the contact time.
+type crashTraffic struct {
+	soundCounts
+	f     *fleet
+	fifth atomic.Int64
 }
 
 // settled reports whether twice the contact time has passed since the fifth crash.
@@ -50,12 +66,7 @@
 func (c *crashTraffic) sendSound(rng *rand.Rand, part string) {
 	settled := c.settled()
 	status := c.f.entries[rng.IntN(len(c.f.entries))].send("system", part)
-	if settled {
-		c.sound.Add(1)
-		if status == http.StatusOK {
-			c.served.Add(1)
-		}
-	}
+	c.count(settled, status)
 }
 
 // run sends requests for d. A request with the crashing part comes after each interval.
--- a/process/frontend/crashrequest_test.go
+++ b/process/frontend/crashrequest_test.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -14,16 +12,15 @@
 // the contact time after it has crashed the third.
 const maxLateRetries = 3
 
-// repeatedRequests sends one request again and again, and sound ones beside it.
+// repeatedRequests sends one request again and again, and sound ones beside it. It counts the
+// sound ones since the third crash and twice the contact time.
 type repeatedRequests struct {
+	soundCounts
 	f *fleet
 	// path is that of the crashing request, and kind the route of the sound ones.
 	path, kind string
 	interval   time.Duration
 	soundPause time.Duration
-	// sound and served count the sound requests since the third crash and twice the
-	// contact time, and those of them that were answered.
-	sound, served atomic.Int64
 }
 
 func (q *repeatedRequests) thirdCrash() (time.Time, bool) {
@@ -36,13 +33,7 @@
 func (q *repeatedRequests) sendSound(e *fleetEntry, path string) {
 	third, crashed := q.thirdCrash()
 	settled := crashed && time.Since(third) > 2*contactTime
-	status := e.sendTo(path)
-	if settled {
-		q.sound.Add(1)
-		if status == http.StatusOK {
-			q.served.Add(1)
-		}
-	}
+	q.count(settled, e.sendTo(path))
 }
 
 func (q *repeatedRequests) run(d time.Duration) {
--- a/process/frontend/fleet_test.go
+++ b/process/frontend/fleet_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -97,19 +96,6 @@
 	return f
 }
 
-// matching returns the lines that contain one of the texts.
-func (b *logBuffer) matching(texts ...string) string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var found []string
-	for _, line := range b.lines {
-		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
-			found = append(found, line)
-		}
-	}
-	return strings.Join(found, "")
-}
-
 func (f *fleet) runtime(name string) *runtime.Runtime {
 	rt, err := runtime.New(settings.Common{Name: name, Zone: "z1", LogLevel: "info"}, f.log)
 	if err != nil {
--- a/process/frontend/fleetsoak_test.go
+++ b/process/frontend/fleetsoak_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -46,12 +44,7 @@
 	for time.Now().Before(end) {
 		settled := s.traffic.settled()
 		status := s.entry(rng).send("system", fmt.Sprint("topic", rng.IntN(10)))
-		if settled {
-			s.traffic.sound.Add(1)
-			if status == http.StatusOK {
-				s.traffic.served.Add(1)
-			}
-		}
+		s.traffic.count(settled, status)
 		time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
 	}
 }
@@ -153,13 +146,7 @@
 }
 
 func TestFleetKeepsLimitsAndQuarantinesWhileProcessesRestart(t *testing.T) {
-	first, count := uint64(1), uint64(fleetSoakSeeds)
-	if n, err := strconv.ParseUint(os.Getenv(seedsVariable), 10, 64); err == nil {
-		count = n
-	}
-	if n, err := strconv.ParseUint(os.Getenv(seedVariable), 10, 64); err == nil {
-		first, count = n, 1
-	}
+	first, count := seedRange(fleetSoakSeeds)
 	// Fleets that run at the same time need addresses of their own.
 	const fleetAddresses = 8
 	addresses := make(chan uint64, 12)
--- a/process/frontend/soak_test.go
+++ b/process/frontend/soak_test.go
@@ -103,26 +103,36 @@
 }
 
 // about returns the lines about a request.
-func (b *logBuffer) about(id string) string {
+func (b *logBuffer) about(id string) string { return b.matching(" id="+id+" ", "panic") }
+
+// matching returns the lines that contain one of the texts.
+func (b *logBuffer) matching(texts ...string) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var found []string
 	for _, line := range b.lines {
-		if strings.Contains(line, " id="+id+" ") || strings.Contains(line, "panic") {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
 			found = append(found, line)
 		}
 	}
 	return strings.Join(found, "    ")
 }
 
-func TestWholeRequestIsAnsweredWhateverServersAndOperatorsDo(t *testing.T) {
-	first, count := uint64(1), uint64(soakSeeds)
+// seedRange returns the first seed and the number of seeds to run: one that seedVariable
+// names, as many as seedsVariable says, or byDefault.
+func seedRange(byDefault uint64) (first, count uint64) {
+	first, count = 1, byDefault
 	if n, err := strconv.ParseUint(os.Getenv(seedsVariable), 10, 64); err == nil {
 		count = n
 	}
 	if n, err := strconv.ParseUint(os.Getenv(seedVariable), 10, 64); err == nil {
 		first, count = n, 1
 	}
+	return first, count
+}
+
+func TestWholeRequestIsAnsweredWhateverServersAndOperatorsDo(t *testing.T) {
+	first, count := seedRange(soakSeeds)
 	for seed := first; seed < first+count; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
