feed: agents learn the ages of versions from every tick

Agents got the age of a version once, with the update that published it, and never again. The ages are repeated to agents as to entries: twice a second while older weights may be in use.

Before: TestFollowerThatHeardOfAVersionLateLearnsItsAgeFromTheNextTick/agent fails, 'version 1 is usable until 14s after version 2 was published' (8 s allowed). After: passes. Updates that change nothing publish no view, so they cause no check of the engine.

--- a/process/feed/ages_test.go
+++ b/process/feed/ages_test.go
@@ -46,7 +46,14 @@
 	}
 }
 
-func TestEntryThatHeardOfAVersionLateLearnsItsAgeFromTheNextTick(t *testing.T) {
+func TestFollowerThatHeardOfAVersionLateLearnsItsAgeFromTheNextTick(t *testing.T) {
+	for name, relayed := range map[string]bool{"entry": false, "agent": true} {
+		t.Run(name, func(t *testing.T) { testAgeFromNextTick(t, relayed) })
+	}
+}
+
+func testAgeFromNextTick(t *testing.T, relayed bool) {
+	t.Helper()
 	clock := clockwork.NewFakeClock()
 	boot := boottime.NewFake(clock)
 	h := newTestHub(clock, boot)
@@ -57,13 +64,16 @@
 	delayed := h.FullState()
 	clock.Advance(6 * time.Second)
 	f.apply(delayed)
-	_, entry, _ := h.tickUpdates()
+	_, entry, relay := h.tickUpdates()
+	if relayed {
+		entry = relay
+	}
 	f.apply(entry)
 	if until, _ := f.View().Weights["m"].UsableUntil(1, 8*time.Second); until != published.Add(8*time.Second) {
 		t.Errorf("version 1 is usable until %v after version 2 was published", until.Sub(published))
 	}
 	clock.Advance(11 * time.Second)
-	if peer, entry, _ := h.tickUpdates(); len(peer.Ages)+len(entry.Ages)+len(entry.Weights) > 0 {
+	if peer, entry, relay := h.tickUpdates(); len(peer.Ages)+len(entry.Ages)+len(entry.Weights)+len(relay.Ages)+len(relay.Weights) > 0 {
 		t.Error("ages are repeated although no older version is usable")
 	}
 }
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -287,7 +287,7 @@
 		switch {
 		case !f.relay:
 			_ = f.conn.Notify(wire.KindUpdate, entry)
-		case len(relay.Alive)+len(relay.Controls) > 0:
+		case len(relay.Alive)+len(relay.Controls)+len(relay.Ages) > 0:
 			_ = f.conn.Notify(wire.KindUpdate, relay)
 		}
 	}
@@ -313,6 +313,7 @@
 	peer.Ages = h.ages(2 * h.oldVersionGrace)
 	entry = peer
 	entry.Weights, entry.Published = h.versionsOf(peer.Ages)
+	relay.Ages, relay.Weights, relay.Published = entry.Ages, entry.Weights, entry.Published
 	entry.Controls, entry.Demand, entry.Entries = relay.Controls, h.totalDemand(), h.entryCount()
 	return peer, entry, relay
 }
