raft: messages that no correct replica sends are refused

One malformed message took a control process down.

Step checks it against the replica's state, refuses it and logs it at error level.

The random clusters of raft_test.go and the simulation of process/control/node now fail on any refused message: none is refused there.

--- a/bench/cmd/wpbench/control_records.go
+++ b/bench/cmd/wpbench/control_records.go
@@ -79,7 +79,7 @@
 	}
 	body, err := cbor.Marshal(msg)
 	if err == nil {
-		n.Notify(wire.Hello{Name: t.name}, kind, body)
+		_ = n.Notify(wire.Hello{Name: t.name}, kind, body)
 	}
 	return err
 }
--- a/process/control/node/cluster_test.go
+++ b/process/control/node/cluster_test.go
@@ -112,7 +112,7 @@
 	if err != nil || n == nil {
 		return result.New(result.LinkLost, "no link")
 	}
-	n.Notify(wire.Hello{Name: p.name}, kind, body)
+	_ = n.Notify(wire.Hello{Name: p.name}, kind, body)
 	return nil
 }
 
@@ -273,7 +273,7 @@
 			if kind == raft.PreVoteReply {
 				term++
 			}
-			core.Step(raft.Message{Kind: kind, From: "e2-id", To: "e1-id", Term: term})
+			_ = core.Step(raft.Message{Kind: kind, From: "e2-id", To: "e1-id", Term: term})
 			flush()
 		}
 	}
--- a/process/control/node/messages.go
+++ b/process/control/node/messages.go
@@ -92,6 +92,9 @@
 		if err := decode(data, &messages[i]); err != nil {
 			return nil, err
 		}
+		if err := messages[i].Validate(); err != nil {
+			return nil, result.New(result.BadMessage, "message %d of a batch: %v", i, err)
+		}
 		messages[i].To, messages[i].From = batch.To, batch.From
 	}
 	return messages, nil
@@ -159,7 +162,17 @@
 	if err := decode(data, &m); err != nil {
 		return err
 	}
-	return n.submit(ctx, func(r *replica) { r.core.Step(m) })
+	if err := m.Validate(); err != nil {
+		return result.New(result.BadMessage, "assembled snapshot: %v", err)
+	}
+	return n.submit(ctx, func(r *replica) { n.step(r, m) })
+}
+
+// step passes a message to the core.
+func (n *Node) step(r *replica, m raft.Message) {
+	if err := r.core.Step(m); err != nil {
+		n.log.Error("message refused", "code", int(result.BadMessage), "from", n.vmName(m.From), "replica", m.From, "error", err)
+	}
 }
 
 // assemble adds a part. It returns the whole message once the last part has
--- a/process/control/node/node.go
+++ b/process/control/node/node.go
@@ -348,22 +348,23 @@
 
 // Notify handles a one-way message from another entry. It never blocks: if the
 // inbox is full the message is dropped, and the sender retransmits as it does
-// after a loss in the network.
-func (n *Node) Notify(from wire.Hello, kind wire.Kind, body cbor.RawMessage) {
+// after a loss in the network. An error means that no message was taken; with code
+// BadMessage, the sender can't be trusted any more.
+func (n *Node) Notify(from wire.Hello, kind wire.Kind, body cbor.RawMessage) error {
 	if kind != wire.KindRaft {
-		return
+		return nil
 	}
 	messages, err := n.decodeBatch(from, body)
 	if err != nil {
 		n.log.Warn("messages rejected", "code", int(result.CodeOf(err)), "from", from.Name, "error", err)
-		return
+		return err
 	}
 	if len(messages) == 0 {
-		return
+		return nil
 	}
 	work := func(r *replica) {
 		for _, m := range messages {
-			r.core.Step(m)
+			n.step(r, m)
 		}
 	}
 	select {
@@ -373,4 +374,5 @@
 		n.status.dropped++
 		n.mu.Unlock()
 	}
+	return nil
 }
--- a/process/control/node/sim_test.go
+++ b/process/control/node/sim_test.go
@@ -271,7 +271,7 @@
 	w.check(cbor.Unmarshal(env.data, &m))
 	reached := h != nil && h.replica != nil && !w.blockedLinks[[2]string{env.fromHost.name, h.name}]
 	if reached {
-		h.replica.core.Step(m)
+		w.check(h.replica.core.Step(m))
 		w.flush(h)
 	}
 	if m.Kind == raft.InstallSnapshot && env.fromHost.replica == env.sender && env.sender != nil {
--- a/process/control/raft/follower.go
+++ b/process/control/raft/follower.go
@@ -39,9 +39,6 @@
 // and the log does not contain its last entry.
 func (r *Raft) handleSnapshot(m Message) {
 	s := m.Snapshot
-	if s == nil {
-		return
-	}
 	switch {
 	case s.Index <= r.log.committed:
 	case r.log.matchTerm(s.Index, s.Term):
--- a/process/control/raft/leader.go
+++ b/process/control/raft/leader.go
@@ -210,7 +210,7 @@
 		}
 		return
 	}
-	if m.Index > r.log.lastIndex() || !p.recordAck(m.Index) {
+	if !p.recordAck(m.Index) {
 		return
 	}
 	if p.state == probing || (p.state == sendingSnapshot && p.match >= r.log.baseIndex) {
--- a/process/control/raft/raft.go
+++ b/process/control/raft/raft.go
@@ -112,17 +112,21 @@
 }
 
 // Step processes a message from another replica. Messages that do not apply in
-// the current state are ignored.
-func (r *Raft) Step(m Message) {
+// the current state are ignored. A message that no correct replica sends changes nothing
+// and causes an error that is marked with ErrInvalidMessage.
+func (r *Raft) Step(m Message) error {
 	if m.To != r.cfg.ID {
-		return
+		return nil
+	}
+	if err := m.Validate(); err != nil {
+		return err
 	}
 	if m.Term > r.term && !r.handleHigherTerm(m) {
-		return
+		return nil
 	}
 	if m.Term < r.term {
 		r.handleLowerTerm(m)
-		return
+		return nil
 	}
 	switch m.Kind {
 	case PreVote, Vote:
@@ -130,16 +134,18 @@
 	case PreVoteReply, VoteReply:
 		r.handleVoteReply(m)
 	case Append, Heartbeat, InstallSnapshot:
-		r.handleLeaderMessage(m)
-	case AppendReply:
-		r.handleAppendReply(m)
-	case HeartbeatReply:
-		r.handleHeartbeatReply(m)
+		return r.handleLeaderMessage(m)
+	case AppendReply, HeartbeatReply:
+		if err := r.validateReply(m); err != nil {
+			return err
+		}
+		r.handleReply(m)
 	case TimeoutNow:
 		if r.promotable() {
 			r.campaign(Candidate, true)
 		}
 	}
+	return nil
 }
 
 // handleHigherTerm handles a message with a higher term. It adopts the term if
@@ -187,9 +193,9 @@
 
 // handleLeaderMessage processes a message that only the leader of this term
 // sends.
-func (r *Raft) handleLeaderMessage(m Message) {
+func (r *Raft) handleLeaderMessage(m Message) error {
 	if r.role == Leader {
-		panic("raft: two leaders in one term")
+		return invalidMessage("%s claims to lead term %d, which this replica leads", m.From, m.Term)
 	}
 	if r.role != Follower {
 		r.becomeFollower(r.term, m.From)
@@ -205,6 +211,16 @@
 	case InstallSnapshot:
 		r.handleSnapshot(m)
 	}
+	return nil
+}
+
+// handleReply processes a follower's reply to the leader.
+func (r *Raft) handleReply(m Message) {
+	if m.Kind == AppendReply {
+		r.handleAppendReply(m)
+		return
+	}
+	r.handleHeartbeatReply(m)
 }
 
 func (r *Raft) becomeFollower(term uint64, leader string) {
--- a/process/control/raft/raft_test.go
+++ b/process/control/raft/raft_test.go
@@ -99,7 +99,9 @@
 	}
 	for _, p := range g.replicas {
 		if p.id == m.To {
-			p.raft.Step(m)
+			if err := p.raft.Step(m); err != nil {
+				g.fail("%s: %v", p.id, err)
+			}
 			g.processReady(p)
 		}
 	}
@@ -285,11 +287,11 @@
 	r.appendToLog(Entry{Index: 2, Term: 2}, Entry{Index: 3, Term: 4})
 	r.log.stable = 3
 	r.progress["r0"].match = 3
-	r.Step(Message{Kind: AppendReply, From: "r1", To: "r0", Term: 4, Index: 2})
+	_ = r.Step(Message{Kind: AppendReply, From: "r1", To: "r0", Term: 4, Index: 2})
 	if r.log.committed != 1 {
 		t.Fatalf("committed index %d by counting replicas of an earlier term's entry", r.log.committed)
 	}
-	r.Step(Message{Kind: AppendReply, From: "r1", To: "r0", Term: 4, Index: 3})
+	_ = r.Step(Message{Kind: AppendReply, From: "r1", To: "r0", Term: 4, Index: 3})
 	if r.log.committed != 3 {
 		t.Fatalf("committed index %d, want 3", r.log.committed)
 	}
@@ -299,7 +301,7 @@
 // (MinCopies 3) an entry must be on three disks, and a learner's disk counts.
 func TestCommitRequiresMinCopies(t *testing.T) {
 	ack := func(r *Raft, from string) {
-		r.Step(Message{Kind: AppendReply, From: from, To: "r0", Term: r.term, Index: 2})
+		_ = r.Step(Message{Kind: AppendReply, From: from, To: "r0", Term: r.term, Index: 2})
 	}
 	newLeader := func(copies int, learners ...Member) *Raft {
 		g := newTestCluster(3, 0)
@@ -371,11 +373,11 @@
 		t.Fatal("read answered without a confirmation round")
 	}
 	// A reply to an earlier round confirms nothing.
-	r.Step(Message{Kind: HeartbeatReply, From: "r1", To: "r0", Term: r.term, ReadRound: r.reads.round - 1})
+	_ = r.Step(Message{Kind: HeartbeatReply, From: "r1", To: "r0", Term: r.term, ReadRound: r.reads.round - 1})
 	if rd := r.Ready(); len(rd.Reads) != 0 {
 		t.Fatal("read answered after a reply to an old round")
 	}
-	r.Step(Message{Kind: HeartbeatReply, From: "r1", To: "r0", Term: r.term, ReadRound: r.reads.round})
+	_ = r.Step(Message{Kind: HeartbeatReply, From: "r1", To: "r0", Term: r.term, ReadRound: r.reads.round})
 	if rd := r.Ready(); len(rd.Reads) != 1 || rd.Reads[0].Token != 7 {
 		t.Fatalf("reads %v", rd.Reads)
 	}
--- a/process/controller/links.go
+++ b/process/controller/links.go
@@ -53,7 +53,9 @@
 	switch kind {
 	case wire.KindRaft:
 		if r := c.replica.Load(); r != nil {
-			r.node.Notify(l.Peer(), kind, body)
+			if err := r.node.Notify(l.Peer(), kind, body); result.CodeOf(err) == result.BadMessage {
+				l.Close()
+			}
 		}
 	case wire.KindUpdate:
 		var update wire.Update
--- a/process/entry/links.go
+++ b/process/entry/links.go
@@ -57,8 +57,11 @@
 
 // notifyNode passes messages from entries to the control node and drops others.
 func (e *Entry) notifyNode(c *link.Conn, kind wire.Kind, body cbor.RawMessage) {
-	if c.Peer().Role == wire.RoleEntry {
-		e.node.Notify(c.Peer(), kind, body)
+	if c.Peer().Role != wire.RoleEntry {
+		return
+	}
+	if err := e.node.Notify(c.Peer(), kind, body); result.CodeOf(err) == result.BadMessage {
+		c.Close()
 	}
 }
 
--- a/process/folder/replicas_test.go
+++ b/process/folder/replicas_test.go
@@ -65,7 +65,7 @@
 	}
 	go func() {
 		if n, hello := t.network.target(t.name, to); n != nil {
-			n.Notify(hello, kind, body)
+			_ = n.Notify(hello, kind, body)
 		}
 	}()
 	return nil
