link: a panic while a message is handled closes the link, not the process

Calls of a peer ran on goroutines without recover, so that an unexpected error in any handler ended the process. On accepted links net/http recovered a panic of a notification and the link stayed open without a reader. Both are now logged with peer, kind and stack, counted (panics in the links' dump) and end the link; the peer opens a new one and starts from the full state. The consensus goroutine still ends the process: its state can't be trusted after a panic, and its disk can.

Ruled out: recovering in each handler (eight of them, and the next one would be forgotten). A handler must not leave locks held: Follower.apply unlocked without defer, changed here; the other handlers use defer or sections without calls.

--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -6,6 +6,9 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,7 +38,8 @@
 
 // Handler serves the peer's messages. Notify is called in order on the link's read
 // loop and must not block. Each Call runs on its own goroutine. An error that Call
-// returns is sent to the caller with its result code.
+// returns is sent to the caller with its result code. A panic of either is logged and
+// closes the link, but does not end the process: a handler must not leave locks held.
 type Handler interface {
 	Notify(c *Conn, kind wire.Kind, body cbor.RawMessage)
 	Call(ctx context.Context, c *Conn, kind wire.Kind, body cbor.RawMessage) (any, error)
@@ -47,6 +51,7 @@
 	peer      wire.Hello
 	handler   Handler
 	stats     *Stats
+	log       *slog.Logger
 	sendQueue chan []byte
 	// callSlots holds one element for each running call of the peer.
 	callSlots chan struct{}
@@ -62,16 +67,20 @@
 	pending map[uint64]chan wire.Envelope
 }
 
-func newConn(ws *websocket.Conn, peer wire.Hello, h Handler, stats *Stats) *Conn {
+func newConn(ws *websocket.Conn, peer wire.Hello, h Handler, stats *Stats, log *slog.Logger) *Conn {
 	if stats == nil {
 		stats = &Stats{}
 	}
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Conn{
 		ws:        ws,
 		peer:      peer,
 		handler:   h,
 		stats:     stats,
+		log:       log,
 		sendQueue: make(chan []byte, sendQueueSize),
 		callSlots: make(chan struct{}, maxConcurrentCalls),
 		ctx:       ctx,
@@ -249,12 +258,34 @@
 	case env.Reply:
 		c.deliverReply(env)
 	case env.ID == 0:
-		c.handler.Notify(c, env.Kind, env.Body)
+		c.notify(env)
 	default:
 		c.serveCall(env)
 	}
 }
 
+// notify passes a notification of the peer to the handler.
+func (c *Conn) notify(env wire.Envelope) {
+	defer c.containPanic(env)
+	c.handler.Notify(c, env.Kind, env.Body)
+}
+
+// maxLoggedStack bounds the stack trace of a panic in the log, in bytes.
+const maxLoggedStack = 4 << 10
+
+// containPanic logs a panic of the handler and closes the link. It must be deferred.
+func (c *Conn) containPanic(env wire.Envelope) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	stack := debug.Stack()
+	c.stats.panics.Add(1)
+	c.log.Error("message handler panicked", "code", int(result.Internal), "peer", c.peer.Name, "role", c.peer.Role, "kind", int(env.Kind),
+		"id", env.ID, "bytes", len(env.Body), "error", fmt.Sprint(cause), "stack", string(stack[:min(len(stack), maxLoggedStack)]))
+	c.Close()
+}
+
 // deliverReply passes a reply to the call that waits for it, if any.
 func (c *Conn) deliverReply(env wire.Envelope) {
 	c.mu.Lock()
@@ -277,6 +308,7 @@
 	}
 	go func() {
 		defer func() { <-c.callSlots }()
+		defer c.containPanic(env)
 		resp, err := c.handler.Call(c.ctx, c, env.Kind, env.Body)
 		_ = c.enqueue(newReply(env, resp, err))
 	}()
--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -76,6 +77,8 @@
 	Handler Handler
 	// Stats counts the traffic of all links; it may be nil.
 	Stats *Stats
+	// Log receives the panics of the handler; it may be nil.
+	Log *slog.Logger
 }
 
 // ServeHTTP upgrades the request and serves the link until it is lost.
@@ -100,7 +103,7 @@
 	if err != nil {
 		return
 	}
-	c := newConn(ws, peer, a.Handler, a.Stats)
+	c := newConn(ws, peer, a.Handler, a.Stats, a.Log)
 	closed, err := a.Open(c)
 	if sendErr := writeHello(handshakeCtx, ws, a.Self(), err); err != nil || sendErr != nil {
 		c.Close()
@@ -129,6 +132,8 @@
 	Client *http.Client
 	// Stats counts the traffic of all links; it may be nil.
 	Stats *Stats
+	// Log receives the panics of the handler; it may be nil.
+	Log *slog.Logger
 }
 
 // Dial opens a link to address, an "IP:port". The caller must call Close on it.
@@ -170,7 +175,7 @@
 		_ = ws.CloseNow()
 		return nil, err
 	}
-	c := newConn(ws, peer, d.Handler, d.Stats)
+	c := newConn(ws, peer, d.Handler, d.Stats, d.Log)
 	go c.run()
 	return c, nil
 }
--- a/connection/link/stats.go
+++ b/connection/link/stats.go
@@ -9,6 +9,7 @@
 	messagesIn  atomic.Int64
 	bytesOut    atomic.Int64
 	bytesIn     atomic.Int64
+	panics      atomic.Int64
 }
 
 // Counts is a snapshot of Stats.
@@ -17,6 +18,8 @@
 	MessagesIn  int64 `json:"messages_in"`
 	BytesOut    int64 `json:"bytes_out"`
 	BytesIn     int64 `json:"bytes_in"`
+	// Panics is the number of messages whose handler panicked.
+	Panics int64 `json:"panics"`
 }
 
 // Read returns the current counts.
@@ -26,6 +29,7 @@
 		MessagesIn:  s.messagesIn.Load(),
 		BytesOut:    s.bytesOut.Load(),
 		BytesIn:     s.bytesIn.Load(),
+		Panics:      s.panics.Load(),
 	}
 }
 
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -61,7 +61,7 @@
 	}
 	a.leases = session.NewLeases(session.Config{}, a.Clock, runtime.NewRand())
 	a.views = newViewMerger(a.Log, a.isLinked, a.applyView)
-	dialer := &link.Dialer{Auth: a.Auth, Self: a.self, Handler: a.views, Stats: a.Stats}
+	dialer := &link.Dialer{Auth: a.Auth, Self: a.self, Handler: a.views, Stats: a.Stats, Log: a.Log}
 	home := homeTargets(a.settings.Name, targets, a.settings.HomeEntries)
 	a.mesh = mesh.New(mesh.Config{Targets: home}, dialer, a.Log)
 	backend := runtime.NewTransport()
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -66,7 +66,7 @@
 // New returns a control process that does nothing until Run.
 func New(settings platform.Settings, rt *runtime.Runtime) *Controller {
 	c := &Controller{Runtime: rt, settings: settings, self: settings.PeerAddress(settings.IP), seeds: feed.PeerAddresses(&settings), replicaOpened: make(chan struct{}, 1)}
-	dialer := &link.Dialer{Auth: rt.Auth, Self: c.hello, Handler: c, Stats: rt.Stats, Client: runtime.LinkClient()}
+	dialer := &link.Dialer{Auth: rt.Auth, Self: c.hello, Handler: c, Stats: rt.Stats, Log: rt.Log, Client: runtime.LinkClient()}
 	c.mesh = mesh.New(mesh.Config{OnOpen: c.onLinkOpened}, dialer, rt.Log)
 	c.hub = feed.NewHub(rt.Clock, rt.AgeClock, settings.Bounds.OldVersionGrace, rt.Log, c.mesh, c.controls)
 	rt.Dump.Add("replica", func() any {
@@ -257,7 +257,7 @@
 
 func (c *Controller) linkMux() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(link.Path, &link.Acceptor{Auth: c.Auth, Self: c.hello, Open: c.acceptLink, Handler: c, Stats: c.Stats})
+	mux.Handle(link.Path, &link.Acceptor{Auth: c.Auth, Self: c.hello, Open: c.acceptLink, Handler: c, Stats: c.Stats, Log: c.Log})
 	c.AddOperatorPaths(mux, c.checkReady, runtime.ExplainUnsupported)
 	return mux
 }
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -164,7 +164,7 @@
 
 func (e *Entry) peerMux() http.Handler {
 	mux := http.NewServeMux()
-	acceptor := &link.Acceptor{Auth: e.Auth, Self: e.self, Open: e.acceptLink, Handler: e, Stats: e.Stats}
+	acceptor := &link.Acceptor{Auth: e.Auth, Self: e.self, Open: e.acceptLink, Handler: e, Stats: e.Stats, Log: e.Log}
 	mux.Handle(link.Path, acceptor)
 	e.AddOperatorPaths(mux, e.checkReady, e.explain)
 	return mux
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -275,7 +275,14 @@
 	f.publishMu.Lock()
 	defer f.publishMu.Unlock()
 	f.applyObservations(update.Observations)
+	f.publishView(f.applyToState(update))
+}
+
+// applyToState applies an update and returns the new view, or nil if nothing changed. The
+// caller holds publishMu.
+func (f *Follower) applyToState(update wire.Update) *View {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	serversChanged := f.applyServers(update)
 	changed := serversChanged
 	if f.applyDesired(update) {
@@ -287,12 +294,10 @@
 	if update.Demand != nil {
 		f.demand, f.entries, changed = update.Demand, update.Entries, true
 	}
-	var view *View
-	if changed {
-		view = f.buildView(serversChanged)
+	if !changed {
+		return nil
 	}
-	f.mu.Unlock()
-	f.publishView(view)
+	return f.buildView(serversChanged)
 }
 
 // publishView stores a view, unless it is nil. The caller holds publishMu.
--- a/process/frontend/frontend.go
+++ b/process/frontend/frontend.go
@@ -65,7 +65,7 @@
 func New(settings platform.Settings, rt *runtime.Runtime) *Frontend {
 	f := &Frontend{Runtime: rt, settings: settings}
 	f.client = backend.New(backend.Config{UnackedTimeout: runtime.UnackedTimeout, AgeClock: rt.AgeClock, Scope: rt.Scope})
-	dialer := &link.Dialer{Auth: rt.Auth, Self: f.hello, Stats: rt.Stats, Client: runtime.LinkClient()}
+	dialer := &link.Dialer{Auth: rt.Auth, Self: f.hello, Stats: rt.Stats, Log: rt.Log, Client: runtime.LinkClient()}
 	f.follower = feed.NewFollower(feed.FollowerConfig{
 		Seeds: feed.PeerAddresses(&settings), SortAddresses: feed.RendezvousOrder(settings.IP),
 		OnChange:       func(v *feed.View) { f.handler.Update(v) },
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -40,7 +40,7 @@
 func New(settings platform.Settings, rt *runtime.Runtime) *Sidecar {
 	s := &Sidecar{Runtime: rt, settings: settings, store: pieces.NewStore(transferShare * settings.LinkBytesPerSecond)}
 	s.client = backend.New(backend.Config{UnackedTimeout: runtime.UnackedTimeout, AgeClock: rt.AgeClock, Scope: rt.Scope})
-	dialer := &link.Dialer{Auth: rt.Auth, Self: s.hello, Stats: rt.Stats, Client: runtime.LinkClient()}
+	dialer := &link.Dialer{Auth: rt.Auth, Self: s.hello, Stats: rt.Stats, Log: rt.Log, Client: runtime.LinkClient()}
 	s.follower = feed.NewFollower(feed.FollowerConfig{
 		Seeds: feed.PeerAddresses(&settings), Relay: true, LazyConfig: true, SortAddresses: feed.RendezvousOrder(settings.IP),
 		OnChange: func(*feed.View) {
