--- a/process/sidecar/install_test.go
+++ b/process/sidecar/install_test.go
@@ -19,7 +19,12 @@
 )
 
 // fakeControl is a control process that records the reports about engines.
-type fakeControl struct{ reports chan wire.EngineState }
+type fakeControl struct {
+	reports chan wire.EngineState
+	// state and document are its state and configuration.
+	state    wire.Update
+	document wire.ConfigDocument
+}
 
 // Notify implements link.Handler.
 func (c *fakeControl) Notify(_ *link.Conn, kind wire.Kind, body cbor.RawMessage) {
@@ -30,14 +35,25 @@
 }
 
 // Call implements link.Handler.
-func (c *fakeControl) Call(context.Context, *link.Conn, wire.Kind, cbor.RawMessage) (any, error) {
-	return wire.Update{}, nil
+func (c *fakeControl) Call(_ context.Context, _ *link.Conn, kind wire.Kind, _ cbor.RawMessage) (any, error) {
+	if kind == wire.KindConfigDocument {
+		return c.document, nil
+	}
+	return c.state, nil
 }
 
 // followFakeControl links the agent to a new fake control process.
 func followFakeControl(t *testing.T, u *updater) *fakeControl {
 	t.Helper()
-	c := &fakeControl{reports: make(chan wire.EngineState, 16)}
+	c := &fakeControl{}
+	c.link(t, u)
+	return c
+}
+
+// link links the agent to the control process.
+func (c *fakeControl) link(t *testing.T, u *updater) {
+	t.Helper()
+	c.reports = make(chan wire.EngineState, 16)
 	mux := http.NewServeMux()
 	srv := httptest.NewServer(mux)
 	t.Cleanup(srv.Close)
@@ -55,13 +71,12 @@
 	go func() { u.sidecar.follower.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
 	for range 500 {
-		if u.sidecar.follower.Links() > 0 {
-			return c
+		if u.sidecar.follower.Links() > 0 && (c.document.Version == 0 || u.sidecar.follower.View().Config != nil) {
+			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	t.Fatal("no link to the control process")
-	return nil
 }
 
 // nextReport returns the next report about the engine, or nil if none comes soon.
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -78,6 +78,7 @@
 	group.Go(func() error { return runtime.Serve(srv, l) })
 	group.Go(func() error { s.follower.Run(groupCtx); return nil })
 	group.Go(func() error { s.updater.run(groupCtx); return nil })
+	group.Go(func() error { newUnloader(s.updater).run(groupCtx); return nil })
 	group.Go(func() error { return s.ServeMetrics(groupCtx, s.settings.IP, platform.MetricsPort) })
 	<-groupCtx.Done()
 	_ = srv.Close()
