placement: expiring weights are used until a second before their end where their agent unloads them

Entries stopped sending 2 s before the end for all servers, as nothing told how long a link may hold a request.

An agent that is about to unload announces it, 2.5 s before the expiry, once. A request that such a server's link holds is not run, so entries send until 1 s before the end there (0.8 s once a connection is open): time for a first event before requests are withdrawn. Where no announcement came, 2 s hold as before. It is bound to one incarnation and one version, and as it is made at most 2.5 s before it is needed, it needs no renewal. Agents plan their loads with the same second (endMargin).

TestWantedVersions: the newest version now arrives in time if it does 1 s before the end; its cases moved from 3 s to 3.8 s, and one at 3.6 s was added.

--- a/connection/wire/updates.go
+++ b/connection/wire/updates.go
@@ -29,6 +29,9 @@
 	// Born is the engine's start in Unix milliseconds, or 0 if it is unknown. The report
 	// concerns no other incarnation.
 	Born int64 `cbor:"4,keyasint,omitempty"`
+	// Unloads lists the weights that the agent will have the engine unload before they
+	// expire. A report with it states nothing else.
+	Unloads []directory.ModelVersion `cbor:"5,keyasint,omitempty"`
 }
 
 // Deregistration reports that a server deregistered. Born is the server's start in
--- a/process/directory/table.go
+++ b/process/directory/table.go
@@ -26,6 +26,9 @@
 	// LoadingUntil is the time, on the caller's monotonic clock, until which the
 	// server accepts no new requests because it loads weights; 0 if it does not.
 	LoadingUntil time.Duration
+	// Unloads lists the weights that the server's agent will have it unload before they
+	// expire. It must not be modified.
+	Unloads []ModelVersion
 }
 
 // Table holds the servers by ID.
@@ -80,7 +83,7 @@
 	unchanged := old.EqualIgnoringSeq(&s)
 	next := Record{Server: s, Heard: now}
 	if old.Born == s.Born {
-		next.LoadingUntil = old.LoadingUntil
+		next.LoadingUntil, next.Unloads = old.LoadingUntil, old.Unloads
 	}
 	*old = next
 	t.claimAddress(old)
@@ -125,8 +128,8 @@
 // another one is ignored, unless either of them is unknown (0). UpdateEngine reports
 // whether the table changed.
 func (t *Table) UpdateEngine(address string, born int64, loading bool, held []ModelVersion, now time.Duration) bool {
-	record := t.servers[t.idByAddress[address]]
-	if record == nil || record.State == Gone || born != 0 && record.Born != 0 && born != record.Born {
+	record := t.incarnationAt(address, born)
+	if record == nil {
 		return false
 	}
 	changed := loading != (now < record.LoadingUntil)
@@ -144,6 +147,27 @@
 	return changed
 }
 
+// SetUnloads records which weights a server's agent will have it unload before they
+// expire. address and born are as for UpdateEngine. It reports whether the table changed.
+func (t *Table) SetUnloads(address string, born int64, unloads []ModelVersion) bool {
+	record := t.incarnationAt(address, born)
+	if record == nil || slices.Equal(record.Unloads, unloads) {
+		return false
+	}
+	record.Unloads = unloads
+	return true
+}
+
+// incarnationAt returns the server at an address if it has not deregistered and born is
+// its start, or either of them is unknown (0); else nil.
+func (t *Table) incarnationAt(address string, born int64) *Record {
+	record := t.servers[t.idByAddress[address]]
+	if record == nil || record.State == Gone || born != 0 && record.Born != 0 && born != record.Born {
+		return nil
+	}
+	return record
+}
+
 // Get returns a server, or nil.
 func (t *Table) Get(id string) *Record { return t.servers[id] }
 
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -330,9 +330,9 @@
 		}
 	}
 	for _, s := range update.Engines {
-		if f.table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, now) {
+		if applyEngine(f.table, s, now) {
 			changed = true
-			f.log.Info("engine state changed", "address", s.Address, "loading", s.Loading, "held", s.Held)
+			f.log.Info("engine state changed", "address", s.Address, "loading", s.Loading, "held", s.Held, "unloads", s.Unloads)
 		}
 	}
 	for _, id := range update.Alive {
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -144,12 +144,20 @@
 	}
 }
 
+// applyEngine applies an agent's report to a table and reports whether that changed.
+func applyEngine(table *directory.Table, s wire.EngineState, now time.Duration) bool {
+	if len(s.Unloads) > 0 {
+		return table.SetUnloads(s.Address, s.Born, s.Unloads)
+	}
+	return table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, now)
+}
+
 // UpdateEngine applies an agent's report about its engine.
 func (h *Hub) UpdateEngine(s wire.EngineState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, h.now()) {
-		h.log.Info("engine state changed", "address", s.Address, "loading", s.Loading, "held", s.Held)
+	if applyEngine(h.table, s, h.now()) {
+		h.log.Info("engine state changed", "address", s.Address, "loading", s.Loading, "held", s.Held, "unloads", s.Unloads)
 		h.broadcast(wire.Update{Engines: []wire.EngineState{s}}, true)
 	}
 }
@@ -171,7 +179,7 @@
 		}
 	}
 	for _, s := range update.Engines {
-		if h.table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, now) {
+		if applyEngine(h.table, s, now) {
 			forwarded.Engines = append(forwarded.Engines, s)
 		}
 	}
--- a/process/sidecar/selector.go
+++ b/process/sidecar/selector.go
@@ -20,9 +20,9 @@
 	// maxLoadSpread bounds the time over which the engines' loads are spread. A load
 	// takes one to two seconds, so that about half of the engines serve at any time.
 	maxLoadSpread = 3 * time.Second
-	// endMargin is how long before old weights expire entries stop using them; it
-	// equals startMargin of package placement.
-	endMargin = 2 * time.Second
+	// endMargin is how long before old weights expire entries stop using them at an
+	// engine whose agent unloads them; it equals unloadStartMargin of package placement.
+	endMargin = time.Second
 )
 
 // versionSelector selects the version of a model to transfer and the time to load
--- a/process/sidecar/selector_test.go
+++ b/process/sidecar/selector_test.go
@@ -46,8 +46,9 @@
 		"one version":                         {history: historyAt(0), held: 1, started: noneStarted, want: []int{2}},
 		"held already":                        {history: historyAt(0), held: 2, started: allStarted, want: nil},
 		"newest arrives in time":              {history: historyAt(0, 2), held: 1, at: 2, started: allStarted, want: []int{3, 2}},
-		"newest arrives too late":             {history: historyAt(0, 3), held: 1, at: 3, started: allStarted, want: []int{2, 3}},
-		"too late, other version not started": {history: historyAt(0, 3), held: 1, at: 3, started: noneStarted, want: []int{3, 2}},
+		"newest arrives in the last second":   {history: historyAt(0, 3.6), held: 1, at: 3.6, started: allStarted, want: []int{3, 2}},
+		"newest arrives too late":             {history: historyAt(0, 3.8), held: 1, at: 3.8, started: allStarted, want: []int{2, 3}},
+		"too late, other version not started": {history: historyAt(0, 3.8), held: 1, at: 3.8, started: noneStarted, want: []int{3, 2}},
 		"other version expires too soon":      {history: historyAt(0, 3), held: 1, at: 8, started: allStarted, want: []int{3}},
 		"empty engine, both versions started": {history: historyAt(0, 1), held: 0, at: 1, started: allStarted, want: []int{2, 3}},
 	} {
--- a/process/sidecar/unload.go
+++ b/process/sidecar/unload.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/directory"
@@ -16,6 +17,10 @@
 	// unloadMargin is how long before its weights expire an engine is ordered to unload
 	// them. Entries have withdrawn the requests that have not begun by then.
 	unloadMargin = 500 * time.Millisecond
+	// announceMargin is how long before its weights expire the agent announces that it
+	// will have the engine unload them. Entries that have not received that stop sending
+	// two seconds before the expiry.
+	announceMargin = 2500 * time.Millisecond
 	// unloadInterval is the time between two checks of the clock, and between two
 	// attempts at an engine that does not answer.
 	unloadInterval = 100 * time.Millisecond
@@ -28,9 +33,14 @@
 	// unloaded holds, by model, the version below which the engine was seen to hold no
 	// weights.
 	unloaded map[string]int
+	// announced is the same for versions whose unloading was announced, if the engine held
+	// any.
+	announced map[string]int
 }
 
-func newUnloader(u *updater) *unloader { return &unloader{updater: u, unloaded: map[string]int{}} }
+func newUnloader(u *updater) *unloader {
+	return &unloader{updater: u, unloaded: map[string]int{}, announced: map[string]int{}}
+}
 
 // run unloads expired weights until ctx ends. Polling the clock also covers the time for
 // which the VM is suspended.
@@ -45,8 +55,8 @@
 	}
 }
 
-// reconcile orders the engine to unload the weights that expire. The engine is only asked
-// for its report if there may be such weights.
+// reconcile orders the engine to unload the weights that expire, and announces that
+// before. The engine is only asked for its report if there may be such weights.
 func (l *unloader) reconcile(ctx context.Context) {
 	s := l.updater.sidecar
 	view := s.follower.View()
@@ -56,9 +66,10 @@
 	}
 	for _, model := range engine.Models {
 		history := view.Weights[model]
-		now := s.AgeClock.Now().Add(unloadMargin)
-		successor := lastExpiring(history, now, s.settings.Bounds.OldVersionGrace)
-		if successor <= l.unloaded[model] {
+		now := s.AgeClock.Now()
+		grace := s.settings.Bounds.OldVersionGrace
+		due, soon := lastExpiring(history, now.Add(unloadMargin), grace), lastExpiring(history, now.Add(announceMargin), grace)
+		if due <= l.unloaded[model] && soon <= l.announced[model] {
 			continue
 		}
 		report, err := l.updater.engineReport(ctx)
@@ -67,12 +78,22 @@
 			continue
 		}
 		held := directory.VersionOf(report.Held, model)
-		if held == 0 || held >= successor {
-			l.unloaded[model] = successor
+		if held == 0 || held >= due {
+			l.unloaded[model] = due
+		}
+		if held == 0 || held >= soon {
+			l.announced[model] = soon
 			continue
 		}
-		if until, noExpiry := history.UsableUntil(held, s.settings.Bounds.OldVersionGrace); !noExpiry && !until.IsZero() && !now.Before(until) {
-			l.unload(ctx, model, held, engine.Layers, report.Orders)
+		until, _ := history.UsableUntil(held, grace)
+		switch {
+		case until.IsZero():
+			// The time of a publication is not known, and entries don't use the weights.
+		case !now.Add(unloadMargin).Before(until):
+			l.unload(ctx, model, engine.Layers, report)
+		case soon > l.announced[model]:
+			l.announced[model] = soon
+			l.announce(model, report, until.Sub(now))
 		}
 	}
 }
@@ -88,10 +109,19 @@
 	return newest
 }
 
-// unload orders the engine to unload a version.
-func (l *unloader) unload(ctx context.Context, model string, version, layers int, orders uint64) {
+// announce tells the entries that the version of a model that the engine reports will be
+// unloaded before it expires. usable is the time until it expires.
+func (l *unloader) announce(model string, report platform.EngineReport, usable time.Duration) {
+	held := directory.ModelVersion{Model: model, Version: directory.VersionOf(report.Held, model)}
+	l.updater.reportEngine(wire.EngineState{Born: report.Born, Unloads: []directory.ModelVersion{held}})
+	l.updater.sidecar.Log.Info("unloading announced", "model", model, "version", held.Version, "usable_ms", usable.Milliseconds())
+}
+
+// unload orders the engine to unload the version of a model that it reports.
+func (l *unloader) unload(ctx context.Context, model string, layers int, report platform.EngineReport) {
+	version := directory.VersionOf(report.Held, model)
 	log := l.updater.sidecar.Log.With("model", model, "version", version)
-	body, err := platform.EncodeUnloadOrder(model, version, layers, orders)
+	body, err := platform.EncodeUnloadOrder(model, version, layers, report.Orders)
 	if err == nil {
 		_, err = l.updater.callEngine(ctx, http.MethodPost, platform.PathOrder, body)
 	}
--- a/process/sidecar/unload_test.go
+++ b/process/sidecar/unload_test.go
@@ -10,6 +10,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
+	"github.com/waxwingpost/waxwingpost/process/directory"
 )
 
 const (
@@ -79,6 +80,13 @@
 
 // newUnloadTest returns the unloader of an agent that knows the versions by age.
 func newUnloadTest(t *testing.T, e *layeredEngine, newest int, ages ...wire.VersionAge) *unloader {
+	t.Helper()
+	l, _ := newUnloadTestWithControl(t, e, newest, ages...)
+	return l
+}
+
+// newUnloadTestWithControl also returns the control process that the agent follows.
+func newUnloadTestWithControl(t *testing.T, e *layeredEngine, newest int, ages ...wire.VersionAge) (*unloader, *fakeControl) {
 	t.Helper()
 	u := newTestUpdater(t, e)
 	u.sidecar.settings.Bounds.OldVersionGrace = unloadTestGrace
@@ -94,7 +102,7 @@
 		document: wire.ConfigDocument{Version: 1, Content: content},
 	}
 	c.link(t, u)
-	return newUnloader(u)
+	return newUnloader(u), c
 }
 
 func TestRequestThatReachesTheEngineAfterTheExpiryIsNotRun(t *testing.T) {
@@ -129,6 +137,35 @@
 	}
 }
 
+func TestUnloadingIsAnnouncedOnceBeforeTheExpiry(t *testing.T) {
+	const expired = int64(unloadTestGrace / time.Millisecond)
+	for name, c := range map[string]struct {
+		age  int64
+		busy bool
+		want bool
+	}{
+		"two seconds left":  {expired - 2000, false, true},
+		"four seconds left": {expired - 4000, false, false},
+		"expired":           {expired, false, false},
+		"loading":           {expired - 2000, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &layeredEngine{version: 1, target: testLayers, busy: c.busy}
+			l, control := newUnloadTestWithControl(t, e, 2, wire.VersionAge{Version: 2, Age: c.age})
+			for range 3 {
+				l.reconcile(t.Context())
+			}
+			s := control.nextReport()
+			if got := s != nil && directory.VersionOf(s.Unloads, "m") == 1 && s.Address == l.updater.sidecar.settings.BackendAddress; got != c.want {
+				t.Errorf("reported %+v, want an announcement: %v", s, c.want)
+			}
+			if s := control.nextReport(); s != nil {
+				t.Errorf("also reported %+v", s)
+			}
+		})
+	}
+}
+
 func TestEngineThatWasOrderedToLoadIsNotUnloaded(t *testing.T) {
 	e := &layeredEngine{version: 1, target: testLayers}
 	l := newUnloadTest(t, e, 2, wire.VersionAge{Version: 2, Age: int64(unloadTestGrace / time.Millisecond)})
--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -155,10 +155,12 @@
 		if slots == 0 && s.Engine != nil {
 			slots = s.Engine.Slots
 		}
-		weightsHeld, version, until := sc.usableWeights(engineModels(s), record.Held)
+		models := engineModels(s)
+		weightsHeld, version, until := sc.usableWeights(models, record.Held)
 		loading := record.LoadingUntil > sc.view.At+now.Sub(sc.viewTime)
 		server := placement.Server{
 			ID: record.ID, Address: record.Address, Born: record.Born, Zone: record.Zone, Slots: slots, Held: record.Held, WeightsVersion: version, WeightsUntil: until,
+			Unloads: len(record.Unloads) > 0 && sc.unloadsExpiring(models, record),
 		}
 		server.Usable = record.State == directory.Ready && weightsHeld && !loading && (len(sc.leaving) == 0 || !sc.leaving[server.Incarnation()])
 		servers = append(servers, server)
@@ -197,6 +199,18 @@
 	return true, version, until
 }
 
+// unloadsExpiring reports whether a server unloads all of its weights that expire. The
+// caller holds mu.
+func (sc *scheduler) unloadsExpiring(models []string, record *directory.Record) bool {
+	for _, model := range models {
+		held := directory.VersionOf(record.Held, model)
+		if _, noExpiry := sc.view.Weights[model].UsableUntil(held, sc.cfg.OldVersionGrace); !noExpiry && directory.VersionOf(record.Unloads, model) != held {
+			return false
+		}
+	}
+	return true
+}
+
 // weightsExpiry returns when the weights expire that a lease's server held when the
 // slot was assigned; zero means no expiry. changed is closed when that may be another
 // time.
--- a/request/placement/pool_test.go
+++ b/request/placement/pool_test.go
@@ -217,6 +217,33 @@
 	}
 }
 
+func TestServerThatUnloadsItsWeightsIsUsedLonger(t *testing.T) {
+	list := makeServers(1, 16)
+	list[0].WeightsUntil, list[0].Unloads = ageAt(8000), true
+	p := newPool(engines, list, 1)
+	clock := p.ageClock.(*manualClock)
+	clock.now = ageAt(6900)
+	lease := p.TryAcquire(at(6900), Request{})
+	if lease == nil {
+		t.Fatal("a server that unloads its weights got no request 1.1s before they expire")
+	}
+	if got := lease.SendDeadline(); got != ageAt(7200) {
+		t.Errorf("the request may be sent until %v, want %v", got, ageAt(7200))
+	}
+	clock.now = ageAt(7100)
+	if p.TryAcquire(at(7100), Request{}) != nil || p.HasUsable() {
+		t.Error("a server got a request that could be withdrawn before it begins")
+	}
+	p.Release(at(7100), lease, Served)
+	clock.now = ageAt(0)
+	slow := p.TryAcquire(at(0), Request{LatencyTarget: 2 * time.Second})
+	p.OnFirstEvent(at(500), slow)
+	clock.now = ageAt(6500)
+	if p.TryAcquire(at(6500), Request{}) != nil {
+		t.Error("a request could be withdrawn before it begins at a server with delayed first events")
+	}
+}
+
 func TestWeightsExpireWhileTheVMIsSuspended(t *testing.T) {
 	monotonic := clockwork.NewFakeClock()
 	boot := boottime.NewFake(monotonic)
--- a/request/placement/server.go
+++ b/request/placement/server.go
@@ -41,6 +41,11 @@
 	baselineDelay = 200 * time.Millisecond
 	// sendMargin is the part of startMargin that remains once a connection is open.
 	sendMargin = 1500 * time.Millisecond
+	// unloadStartMargin and unloadSendMargin take the place of startMargin and sendMargin
+	// at a server that unloads its weights: a request must begin before it is withdrawn,
+	// half a second before the weights expire.
+	unloadStartMargin = time.Second
+	unloadSendMargin  = 800 * time.Millisecond
 	// delayEWMAWeight is the weight of the newest sample in the mean first-event
 	// delay.
 	delayEWMAWeight = 0.3
@@ -90,8 +95,12 @@
 // weightsExpiring reports whether a request that is sent now could start after
 // the server's weights have expired.
 func (s *server) weightsExpiring(now boottime.Instant) bool {
-	extra := startDelayFactor * max(s.firstEventDelay-baselineDelay, 0)
-	return !s.WeightsUntil.IsZero() && now.Add(startMargin+extra).After(s.WeightsUntil)
+	margin := startMargin
+	if s.Unloads {
+		margin = unloadStartMargin
+	}
+	margin += startDelayFactor * max(s.firstEventDelay-baselineDelay, 0)
+	return !s.WeightsUntil.IsZero() && now.Add(margin).After(s.WeightsUntil)
 }
 
 // isSlow reports whether the server's first events miss the latency target, by
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -42,6 +42,9 @@
 	// WeightsUntil is when the server's weights expire. No request may start there
 	// after that time, including requests already sent. Zero means no expiry.
 	WeightsUntil boottime.Instant
+	// Unloads is set if the server's agent will have it unload the weights before they
+	// expire, so that a request that arrives late is not run.
+	Unloads bool
 }
 
 // Incarnation identifies one start of the server.
@@ -122,6 +125,9 @@
 	if l.Server.WeightsUntil.IsZero() {
 		return boottime.Instant{}
 	}
+	if l.state.Unloads {
+		return l.Server.WeightsUntil.Add(-unloadSendMargin)
+	}
 	return l.Server.WeightsUntil.Add(-sendMargin)
 }
 
