directory: the end of a load is known while the next transfer runs

What callers saw: hardly anybody was served for seconds while engines that had loaded stood idle. Each agent begins the transfer of version 3 at once, which lasts until the origin is back (5.6 s), and only after it reads the engine's report again. So nobody told the entries that the load of version 2 had ended, and 16 of 19 engines counted as loading for maxLoadTime (6 s): an entry's log from 25.7 to 27 s shows 'no slot became free in time' with requests at three servers only.

The agent follows each load that it has ordered until the engine is idle, beside the next transfer; and a heartbeat in which the server holds newer weights than before ends the load in every table, if the agent's report is late, lost or its agent dead.

Before: TestEndOfALoadIsReportedDuringTheNextTransfer 'the end of the load was not reported'; TestHeartbeatWithNewerWeightsEndsALoad 'loading true, want false'. After: both pass.

--- a/process/directory/table.go
+++ b/process/directory/table.go
@@ -84,6 +84,10 @@
 	next := Record{Server: s, Heard: now}
 	if old.Born == s.Born {
 		next.LoadingUntil, next.Unloads = old.LoadingUntil, old.Unloads
+		if holdsNewer(s.Held, old.Held) {
+			// The load has ended. Its agent may report that later, or not at all.
+			next.LoadingUntil = 0
+		}
 	}
 	*old = next
 	t.claimAddress(old)
@@ -138,15 +142,18 @@
 		record.LoadingUntil = now + maxLoadTime
 		return changed
 	}
-	for _, w := range held {
-		if record.HeldVersion(w.Model) < w.Version {
-			record.Held = held
-			return true
-		}
+	if holdsNewer(held, record.Held) {
+		record.Held = held
+		return true
 	}
 	return changed
 }
 
+// holdsNewer reports whether held contains a newer version of a model than before.
+func holdsNewer(held, before []ModelVersion) bool {
+	return slices.ContainsFunc(held, func(w ModelVersion) bool { return VersionOf(before, w.Model) < w.Version })
+}
+
 // SetUnloads records which weights a server's agent will have it unload before they
 // expire. address and born are as for UpdateEngine. It reports whether the table changed.
 func (t *Table) SetUnloads(address string, born int64, unloads []ModelVersion) bool {
--- a/process/directory/table_test.go
+++ b/process/directory/table_test.go
@@ -145,3 +145,25 @@
 		t.Error("the unloads hold after a restart of the server")
 	}
 }
+
+func TestHeartbeatWithNewerWeightsEndsALoad(t *testing.T) {
+	held := func(version int) []ModelVersion { return []ModelVersion{{Model: "m", Version: version}} }
+	for name, c := range map[string]struct {
+		held []ModelVersion
+		want bool
+	}{
+		"still the old ones": {held(1), true},
+		"none":               {nil, true},
+		"the new ones":       {held(2), false},
+	} {
+		table := NewTable()
+		s := Server{ID: "a", Service: "s", Address: "10.0.0.1:1", State: Ready, Born: 1, Seq: 1, Engine: true, Held: held(1)}
+		table.Update(s, 0)
+		table.UpdateEngine(s.Address, 1, true, nil, time.Second)
+		s.Seq, s.Held = 2, c.held
+		table.Update(s, 2*time.Second)
+		if got := table.Get("a").LoadingUntil > 2*time.Second; got != c.want {
+			t.Errorf("%s: loading %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/process/sidecar/install.go
+++ b/process/sidecar/install.go
@@ -215,7 +215,28 @@
 		// After any other error the engine may have taken the order.
 		u.reportEngine(wire.EngineState{})
 	}
+	if result.CodeOf(err) != result.EngineRefused {
+		go u.watchLoad(ctx, key)
+	}
 	u.orderedKey = key
 	u.sidecar.Log.Info("load ordered", "model", key.Model, "version", key.Version, "error", err)
 	return err
 }
+
+// watchLoad reports to the control processes when the engine has loaded a version. The
+// next transfer may have begun by then and takes seconds.
+func (u *updater) watchLoad(ctx context.Context, key pieces.Key) {
+	for range maxBusyPolls {
+		select {
+		case <-ctx.Done():
+			return
+		case <-u.sidecar.Clock.After(pendingPollInterval):
+		}
+		report, err := u.engineReport(ctx)
+		if err != nil || report.Busy {
+			continue
+		}
+		u.recordHeld(key.Model, report)
+		return
+	}
+}
--- a/process/sidecar/install_test.go
+++ b/process/sidecar/install_test.go
@@ -15,6 +15,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/version/pieces"
 )
 
@@ -117,3 +118,34 @@
 		})
 	}
 }
+
+func TestEndOfALoadIsReportedDuringTheNextTransfer(t *testing.T) {
+	e := &layeredEngine{version: 1, target: testLayers}
+	u := newTestUpdater(t, e)
+	control := followFakeControl(t, u)
+	if err := u.orderLoad(t.Context(), pieces.Key{Model: "m", Version: 2}); err != nil {
+		t.Fatal(err)
+	}
+	if s := control.nextReport(); s == nil || !s.Loading {
+		t.Fatalf("before the order, reported %+v", s)
+	}
+	// The updater is occupied by the transfer of version 3 from here on.
+	e.mu.Lock()
+	e.busy = true
+	e.mu.Unlock()
+	if s := control.nextReport(); s != nil {
+		t.Fatalf("while the engine loads, reported %+v", s)
+	}
+	e.mu.Lock()
+	e.busy, e.target = false, testLayers
+	e.mu.Unlock()
+	for range 10 {
+		if s := control.nextReport(); s != nil {
+			if s.Loading || directory.VersionOf(s.Held, "m") != 2 {
+				t.Errorf("after the load, reported %+v", s)
+			}
+			return
+		}
+	}
+	t.Error("the end of the load was not reported")
+}
