backend: tests count no time before their request exists, and refusing ports stay bound

Its deadline began before a body of 32 MiB was built: with the race detector that and its copies take 0.4 to 1.1 s at load 11. The deadline is now set when the body exists, to the limit that the other test of long bodies has. It checks the answer and the connections as before.

TestErrorStatesWhetherRequestWasSent failed once in 24 runs at once: another process listened on the port that it had closed. The port is now bound and not listened on.

--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -173,13 +173,27 @@
 	}
 }
 
-func TestErrorStatesWhetherRequestWasSent(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+// refusingAddress returns an address that refuses connections. Its port stays bound, so that
+// no other process listens there.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	refusing := closed.Addr().String()
-	_ = closed.Close()
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+}
+
+func TestErrorStatesWhetherRequestWasSent(t *testing.T) {
+	refusing := refusingAddress(t)
 	reading, _ := serveConns(t, func(_ net.Conn, r *bufio.Reader) { _, _, _ = readRequest(r) })
 	for address, want := range map[string]SendState{refusing: NotSent, reading: MaybeSent} {
 		_, err := get(t, newClient(), address, "1")
@@ -344,6 +358,7 @@
 	for i := range 2 {
 		req := newRequest(fmt.Sprint(i))
 		req.Body = []byte(strings.Repeat("x", 32<<20))
+		req.HeadDeadline = time.Now().Add(testHangLimit)
 		ex, err := c.Do(t.Context(), address, req)
 		if err != nil {
 			t.Fatal(err)
