desired: a configuration above 64 MiB is an error, not cut

Decompress stopped reading at maxDocumentBytes without an error, so that a follower took the first 64 MiB for the document. Before: TestDocumentAboveTheLimitIsAnError 'a document of bytes was cut to'. After: passes.

--- a/process/control/desired/desired.go
+++ b/process/control/desired/desired.go
@@ -153,9 +153,12 @@
 
 // Decompress decompresses the Content of a Deploy command.
 func Decompress(content []byte) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(content)), maxDocumentBytes))
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(content)), maxDocumentBytes+1))
 	if err != nil {
 		return nil, result.New(result.SnapshotDamaged, "decompress configuration: %v", err)
 	}
+	if len(data) > maxDocumentBytes {
+		return nil, result.New(result.SnapshotDamaged, "decompress configuration: more than %d bytes", maxDocumentBytes)
+	}
 	return data, nil
 }
--- a/process/control/desired/desired_test.go
+++ b/process/control/desired/desired_test.go
@@ -85,6 +85,16 @@
 	}
 }
 
+func TestDocumentAboveTheLimitIsAnError(t *testing.T) {
+	content, err := Compress(make([]byte, maxDocumentBytes+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if expanded, err := Decompress(content); err == nil {
+		t.Errorf("a document of %d bytes was cut to %d", maxDocumentBytes+1, len(expanded))
+	}
+}
+
 func TestPublishedVersionsAreListed(t *testing.T) {
 	m := New()
 	list := func() []int { s, _ := m.Current(); return s.Published["m"] }
