--- a/process/control/state/history.go
+++ b/process/control/state/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"unicode/utf8"
 
 	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/version/manifest"
@@ -86,8 +87,16 @@
 	}
 }
 
+// truncate cuts a text to maxBytes at most, between two characters: CBOR decoders refuse
+// texts that are not valid UTF-8.
 func truncate(s string, maxBytes int) string {
-	return s[:min(len(s), maxBytes)]
+	if len(s) <= maxBytes {
+		return s
+	}
+	for maxBytes > 0 && !utf8.RuneStart(s[maxBytes]) {
+		maxBytes--
+	}
+	return s[:maxBytes]
 }
 
 func (h *history) filter(match func(Change) bool) []Change {
--- a/process/control/state/machine.go
+++ b/process/control/state/machine.go
@@ -189,5 +189,5 @@
 	if len(s) <= maxDetail {
 		return s
 	}
-	return s[:maxDetail] + "..."
+	return truncate(s, maxDetail) + "..."
 }
--- a/process/control/state/machine_test.go
+++ b/process/control/state/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/waxwingpost/waxwingpost/process/control"
@@ -68,6 +69,26 @@
 	}
 }
 
+func TestTextsThatAreCutKeepTheSnapshotReadable(t *testing.T) {
+	// Each text has a character of two bytes at the limit.
+	text := func(limit int) string { return strings.Repeat("a", limit-1) + "é" + strings.Repeat("a", limit) }
+	m := newTestMachine(Options{})
+	cmd := editCommand("a.yaml", "", "bogus"+text(maxDetail)+": 1\n")
+	cmd.VM, cmd.ID = text(maxHistoryName), text(maxHistoryName)
+	cmd.Edit.Author = text(maxHistoryName)
+	m.apply("1", cmd)
+	accepted := editCommand("b.yaml", "", "priorities: {a: 1}\n")
+	accepted.Edit.Author = text(maxHistoryName)
+	m.apply("2", accepted)
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := New(Options{}).Restore(data); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestSnapshotRestoresToEqualBytes(t *testing.T) {
 	m := newTestMachine(Options{})
 	m.apply("1", editCommand("a.yaml", "", "priorities: {a: 1}\n"))
