planner: a request may end after its source was dropped

Found by reading (docs/findings.md): a request in flight keeps the index of its source, and a new view may have fewer sources. Its end then indexed past the list and ended the agent.

--- a/version/planner/planner_test.go
+++ b/version/planner/planner_test.go
@@ -252,3 +252,21 @@
 		t.Errorf("planned %v while %v is in flight to the same neighbor", repeated, first)
 	}
 }
+
+func TestRequestEndsAfterItsSourceWasDropped(t *testing.T) {
+	for name, outcome := range map[string]Outcome{"received": Received, "failed": Failed, "corrupt": Corrupt, "missing": Missing, "busy": Busy, "canceled": Canceled} {
+		table := NewTable(Node{Name: "a", Zone: "z", Region: "r"}, 4, DefaultSettings())
+		table.SetSources([]SourceState{{Origin: true}, {}})
+		r := Request{Chunk: 1, Source: 1}
+		table.RequestStarted(r, 0)
+		table.SetSources([]SourceState{{Origin: true}})
+		table.SourceThrottled(r, time.Second)
+		table.RequestEnded(r, outcome, time.Second)
+		if held := table.have.Has(1); held != (outcome == Received) {
+			t.Errorf("%s: chunk held %v", name, held)
+		}
+		if len(table.active) > 0 {
+			t.Errorf("%s: the request is still in flight", name)
+		}
+	}
+}
--- a/version/planner/table.go
+++ b/version/planner/table.go
@@ -338,10 +338,18 @@
 	t.countRequest(r, 1)
 }
 
+// source returns the source of a request, or nil if it was dropped meanwhile.
+func (t *Table) source(r Request) *source {
+	if r.Source >= len(t.sources) {
+		return nil
+	}
+	return &t.sources[r.Source]
+}
+
 func (t *Table) countRequest(r Request, delta int) {
 	if r.FromSource() {
-		if r.Source < len(t.sources) {
-			t.sources[r.Source].inFlight += delta
+		if s := t.source(r); s != nil {
+			s.inFlight += delta
 		}
 		return
 	}
@@ -381,7 +389,9 @@
 
 func (t *Table) requestSucceeded(r Request, now time.Duration) {
 	if r.FromSource() {
-		t.sources[r.Source].failures = 0
+		if s := t.source(r); s != nil {
+			s.failures = 0
+		}
 		return
 	}
 	if n := t.byName[r.From]; n != nil {
@@ -392,9 +402,10 @@
 
 func (t *Table) requestFailed(r Request, now time.Duration) {
 	if r.FromSource() {
-		s := &t.sources[r.Source]
-		s.failures++
-		s.notBefore = now + t.backoff(s.failures)
+		if s := t.source(r); s != nil {
+			s.failures++
+			s.notBefore = now + t.backoff(s.failures)
+		}
 		return
 	}
 	if n := t.byName[r.From]; n != nil {
@@ -445,8 +456,7 @@
 // SourceThrottled records that the source of a request must not be asked again
 // before until.
 func (t *Table) SourceThrottled(r Request, until time.Duration) {
-	if r.Source < len(t.sources) {
-		s := &t.sources[r.Source]
+	if s := t.source(r); s != nil {
 		s.notBefore = max(s.notBefore, until)
 	}
 }
