--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 SHELL = /bin/bash
 BIN = bin
 
-.PHONY: fmt rename build demo test format lint vet race clean
+# FUZZTIME is how long each fuzz target runs.
+FUZZTIME = 2s
+
+.PHONY: fmt rename build demo test format lint vet race fuzz clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./bench/cmd/...
@@ -19,7 +22,7 @@
 rename:
 	$(GOPLS) rename -w $(AT) $(TO)
 
-test: format lint vet race
+test: format lint vet race fuzz
 
 format:
 	@echo "== formatter"
@@ -37,5 +40,14 @@
 	@echo "== race tests"
 	go run ./bench/cmd/wpci
 
+# An input that fails is kept below testdata/fuzz of its package.
+fuzz:
+	@echo "== fuzzing"
+	@set -o pipefail; grep -rn '^func Fuzz' --include='*_test.go' . | \
+	  sed -E 's|^(.*)/[^/]*:[0-9]+:func (Fuzz[A-Za-z]*).*|\1 \2|' | sort | while read -r dir name; do \
+	  output=$$(cd $$dir && go test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) . 2>&1) || \
+	    { echo "$$dir $$name failed:"; echo "$$output"; exit 1; }; \
+	  echo "$$name $$(tail -1 <<< "$$output")"; done
+
 clean:
 	rm -rf $(BIN)
