--- a/request/placement/pool_test.go
+++ b/request/placement/pool_test.go
@@ -346,3 +346,34 @@
 		t.Error("a request was queued although no server exists")
 	}
 }
+
+func TestSlowServerIsProbedWellBeforeItsWeightsExpire(t *testing.T) {
+	const target = 800 * time.Millisecond
+	for name, slow := range map[string]func(p *Pool){
+		"delayed first event": func(p *Pool) {
+			l := p.TryAcquire(at(0), Request{LatencyTarget: target})
+			p.OnFirstEvent(at(900), l)
+			p.Release(at(1000), l, Served)
+		},
+		"ejected": func(p *Pool) {
+			p.Release(at(300), p.TryAcquire(at(0), Request{LatencyTarget: target}), Stalled)
+		},
+	} {
+		list := makeServers(1, 8)
+		list[0].WeightsUntil = ageAt(10000)
+		p := newPool(engines, list, 1)
+		clock := p.ageClock.(*manualClock)
+		slow(p)
+		clock.now = ageAt(2000)
+		l := p.TryAcquire(at(2000), Request{LatencyTarget: target})
+		if l == nil {
+			t.Errorf("%s: no request 8s before the weights expire", name)
+			continue
+		}
+		if p.TryAcquire(at(2000), Request{LatencyTarget: target}) != nil {
+			t.Errorf("%s: a second request before the first has an event", name)
+		}
+		p.OnFirstEvent(at(2100), l)
+		p.Release(at(2200), l, Served)
+	}
+}
