--- a/process/sidecar/unload.go
+++ b/process/sidecar/unload.go
@@ -109,7 +109,7 @@
 	return newest
 }
 
-// announce tells the entries that the version of a model that the engine reports will be
+// announce publishes that the version of a model that the engine reports will be
 // unloaded before it expires. usable is the time until it expires.
 func (l *unloader) announce(model string, report platform.EngineReport, usable time.Duration) {
 	held := directory.ModelVersion{Model: model, Version: directory.VersionOf(report.Held, model)}
