--- a/review/standins/core.go
+++ b/review/standins/core.go
@@ -65,20 +65,5 @@
 			}
 		}
 	}
-	// recoverS is 12 s, contactMs 3 s.
-	time.Sleep(15 * time.Second)
-	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(300 * time.Millisecond) {
-		for _, at := range all {
-			status, version := readVersion(at)
-			s.note("operator: read at %s: status %d, version %d", at, status, version)
-			switch {
-			case version == 7:
-				return exitHeld
-			case version != 0:
-				return exitBroken
-			}
-		}
-	}
-	s.note("the acknowledged configuration 7 did not come from any core machine")
-	return exitBroken
+	return s.readBack(all, 7)
 }
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -12,9 +12,11 @@
 const maxRun = 115 * time.Second
 
 var cases = map[string]func(*site) int{
-	"replaced-core": runReplacedCore,
-	"rot":           runRot,
-	"manifest":      runManifest,
+	"unjoined":       runUnjoined,
+	"replaced-core":  runReplacedCore,
+	"three-replaced": runThreeReplaced,
+	"rot":            runRot,
+	"manifest":       runManifest,
 }
 
 func main() {
