--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 # review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standins ] && [ -x target/waxwingpost ] || exit 2
-exec target/review-standins replaced-core review/1
+exec target/review-standins replaced-core review/5
