--- a/review/standins/core.go
+++ b/review/standins/core.go
@@ -46,6 +46,13 @@
 		delete(cores, old)
 		all = append(all[:4], s.control(successor))
 		time.Sleep(seconds("PAUSE", 0.5))
+		if hold := seconds("HOLD", 0); hold > 0 {
+			// One of the two machines is down for a while before it turns out that its disk
+			// is lost.
+			cores[11].kill()
+			s.note("core-11 is down")
+			time.Sleep(hold)
+		}
 	}
 	if !s.put("configuration 7", "/-/Config.Put", smallConfig(7), all, 8*time.Second) {
 		return exitNotRun
