controller: a control process joins through any seed, not only through the leader

Cause: a replica with an empty disk asked its seeds, which name the leader, and then called the leader without a link: links were opened to known members and seeds only. Seeds were used only while there was no link at all, and changed seeds were never asked to join.

Change: replies to join requests name the members; a replica without contact with a leader links to and asks the reported members, its current seeds and its known members. A process that is no member refuses heartbeats, which reached only the entry that followed it. A second without admission is logged as a warning with each process that was asked and its answer.

--- a/process/control/node/bootstrap.go
+++ b/process/control/node/bootstrap.go
@@ -32,6 +32,9 @@
 	// Leader is the name of the leader's VM, if the sender knows it.
 	Leader string `cbor:"7,keyasint,omitempty"`
 	Join   bool   `cbor:"8,keyasint,omitempty"`
+	// Members are the names of the members' VMs as far as the sender knows them, so
+	// that a replica that is not a member can link to the leader.
+	Members []string `cbor:"9,keyasint,omitempty"`
 }
 
 // startAction is what a replica without a cluster does next.
@@ -44,8 +47,8 @@
 )
 
 // chooseStartAction decides whether a replica without a cluster bootstraps one,
-// joins one or waits. queried is the number of entries that were asked, replies
-// holds the answers received.
+// joins one or waits. queried is the number of entries whose replies are required to
+// bootstrap, replies holds the answers received.
 //
 // A cluster is bootstrapped only if all entries replied and none has ever been
 // in a cluster, because an entry that did not reply may hold committed state.
--- a/process/control/node/join.go
+++ b/process/control/node/join.go
@@ -2,21 +2,34 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
+// admissionWarnInterval is how long a replica may lack contact with a leader before
+// each attempt to join is logged as a warning.
+const admissionWarnInterval = time.Second
+
 // bootstrapOrJoin retries until this replica has bootstrapped or joined a
 // cluster, or ctx ends.
 func (n *Node) bootstrapOrJoin(ctx context.Context) error {
-	names := n.peerNames()
+	started := n.clock.Now()
+	var warned time.Time
 	for ctx.Err() == nil {
 		self := n.localInfo()
-		action, id, err := chooseStartAction(self, n.queryPeers(ctx, names, self), len(names))
-		if err != nil {
-			n.log.Warn("bootstrap or join failed", "code", int(result.CodeOf(err)), "error", err)
+		names := n.peerNames()
+		replies := n.queryPeers(ctx, names, self)
+		unanswered := unansweredNames(slices.Concat(n.cfg.Peers, n.cfg.Bootstrap), n.cfg.Name, replies)
+		action, id, err := chooseStartAction(self, replies, len(replies)+len(unanswered))
+		if now := n.clock.Now(); err != nil || action == startWait && now.Sub(started) >= admissionWarnInterval && now.Sub(warned) >= admissionWarnInterval {
+			warned = now
+			n.log.Warn("neither bootstrapped nor joined", "code", int(result.CodeOf(err)), "since", now.Sub(started),
+				"asked", names, "replies", len(replies), "unanswered", unanswered, "error", err)
 		}
 		if action != startWait && ctx.Err() == nil {
 			n.log.Info("bootstrapping or joining cluster", "cluster", id.Cluster, "founds", action == startBootstrap)
@@ -33,21 +46,88 @@
 	return nil
 }
 
-// peerNames returns the names of all other entries, without duplicates.
-func (n *Node) peerNames() []string {
-	seen := map[string]bool{n.cfg.Name: true}
+// unansweredNames returns the names, other than self, from which no reply arrived.
+func unansweredNames(names []string, self string, replies []replicaInfo) []string {
+	missing := uniqueNames(self, names)
+	return slices.DeleteFunc(missing, func(name string) bool {
+		return slices.ContainsFunc(replies, func(reply replicaInfo) bool { return reply.Name == name })
+	})
+}
+
+// uniqueNames concatenates the lists without duplicates and without self.
+func uniqueNames(self string, lists ...[]string) []string {
+	seen := map[string]bool{self: true}
 	var names []string
-	for _, list := range [][]string{n.cfg.Peers, n.cfg.Bootstrap, n.MemberNames()} {
-		for _, name := range list {
-			if !seen[name] {
-				seen[name] = true
-				names = append(names, name)
-			}
+	for _, name := range slices.Concat(lists...) {
+		if !seen[name] {
+			seen[name] = true
+			names = append(names, name)
 		}
 	}
 	return names
 }
 
+// peerNames returns the names of all other entries: those in the settings, the known
+// members, and the members that other replicas reported.
+func (n *Node) peerNames() []string {
+	n.mu.Lock()
+	peers, reported := n.peers, n.reportedMembers
+	n.mu.Unlock()
+	return uniqueNames(n.cfg.Name, peers, n.cfg.Bootstrap, n.MemberNames(), reported)
+}
+
+// ContactNames returns the names of the VMs to which this replica needs links: the other
+// members and, while it has no contact with a leader, every other entry that it knows.
+func (n *Node) ContactNames() []string {
+	if n.InQuorum() {
+		return uniqueNames(n.cfg.Name, n.MemberNames())
+	}
+	return n.peerNames()
+}
+
+// SetPeers replaces the entries of Config.Peers for joining. A cluster is still
+// bootstrapped only with the replies of those in Config.
+func (n *Node) SetPeers(names []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers = slices.Clone(names)
+}
+
+// recordReportedMembers replaces the members that other replicas reported by those in
+// the replies, unless these report none.
+func (n *Node) recordReportedMembers(replies []replicaInfo) {
+	var lists [][]string
+	for _, reply := range replies {
+		lists = append(lists, reply.Members[:min(len(reply.Members), n.cfg.MaxMembers)])
+	}
+	names := uniqueNames(n.cfg.Name, lists...)
+	if len(names) == 0 {
+		return
+	}
+	names = names[:min(len(names), 2*n.cfg.MaxMembers)]
+	n.mu.Lock()
+	changed := !slices.Equal(names, n.reportedMembers)
+	n.reportedMembers = names
+	n.mu.Unlock()
+	if changed {
+		select {
+		case n.contactsChanged <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// ContactsChanged returns a channel that receives a value after ContactNames may have
+// grown.
+func (n *Node) ContactsChanged() <-chan struct{} { return n.contactsChanged }
+
+// IsMember reports whether this replica is a member as far as it knows.
+func (n *Node) IsMember() bool {
+	s := n.currentStatus()
+	_, ok := s.core.Members.Get(s.identity.Replica)
+	return ok
+}
+
 // MemberNames returns the VM names of all members known to this replica,
 // including its own.
 func (n *Node) MemberNames() []string {
@@ -61,10 +141,16 @@
 // localInfo returns the information that this replica sends about itself.
 func (n *Node) localInfo() replicaInfo {
 	s := n.currentStatus()
+	members := n.MemberNames()
+	if len(members) == 0 {
+		n.mu.Lock()
+		members = n.reportedMembers
+		n.mu.Unlock()
+	}
 	return replicaInfo{
 		Name: n.cfg.Name, Replica: s.identity.Replica, Cluster: s.identity.Cluster,
 		Volatile: n.cfg.diskless(), Bootstrap: n.cfg.Bootstrap,
-		InitialMembers: s.identity.InitialMembers, Leader: s.leader,
+		InitialMembers: s.identity.InitialMembers, Leader: s.leader, Members: members,
 	}
 }
 
@@ -89,6 +175,7 @@
 		})
 	}
 	wg.Wait()
+	n.recordReportedMembers(replies)
 	return replies
 }
 
@@ -101,20 +188,34 @@
 	}
 	ticks, known := n.replica.core.TicksSinceContact()
 	if known && ticks < n.cfg.ElectionTicks {
+		n.isolatedSince = time.Time{}
 		return
 	}
+	now := n.clock.Now()
+	if n.isolatedSince.IsZero() {
+		n.isolatedSince, n.lastJoinWarning = now, now
+	}
+	warn := now.Sub(n.lastJoinWarning) >= admissionWarnInterval
+	if warn {
+		n.lastJoinWarning = now
+	}
 	n.joining = true
 	request := n.localInfo()
 	request.Join = true
+	isolated := now.Sub(n.isolatedSince)
 	go func() {
-		n.join(ctx, request)
+		if answers := n.join(ctx, request); warn {
+			n.log.Warn("not admitted by a leader", "since", isolated, "answers", answers)
+		}
 		_ = n.submit(ctx, func(*replica) { n.joining = false })
 	}()
 }
 
 // join sends the request to one entry after the other, and to each leader that
-// they name, until the leader has accepted it.
-func (n *Node) join(ctx context.Context, request replicaInfo) {
+// they name, until the leader has accepted it. It returns what each of them answered.
+func (n *Node) join(ctx context.Context, request replicaInfo) (answers []string) {
+	var replies []replicaInfo
+	defer func() { n.recordReportedMembers(replies) }()
 	tried := map[string]bool{}
 	for queue := n.peerNames(); len(queue) > 0; queue = queue[1:] {
 		name := queue[0]
@@ -123,15 +224,20 @@
 		}
 		tried[name] = true
 		reply, err := n.queryPeer(ctx, name, request)
-		if err == nil && reply.Leader == reply.Name {
-			return
+		if err != nil {
+			answers = append(answers, fmt.Sprintf("%s: %v", name, err))
+			continue
 		}
-		if err == nil && reply.Leader != "" {
+		answers = append(answers, fmt.Sprintf("%s: leader %q", name, reply.Leader))
+		if reply.Leader == reply.Name {
+			return answers
+		}
+		replies = append(replies, reply)
+		if reply.Leader != "" {
 			queue = append(queue, reply.Leader)
-			continue
 		}
-		n.log.Debug("join request failed", "by", name, "error", err)
 	}
+	return answers
 }
 
 func (n *Node) queryPeer(ctx context.Context, name string, request replicaInfo) (replicaInfo, error) {
--- a/process/control/node/node.go
+++ b/process/control/node/node.go
@@ -38,18 +38,28 @@
 	inbox chan func(*replica)
 	// done is closed when Run returns.
 	done chan struct{}
+	// contactsChanged is signaled when reportedMembers changes.
+	contactsChanged chan struct{}
 
 	// mu guards the fields below.
 	mu              sync.Mutex
 	status          status
 	partialMessages map[string]*partialMessage
 	vmNames         map[string]string
+	// peers are the names of the entries in the current settings, reportedMembers those
+	// of the members that other replicas reported while this one was not a member.
+	peers           []string
+	reportedMembers []string
 
 	// The fields below belong to the goroutine of Run.
 	replica               *replica
 	lastTick              time.Time
 	ticksSinceMemberCheck int
 	joining               bool
+	// isolatedSince is when contact with a leader was first missing, zero while there is
+	// contact; lastJoinWarning is when that was last logged.
+	isolatedSince   time.Time
+	lastJoinWarning time.Time
 	// fatalErr makes the goroutine return with this error.
 	fatalErr error
 	// runCtx is the context of Run.
@@ -89,6 +99,8 @@
 		done:            make(chan struct{}),
 		partialMessages: map[string]*partialMessage{},
 		vmNames:         map[string]string{},
+		peers:           cfg.Peers,
+		contactsChanged: make(chan struct{}, 1),
 	}
 	if err := n.openDataDir(); err != nil {
 		return nil, err
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -86,14 +86,14 @@
 }
 
 // controls returns the peer addresses of the cluster's members or, while none are
-// known, of the seeds and this process.
+// known, of this process and the processes that it asks to join.
 func (c *Controller) controls() []string {
 	var names []string
 	if r := c.replica.Load(); r != nil {
 		names = r.node.MemberNames()
 	}
 	if len(names) == 0 {
-		names = append(c.currentSeeds(), c.self)
+		names = append(c.wantedLinks(), c.self)
 	}
 	slices.Sort(names)
 	return slices.Compact(names)
@@ -105,12 +105,15 @@
 	return slices.Clone(c.seeds)
 }
 
-// SetSeeds applies the seeds of changed settings. A replica that has not joined a
-// cluster yet keeps using the seeds that it started with.
+// SetSeeds applies the seeds of changed settings.
 func (c *Controller) SetSeeds(cfg platform.Settings) {
+	seeds := feed.PeerAddresses(&cfg)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.seeds = feed.PeerAddresses(&cfg)
+	c.seeds = seeds
+	c.mu.Unlock()
+	if r := c.replica.Load(); r != nil {
+		r.node.SetPeers(seeds)
+	}
 }
 
 // Run serves, including metrics, until ctx ends, then stops gracefully.
@@ -180,6 +183,7 @@
 		return err
 	}
 	c.replica.Store(&replica{node: n, machine: machine})
+	n.SetPeers(c.currentSeeds())
 	select {
 	case c.replicaOpened <- struct{}{}:
 	default:
@@ -194,10 +198,11 @@
 	defer ticker.Stop()
 	links := c.mesh.NewGroup()
 	defer links.Close()
-	var changed <-chan struct{}
+	var changed, contactsChanged <-chan struct{}
 	for {
 		links.Set(ctx, c.wantedLinks(), c.dialDelayFor)
 		if r := c.replica.Load(); r != nil {
+			contactsChanged = r.node.ContactsChanged()
 			var s desired.State
 			s, changed = r.machine.Current()
 			c.hub.SetDesired(s)
@@ -206,6 +211,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-contactsChanged:
 		case <-c.replicaOpened:
 		case <-ticker.Chan():
 			c.hub.Tick()
@@ -236,14 +242,13 @@
 	}
 }
 
-// wantedLinks returns the control processes to link to: the members and, while
-// there is no link, the seeds.
+// wantedLinks returns the other control processes to link to: the members and, while
+// the replica has no contact with a leader, all that it asks to join.
 func (c *Controller) wantedLinks() []string {
-	wanted := c.controls()
-	if len(c.mesh.Conns()) == 0 {
-		wanted = append(wanted, c.currentSeeds()...)
+	if r := c.replica.Load(); r != nil {
+		return r.node.ContactNames()
 	}
-	return slices.DeleteFunc(wanted, func(address string) bool { return address == c.self })
+	return slices.DeleteFunc(c.currentSeeds(), func(address string) bool { return address == c.self })
 }
 
 // dialDelayFor lets the process whose address sorts first dial, so that two
--- a/process/controller/controller_test.go
+++ b/process/controller/controller_test.go
@@ -60,9 +60,16 @@
 
 // startController runs a control process until the test ends or stop is called.
 func startController(t *testing.T, settings platform.Settings) (stop func()) {
+	t.Helper()
+	_, stop = startControllerProcess(t, settings)
+	return stop
+}
+
+// startControllerProcess is startController for tests that use the process itself.
+func startControllerProcess(t *testing.T, settings platform.Settings) (c *Controller, stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	c := New(settings, testRuntime())
+	c = New(settings, testRuntime())
 	done := make(chan error, 1)
 	go func() { done <- c.run(ctx) }()
 	stopped := false
@@ -76,7 +83,7 @@
 		}
 	}
 	t.Cleanup(stop)
-	return stop
+	return c, stop
 }
 
 func call(t *testing.T, vm int, method, path, body string) (int, string) {
--- a/process/controller/operators.go
+++ b/process/controller/operators.go
@@ -185,14 +185,19 @@
 }
 
 // acceptsHeartbeats reports whether heartbeats that arrive here reach the entries. A
-// control process that is cut off refuses them, so that servers try another one.
+// control process that is cut off refuses them, so that servers try another one. So does
+// one that is not a member, since most entries don't follow it.
 func (c *Controller) acceptsHeartbeats() bool {
 	entries := int64(c.hub.EntryCount())
 	r := c.replica.Load()
-	if r != nil && r.node.InQuorum() {
+	switch {
+	case r != nil && r.node.InQuorum():
 		return true
+	case r != nil && !r.node.IsMember():
+		return false
+	default:
+		return entries > 0 && entries >= c.maxEntries.Load()
 	}
-	return entries > 0 && entries >= c.maxEntries.Load()
 }
 
 func (c *Controller) heartbeat(w http.ResponseWriter, r *http.Request) {
