sidecar: staged pieces are read back within two seconds before a load

Cause: installVersion verified the staged pieces, waited up to 9 s for its turn and for the engine, and ordered the load without looking again.

Change: the age of the oldest read-back, on the clock that counts suspensions, decides right before the order; above 2 s the pieces are read back again. The age when the response comes shows whether the order may have been accepted late; such a load is not reported, is verified afterwards, and is dropped and loaded anew if a piece was corrupt.

--- a/process/sidecar/install.go
+++ b/process/sidecar/install.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"net"
 	"net/http"
 	"slices"
 	"time"
 
-	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -40,16 +38,14 @@
 	if err := u.fetcher.Fetch(fetchCtx, currentSpec); err != nil {
 		return err
 	}
-	if err := u.stagePieces(ctx, key); err != nil {
+	readBack, err := u.stagePieces(ctx, key)
+	if err != nil {
 		return err
 	}
 	if err := u.waitLoadTime(fetchCtx, key); err != nil {
 		return err
 	}
-	if err := u.waitEngineIdle(ctx, key); err != nil {
-		return err
-	}
-	return u.orderLoad(ctx, key)
+	return u.loadStaged(ctx, key, readBack)
 }
 
 // waitLoadTime waits until the time at which this engine is to load.
@@ -172,57 +168,6 @@
 	}
 }
 
-// stagePieces stages every piece at the engine and reads it back to verify it: a
-// staged piece may have become corrupt.
-func (u *updater) stagePieces(ctx context.Context, key pieces.Key) error {
-	m, ok := u.sidecar.store.Manifest(key)
-	if !ok {
-		return result.New(result.ChunkMissing, "version %d was replaced", key.Version)
-	}
-	started := u.sidecar.Clock.Now()
-	put := 0
-	for piece, digest := range m.Digests {
-		staged, err := u.callEngine(ctx, http.MethodGet, platform.StageGetPath(key.Model, piece), nil)
-		if err == nil && sha256.Sum256(staged) == digest {
-			continue
-		}
-		data := u.sidecar.store.Piece(key, piece)
-		if data == nil {
-			return result.New(result.ChunkMissing, "version %d was replaced", key.Version)
-		}
-		if _, err := u.callEngine(ctx, http.MethodPut, platform.StagePutPath(key.Model, piece), data); err != nil {
-			return err
-		}
-		put++
-	}
-	if put > 0 {
-		// The pieces that were put are read back as well before the engine loads them.
-		u.sidecar.Log.Info("pieces staged", "model", key.Model, "version", key.Version, "put", put, "took", u.sidecar.Clock.Since(started))
-		return u.stagePieces(ctx, key)
-	}
-	return nil
-}
-
-// orderLoad orders the engine to load the staged version.
-func (u *updater) orderLoad(ctx context.Context, key pieces.Key) error {
-	body, err := platform.EncodeLoadOrder(key.Model, key.Version)
-	if err != nil {
-		return err
-	}
-	u.reportEngine(wire.EngineState{Loading: true})
-	_, err = u.callEngine(ctx, http.MethodPost, platform.PathOrder, body)
-	if result.CodeOf(err) == result.EngineRefused {
-		// After any other error the engine may have taken the order.
-		u.reportEngine(wire.EngineState{})
-	}
-	if result.CodeOf(err) != result.EngineRefused {
-		go u.watchLoad(ctx, key)
-	}
-	u.orderedKey = key
-	u.sidecar.Log.Info("load ordered", "model", key.Model, "version", key.Version, "error", err)
-	return err
-}
-
 // watchLoad reports to the control processes when the engine has loaded a version. The
 // next transfer may have begun by then and takes seconds.
 func (u *updater) watchLoad(ctx context.Context, key pieces.Key) {
--- a/process/sidecar/updater.go
+++ b/process/sidecar/updater.go
@@ -51,6 +51,8 @@
 	// agents; orderedKey is the one that the engine was last ordered to load.
 	sharedKey  pieces.Key
 	orderedKey pieces.Key
+	// uncertain is the last load that was not accepted for certain in time, or nil.
+	uncertain *uncertainLoad
 	// announceChecked is set once this agent has checked whether the control processes
 	// know the engine.
 	announceChecked bool
@@ -189,6 +191,11 @@
 			u.recordStep(newest, report, "engine does not answer")
 			return true
 		}
+		if !u.resolveUncertainLoad(ctx, model, engine.Layers, report) {
+			u.recordStep(newest, report, "load is uncertain")
+			settled = false
+			continue
+		}
 		u.recordHeld(model, report)
 		u.announceEngine(ctx, view, report)
 		if holdsVersion(report, newest) {
