pieces: a corrupt manifest no longer stops a version

Cause: only the form of a manifest was checked, and the first one of a version was kept for good, so each piece with a changed digest was rejected from every source. Agents pass the manifest on.

Change: a piece that doesn't match makes the agent fetch the manifest again from the piece's source. Its digests become alternatives, and data that has one of them settles the digest. The number and size of pieces must be those of the configuration.

--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -93,8 +93,9 @@
 	// OriginTime is the time in which the version leaves the origin; 0 if not
 	// known.
 	OriginTime time.Duration
-	// Pieces is the number of pieces; 0 if not known.
+	// Pieces is the number of pieces and PieceBytes the size of each; 0 if not known.
 	Pieces     int
+	PieceBytes int
 	HomeRegion string
 	Nodes      []planner.Node
 	Peers      map[string]string
@@ -218,7 +219,8 @@
 		}
 		var m platform.Manifest
 		if m, err = f.fetchManifestFrom(ctx, spec, source); err == nil {
-			return f.beginVersion(spec, m)
+			f.Store.AddVersion(m)
+			return nil
 		}
 		switch {
 		case source.From == Origin || ctx.Err() != nil:
@@ -241,31 +243,44 @@
 	return f.manifestSince
 }
 
-func (f *Fetcher) fetchManifestFrom(ctx context.Context, spec *FetchSpec, source Source) (platform.Manifest, error) {
+// fetchManifestFrom fetches and validates a manifest.
+func (f *Fetcher) fetchManifestFrom(ctx context.Context, spec *FetchSpec, source Source) (m platform.Manifest, err error) {
 	if source.From == Origin {
-		data, _, _, err := f.get(ctx, spec.Origin, originManifestTimeout, maxManifestBytes, platform.ManifestPath(spec.Key.Model, spec.Key.Version))
-		if err != nil {
-			return platform.Manifest{}, err
+		var data []byte
+		data, _, _, err = f.get(ctx, spec.Origin, originManifestTimeout, maxManifestBytes, platform.ManifestPath(spec.Key.Model, spec.Key.Version))
+		if err == nil {
+			m, err = platform.DecodeManifest(bytes.NewReader(data))
+		}
+	} else {
+		target, limit := requestPath(spec.Key, manifestName), manifestTimeout
+		if source.Wait {
+			target, limit = target+"?"+waitQuery, pieceWait+manifestTimeout
+		}
+		var data []byte
+		data, _, _, err = f.get(ctx, spec.Peers[source.From], limit, maxManifestBytes, target)
+		if err == nil {
+			m, err = decodeManifest(data)
 		}
-		return platform.DecodeManifest(bytes.NewReader(data))
-	}
-	target, limit := requestPath(spec.Key, manifestName), manifestTimeout
-	if source.Wait {
-		target, limit = target+"?"+waitQuery, pieceWait+manifestTimeout
 	}
-	data, _, _, err := f.get(ctx, spec.Peers[source.From], limit, maxManifestBytes, target)
 	if err != nil {
-		return platform.Manifest{}, err
+		return m, err
 	}
-	return decodeManifest(data)
+	return m, spec.validateManifest(m)
 }
 
-func (f *Fetcher) beginVersion(spec *FetchSpec, m platform.Manifest) error {
-	if m.Model != spec.Key.Model || m.Version != spec.Key.Version {
-		return result.New(result.ManifestInvalid, "manifest is for %s version %d", m.Model, m.Version)
+// validateManifest returns an error if a manifest is not for this fetch, or contradicts
+// what is known about the pieces. Digests can only be verified by the pieces.
+func (s *FetchSpec) validateManifest(m platform.Manifest) error {
+	switch {
+	case m.Model != s.Key.Model || m.Version != s.Key.Version:
+		return result.New(result.ManifestInvalid, "manifest of %s version %d is for %.80q version %d", s.Key.Model, s.Key.Version, m.Model, m.Version)
+	case len(m.Digests) == 0 || s.Pieces > 0 && len(m.Digests) != s.Pieces:
+		return result.New(result.ManifestInvalid, "manifest of %s version %d lists %d pieces, want %d", s.Key.Model, s.Key.Version, len(m.Digests), s.Pieces)
+	case s.PieceBytes > 0 && m.PieceBytes > 0 && m.PieceBytes != s.PieceBytes:
+		return result.New(result.ManifestInvalid, "manifest of %s version %d has pieces of %d bytes, want %d", s.Key.Model, s.Key.Version, m.PieceBytes, s.PieceBytes)
+	default:
+		return nil
 	}
-	f.Store.AddVersion(m)
-	return nil
 }
 
 // requestPiece sends a request. It reports whether a piece was received, and the
@@ -287,6 +302,9 @@
 	if err == nil {
 		err = f.storePiece(spec.Key, r, header, data)
 	}
+	if result.CodeOf(err) == result.ChunkCorrupt && f.fetchAlternativeManifest(ctx, spec, r.From) {
+		err = f.storePiece(spec.Key, r, header, data)
+	}
 	if errors.Is(err, errNotAvailable) {
 		return false, 0
 	}
@@ -307,6 +325,20 @@
 	return true, transferTime
 }
 
+// fetchAlternativeManifest adds the digests of the manifest that the source of a piece
+// sends now: not the piece but the first manifest may be corrupt. It reports whether that
+// succeeded.
+func (f *Fetcher) fetchAlternativeManifest(ctx context.Context, spec *FetchSpec, from string) bool {
+	m, err := f.fetchManifestFrom(ctx, spec, Source{From: from})
+	if err != nil {
+		f.Log.Info("failed to fetch manifest again", "model", spec.Key.Model, "version", spec.Key.Version, "from", sourceName(from),
+			"code", int(result.CodeOf(err)), "error", err)
+		return false
+	}
+	f.Store.AddVersion(m)
+	return true
+}
+
 // recordResult records whether a request to a source failed and reports whether
 // that changed, so that a failing source is logged once until it works again.
 func (f *Fetcher) recordResult(from string, err error) bool {
--- a/version/pieces/fetch_test.go
+++ b/version/pieces/fetch_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -35,6 +36,8 @@
 	// endlessFirst makes the first answer for the first piece, and the first
 	// manifest, go on until the connection is closed.
 	endlessFirst atomic.Bool
+	// alterManifest, if not nil, changes the nth manifest, counted from 1.
+	alterManifest func(n int64, manifest string) string
 	// excess counts the bytes of these answers.
 	excess   atomic.Int64
 	requests [testPieces]atomic.Int64
@@ -62,7 +65,8 @@
 			return
 		}
 		if strings.Contains(r.URL.Path, "manifest") {
-			if o.manifests.Add(1) == 1 && o.endlessFirst.Load() {
+			n := o.manifests.Add(1)
+			if n == 1 && o.endlessFirst.Load() {
 				o.sendEndlessly(w)
 				return
 			}
@@ -71,7 +75,11 @@
 				sum := sha256.Sum256(content(i))
 				digests = append(digests, `"`+hex.EncodeToString(sum[:])+`"`)
 			}
-			_, _ = fmt.Fprintf(w, `{"model":"m","version":2,"chunkBytes":%d,"digests":[%s]}`, testPieceBytes, strings.Join(digests, ","))
+			manifest := fmt.Sprintf(`{"model":"m","version":2,"chunkBytes":%d,"digests":[%s]}`, testPieceBytes, strings.Join(digests, ","))
+			if o.alterManifest != nil {
+				manifest = o.alterManifest(n, manifest)
+			}
+			_, _ = io.WriteString(w, manifest)
 			return
 		}
 		var piece int
@@ -120,7 +128,7 @@
 func (f *testFleet) spec() *FetchSpec {
 	return &FetchSpec{
 		Key: Key{"m", 2}, Origin: f.origin.Listener.Addr().String(), HomeRegion: "a",
-		Nodes: f.nodes, Peers: f.peers, Holders: f.holders,
+		Nodes: f.nodes, Peers: f.peers, Holders: f.holders, Pieces: testPieces, PieceBytes: testPieceBytes,
 	}
 }
 
--- a/version/pieces/store.go
+++ b/version/pieces/store.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"slices"
 	"sync"
 
 	"golang.org/x/time/rate"
@@ -30,8 +31,13 @@
 
 // versionPieces holds the pieces of one version that have arrived so far.
 type versionPieces struct {
+	// manifest has the digests of the first manifest that arrived and, for each piece
+	// held, the digest of its data.
 	manifest platform.Manifest
-	pieces   [][]byte
+	// alternatives holds the other digests of pieces in later manifests. Only the data of
+	// a piece shows which manifest was sent correctly.
+	alternatives map[int][][sha256.Size]byte
+	pieces       [][]byte
 	// sendCounts counts how often each piece was sent to other agents.
 	sendCounts []int
 }
@@ -77,13 +83,17 @@
 // keptVersions is the number of versions of a model that are held.
 const keptVersions = 2
 
-// AddVersion adds an empty version. Versions of the model that are older than the
-// newest two are dropped.
+// maxAlternatives bounds the alternative digests of a piece; the oldest is dropped.
+const maxAlternatives = 4
+
+// AddVersion adds an empty version, or alternative digests to one that is known. Versions
+// of the model that are older than the newest two are dropped.
 func (s *Store) AddVersion(m platform.Manifest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := Key{Model: m.Model, Version: m.Version}
-	if s.versions[k] != nil {
+	if found := s.versions[k]; found != nil {
+		found.addAlternatives(m.Digests)
 		return
 	}
 	s.versions[k] = &versionPieces{manifest: m, pieces: make([][]byte, len(m.Digests)), sendCounts: make([]int, len(m.Digests))}
@@ -95,6 +105,44 @@
 	s.notifyLocked()
 }
 
+// addAlternatives adds the digests of another manifest for the pieces that are not held.
+func (v *versionPieces) addAlternatives(digests [][sha256.Size]byte) {
+	if len(digests) != len(v.pieces) {
+		return
+	}
+	for i, digest := range digests {
+		known := v.alternatives[i]
+		if v.pieces[i] != nil || digest == v.manifest.Digests[i] || slices.Contains(known, digest) {
+			continue
+		}
+		if v.alternatives == nil {
+			v.alternatives = map[int][][sha256.Size]byte{}
+		}
+		v.alternatives[i] = append(known[max(0, len(known)+1-maxAlternatives):], digest)
+	}
+}
+
+// put stores a piece if its data has one of the digests of the piece, and reports whether
+// it has.
+func (v *versionPieces) put(piece int, data []byte, digest [sha256.Size]byte) bool {
+	if piece < 0 || piece >= len(v.pieces) {
+		return false
+	}
+	if digest != v.manifest.Digests[piece] {
+		if !slices.Contains(v.alternatives[piece], digest) {
+			return false
+		}
+		// Callers of Store.Manifest may still read the old slice.
+		v.manifest.Digests = slices.Clone(v.manifest.Digests)
+		v.manifest.Digests[piece] = digest
+	}
+	delete(v.alternatives, piece)
+	if v.pieces[piece] == nil {
+		v.pieces[piece] = data
+	}
+	return true
+}
+
 // newerVersionsLocked counts the versions of the model that are newer than k.
 // The caller must hold mu.
 func (s *Store) newerVersionsLocked(k Key) int {
@@ -121,23 +169,17 @@
 	return platform.Manifest{}, false
 }
 
-// Put verifies a piece and stores it. It reports whether the version is known
-// and the data matches the digest of the piece.
+// Put verifies a piece and stores it. It reports whether the version is known and the
+// data matches a digest of the piece.
 func (s *Store) Put(k Key, piece int, data []byte) bool {
-	m, ok := s.Manifest(k)
-	if !ok || piece < 0 || piece >= len(m.Digests) || sha256.Sum256(data) != m.Digests[piece] {
-		return false
-	}
+	digest := sha256.Sum256(data)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found := s.versions[k]
-	if found == nil {
+	if found == nil || !found.put(piece, data, digest) {
 		return false
 	}
-	if found.pieces[piece] == nil {
-		found.pieces[piece] = data
-		s.notifyLocked()
-	}
+	s.notifyLocked()
 	return true
 }
 
