node: silent voters are removed while enough others remain, not respond

Cause: at most seven replicas vote, and a silent voter was removed only while 2 x tolerance + 1 others responded. With three of seven gone neither a removal nor a promotion was possible.

Change: a silent voter is removed while 2 x tolerance + 1 others remain and a majority of them responds, after 2 s instead of 5 s; the bound of the voters follows the tolerance; a new leader promotes a learner only after its first reply.

--- a/process/control/node/config.go
+++ b/process/control/node/config.go
@@ -47,7 +47,7 @@
 	// FaultTolerance, if above 0, is the number of VMs that may lose their disks at
 	// the same time. A change is then acknowledged once it is on FaultTolerance+1
 	// disks, every replica with a disk becomes a voter, and an unresponsive
-	// voter is removed while at least 2*FaultTolerance+1 other voters respond.
+	// voter is removed while at least 2*FaultTolerance+1 other voters remain.
 	FaultTolerance int
 	// VoterRemovalTimeout is how long a voter may be unresponsive before that
 	// removal.
@@ -94,7 +94,7 @@
 	defaultCallTimeout            = 2 * time.Second
 	defaultVolatileRemovalTimeout = 30 * time.Second
 	defaultReplicaRemovalTimeout  = 10 * time.Minute
-	defaultVoterRemovalTimeout    = 5 * time.Second
+	defaultVoterRemovalTimeout    = 2 * time.Second
 	defaultMaxMembers             = 64
 	defaultMaxBatch               = 1024
 	defaultSegmentBytes           = 8 << 20
--- a/process/control/node/members.go
+++ b/process/control/node/members.go
@@ -8,14 +8,26 @@
 )
 
 const (
-	// maxVoters bounds the voters, since every change is sent to each of them.
+	// maxVoters bounds the voters, since every change is sent to each of them. A higher
+	// fault tolerance raises the bound.
 	maxVoters = 7
 	// maxPromotionLag is the number of committed entries by which a learner may
 	// lag when it is promoted.
 	maxPromotionLag = 64
 )
 
-// membershipPolicy holds the inputs for the leader's membership decisions.
+// membershipPolicy decides the membership changes that the leader proposes.
+//
+// With a fault tolerance f, its invariant is: of the voters whose disks are not lost for
+// good, a quorum remains after f more disks are lost, those that are currently lost
+// included. Then a leader can be elected once the others are back, and it has every
+// acknowledged record, as more than f voters hold each one.
+//
+// A silent voter may be gone for good or may come back with its disk, and the leader can't
+// tell. With n voters of which g are gone, the invariant is n-g-f >= n/2+1. Promoting a
+// responsive learner and removing a voter that is gone never break it. Removing a voter that
+// would have come back does not either, as long as 2f+1 voters remain and none of them is
+// gone; if one is, it is silent as well and is removed next.
 type membershipPolicy struct {
 	self      string
 	members   raft.Members
@@ -78,13 +90,11 @@
 
 // promote makes a caught-up learner a voter if its VM should have one.
 func (p *membershipPolicy) promote() (raft.Members, bool) {
-	if len(p.members.Voters()) >= maxVoters {
+	if len(p.members.Voters()) >= p.voterLimit() {
 		return nil, false
 	}
-	names := p.voterNames()
 	for _, m := range p.members {
-		eligible := m.Successor || slices.Contains(p.desiredVoters, m.Name)
-		if m.Voter || !eligible || !p.readyToVote(m) || slices.Contains(names, m.Name) {
+		if !p.promotable(m) {
 			continue
 		}
 		m.Voter, m.Successor = true, false
@@ -95,6 +105,18 @@
 	return nil, false
 }
 
+// voterLimit leaves room for two more voters than the fault tolerance requires.
+func (p *membershipPolicy) voterLimit() int { return max(maxVoters, p.requiredVoters()+2) }
+
+// requiredVoters is the number of voters of which faultTolerance may be lost.
+func (p *membershipPolicy) requiredVoters() int { return 2*p.faultTolerance + 1 }
+
+// promotable reports whether a learner should become a voter and is ready for it.
+func (p *membershipPolicy) promotable(m raft.Member) bool {
+	eligible := m.Successor || slices.Contains(p.desiredVoters, m.Name)
+	return !m.Voter && eligible && p.readyToVote(m) && !slices.Contains(p.voterNames(), m.Name)
+}
+
 // demote makes a voter a learner if its VM is not among desiredVoters, once
 // enough of those vote. The leader demotes itself last.
 func (p *membershipPolicy) demote() (raft.Members, bool) {
@@ -127,28 +149,24 @@
 	return nil, false
 }
 
-// removeSilentVoter removes a voter that was unresponsive for voterRemovalTicks,
-// on the assumption that its VM was replaced. At least 2*faultTolerance+1 other
-// voters must respond. A voter that returns rejoins as a learner.
+// removeSilentVoter removes the voter that was unresponsive for longest, if for more than
+// voterRemovalTicks, on the assumption that its VM was replaced. A voter that returns
+// rejoins as a learner.
 func (p *membershipPolicy) removeSilentVoter() (raft.Members, bool) {
-	if p.faultTolerance <= 0 {
+	if p.faultTolerance <= 0 || len(p.members.Voters())-1 < p.requiredVoters() {
 		return nil, false
 	}
-	responsive := 0
-	var silent *raft.Member
+	var longest raft.Member
 	for _, m := range p.members {
-		switch {
-		case !m.Voter:
-		case m.ID == p.self || p.active(m.ID):
-			responsive++
-		case p.peers[m.ID].SilentTicks > p.voterRemovalTicks:
-			silent = &m
+		if m.Voter && m.ID != p.self && p.peers[m.ID].SilentTicks > max(p.voterRemovalTicks, p.peers[longest.ID].SilentTicks) {
+			longest = m
 		}
 	}
-	if silent == nil || responsive < 2*p.faultTolerance+1 {
+	if longest.ID == "" {
 		return nil, false
 	}
-	return p.members.Without(silent.ID), true
+	next := p.members.Without(longest.ID)
+	return next, p.quorumResponds(next)
 }
 
 func (p *membershipPolicy) demoteMember(m raft.Member) (raft.Members, bool) {
@@ -175,9 +193,11 @@
 func (p *membershipPolicy) active(id string) bool { return p.peers[id].Active }
 
 // readyToVote reports whether a learner may become a voter: it has a disk, it is
-// responsive and it lags by at most maxPromotionLag entries.
+// responsive and it lags by at most maxPromotionLag entries. A new leader counts every
+// member as responsive at first, but knows no match before its first reply.
 func (p *membershipPolicy) readyToVote(m raft.Member) bool {
-	return !m.Volatile && p.active(m.ID) && p.peers[m.ID].Match+maxPromotionLag >= p.committed
+	match := p.peers[m.ID].Match
+	return !m.Volatile && p.active(m.ID) && match > 0 && match+maxPromotionLag >= p.committed
 }
 
 // quorumResponds reports whether a majority of the voters is responsive.
@@ -241,13 +261,10 @@
 	return next.With(m), nil
 }
 
-// proposeMemberChange proposes the next membership change, if one is needed.
-func (r *replica) proposeMemberChange() {
-	if r.core.Role() != raft.Leader || r.core.ChangePending() {
-		return
-	}
+// membershipPolicy returns the policy with the leader's current inputs.
+func (r *replica) membershipPolicy() *membershipPolicy {
 	s := r.core.Status()
-	p := membershipPolicy{
+	return &membershipPolicy{
 		self: s.ID, members: s.Members, peers: peersByID(s.Peers), committed: s.Committed,
 		desiredVoters:        r.sm.Voters(),
 		volatileRemovalTicks: r.cfg.ticksFor(r.cfg.VolatileRemovalTimeout),
@@ -255,11 +272,19 @@
 		faultTolerance:       r.cfg.FaultTolerance,
 		voterRemovalTicks:    r.cfg.ticksFor(r.cfg.VoterRemovalTimeout),
 	}
+}
+
+// proposeMemberChange proposes the next membership change, if one is needed.
+func (r *replica) proposeMemberChange() {
+	if r.core.Role() != raft.Leader || r.core.ChangePending() {
+		return
+	}
+	p := r.membershipPolicy()
 	next, ok := p.nextChange()
 	if !ok {
 		return
 	}
-	r.log.Info("membership change proposed", "from", s.Members.String(), "to", next.String())
+	r.log.Info("membership change proposed", "from", p.members.String(), "to", next.String())
 	if err := r.core.ProposeMembers(next); err != nil {
 		r.log.Warn("membership change rejected", "error", err)
 	}
