node: a replica that stops as planned releases its vote

Cause: SIGTERM transferred the leadership only; the vote of the stopped replica counted until the leader had found it silent.

The leader refuses if fewer than 2 x tolerance + 1 voters would remain, and promotes a ready learner first. The control process keeps its links until its replica has stopped. The replica asks for its vote when it runs again.

The search of the policy has planned stops, and fails without the release, with a release below 2 x tolerance + 1 and without the promotion before it.

--- a/process/control/node/bootstrap.go
+++ b/process/control/node/bootstrap.go
@@ -21,7 +21,8 @@
 )
 
 // replicaInfo is what a replica sends to others about itself (KindBootstrap).
-// Join asks the leader to add the sender as a learner.
+// Join asks the leader to add the sender as a learner, Release to take its vote because it
+// is about to stop.
 type replicaInfo struct {
 	Name           string       `cbor:"1,keyasint"`
 	Replica        string       `cbor:"2,keyasint"`
@@ -35,6 +36,7 @@
 	// Members are the names of the members' VMs as far as the sender knows them, so
 	// that a replica that is not a member can link to the leader.
 	Members []string `cbor:"9,keyasint,omitempty"`
+	Release bool     `cbor:"10,keyasint,omitempty"`
 }
 
 // startAction is what a replica without a cluster does next.
--- a/process/control/node/cluster_test.go
+++ b/process/control/node/cluster_test.go
@@ -137,7 +137,8 @@
 type runningNode struct {
 	node *Node
 	sm   *testMachine
-	stop func()
+	// stop ends the node as if its VM were cut off, shutDown as planned.
+	stop, shutDown func()
 }
 
 func (net *testNetwork) startNode(t *testing.T, cfg Config) *runningNode {
@@ -166,7 +167,9 @@
 		<-stopped
 	})
 	t.Cleanup(stop)
-	return &runningNode{node: n, sm: sm, stop: stop}
+	// Others reach the node until a planned stop is complete.
+	shutDown := func() { cancel(); <-stopped; stop() }
+	return &runningNode{node: n, sm: sm, stop: stop, shutDown: shutDown}
 }
 
 func testLogOutput() io.Writer {
--- a/process/control/node/join.go
+++ b/process/control/node/join.go
@@ -180,15 +180,18 @@
 }
 
 // requestJoinIfIsolated asks the leader to add this replica if it has not heard
-// from a leader for an election timeout. Voters do so too, because they may
-// have been removed while they were down.
+// from a leader for an election timeout, or if it released its vote before it was
+// restarted. Voters do so too, because they may have been removed while they were down.
 func (n *Node) requestJoinIfIsolated(ctx context.Context) {
 	if n.joining {
 		return
 	}
 	ticks, known := n.replica.core.TicksSinceContact()
-	if known && ticks < n.cfg.ElectionTicks {
+	connected := known && ticks < n.cfg.ElectionTicks
+	if connected {
 		n.isolatedSince = time.Time{}
+	}
+	if self, _ := n.replica.core.Members().Get(n.replica.id.Replica); connected && !self.Released {
 		return
 	}
 	now := n.clock.Now()
@@ -248,11 +251,12 @@
 	return reply, err
 }
 
-// handleBootstrap replies to another entry's KindBootstrap request. If the
-// sender asks to join and this replica leads, it adds the sender as a learner.
+// handleBootstrap replies to another entry's KindBootstrap request. If this replica
+// leads, it adds a sender that asks to join as a learner, and takes the vote of one that
+// releases it.
 func (n *Node) handleBootstrap(ctx context.Context, sender replicaInfo) (replicaInfo, error) {
 	self := n.localInfo()
-	if !sender.Join {
+	if !sender.Join && !sender.Release {
 		return self, nil
 	}
 	if sender.Cluster != self.Cluster {
@@ -261,13 +265,21 @@
 	if !n.IsLeader() {
 		return self, nil
 	}
-	added := make(chan error, 1)
-	err := n.submit(ctx, func(r *replica) { added <- r.admitLearner(sender) })
+	finished := make(chan error, 2)
+	err := n.submit(ctx, func(r *replica) {
+		if sender.Join {
+			finished <- r.admitLearner(sender)
+			return
+		}
+		if err := r.releaseVote(sender, func() { finished <- nil }); err != nil {
+			finished <- err
+		}
+	})
 	if err != nil {
 		return self, err
 	}
 	select {
-	case err := <-added:
+	case err := <-finished:
 		return self, err
 	case <-n.done:
 		return self, result.New(result.NoQuorum, "the replica stopped")
--- a/process/control/node/members.go
+++ b/process/control/node/members.go
@@ -114,7 +114,7 @@
 // promotable reports whether a learner should become a voter and is ready for it.
 func (p *membershipPolicy) promotable(m raft.Member) bool {
 	eligible := m.Successor || slices.Contains(p.desiredVoters, m.Name)
-	return !m.Voter && eligible && p.readyToVote(m) && !slices.Contains(p.voterNames(), m.Name)
+	return !m.Voter && !m.Released && eligible && p.readyToVote(m) && !slices.Contains(p.voterNames(), m.Name)
 }
 
 // demote makes a voter a learner if its VM is not among desiredVoters, once
@@ -216,7 +216,7 @@
 func (p *membershipPolicy) currentAndPendingVoters() []string {
 	names := p.voterNames()
 	for _, m := range p.members {
-		pending := m.Successor || p.faultTolerance > 0 && !m.Volatile
+		pending := m.Successor || p.faultTolerance > 0 && !m.Volatile && !m.Released
 		if pending && !slices.Contains(names, m.Name) {
 			names = append(names, m.Name)
 		}
@@ -234,6 +234,26 @@
 	return names
 }
 
+// releaseVote returns the membership in which a member that is about to stop as planned is a
+// learner that has released its vote. If too few voters would remain, it returns the one in
+// which a learner becomes a voter first, or false if there is none. It also returns false if
+// nothing is to change.
+func (p *membershipPolicy) releaseVote(id string) (raft.Members, bool) {
+	m, ok := p.members.Get(id)
+	if !ok || m.Released || id == p.self || p.faultTolerance <= 0 {
+		return nil, false
+	}
+	if m.Voter && len(p.members.Voters())-1 < p.requiredVoters() {
+		if len(p.desiredVoters) == 0 {
+			p.desiredVoters = p.currentAndPendingVoters()
+		}
+		return p.promote()
+	}
+	m.Voter, m.Released = false, true
+	next := p.members.With(m)
+	return next, p.quorumResponds(next)
+}
+
 // addLearner returns the membership with a learner added. It fails while
 // another replica of the same VM is active, since only one replica may use a
 // name at a time.
@@ -290,16 +310,22 @@
 	}
 }
 
-// admitLearner proposes a membership with the sender as a learner.
+// admitLearner proposes a membership with the sender as a learner, or as one that runs
+// again if it had released its vote.
 func (r *replica) admitLearner(sender replicaInfo) error {
 	m := raft.Member{ID: sender.Replica, Name: sender.Name, Volatile: sender.Volatile}
 	members := r.core.Members()
-	if _, known := members.Get(m.ID); known {
+	old, known := members.Get(m.ID)
+	if known && !old.Released {
 		return nil
 	}
 	if r.core.Role() != raft.Leader || r.core.ChangePending() {
 		return result.New(result.NoQuorum, "not the leader, or another membership change is pending")
 	}
+	if known {
+		old.Released = false
+		return r.core.ProposeMembers(members.With(old))
+	}
 	next, err := addLearner(members, peersByID(r.core.Peers()), m, r.cfg.MaxMembers)
 	if err != nil {
 		return err
@@ -308,6 +334,29 @@
 	return r.core.ProposeMembers(next)
 }
 
+// releaseVote proposes the membership in which the sender, which is about to stop, has no
+// vote, unless too few voters would remain. It calls done once that is committed or if
+// there is nothing to change.
+func (r *replica) releaseVote(sender replicaInfo, done func()) error {
+	if r.core.Role() != raft.Leader || r.core.ChangePending() {
+		return result.New(result.NoQuorum, "not the leader, or another membership change is pending")
+	}
+	next, ok := r.membershipPolicy().releaseVote(sender.Replica)
+	if !ok {
+		done()
+		return nil
+	}
+	r.log.Info("membership change proposed for a planned stop", "replica", sender.Replica, "name", sender.Name, "to", next.String())
+	if err := r.core.ProposeMembers(next); err != nil {
+		return err
+	}
+	if m, _ := next.Get(sender.Replica); !m.Released {
+		return result.New(result.NoQuorum, "another replica becomes a voter before %s releases its vote", sender.Name)
+	}
+	r.whenApplied(r.core.Status().Last, done)
+	return nil
+}
+
 func peersByID(peers []raft.PeerStatus) map[string]raft.PeerStatus {
 	byID := make(map[string]raft.PeerStatus, len(peers))
 	for _, p := range peers {
--- a/process/control/node/node.go
+++ b/process/control/node/node.go
@@ -196,7 +196,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return n.transferLeadership(ctx)
+			return n.stop(ctx, ticker.Chan())
 		case work := <-n.inbox:
 			work(r)
 			n.processQueued()
@@ -249,15 +249,10 @@
 	return nil
 }
 
-// tick advances the core by the ticks elapsed since the last call. After a
-// process was frozen, the first call makes an expired leader step down.
+// tick advances the core and regularly checks the membership. After a process was
+// frozen, the first call makes an expired leader step down.
 func (n *Node) tick(ctx context.Context) {
-	now := n.clock.Now()
-	count := int(now.Sub(n.lastTick) / n.cfg.Tick)
-	n.lastTick = n.lastTick.Add(time.Duration(count) * n.cfg.Tick)
-	for range min(count, 2*n.cfg.ElectionTicks) {
-		n.replica.core.Tick()
-	}
+	n.advanceClock()
 	n.ticksSinceMemberCheck++
 	if n.ticksSinceMemberCheck >= n.cfg.ElectionTicks/2 {
 		n.ticksSinceMemberCheck = 0
@@ -266,10 +261,14 @@
 	}
 }
 
-// transferLeadership asks another voter to take over before a planned stop.
-func (n *Node) transferLeadership(ctx context.Context) error {
-	n.replica.core.TransferLeadership()
-	return n.flush(context.WithoutCancel(ctx))
+// advanceClock advances the core by the ticks elapsed since the last call.
+func (n *Node) advanceClock() {
+	now := n.clock.Now()
+	count := int(now.Sub(n.lastTick) / n.cfg.Tick)
+	n.lastTick = n.lastTick.Add(time.Duration(count) * n.cfg.Tick)
+	for range min(count, 2*n.cfg.ElectionTicks) {
+		n.replica.core.Tick()
+	}
 }
 
 // publishStatus makes the replica's status visible to other goroutines.
--- a/process/control/node/policy_search_test.go
+++ b/process/control/node/policy_search_test.go
@@ -25,11 +25,12 @@
 	id, name  int
 	vm        vmState
 	voter     bool
+	released  bool
 	successor bool
 }
 
 // kind is equal for replicas between which the policy does not distinguish.
-func (r searchReplica) kind() string { return fmt.Sprint(r.vm, r.voter, r.successor) }
+func (r searchReplica) kind() string { return fmt.Sprint(r.vm, r.voter, r.released, r.successor) }
 
 // searchState is a membership and what happened to its VMs.
 type searchState struct {
@@ -136,7 +137,7 @@
 	for i, r := range s.replicas {
 		id := fmt.Sprintf("%03d", r.id)
 		policy.members = policy.members.With(raft.Member{
-			ID: id, Name: fmt.Sprint("vm-", r.name), Voter: r.voter, Successor: r.successor,
+			ID: id, Name: fmt.Sprint("vm-", r.name), Voter: r.voter, Released: r.released, Successor: r.successor,
 		})
 		status := raft.PeerStatus{ID: id, Match: 1000, Active: true}
 		if r.vm != up {
@@ -154,7 +155,7 @@
 	var kept []searchReplica
 	for _, r := range s.replicas {
 		if m, ok := members.Get(fmt.Sprintf("%03d", r.id)); ok {
-			r.voter, r.successor = m.Voter, m.Successor
+			r.voter, r.released, r.successor = m.Voter, m.Released, m.Successor
 			// A learner that is gone has no effect until its removal.
 			if m.Voter || r.vm != gone {
 				kept = append(kept, r)
@@ -238,6 +239,32 @@
 	s.replicas = append(s.replicas, r)
 }
 
+// release lets a replica give up its vote before it stops.
+func (p *policySearch) release(s *searchState, i int) {
+	if !s.hasLeader() {
+		return
+	}
+	id := fmt.Sprintf("%03d", s.replicas[i].id)
+	before := s.covered(p.allowedLosses(s))
+	// It asks until it is released, or until there is nothing to change.
+	for released := false; !released; {
+		policy := p.policy(s)
+		// The replica has transferred the leadership before.
+		policy.self = ""
+		next, ok := policy.releaseVote(id)
+		if !ok {
+			return
+		}
+		s.apply(next)
+		s.trace = append(s.trace, "released: "+next.String())
+		if before && !s.covered(p.allowedLosses(s)) {
+			p.violation(s, "a released vote leaves losses uncovered")
+		}
+		m, _ := next.Get(id)
+		released = m.Released
+	}
+}
+
 // replaced reports whether the removal of a VM does not count as a loss, because as many
 // others run as the deployment has and a leader could make them voters.
 func (p *policySearch) replaced(s *searchState, r searchReplica) bool {
@@ -302,6 +329,31 @@
 			add(n)
 		}
 		if r.vm == up {
+			for _, forGood := range []bool{true, false} {
+				if forGood && !p.replaced(s, r) {
+					continue
+				}
+				n := s.clone(fmt.Sprintf("%d is stopped, for good: %v", r.id, forGood))
+				p.release(n, i)
+				vm := down
+				if forGood {
+					vm = gone
+				}
+				for at, other := range n.replicas {
+					if other.id == r.id {
+						n.silence(at, vm)
+						break
+					}
+				}
+				if forGood && !n.covered(p.allowedLosses(n)) && s.covered(p.allowedLosses(s)) && s.hasLeader() {
+					p.violation(n, "a planned removal leaves losses uncovered")
+				}
+				if forGood {
+					// The next event may come before the leader makes other changes.
+					states = append(states, n.clone("at once"))
+				}
+				add(n)
+			}
 			n := s.clone(fmt.Sprintf("%d is cut off", r.id))
 			n.silence(i, down)
 			add(n)
@@ -309,7 +361,7 @@
 		}
 		n := s.clone(fmt.Sprintf("%d returns", r.id))
 		returned := n.replicas[i]
-		returned.vm = up
+		returned.vm, returned.released = up, false
 		n.replicas = append([]searchReplica{returned}, append(n.replicas[:i:i], n.replicas[i+1:]...)...)
 		add(n)
 	}
@@ -333,9 +385,10 @@
 	}
 }
 
-// Whatever joins, is removed, is cut off or loses its disk, and in whichever order:
+// Whatever joins, stops, is removed, is cut off or loses its disk, and in whichever order:
 // once the leader had time for its changes, a quorum must remain after as many more disk
-// losses as are allowed. No single change of the leader may take that away meanwhile.
+// losses as are allowed. No single change of the leader may take that away meanwhile, nor a
+// planned removal.
 func TestMembershipCoversLossesInAllSequences(t *testing.T) {
 	for _, c := range []policySearch{
 		{faultTolerance: 1, maxRunning: 6},
--- /dev/null
+++ b/process/control/node/stop_test.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/waxwingpost/waxwingpost/process/control/raft"
+)
+
+// replacementCluster is a cluster of five replicas that bear the loss of two disks.
+type replacementCluster struct {
+	t     *testing.T
+	net   *testNetwork
+	cfgs  map[string]Config
+	nodes map[string]*runningNode
+}
+
+func newReplacementCluster(t *testing.T) *replacementCluster {
+	c := &replacementCluster{t: t, net: &testNetwork{nodes: map[string]*Node{}}, cfgs: map[string]Config{}, nodes: map[string]*runningNode{}}
+	var names []string
+	for i := 1; i <= 5; i++ {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	for _, name := range names {
+		c.start(Config{Name: name, Peers: names, Bootstrap: names})
+	}
+	return c
+}
+
+// start starts a replica with an empty disk.
+func (c *replacementCluster) start(cfg Config) {
+	cfg.DataDir, cfg.FaultTolerance = c.t.TempDir(), 2
+	c.cfgs[cfg.Name] = cfg
+	c.nodes[cfg.Name] = c.net.startNode(c.t, cfg)
+}
+
+// join starts further replicas and waits until there are as many voters as given.
+func (c *replacementCluster) join(ctx context.Context, voters int, names ...string) {
+	c.t.Helper()
+	for _, name := range names {
+		c.start(Config{Name: name, Peers: []string{"e1", "e2", "e3"}})
+	}
+	waitFor(c.t, ctx, fmt.Sprint(voters, " voters"), func() bool { return c.voters("e1") == voters })
+	// All new replicas are members, also those that don't vote.
+	waitFor(c.t, ctx, "all members", func() bool {
+		return len(c.nodes["e1"].node.currentStatus().core.Members) == 5+len(names)
+	})
+}
+
+// voters returns the number of voters that a replica knows.
+func (c *replacementCluster) voters(name string) int {
+	return len(c.nodes[name].node.currentStatus().core.Members.Voters())
+}
+
+// loseDisks stops replicas at the same time and starts them with empty disks.
+func (c *replacementCluster) loseDisks(names ...string) {
+	for _, name := range names {
+		c.nodes[name].stop()
+	}
+	for _, name := range names {
+		removeDataDir(c.t, c.cfgs[name].DataDir)
+		c.start(Config{Name: name, Peers: []string{"e1", "e2", "e3"}})
+	}
+}
+
+// A VM that is replaced as planned, the new one first, must not count as a voter while two
+// disks are lost right after its stop.
+func TestTwoDisksAreLostAfterPlannedReplacement(t *testing.T) {
+	c := newReplacementCluster(t)
+	ctx := testContext(t)
+	if _, err := c.nodes["e1"].node.Propose(ctx, editCommand("c1", "x")); err != nil {
+		t.Fatal(err)
+	}
+	c.join(ctx, 6, "e6")
+	c.nodes["e5"].shutDown()
+	if _, err := c.nodes["e2"].node.Propose(ctx, editCommand("c2", "y")); err != nil {
+		t.Fatal(err)
+	}
+	c.loseDisks("e1", "e2")
+	for _, name := range []string{"e1", "e2", "e3", "e4", "e6"} {
+		if err := c.nodes[name].node.Barrier(ctx); err != nil {
+			t.Fatal(name, ": ", err)
+		}
+		if got := c.nodes[name].sm.appliedCount(); got != 2 {
+			t.Errorf("%s applied %d commands, want 2", name, got)
+		}
+	}
+}
+
+// Three VMs are replaced as planned, the new ones first. There are more replicas than
+// voters at that time, and all five that remain must vote, so that two disks may be lost.
+func TestTwoDisksAreLostAfterThreePlannedReplacements(t *testing.T) {
+	c := newReplacementCluster(t)
+	ctx := testContext(t)
+	c.join(ctx, maxVoters, "e6", "e7", "e8")
+	for _, name := range []string{"e3", "e4", "e5"} {
+		c.nodes[name].shutDown()
+	}
+	if _, err := c.nodes["e1"].node.Propose(ctx, editCommand("c1", "x")); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, ctx, "the last changes", func() bool {
+		members := c.nodes["e1"].node.currentStatus().core.Members
+		return c.voters("e1") == 5 && !slices.ContainsFunc(members, func(m raft.Member) bool {
+			return m.Voter && slices.Contains([]string{"e3", "e4", "e5"}, m.Name)
+		})
+	})
+	c.loseDisks("e1", "e7")
+	for _, name := range []string{"e1", "e2", "e6", "e7", "e8"} {
+		if err := c.nodes[name].node.Barrier(ctx); err != nil {
+			t.Fatal(name, ": ", err)
+		}
+	}
+}
+
+// A replica that released its vote gets it back after a restart, and one whose vote is
+// needed keeps it.
+func TestReleasedVoteReturnsWithTheReplica(t *testing.T) {
+	c := newReplacementCluster(t)
+	ctx := testContext(t)
+	if err := c.nodes["e1"].node.Barrier(ctx); err != nil {
+		t.Fatal(err)
+	}
+	c.nodes["e5"].shutDown()
+	if n := c.voters("e1"); n != 5 {
+		t.Fatalf("%d voters after a stop, want 5", n)
+	}
+	c.nodes["e5"] = c.net.startNode(t, c.cfgs["e5"])
+	c.join(ctx, 6, "e6")
+	for _, name := range []string{"e1", "e6"} {
+		other := "e2"
+		c.nodes[name].shutDown()
+		waitFor(t, ctx, "the release of the vote", func() bool { return c.voters(other) == 5 })
+		time.Sleep(500 * time.Millisecond) // long enough for a wrong promotion
+		if n := c.voters(other); n != 5 {
+			t.Errorf("%d voters while %s is stopped, want 5", n, name)
+		}
+		c.nodes[name] = c.net.startNode(t, c.cfgs[name])
+		waitFor(t, ctx, "the vote of "+name, func() bool { return c.voters(other) == 6 })
+	}
+}
--- a/process/control/raft/members.go
+++ b/process/control/raft/members.go
@@ -19,6 +19,9 @@
 	// Successor is set on a learner that will replace a removed voter of the
 	// same VM; the core does not use it.
 	Successor bool `cbor:"5,keyasint,omitempty" json:"successor,omitempty"`
+	// Released is set on a learner that gave up its vote before a planned stop, and
+	// until it runs again; the core does not use it.
+	Released bool `cbor:"6,keyasint,omitempty" json:"released,omitempty"`
 }
 
 // Members is a membership, sorted by ID. It is immutable: With and Without
