directory: an entry that no server can report hides no others

What would be seen (a report of other operators, shown by a test): one server whose ID is not UTF-8 keeps every entry, agent and control process from following the list, at every control process.

Cause: the ID comes from the path of the heartbeat and was passed on as it was; receivers refuse CBOR texts that are not UTF-8, and with them the whole update. Evidence: on TestListIsFollowedDespiteOddEntries fails with "cbor: invalid UTF-8 string" at the call to follow, and TestHeartbeatThatNoServerSendsIsRefused with 12 of its 17 entries.

Change: what a server can report is validated where it arrives (400 with the reason in the log) and again where it is received from other processes; lists are decoded entry by entry, and texts that are not UTF-8 are decoded.

Result: the tests pass. No entry was found that ends a process.

--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -143,7 +143,7 @@
 	if resp == nil {
 		return nil
 	}
-	if err := cbor.Unmarshal(env.Body, resp); err != nil {
+	if err := wire.Decode(env.Body, resp); err != nil {
 		return result.New(result.BadMessage, "decode reply of kind %d: %v", env.Kind, err)
 	}
 	return nil
@@ -246,7 +246,7 @@
 		c.lastReceived.Store(time.Now().UnixNano())
 		c.stats.countReceived(len(data))
 		var env wire.Envelope
-		if err := cbor.Unmarshal(data, &env); err != nil {
+		if err := wire.Decode(data, &env); err != nil {
 			return
 		}
 		c.dispatch(env)
--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -200,7 +200,7 @@
 		return hello, result.New(result.LinkLost, "read hello: %v", err)
 	}
 	var env wire.Envelope
-	if err := cbor.Unmarshal(data, &env); err != nil {
+	if err := wire.Decode(data, &env); err != nil {
 		return hello, result.New(result.BadMessage, "decode hello: %v", err)
 	}
 	if err := decodeReply(env, &hello); err != nil {
--- a/connection/wire/updates.go
+++ b/connection/wire/updates.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/observation"
 )
@@ -41,6 +43,26 @@
 	Born int64  `cbor:"2,keyasint,omitempty"`
 }
 
+// ServerList is a list of servers of which each entry is decoded by itself: one that can't
+// be decoded is left out, and hides no others.
+type ServerList []directory.Server
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (l *ServerList) UnmarshalCBOR(data []byte) error {
+	var entries []cbor.RawMessage
+	if err := Decode(data, &entries); err != nil {
+		return err
+	}
+	*l = make(ServerList, 0, len(entries))
+	for _, entry := range entries {
+		var s directory.Server
+		if Decode(entry, &s) == nil {
+			*l = append(*l, s)
+		}
+	}
+	return nil
+}
+
 // Update holds changes from a control process. Empty fields did not change.
 type Update struct {
 	// Revision, ConfigVersion and Weights are the desired state. Revision is 0 if
@@ -56,9 +78,9 @@
 	Published map[string][]int `cbor:"12,keyasint,omitempty"`
 	// Servers lists the servers that changed, Alive the IDs of those that sent a
 	// heartbeat without a change, Left those that deregistered.
-	Servers []directory.Server `cbor:"4,keyasint,omitempty"`
-	Alive   []string           `cbor:"5,keyasint,omitempty"`
-	Left    []Deregistration   `cbor:"6,keyasint,omitempty"`
+	Servers ServerList       `cbor:"4,keyasint,omitempty"`
+	Alive   []string         `cbor:"5,keyasint,omitempty"`
+	Left    []Deregistration `cbor:"6,keyasint,omitempty"`
 	// Engines holds the reports of agents about their engines.
 	Engines []EngineState `cbor:"11,keyasint,omitempty"`
 	// Controls lists the peer addresses of the control processes.
--- a/process/controller/links.go
+++ b/process/controller/links.go
@@ -96,7 +96,7 @@
 }
 
 func (c *Controller) decodeMessage(l *link.Conn, kind wire.Kind, body cbor.RawMessage, v any) bool {
-	err := cbor.Unmarshal(body, v)
+	err := wire.Decode(body, v)
 	if err != nil {
 		c.Log.Warn("failed to decode message", "from", l.Peer().Name, "kind", int(kind), "code", int(result.BadMessage), "error", err)
 	}
@@ -108,7 +108,7 @@
 	switch {
 	case kind == wire.KindFollow:
 		var q wire.FollowRequest
-		if err := cbor.Unmarshal(body, &q); err != nil {
+		if err := wire.Decode(body, &q); err != nil {
 			return nil, result.New(result.BadMessage, "decode follow request: %v", err)
 		}
 		update := c.hub.AddFollower(l, q)
--- a/process/controller/operators.go
+++ b/process/controller/operators.go
@@ -18,6 +18,7 @@
 	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
@@ -33,6 +34,8 @@
 	retryAfter = 500 * time.Millisecond
 	// maxDocument bounds a configuration document.
 	maxDocument = 32 << 20
+	// maxLoggedID bounds the ID of a server in the log, in bytes.
+	maxLoggedID = 64
 )
 
 // document is a configuration sent by an operator, raw and decoded.
@@ -210,7 +213,7 @@
 	s, err := platform.DecodeHeartbeat(id, r.Body)
 	if err != nil {
 		c.Scope.Counter("heartbeats_unreadable").Inc(1)
-		c.Log.Warn("failed to decode heartbeat", "server", id, "code", int(result.CodeOf(err)), "error", err)
+		c.Log.Warn("heartbeat refused", "server", id[:min(len(id), maxLoggedID)], "code", int(result.CodeOf(err)), "error", err)
 		_ = writeJSON(w, http.StatusBadRequest, []byte("{}"))
 		return
 	}
@@ -223,6 +226,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	c.hub.Deregister(strings.TrimPrefix(r.URL.Path, platform.PathDeregister), platform.DecodeDeregistration(r.Body))
+	id := strings.TrimPrefix(r.URL.Path, platform.PathDeregister)
+	if err := directory.ValidateID(id); err != nil {
+		c.Log.Warn("deregistration refused", "server", id[:min(len(id), maxLoggedID)], "code", int(result.CodeOf(err)), "error", err)
+		_ = writeJSON(w, http.StatusBadRequest, []byte("{}"))
+		return
+	}
+	c.hub.Deregister(id, platform.DecodeDeregistration(r.Body))
 	_ = writeJSON(w, http.StatusOK, []byte("{}"))
 }
--- a/process/directory/table.go
+++ b/process/directory/table.go
@@ -55,10 +55,15 @@
 	Renewed
 	// Changed means that the server is new or its reported state changed.
 	Changed
+	// Invalid means that the report was ignored because Server.Validate returns an error.
+	Invalid
 )
 
 // Update applies a server's report.
 func (t *Table) Update(s Server, now time.Duration) Outcome {
+	if s.Validate() != nil {
+		return Invalid
+	}
 	old := t.servers[s.ID]
 	if old == nil {
 		if len(t.servers) >= maxServers {
@@ -111,7 +116,7 @@
 func (t *Table) Deregister(id string, born int64, now time.Duration) bool {
 	record := t.servers[id]
 	if record == nil {
-		if len(t.servers) >= maxServers {
+		if len(t.servers) >= maxServers || ValidateID(id) != nil {
 			return false
 		}
 		t.servers[id] = &Record{Server: Server{ID: id, Born: born, State: Gone}, Heard: now}
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -257,7 +257,7 @@
 	if kind != wire.KindUpdate {
 		return
 	}
-	if err := cbor.Unmarshal(body, &update); err != nil {
+	if err := wire.Decode(body, &update); err != nil {
 		f.log.Warn("failed to decode update", "control", c.Peer().Name, "code", int(result.BadMessage), "error", err)
 		return
 	}
@@ -317,10 +317,13 @@
 	now := f.clock.Since(f.start)
 	changed := false
 	for _, s := range update.Servers {
-		if f.table.Update(s, now) == directory.Changed {
+		switch f.table.Update(s, now) {
+		case directory.Changed:
 			changed = true
 			f.log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address,
 				"state", s.State.String(), "born", s.Born, "seq", s.Seq, "held", s.Held)
+		case directory.Invalid:
+			logInvalidServer(f.log, s)
 		}
 	}
 	for _, l := range update.Left {
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -14,6 +14,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,7 @@
 	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/directory"
+	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
 const (
@@ -111,12 +113,20 @@
 		h.broadcast(wire.Update{Servers: []directory.Server{s}}, true)
 	case directory.Renewed:
 		h.aliveLocal[s.ID] = true
+	case directory.Invalid:
+		logInvalidServer(h.log, s)
 	case directory.Stale:
 		h.log.Info("heartbeat ignored", "server", s.ID, "born", s.Born, "seq", s.Seq, "reason", "older than the known state")
 	}
 	return outcome
 }
 
+// logInvalidServer logs why a report is ignored.
+func logInvalidServer(log *slog.Logger, s directory.Server) {
+	err := s.Validate()
+	log.Warn("server ignored", "code", int(result.CodeOf(err)), "error", err)
+}
+
 // Deregister applies a deregistration that was sent to this process.
 func (h *Hub) Deregister(id string, born int64) {
 	h.mu.Lock()
@@ -169,8 +179,11 @@
 	now := h.now()
 	var forwarded wire.Update
 	for _, s := range update.Servers {
-		if h.table.Update(s, now) == directory.Changed {
+		switch h.table.Update(s, now) {
+		case directory.Changed:
 			forwarded.Servers = append(forwarded.Servers, s)
+		case directory.Invalid:
+			logInvalidServer(h.log, s)
 		}
 	}
 	for _, l := range update.Left {
@@ -344,7 +357,9 @@
 			continue
 		}
 		for service, d := range f.demand {
-			sum[service] += d
+			if d >= 0 && !math.IsInf(d, 0) {
+				sum[service] += d
+			}
 		}
 	}
 	return sum
