forward: errors of servers never enter a stream nor end it as complete

Cause: whether a response is read as events was decided by the route; each block of lines counted as an event; the end of a framed body ended the stream.

Change: only a response below 300 is read as events, and only blocks of the fields of events are forwarded; a resumed stream without a further event is incomplete. An error before the first event is forwarded whole. The length of the first response is not declared for a stream.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -102,10 +102,10 @@
 	err := a.deliver(ctx, part{})
 	switch {
 	case err != nil:
-	case !streams:
-		err = a.readBody(ctx)
-	case a.result == resultAnswered:
+	case streams && a.streaming():
 		err = a.readEvents(ctx, events)
+	default:
+		err = a.readBody(ctx)
 	}
 	if err == nil && !a.ex.Framed() {
 		err = a.checkUnframedEnd(ctx, h.client)
@@ -135,8 +135,13 @@
 	return errors.CombineErrors(io.ErrUnexpectedEOF, a.refusal)
 }
 
+// streaming reports whether the response to a request for a stream is one, rather than an
+// error.
+func (a *attempt) streaming() bool { return a.result == resultAnswered && a.ex.Status < 300 }
+
 // readEvents delivers the events of a stream until its end. A response without framing
-// that ends before its first event is incomplete.
+// that ends before its first event is incomplete, and so is the rest of a stream without an
+// event.
 func (a *attempt) readEvents(ctx context.Context, events *eventReader) error {
 	events.reset(a.ex)
 	for {
@@ -148,6 +153,8 @@
 			}
 		}
 		switch {
+		case err == io.EOF && events.resumed && a.events == 0: //nolint:errorlint // next returns io.EOF itself
+			return errNoEvents
 		case err == io.EOF && (a.ex.Framed() || events.hasLastID): //nolint:errorlint // next returns io.EOF itself
 			return nil
 		case err == io.EOF: //nolint:errorlint // next returns io.EOF itself
--- a/request/forward/events.go
+++ b/request/forward/events.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/platform"
 )
 
 const (
@@ -20,6 +22,8 @@
 	errEventTooLong = errors.New("event exceeds the size limit")
 	errEventGap     = errors.New("event IDs are not consecutive")
 	errEventID      = errors.New("event ID is not a number")
+	errNoEvents     = errors.New("a resumed stream ended without an event")
+	errMalformed    = errors.New("stream contains text that is no event")
 )
 
 // source is the response body of one server.
@@ -38,6 +42,8 @@
 	// caller has from an earlier request. hasLastID is unset while there is none.
 	lastID    int64
 	hasLastID bool
+	// resumed is set if the caller has received a part of the stream already.
+	resumed bool
 	// srcErr is the error with which the source ended.
 	srcErr error
 }
@@ -111,8 +117,11 @@
 		event := e.buf[:end]
 		e.buf = e.buf[end:]
 		id, hasID, err := eventID(event)
-		if err != nil {
+		switch {
+		case err != nil:
 			return out, count, err
+		case !wellFormed(event, hasID):
+			return out, count, errMalformed
 		}
 		if hasID {
 			switch {
@@ -143,6 +152,23 @@
 	}
 }
 
+// wellFormed reports whether a block of lines is an event or a comment. The text of an error
+// that a server writes into its stream is neither. Unknown fields are accepted in events with
+// an ID only, and if their names are in lower case.
+func wellFormed(event []byte, hasID bool) bool {
+	for line := range bytes.Lines(event) {
+		name, _, hasColon := strings.Cut(strings.TrimRight(string(line), "\r\n"), ":")
+		switch name {
+		case "", "id", "data", "event", "retry", platform.FieldWeightsVersion:
+			continue
+		}
+		if !hasID || !hasColon || strings.ContainsFunc(name, func(c rune) bool { return c != '-' && (c < 'a' || c > 'z') }) {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the ID of an event; hasID is false if it has none.
 func eventID(event []byte) (id int64, hasID bool, err error) {
 	for line := range bytes.Lines(event) {
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -63,13 +65,20 @@
 			next = l
 		}
 		position := r.position
+		position.resumed = r.headerSent
 		a := h.start(cr, next, &position)
 		next = r.relayEvents(a)
 		h.finishAttempt(cr, a)
-		if a.result == resultAnswered {
+		switch {
+		case a.result == resultAnswered && a.streaming():
 			cr.outcome = outcomeServed
 			h.logRequest(cr, http.StatusOK, nil)
 			return
+		case a.result == resultAnswered && !r.headerSent:
+			h.writeResponse(w, cr, a, r.possibleRuns)
+			return
+		case a.result == resultAnswered:
+			a.result, a.err = resultFailed, errors.Newf("status %d after event %d", a.ex.Status, r.position.lastID)
 		}
 		if a.result != resultNotRun {
 			r.possibleRuns++
@@ -135,7 +144,7 @@
 			return nil
 		}
 	}
-	if a.result == resultAnswered && !r.headerSent {
+	if a.result == resultAnswered && a.streaming() && !r.headerSent {
 		// A stream without events is complete as well.
 		r.writeHeader(a)
 	}
@@ -148,6 +157,8 @@
 	r.cr.firstByte = r.h.clock.Since(r.cr.start)
 	r.h.metrics.firstByte.Record(r.cr.firstByte)
 	copyResponseHeader(r.w.Header(), a.ex)
+	// Another server may send the rest of the stream.
+	delete(r.w.Header(), "Content-Length")
 	r.w.WriteHeader(a.ex.Status)
 }
 
@@ -170,8 +181,12 @@
 // writeFailure ends a stream that no server completes: with an error status, or by
 // aborting the connection if the header was already sent.
 func (r *relay) writeFailure(last *attempt, acquireErr error) {
-	if !r.headerSent {
-		r.h.writeFailure(r.w, r.cr, last, r.possibleRuns, acquireErr)
+	switch {
+	case !r.headerSent && acquireErr != nil:
+		r.h.writeLastResponse(r.w, r.cr, last, r.possibleRuns, acquireErr)
+		return
+	case !r.headerSent:
+		r.h.writeResponse(r.w, r.cr, last, r.possibleRuns)
 		return
 	}
 	if r.cr.request.Context().Err() != nil {
