backend: a request is not sent again on the connection that refused it

A report of other operators: an earlier refusal, written once more on a kept connection, is taken for the response to the next request, which the engine runs.

Looked for here: between two requests, just after the next was sent, before, within and after its answer; with the ID of the earlier request, another one or none; 503, 421 and 429 with Not-Executed, Server-Leaving, Retry-After and Server-Limit. Entries send a request to a server once, so only a caller that uses an ID again could get there.

Change: a connection remembers the IDs of the requests that were refused on it, is not used for them again, and is closed after 64.

--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -72,8 +72,9 @@
 	return c
 }
 
-// takeIdle returns an idle connection that can be reused, or nil.
-func (c *Client) takeIdle(address string, now time.Time) *conn {
+// takeIdle returns an idle connection that can be reused for the request with the ID, or
+// nil.
+func (c *Client) takeIdle(address, id string, now time.Time) *conn {
 	for {
 		c.mu.Lock()
 		list := c.idle[address]
@@ -87,7 +88,7 @@
 		list[len(list)-1] = nil
 		c.idle[address] = list[:len(list)-1]
 		c.mu.Unlock()
-		if now.Before(last.idleUntil) && last.reusable() {
+		if now.Before(last.idleUntil) && !last.mayRefuseAgain(id) && last.reusable() {
 			return last
 		}
 		last.close()
--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -148,7 +148,7 @@
 	}
 	<-late
 	time.Sleep(20 * time.Millisecond) // time for the bytes to arrive
-	if k := c.takeIdle(address, time.Now()); k != nil {
+	if k := c.takeIdle(address, "2", time.Now()); k != nil {
 		t.Error("a connection with unread bytes was reused")
 	}
 	if n := conns.Load(); n != 1 {
--- a/connection/backend/conn.go
+++ b/connection/backend/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -21,8 +22,14 @@
 	// time at which that ends.
 	idleTimeout time.Duration
 	idleUntil   time.Time
+	// refusedIDs holds the IDs of the requests that were answered with a status of 300 or
+	// above on this connection.
+	refusedIDs []string
 }
 
+// maxRefused is how many refused requests a connection is reused after.
+const maxRefused = 64
+
 func newConn(raw net.Conn, address string) *conn {
 	k := &conn{
 		Conn: raw, address: address, limit: limitReader{r: raw, remaining: unlimited},
@@ -57,6 +64,11 @@
 
 func (k *conn) close() { _ = k.Close() }
 
+// mayRefuseAgain reports whether a request with the ID has been refused on this connection:
+// a second copy of that response could not be told from the one to the same request sent
+// again.
+func (k *conn) mayRefuseAgain(id string) bool { return id != "" && slices.Contains(k.refusedIDs, id) }
+
 // reset closes the connection and drops what the operating system has not sent yet,
 // so that the server can't receive the rest of a canceled request later.
 func (k *conn) reset() {
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -117,7 +117,7 @@
 // ctx ends the connection is reset, which makes the server cancel the request.
 // Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Exchange, error) {
-	k := c.takeIdle(address, time.Now())
+	k := c.takeIdle(address, req.ID, time.Now())
 	if k == nil {
 		fresh, err := c.connectBefore(ctx, address, req)
 		if err != nil {
@@ -170,6 +170,9 @@
 			return &Error{Sent: MaybeSent, Err: err}
 		}
 		if req.ID == "" || ex.Header.Get(req.EchoHeader) == req.ID {
+			if req.ID != "" && ex.Status >= http.StatusMultipleChoices {
+				ex.conn.refusedIDs = append(ex.conn.refusedIDs, req.ID)
+			}
 			return nil
 		}
 		ex.client.strayResponses.Inc(1)
@@ -379,7 +382,7 @@
 		ex.resetConn()
 		return
 	}
-	if !ex.stopCancel() || !ex.keepAlive || ex.conn.r.Buffered() > 0 {
+	if !ex.stopCancel() || !ex.keepAlive || ex.conn.r.Buffered() > 0 || len(ex.conn.refusedIDs) >= maxRefused {
 		ex.conn.close()
 		ex.conn = nil
 		return
