forward: events with an ID may have fields of any name in lower case

The check for text that is no event refused fields with digits, underscores or capitals after the first letter. Only names that begin like those of HTTP headers or are no names at all need to be refused. TestEventsWithoutIDsAreForwardedIfTheyAreEvents and the tests of errors within streams pass.

--- a/request/forward/events.go
+++ b/request/forward/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -26,6 +27,9 @@
 	errMalformed    = errors.New("stream contains text that is no event")
 )
 
+// unknownField matches the names of fields of later versions of the platform.
+var unknownField = regexp.MustCompile(`^[a-z][A-Za-z0-9_-]*$`)
+
 // source is the response body of one server.
 type source interface {
 	io.Reader
@@ -154,7 +158,7 @@
 
 // wellFormed reports whether a block of lines is an event or a comment. The text of an error
 // that a server writes into its stream is neither. Unknown fields are accepted in events with
-// an ID only, and if their names are in lower case.
+// an ID only, and if their names begin in lower case, unlike those of HTTP headers.
 func wellFormed(event []byte, hasID bool) bool {
 	for line := range bytes.Lines(event) {
 		name, _, hasColon := strings.Cut(strings.TrimRight(string(line), "\r\n"), ":")
@@ -162,7 +166,7 @@
 		case "", "id", "data", "event", "retry", platform.FieldWeightsVersion:
 			continue
 		}
-		if !hasID || !hasColon || strings.ContainsFunc(name, func(c rune) bool { return c != '-' && (c < 'a' || c > 'z') }) {
+		if !hasID || !hasColon || !unknownField.MatchString(name) {
 			return false
 		}
 	}
