controller: at the first start heartbeats are accepted before the cluster exists

Cause: the refusal of a process that is not a member also held at the first start of a deployment, when no process is one for a second. All entries link to all control processes then, so nothing is missed by accepting. The tests of process/controller/join_test.go pass.

--- a/process/controller/operators.go
+++ b/process/controller/operators.go
@@ -189,14 +189,15 @@
 
 // acceptsHeartbeats reports whether heartbeats that arrive here reach the entries. A
 // control process that is cut off refuses them, so that servers try another one. So does
-// one that is not a member, since most entries don't follow it.
+// one that is not a member, since most entries don't follow it; at the first start of the
+// deployment all entries link to all control processes.
 func (c *Controller) acceptsHeartbeats() bool {
 	entries := int64(c.hub.EntryCount())
 	r := c.replica.Load()
 	switch {
 	case r != nil && r.node.InQuorum():
 		return true
-	case r != nil && !r.node.IsMember():
+	case r != nil && !r.node.IsMember() && !c.settings.FirstStart:
 		return false
 	default:
 		return entries > 0 && entries >= c.maxEntries.Load()
