--- a/process/control/node/stop.go
+++ b/process/control/node/stop.go
@@ -20,8 +20,7 @@
 // stop ends the replica after a planned stop of the process. It asks another voter to lead.
 // If more replicas are left than the fault tolerance requires, it then also releases its
 // vote, so that a VM that is replaced does not count as a voter until the leader finds it
-// silent.
-// The transport must work until Run returns.
+// silent. The transport must work until then.
 func (n *Node) stop(ctx context.Context, ticks <-chan time.Time) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
