--- a/process/sidecar/load_test.go
+++ b/process/sidecar/load_test.go
@@ -221,8 +221,8 @@
 	}
 }
 
-// The control processes must not be told that an engine holds weights that it may have
-// loaded from a corrupt piece.
+// Weights that an engine may have loaded from a corrupt piece must not be reported to the
+// control processes.
 func TestWeightsFromCorruptPieceAreNotReported(t *testing.T) {
 	u, e, c := newStagingTest(t)
 	if _, err := u.stagePieces(t.Context(), pieces.Key{Model: "m", Version: 2}); err != nil {
