sidecar: the lines of a load name incarnation, orders and read-back age

The record of the incident could not tell a late order from a load that a restarted agent never verified, or from one that another incarnation accepted.

"load ordered" names the engine's start, its number of orders and its layers before the order, and the age of the oldest read-back at the response; "staged pieces corrupt" names the pieces and how long ago all were intact; "load verified" ends an uncertain load. Counters: pieces_corrupt, loads_ordered, loads_verified, loads_unverified, loads_dropped; histogram read_back_age.

--- a/process/sidecar/install.go
+++ b/process/sidecar/install.go
@@ -102,24 +102,21 @@
 	return len(u.sidecar.store.Missing(key))
 }
 
-// waitEngineIdle waits until the engine carries out no order.
-func (u *updater) waitEngineIdle(ctx context.Context, key pieces.Key) error {
+// waitEngineIdle waits until the engine carries out no order and returns its report.
+func (u *updater) waitEngineIdle(ctx context.Context, key pieces.Key) (platform.EngineReport, error) {
 	for range maxBusyPolls {
 		report, err := u.engineReport(ctx)
-		if err != nil {
-			return err
-		}
-		if !report.Busy {
-			return nil
+		if err != nil || !report.Busy {
+			return report, err
 		}
 		u.recordStep(key, report, "engine is busy")
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return report, ctx.Err()
 		case <-u.sidecar.Clock.After(pendingPollInterval):
 		}
 	}
-	return result.New(result.EngineRefused, "engine still busy after all polls")
+	return platform.EngineReport{}, result.New(result.EngineRefused, "engine still busy after all polls")
 }
 
 // fetchSpec describes the transfer of a version. The agents are those on the VMs
--- a/process/sidecar/install_test.go
+++ b/process/sidecar/install_test.go
@@ -105,7 +105,7 @@
 		t.Run(name, func(t *testing.T) {
 			u := newTestUpdater(t, c.respond)
 			control := followFakeControl(t, u)
-			if err := u.orderLoad(t.Context(), pieces.Key{Model: "m", Version: 2}, u.sidecar.AgeClock.Now()); err == nil {
+			if err := u.orderLoad(t.Context(), pieces.Key{Model: "m", Version: 2}, u.sidecar.AgeClock.Now(), platform.EngineReport{}); err == nil {
 				t.Fatal("an order without an answer succeeded")
 			}
 			if s := control.nextReport(); s == nil || !s.Loading {
@@ -123,7 +123,7 @@
 	e := &layeredEngine{version: 1, target: testLayers}
 	u := newTestUpdater(t, e)
 	control := followFakeControl(t, u)
-	if err := u.orderLoad(t.Context(), pieces.Key{Model: "m", Version: 2}, u.sidecar.AgeClock.Now()); err != nil {
+	if err := u.orderLoad(t.Context(), pieces.Key{Model: "m", Version: 2}, u.sidecar.AgeClock.Now(), platform.EngineReport{}); err != nil {
 		t.Fatal(err)
 	}
 	if s := control.nextReport(); s == nil || !s.Loading {
--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/boottime"
@@ -25,6 +27,12 @@
 	maxReadBacks = 5
 )
 
+// readBackAgeBuckets are the buckets of the age of the oldest read-back when the engine
+// has accepted an order.
+var readBackAgeBuckets = tally.DurationBuckets{
+	100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, maxReadBackAge, stagedFaultGrace, 5 * time.Second, 10 * time.Second,
+}
+
 // uncertainLoad is a load that the engine may have accepted more than stagedFaultGrace
 // after its pieces were read back.
 type uncertainLoad struct {
@@ -38,6 +46,12 @@
 	dropping bool
 }
 
+// completeReadBack is the last time at which every staged piece of a version was intact.
+type completeReadBack struct {
+	key pieces.Key
+	at  boottime.Instant
+}
+
 // stagePieces stages every piece at the engine and reads it back to verify it: a
 // staged piece may have become corrupt. All pieces were intact at the time that it
 // returns.
@@ -49,11 +63,15 @@
 	started := u.sidecar.Clock.Now()
 	readBack = u.sidecar.AgeClock.Now()
 	put := 0
+	var corrupt []int
 	for piece, digest := range m.Digests {
 		staged, err := u.callEngine(ctx, http.MethodGet, platform.StageGetPath(key.Model, piece), nil)
 		if err == nil && sha256.Sum256(staged) == digest {
 			continue
 		}
+		if u.readBacks.key == key {
+			corrupt = append(corrupt, piece)
+		}
 		data := u.sidecar.store.Piece(key, piece)
 		if data == nil {
 			return readBack, result.New(result.ChunkMissing, "version %d was replaced", key.Version)
@@ -66,11 +84,17 @@
 		}
 		put++
 	}
+	if len(corrupt) > 0 {
+		u.sidecar.Log.Warn("staged pieces corrupt", "model", key.Model, "version", key.Version, "pieces", corrupt,
+			"since_intact", u.sidecar.AgeClock.Now().Sub(u.readBacks.at))
+		u.scope.Counter("pieces_corrupt").Inc(int64(len(corrupt)))
+	}
 	if put > 0 {
 		// The pieces that were put are read back as well before the engine loads them.
 		u.sidecar.Log.Info("pieces staged", "model", key.Model, "version", key.Version, "put", put, "took", u.sidecar.Clock.Since(started))
 		return u.stagePieces(ctx, key)
 	}
+	u.readBacks = completeReadBack{key: key, at: readBack}
 	return readBack, nil
 }
 
@@ -79,15 +103,15 @@
 // again first. readBack is when the first one was last read back.
 func (u *updater) loadStaged(ctx context.Context, key pieces.Key, readBack boottime.Instant) error {
 	for range maxReadBacks {
-		if err := u.waitEngineIdle(ctx, key); err != nil {
+		report, err := u.waitEngineIdle(ctx, key)
+		if err != nil {
 			return err
 		}
 		age := u.sidecar.AgeClock.Now().Sub(readBack)
 		if age <= maxReadBackAge {
-			return u.orderLoad(ctx, key, readBack)
+			return u.orderLoad(ctx, key, readBack, report)
 		}
 		u.sidecar.Log.Info("pieces read back again", "model", key.Model, "version", key.Version, "age", age)
-		var err error
 		if readBack, err = u.stagePieces(ctx, key); err != nil {
 			return err
 		}
@@ -96,8 +120,8 @@
 }
 
 // orderLoad orders the engine to load the staged version, whose first piece was read back
-// at readBack.
-func (u *updater) orderLoad(ctx context.Context, key pieces.Key, readBack boottime.Instant) error {
+// at readBack. report is the engine's last one.
+func (u *updater) orderLoad(ctx context.Context, key pieces.Key, readBack boottime.Instant, report platform.EngineReport) error {
 	body, err := platform.EncodeLoadOrder(key.Model, key.Version)
 	if err != nil {
 		return err
@@ -113,15 +137,28 @@
 	case err != nil || age > stagedFaultGrace:
 		// The engine may accept the order at any later time, or has done so too late.
 		u.uncertain = &uncertainLoad{key: key, readBack: readBack}
+		u.scope.Counter("loads_unverified").Inc(1)
 	default:
 		u.uncertain = nil
+		u.scope.Counter("loads_verified").Inc(1)
 		go u.watchLoad(ctx, key)
 	}
 	u.orderedKey = key
-	u.sidecar.Log.Info("load ordered", "model", key.Model, "version", key.Version, "read_back_age", age, "error", err)
+	u.recordOrder(key, report, age, err)
 	return err
 }
 
+// recordOrder logs and counts an order to load a version. report is the engine's last one
+// before the order, age the age of the oldest read-back when the response came.
+func (u *updater) recordOrder(key pieces.Key, report platform.EngineReport, age time.Duration, err error) {
+	u.sidecar.Log.Info("load ordered", "model", key.Model, "version", key.Version, "born", report.Born, "orders", report.Orders,
+		"layers_before", report.Layers.String(), "read_back_age", age, "code", int(result.CodeOf(err)), "error", err)
+	u.scope.Counter("loads_ordered").Inc(1)
+	if err == nil {
+		u.scope.Histogram("read_back_age", readBackAgeBuckets).RecordDuration(age)
+	}
+}
+
 // resolveUncertainLoad reports whether the weights in the report may be used. If an
 // uncertain load was accepted, it reads the staged pieces back, and has the engine drop the
 // weights if one was corrupt.
@@ -152,6 +189,8 @@
 		return false
 	}
 	u.uncertain = nil
+	log.Info("load verified", "born", report.Born, "orders", report.Orders)
+	u.scope.Counter("loads_verified").Inc(1)
 	go u.watchLoad(ctx, load.key)
 	return true
 }
@@ -170,7 +209,7 @@
 		if err != nil && result.CodeOf(err) != result.ChunkMissing {
 			return err
 		}
-		if err := u.waitEngineIdle(ctx, key); err != nil {
+		if _, err := u.waitEngineIdle(ctx, key); err != nil {
 			return err
 		}
 		body, err := platform.EncodeLayersOrder(key.Model, key.Version, layer, layer+1, nil)
@@ -185,5 +224,7 @@
 		}
 	}
 	u.uncertain = nil
-	return u.waitEngineIdle(ctx, key)
+	u.scope.Counter("loads_dropped").Inc(1)
+	_, err := u.waitEngineIdle(ctx, key)
+	return err
 }
--- a/process/sidecar/updater.go
+++ b/process/sidecar/updater.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingpost/waxwingpost/connection/backend"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
@@ -46,6 +47,7 @@
 type updater struct {
 	sidecar *Sidecar
 	fetcher *pieces.Fetcher
+	scope   tally.Scope
 	wake    chan struct{}
 	// sharedKey is the version whose staged pieces were last collected for other
 	// agents; orderedKey is the one that the engine was last ordered to load.
@@ -53,6 +55,7 @@
 	orderedKey pieces.Key
 	// uncertain is the last load that was not accepted for certain in time, or nil.
 	uncertain *uncertainLoad
+	readBacks completeReadBack
 	// announceChecked is set once this agent has checked whether the control processes
 	// know the engine.
 	announceChecked bool
@@ -68,10 +71,11 @@
 }
 
 func newUpdater(s *Sidecar) *updater {
+	scope := s.Scope.SubScope("weights")
 	return &updater{
-		sidecar: s, wake: make(chan struct{}, 1), heldVersions: map[string]int{}, stallTimes: stallTimes{},
+		sidecar: s, scope: scope, wake: make(chan struct{}, 1), heldVersions: map[string]int{}, stallTimes: stallTimes{},
 		fetcher: &pieces.Fetcher{
-			Self: s.node(), Store: s.store, Client: s.client, Clock: s.Clock, Log: s.Log, Scope: s.Scope.SubScope("weights"),
+			Self: s.node(), Store: s.store, Client: s.client, Clock: s.Clock, Log: s.Log, Scope: scope,
 		},
 	}
 }
@@ -290,7 +294,7 @@
 	defer u.mu.Unlock()
 	if u.target != key || u.step != step {
 		u.sidecar.Log.Info("engine checked", "model", key.Model, "version", key.Version, "step", step,
-			"held", r.Held, "busy", r.Busy, "orders", r.Orders)
+			"held", r.Held, "layers", r.Layers.String(), "busy", r.Busy, "born", r.Born, "orders", r.Orders)
 	}
 	u.lastReport, u.target, u.step = r, key, step
 }
