sidecar: failing test of an agent restarted after a late load

What callers saw: tokens of weights with a corrupt piece, until the next version. The engine accepts the order more than 3 s after the read-back, the agent is killed before it has verified the load, and the next process takes the version as held. The stand-in engine reports and compares the number of accepted orders as the protocol has it.

--- a/process/sidecar/load_test.go
+++ b/process/sidecar/load_test.go
@@ -46,6 +46,7 @@
 const (
 	stagingLayers = 4
 	stagingPiece  = "pieces 0"
+	stagingBorn   = 1_700_000_000_000
 )
 
 func newStagingEngine(clock *boottime.Fake) *stagingEngine {
@@ -113,19 +114,26 @@
 	}
 	from := target - len(e.layers)
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"models": []map[string]any{{"name": "m", "version": e.version}},
+		"models": []map[string]any{{"name": "m", "version": e.version}}, "seq": e.loads, "born": stagingBorn,
 		"layers": map[string]int{"from": from, "target": target, "version": e.version},
 	})
 }
 
 func (e *stagingEngine) order(w http.ResponseWriter, r *http.Request) {
-	var order struct{ Version, From, Target int }
+	var order struct {
+		Version, From, Target int
+		Expect                *int
+	}
 	_ = json.NewDecoder(r.Body).Decode(&order)
 	if order.Target == 0 {
 		order.Target = stagingLayers
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if order.Expect != nil && *order.Expect != e.loads {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
 	e.loads++
 	held := map[int]bool{}
 	for layer := order.From; layer < order.Target; layer++ {
@@ -156,10 +164,16 @@
 // newStagingTest returns an updater that has all pieces of version 2, and its engine.
 func newStagingTest(t *testing.T) (*updater, *stagingEngine, *fakeControl) {
 	t.Helper()
-	clock := boottime.NewFake(clockwork.NewRealClock())
-	e := newStagingEngine(clock)
+	e := newStagingEngine(boottime.NewFake(clockwork.NewRealClock()))
+	u, c := startStagingAgent(t, e)
+	return u, e, c
+}
+
+// startStagingAgent starts an agent of the engine that has all pieces of version 2.
+func startStagingAgent(t *testing.T, e *stagingEngine) (*updater, *fakeControl) {
+	t.Helper()
 	u := newTestUpdater(t, e)
-	u.sidecar.AgeClock = clock
+	u.sidecar.AgeClock = e.clock
 	m := platform.Manifest{Model: "m", Version: 2}
 	for piece := range stagingLayers {
 		m.Digests = append(m.Digests, sha256.Sum256([]byte(stagingPiece+strconv.Itoa(piece))))
@@ -179,7 +193,7 @@
 		document: wire.ConfigDocument{Version: 1, Content: content},
 	}
 	c.link(t, u)
-	return u, e, c
+	return u, c
 }
 
 const stagingConfig = `{"version":1,"services":[{"name":"s","healthPath":"/health",
@@ -256,3 +270,35 @@
 		t.Errorf("reported weights: whole %v, %d layers from a corrupt piece", whole, spoiled)
 	}
 }
+
+// An agent may be killed between a load that was accepted too late and its verification.
+func TestRestartedAgentReplacesWeightsFromCorruptPiece(t *testing.T) {
+	for piece := range stagingLayers {
+		t.Run("piece "+strconv.Itoa(piece), func(t *testing.T) {
+			u, e, _ := newStagingTest(t)
+			if _, err := u.stagePieces(t.Context(), pieces.Key{Model: "m", Version: 2}); err != nil {
+				t.Fatal(err)
+			}
+			e.beforeOrder = func() { e.corrupt(piece); e.clock.Suspend(4 * time.Second) }
+			if err := u.installVersion(t.Context(), u.sidecar.follower.View(), pieces.Key{Model: "m", Version: 2}); err != nil {
+				t.Fatal(err)
+			}
+			if _, spoiled := e.usable(); spoiled == 0 {
+				t.Fatal("the engine did not load the corrupt piece")
+			}
+			restarted, c := startStagingAgent(t, e)
+			for range 10 {
+				restarted.reconcile(t.Context())
+				_, spoiled := e.usable()
+				for s := c.nextReport(); s != nil; s = c.nextReport() {
+					if directory.VersionOf(s.Held, "m") != 0 && spoiled > 0 {
+						t.Errorf("reported %+v with %d layers from a corrupt piece", s, spoiled)
+					}
+				}
+			}
+			if whole, spoiled := e.usable(); !whole || spoiled > 0 {
+				t.Errorf("the engine holds all layers: %v, %d of them from a corrupt piece", whole, spoiled)
+			}
+		})
+	}
+}
