feed: the verified weights of each engine

The list of servers had no place for what an agent has verified.

directory.Table keeps verifications by address and model, also before the server's first heartbeat. They hold for one incarnation. The order of merging is total, so it doesn't matter through which control process one arrives. A control process ends a verification if two of the server's own reports show that the version was unloaded or replaced, or if the agent begins a load while the engine doesn't hold it; only a later check of the agent verifies it again. Changes go to all followers and the full state holds them, so that entries without a link to the agent's control process, and control processes that start anew, know them. The full state now lists servers as they reported themselves: what the agent had added was taken for the server's report. A heartbeat that confirms its agent's report is sent on once, for the same reason.

--- a/connection/wire/updates.go
+++ b/connection/wire/updates.go
@@ -26,7 +26,8 @@
 	// Loading is set while the engine accepts no new requests because it loads
 	// weights.
 	Loading bool `cbor:"2,keyasint,omitempty"`
-	// Held lists the weights that the engine holds after loading.
+	// Held lists the weights that the engine holds after loading and that the agent has
+	// verified since. With Loading and Born, it lists those that the engine holds before.
 	Held []directory.ModelVersion `cbor:"3,keyasint,omitempty"`
 	// Born is the engine's start in Unix milliseconds, or 0 if it is unknown. The report
 	// concerns no other incarnation.
@@ -34,6 +35,21 @@
 	// Unloads lists the weights that the agent will have the engine unload before they
 	// expire. A report with it states nothing else.
 	Unloads []directory.ModelVersion `cbor:"5,keyasint,omitempty"`
+	// Checked is the time of the check that Held results from; see
+	// directory.Verification.
+	Checked int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Verifications returns the verifications that the report contains.
+func (s *EngineState) Verifications() []directory.Verification {
+	if s.Loading || len(s.Unloads) > 0 {
+		return nil
+	}
+	list := make([]directory.Verification, 0, len(s.Held))
+	for _, held := range s.Held {
+		list = append(list, directory.Verification{Address: s.Address, Born: s.Born, Model: held.Model, Version: held.Version, Checked: s.Checked})
+	}
+	return list
 }
 
 // Deregistration reports that a server deregistered. Born is the server's start in
@@ -83,6 +99,8 @@
 	Left    []Deregistration `cbor:"6,keyasint,omitempty"`
 	// Engines holds the reports of agents about their engines.
 	Engines []EngineState `cbor:"11,keyasint,omitempty"`
+	// Verified holds verifications of weights, also those that have ended.
+	Verified []directory.Verification `cbor:"14,keyasint,omitempty"`
 	// Controls lists the peer addresses of the control processes.
 	Controls []string `cbor:"7,keyasint,omitempty"`
 	// Demand is the sum of the demand that all entries reported, by service.
--- a/process/directory/table.go
+++ b/process/directory/table.go
@@ -29,6 +29,21 @@
 	// Unloads lists the weights that the server's agent will have it unload before they
 	// expire. It must not be modified.
 	Unloads []ModelVersion
+	// Verified lists the weights of this incarnation that the server's agent has verified.
+	// Only Table.Snapshot sets it.
+	Verified []ModelVersion
+	// reported is Held as in the server's last own report.
+	reported []ModelVersion
+}
+
+// VerifiedVersion returns the version of a model that the server's agent has verified, or 0.
+func (r *Record) VerifiedVersion(model string) int { return VersionOf(r.Verified, model) }
+
+// Reported returns the server's last own report, without what its agent has added.
+func (r *Record) Reported() Server {
+	s := r.Server
+	s.Held = r.reported
+	return s
 }
 
 // Table holds the servers by ID.
@@ -36,11 +51,13 @@
 	servers map[string]*Record
 	// idByAddress maps an address to the ID of the server that started there last.
 	idByAddress map[string]string
+	// verifications holds the agents' verifications by address and model.
+	verifications map[string]map[string]heardVerification
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{servers: map[string]*Record{}, idByAddress: map[string]string{}}
+	return &Table{servers: map[string]*Record{}, idByAddress: map[string]string{}, verifications: map[string]map[string]heardVerification{}}
 }
 
 // Outcome is the effect of a report on the table.
@@ -85,8 +102,8 @@
 			s.State = Draining
 		}
 	}
-	unchanged := old.EqualIgnoringSeq(&s)
-	next := Record{Server: s, Heard: now}
+	unchanged := old.sameState(&s)
+	next := Record{Server: s, Heard: now, reported: s.Held}
 	if old.Born == s.Born {
 		next.LoadingUntil, next.Unloads = old.LoadingUntil, old.Unloads
 		if holdsNewer(s.Held, old.Held) {
@@ -102,6 +119,13 @@
 	return Changed
 }
 
+// sameState reports whether a report changes nothing that other processes must learn. That
+// the server itself reports what its agent has reported before is a change:
+// Table.EndVerifications compares the server's own reports.
+func (r *Record) sameState(s *Server) bool {
+	return r.EqualIgnoringSeq(s) && slices.Equal(r.reported, s.Held)
+}
+
 // claimAddress assigns an address to the server that started there last.
 func (t *Table) claimAddress(record *Record) {
 	current := t.servers[t.idByAddress[record.Address]]
@@ -197,7 +221,7 @@
 }
 
 // Sweep removes servers without a message for recordTTL. It reports whether there
-// were any.
+// were any. Verifications are removed once there is no server at their address.
 func (t *Table) Sweep(now time.Duration) bool {
 	swept := false
 	for id, record := range t.servers {
@@ -210,5 +234,6 @@
 			delete(t.idByAddress, record.Address)
 		}
 	}
+	t.sweepVerifications(now)
 	return swept
 }
--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -338,6 +338,10 @@
 			f.log.Info("engine state changed", "address", s.Address, "loading", s.Loading, "held", s.Held, "unloads", s.Unloads)
 		}
 	}
+	if verified := applyVerifications(f.table, update.Verified, now); len(verified) > 0 {
+		changed = true
+		f.log.Info("verified weights changed", "verified", verified)
+	}
 	for _, id := range update.Alive {
 		if record := f.table.Get(id); record != nil {
 			record.Heard = now
@@ -413,7 +417,7 @@
 	v.Servers = map[string][]directory.Record{}
 	for _, record := range f.table.All() {
 		if record.State != directory.Gone && !f.table.Superseded(record) {
-			v.Servers[record.Service] = append(v.Servers[record.Service], *record)
+			v.Servers[record.Service] = append(v.Servers[record.Service], f.table.Snapshot(record))
 		}
 	}
 	return v
--- a/process/feed/fuzz_test.go
+++ b/process/feed/fuzz_test.go
@@ -23,6 +23,7 @@
 		{Weights: map[string]int{"m": 3}, Published: map[string][]int{"m": {3, 2, 2}}, Ages: map[string][]wire.VersionAge{"m": {{Version: -1, Age: -1 << 60}}}},
 		{Servers: []directory.Server{server, {ID: "i-2"}}, Left: []wire.Deregistration{{ID: "i-1"}}, Alive: []string{"i-1", ""}},
 		{Engines: []wire.EngineState{{Address: server.Address, Loading: true}, {Address: server.Address, Unloads: server.Held}}, Controls: []string{"", "x"}},
+		{Engines: []wire.EngineState{{Address: server.Address, Born: 1, Held: server.Held, Checked: 2}}, Verified: []directory.Verification{{Address: server.Address, Born: 1, Model: "m", Version: 1, Ended: true}, {Version: -1}}},
 		{Demand: map[string]float64{"s": -1}, Entries: -5, Observations: []observation.Record{{Kind: observation.Limit, Key: "i-1", Origin: "e", TTL: -1, Age: -1}}},
 	} {
 		data, err := cbor.Marshal(update)
--- a/process/feed/hub.go
+++ b/process/feed/hub.go
@@ -105,12 +105,16 @@
 func (h *Hub) Heartbeat(s directory.Server) directory.Outcome {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	ended := h.endVerifications(s)
 	outcome := h.table.Update(s, h.now())
+	if outcome != directory.Changed && len(ended) > 0 {
+		h.broadcast(wire.Update{Verified: ended}, true)
+	}
 	switch outcome {
 	case directory.Changed:
 		h.log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address,
 			"state", s.State.String(), "born", s.Born, "seq", s.Seq, "held", s.Held)
-		h.broadcast(wire.Update{Servers: []directory.Server{s}}, true)
+		h.broadcast(wire.Update{Servers: []directory.Server{s}, Verified: ended}, true)
 	case directory.Renewed:
 		h.aliveLocal[s.ID] = true
 	case directory.Invalid:
@@ -141,11 +145,7 @@
 // at this process, and else only to followers that need relayed updates. The
 // caller holds mu.
 func (h *Hub) broadcast(update wire.Update, local bool) {
-	for _, f := range h.followers {
-		if local || f.relay {
-			_ = f.conn.Notify(wire.KindUpdate, update) // a lost link is reported by its owner
-		}
-	}
+	h.notifyFollowers(update, local)
 	if !local {
 		return
 	}
@@ -154,21 +154,37 @@
 	}
 }
 
+// notifyFollowers sends an update to all followers, or only to those that need relayed
+// updates. The caller holds mu.
+func (h *Hub) notifyFollowers(update wire.Update, all bool) {
+	for _, f := range h.followers {
+		if all || f.relay {
+			_ = f.conn.Notify(wire.KindUpdate, update) // a lost link is reported by its owner
+		}
+	}
+}
+
 // applyEngine applies an agent's report to a table and reports whether that changed.
 func applyEngine(table *directory.Table, s wire.EngineState, now time.Duration) bool {
 	if len(s.Unloads) > 0 {
 		return table.SetUnloads(s.Address, s.Born, s.Unloads)
 	}
-	return table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, now)
+	verified := len(applyVerifications(table, s.Verifications(), now)) > 0
+	return table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, now) || verified
 }
 
 // UpdateEngine applies an agent's report about its engine.
 func (h *Hub) UpdateEngine(s wire.EngineState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if applyEngine(h.table, s, h.now()) {
-		h.log.Info("engine state changed", "address", s.Address, "loading", s.Loading, "held", s.Held, "unloads", s.Unloads)
-		h.broadcast(wire.Update{Engines: []wire.EngineState{s}}, true)
+	var ended []directory.Verification
+	if s.Loading {
+		ended = h.table.BeginLoad(s.Address, s.Born, s.Held)
+		logEnded(h.log, ended)
+	}
+	if applyEngine(h.table, s, h.now()) || len(ended) > 0 {
+		h.log.Info("engine state changed", "address", s.Address, "born", s.Born, "loading", s.Loading, "held", s.Held, "checked", s.Checked, "unloads", s.Unloads)
+		h.broadcast(wire.Update{Engines: []wire.EngineState{s}, Verified: ended}, true)
 	}
 }
 
@@ -178,7 +194,9 @@
 	defer h.mu.Unlock()
 	now := h.now()
 	var forwarded wire.Update
+	var ended []directory.Verification
 	for _, s := range update.Servers {
+		ended = append(ended, h.endVerifications(s)...)
 		switch h.table.Update(s, now) {
 		case directory.Changed:
 			forwarded.Servers = append(forwarded.Servers, s)
@@ -191,6 +209,7 @@
 			forwarded.Left = append(forwarded.Left, l)
 		}
 	}
+	h.applyPeerVerifications(update, ended, now)
 	for _, s := range update.Engines {
 		if applyEngine(h.table, s, now) {
 			forwarded.Engines = append(forwarded.Engines, s)
@@ -224,8 +243,8 @@
 	return update
 }
 
-// fullState returns an update with the desired state, all servers and the control
-// processes. The caller holds mu.
+// fullState returns an update with the desired state, all servers, the verifications of
+// their weights and the control processes. The caller holds mu.
 func (h *Hub) fullState() wire.Update {
 	update := h.desiredUpdate()
 	for _, record := range h.table.All() {
@@ -233,8 +252,9 @@
 			update.Left = append(update.Left, wire.Deregistration{ID: record.ID, Born: record.Born})
 			continue
 		}
-		update.Servers = append(update.Servers, record.Server)
+		update.Servers = append(update.Servers, record.Reported())
 	}
+	update.Verified = h.table.Verifications()
 	update.Controls = h.controls()
 	update.Observations = h.relay.store.All(h.ageClock.Now())
 	return update
