forward: requests only to engines whose weights are verified

A server of a service with pieces is now usable only if the version that it holds is at most the one that its agent has verified in this incarnation. Services without pieces stay as they are.

Without the condition TestServerGetsRequestsOnlyOnceItsWeightsAreVerified and TestAllHeldWeightsMustBeVerified fail.

--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -162,7 +162,7 @@
 			ID: record.ID, Address: record.Address, Born: record.Born, Zone: record.Zone, Slots: slots, Held: record.Held, WeightsVersion: version, WeightsUntil: until,
 			Unloads: len(record.Unloads) > 0 && sc.unloadsExpiring(models, record),
 		}
-		server.Usable = record.State == directory.Ready && weightsHeld && !loading && (len(sc.leaving) == 0 || !sc.leaving[server.Incarnation()])
+		server.Usable = record.State == directory.Ready && weightsHeld && weightsVerified(s, record) && !loading && (len(sc.leaving) == 0 || !sc.leaving[server.Incarnation()])
 		servers = append(servers, server)
 	}
 	return servers
@@ -199,6 +199,20 @@
 	return true, version, until
 }
 
+// weightsVerified reports whether the server's agent has verified all weights that the
+// server holds, if they are loaded from staged pieces. A server loads the pieces as they
+// are when it accepts the order, which may be long after they were read back, and its own
+// heartbeats name the version before the agent has found that a piece was corrupt.
+func weightsVerified(s *deployment.Service, record *directory.Record) bool {
+	if s.Engine == nil || s.Engine.Pieces == 0 {
+		return true
+	}
+	return !slices.ContainsFunc(s.Engine.Models, func(model string) bool {
+		held := record.HeldVersion(model)
+		return held <= 0 || held > record.VerifiedVersion(model)
+	})
+}
+
 // unloadsExpiring reports whether a server unloads all of its weights that expire. The
 // caller holds mu.
 func (sc *scheduler) unloadsExpiring(models []string, record *directory.Record) bool {
--- /dev/null
+++ b/request/forward/verified_test.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingpost/waxwingpost/process/boottime"
+	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/process/directory"
+	"github.com/waxwingpost/waxwingpost/process/feed"
+)
+
+// An engine's heartbeat names a version as soon as it is loaded, from whichever pieces were
+// staged then. Requests must wait until the agent has read the pieces back.
+func TestServerGetsRequestsOnlyOnceItsWeightsAreVerified(t *testing.T) {
+	s := newFakeServer(t, "s1", echo)
+	config := testConfig(deployment.Repeatable, testTimeout)
+	config.Services["svc"].Engine = &deployment.Engine{Models: []string{"m"}, Slots: 8, ReadPerSecond: 1000, Step: time.Millisecond, Pieces: 64}
+	e := newTestEntry(t, config)
+	table := directory.NewTable()
+	heartbeat := func(born int64, seq uint64, version int) {
+		report := directory.Server{
+			ID: "s1", Service: "svc", Address: s.Listener.Addr().String(), Slots: 8, State: directory.Ready, Born: born, Seq: seq,
+			Engine: true, Held: []directory.ModelVersion{{Model: "m", Version: version}},
+		}
+		table.EndVerifications(report)
+		table.Update(report, 0)
+	}
+	verify := func(born int64, version int, checked int64) {
+		table.Verify(directory.Verification{Address: s.Listener.Addr().String(), Born: born, Model: "m", Version: version, Checked: checked}, 0)
+	}
+	for _, step := range []struct {
+		name string
+		do   func()
+		want int
+	}{
+		{"heartbeat names a version", func() { heartbeat(1, 1, 1) }, http.StatusServiceUnavailable},
+		{"verified", func() { verify(1, 1, 1) }, http.StatusOK},
+		{"heartbeat names the next version", func() { heartbeat(1, 2, 2) }, http.StatusServiceUnavailable},
+		{"the earlier version is verified again", func() { verify(1, 1, 2) }, http.StatusServiceUnavailable},
+		{"the next version is verified", func() { verify(1, 2, 3) }, http.StatusOK},
+		{"restarted with the same ID", func() { heartbeat(2, 1, 2) }, http.StatusServiceUnavailable},
+		{"late verification of the earlier incarnation", func() { verify(1, 2, 4) }, http.StatusServiceUnavailable},
+		{"the incarnation is verified", func() { verify(2, 2, 5) }, http.StatusOK},
+	} {
+		step.do()
+		view := *e.handler.View()
+		view.Servers = map[string][]directory.Record{"svc": {table.Snapshot(table.Get("s1"))}}
+		e.handler.Update(&view)
+		before := s.receivedCount()
+		resp, body, err := e.send(t, func(r *http.Request) { r.Header.Set("Deadline-Ms", "300") })
+		if err != nil {
+			t.Fatalf("%s: %v", step.name, err)
+		}
+		received := s.receivedCount() - before
+		if resp.StatusCode != step.want || (received > 0) != (step.want == http.StatusOK) {
+			t.Errorf("%s: status %d (%s), the server got %d requests; want status %d", step.name, resp.StatusCode, body, received, step.want)
+		}
+	}
+}
+
+func TestAllHeldWeightsMustBeVerified(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	sc := newScheduler(Config{OldVersionGrace: 8 * time.Second}, clock, boottime.NewFake(clock))
+	weights := func(m, n int) []directory.ModelVersion {
+		return []directory.ModelVersion{{Model: "m", Version: m}, {Model: "n", Version: n}}
+	}
+	for name, c := range map[string]struct {
+		pieces         int
+		held, verified []directory.ModelVersion
+		want           bool
+	}{
+		"none verified":             {64, weights(2, 3), nil, false},
+		"both verified":             {64, weights(2, 3), weights(2, 3), true},
+		"one of two":                {64, weights(2, 3), weights(2, 0)[:1], false},
+		"older version verified":    {64, weights(2, 3), weights(2, 2), false},
+		"report older than that":    {64, weights(1, 3), weights(2, 3), true},
+		"one not held":              {64, weights(2, 0), weights(2, 3), false},
+		"no pieces, none verified":  {0, weights(2, 3), nil, true},
+		"no pieces, other verified": {0, weights(2, 3), weights(1, 1), true},
+	} {
+		service := &deployment.Service{Name: "s", Engine: &deployment.Engine{Slots: 8, Models: []string{"m", "n"}, Pieces: c.pieces}}
+		sc.view = &feed.View{Servers: map[string][]directory.Record{"s": {{
+			Server: directory.Server{ID: "a", State: directory.Ready, Held: c.held}, Verified: c.verified,
+		}}}}
+		if got := sc.poolServers(service, clock.Now()); len(got) != 1 || got[0].Usable != c.want {
+			t.Errorf("%s: %+v, want usable %v", name, got, c.want)
+		}
+	}
+}
