forward: name incarnation and versions of weights in the line of a request

The lines "request served", "request failed", "request handler panicked" and "request ended without a response" now have the attribute "attempts": for each server, in order, its ID, its start, the version that it was listed with, those that the response named (the header Weights-Version, and each change within the stream with its event), and the number of its events that the caller got, which tells whose token an event of a resumed stream is. The attribute is left out where no server has weights.

requests_weights_unexpected counts requests that may have run on another version than the server was listed with.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -41,6 +41,8 @@
 	refusal error
 	// events is the number of events that the server has sent.
 	events int
+	// weights holds the versions of weights that the response names.
+	weights versionTrace
 	// body is the complete body of a short response that is not a stream.
 	body []byte
 	// trials lists the suspected parts that the request tries.
@@ -67,6 +69,7 @@
 	ctx, cancel := context.WithCancel(cr.request.Context())
 	a := &attempt{lease: l, cancel: cancel, parts: make(chan part), trials: h.suspects.startTrial(cr)}
 	cr.triedServers = append(cr.triedServers, l.Server.ID)
+	cr.tried = append(cr.tried, newTriedServer(cr, l))
 	cr.weights = weightsUse{version: l.Server.WeightsVersion, until: l.Server.WeightsUntil, sent: h.ageClock.Now()}
 	req := &backend.Request{
 		Method: cr.request.Method, Target: cr.request.RequestURI, Host: cr.request.Host,
@@ -92,6 +95,7 @@
 		a.classifyError(ctx)
 		return
 	}
+	a.weights.recordHeader(a.ex.Header.Get(platform.HeaderWeightsVersion))
 	h.recordLimit(a)
 	h.recordLeaving(a)
 	h.recordTurnedAway(service, a)
@@ -144,6 +148,7 @@
 // event.
 func (a *attempt) readEvents(ctx context.Context, events *eventReader) error {
 	events.reset(a.ex)
+	events.weights = &a.weights
 	for {
 		data, count, err := events.next()
 		a.events += count
@@ -217,6 +222,7 @@
 	}
 	a.cancel()
 	h.scheduler.release(cr.service, a.lease, a.outcome)
+	h.recordWeights(cr, a)
 	if h.suspects.recordEnd(cr, a) {
 		go h.checkEnded(a.lease.Incarnation, a.lease.Server.Address)
 	}
--- a/request/forward/events.go
+++ b/request/forward/events.go
@@ -48,6 +48,8 @@
 	hasLastID bool
 	// resumed is set if the caller has received a part of the stream already.
 	resumed bool
+	// weights records the versions of weights that events name; nil if they are not recorded.
+	weights *versionTrace
 	// srcErr is the error with which the source ended.
 	srcErr error
 }
@@ -127,6 +129,9 @@
 		case !wellFormed(event, hasID):
 			return out, count, errMalformed
 		}
+		if e.weights != nil {
+			e.weights.recordEvent(event, id)
+		}
 		if hasID {
 			switch {
 			case e.hasLastID && id <= e.lastID:
--- a/request/forward/outcome.go
+++ b/request/forward/outcome.go
@@ -52,12 +52,14 @@
 	if cause != nil && cause != http.ErrAbortHandler { //nolint:errorlint // net/http compares the value as well
 		stack := debug.Stack()
 		h.metrics.panics.Inc(1)
-		h.log.Error("request handler panicked", "id", cr.id, "code", int(result.Internal), "servers", cr.triedServers,
-			"error", cause, "stack", string(stack[:min(len(stack), maxLoggedStack)]))
+		h.log.Error("request handler panicked", cr.appendTried([]any{
+			"id", cr.id, "code", int(result.Internal), "servers", cr.triedServers,
+			"error", cause, "stack", string(stack[:min(len(stack), maxLoggedStack)]),
+		})...)
 		cr.outcome = outcomeAborted
 	}
 	if cause == nil && cr.outcome == outcomeNone {
-		h.log.Error("request ended without a response", "id", cr.id, "code", int(result.Internal), "servers", cr.triedServers)
+		h.log.Error("request ended without a response", cr.appendTried([]any{"id", cr.id, "code", int(result.Internal), "servers", cr.triedServers})...)
 	}
 	h.metrics.outcomes[cr.outcome].Inc(1)
 	switch {
--- a/request/forward/respond.go
+++ b/request/forward/respond.go
@@ -72,7 +72,7 @@
 		"prompt", cr.tokens.Prompt, "late", cr.late, "servers", cr.triedServers,
 		"waited_ms", cr.queueTime.Milliseconds(), "first_ms", cr.firstByte.Milliseconds(), "took_ms", took.Milliseconds(),
 	}
-	attrs = cr.weights.appendAttrs(attrs)
+	attrs = cr.appendTried(cr.weights.appendAttrs(attrs))
 	if err != nil {
 		e := result.From(err)
 		h.log.Warn("request failed", append(attrs, "code", int(e.Code), "retry_after", e.RetryAfter, "reason", e.Detail)...)
