sidecar: weights count as held once they were verified after the load

Cause: the agent checked the staged pieces before the order, and the engine takes them when it accepts the order, at any later time: the engine hangs, the agent or its VM stands still, the response is lost.

Change: an order is accepted only by the engine whose report was read (expect). After the engine has accepted it, all pieces are read back while nothing is staged; only if they are intact, and the engine reports the same start and number of orders, the load counts as verified and is published. Otherwise the engine drops all layers in two orders, and the version is loaded anew. Nothing is staged for a version while the engine holds an unverified load of it or may still accept an order for it, so the next process comes to the same result from the report and the stage alone. Layers that an engine kept from an earlier load are replaced.

--- a/process/sidecar/install.go
+++ b/process/sidecar/install.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/feed"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/version/pieces"
@@ -16,7 +17,7 @@
 
 // installVersion fetches, stages, verifies and loads a version. It is canceled if the
 // transfer stalls or another version becomes the preferred one.
-func (u *updater) installVersion(ctx context.Context, view *feed.View, key pieces.Key) error {
+func (u *updater) installVersion(ctx context.Context, view *feed.View, engine *deployment.Engine, key pieces.Key) error {
 	fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	stop := u.watchTransfer(fetchCtx, cancel, key)
@@ -38,14 +39,28 @@
 	if err := u.fetcher.Fetch(fetchCtx, currentSpec); err != nil {
 		return err
 	}
-	readBack, err := u.stagePieces(ctx, key)
+	staged, err := u.stageBeforeLoad(ctx, key, engine.Layers)
 	if err != nil {
 		return err
 	}
 	if err := u.waitLoadTime(fetchCtx, key); err != nil {
 		return err
 	}
-	return u.loadStaged(ctx, key, readBack)
+	return u.loadStaged(ctx, key, engine.Layers, staged)
+}
+
+// stageBeforeLoad stages the pieces, unless the engine holds layers of the version or may
+// still accept an order for it.
+func (u *updater) stageBeforeLoad(ctx context.Context, key pieces.Key, layers int) (staged stagedPieces, err error) {
+	report, err := u.engineReport(ctx)
+	if err != nil {
+		return staged, err
+	}
+	step := nextLoadStep(heldLayers(report, key.Model, layers), key.Version, layers)
+	if !u.mayStage(key, step, report) {
+		return staged, nil
+	}
+	return u.stageFor(ctx, key, report)
 }
 
 // waitLoadTime waits until the time at which this engine is to load.
@@ -164,21 +179,3 @@
 		}
 	}
 }
-
-// watchLoad reports to the control processes when the engine has loaded a version. The
-// next transfer may have begun by then and takes seconds.
-func (u *updater) watchLoad(ctx context.Context, key pieces.Key) {
-	for range maxBusyPolls {
-		select {
-		case <-ctx.Done():
-			return
-		case <-u.sidecar.Clock.After(pendingPollInterval):
-		}
-		report, err := u.engineReport(ctx)
-		if err != nil || report.Busy {
-			continue
-		}
-		u.recordHeld(key.Model, report)
-		return
-	}
-}
--- a/process/sidecar/install_test.go
+++ b/process/sidecar/install_test.go
@@ -105,7 +105,7 @@
 		t.Run(name, func(t *testing.T) {
 			u := newTestUpdater(t, c.respond)
 			control := followFakeControl(t, u)
-			if err := u.orderLoad(t.Context(), pieces.Key{Model: "m", Version: 2}, u.sidecar.AgeClock.Now(), platform.EngineReport{}); err == nil {
+			if err := u.order(t.Context(), pieces.Key{Model: "m", Version: 2}, stepLoadAll, testLayers, platform.EngineReport{}); err == nil {
 				t.Fatal("an order without an answer succeeded")
 			}
 			if s := control.nextReport(); s == nil || !s.Loading {
@@ -120,24 +120,20 @@
 }
 
 func TestEndOfALoadIsReportedDuringTheNextTransfer(t *testing.T) {
-	e := &layeredEngine{version: 1, target: testLayers}
-	u := newTestUpdater(t, e)
-	control := followFakeControl(t, u)
-	if err := u.orderLoad(t.Context(), pieces.Key{Model: "m", Version: 2}, u.sidecar.AgeClock.Now(), platform.EngineReport{}); err != nil {
+	u, e, control := newStagingTest(t)
+	e.busyAfterOrder = true
+	if err := install(t, u); err != nil {
 		t.Fatal(err)
 	}
 	if s := control.nextReport(); s == nil || !s.Loading {
 		t.Fatalf("before the order, reported %+v", s)
 	}
 	// The updater is occupied by the transfer of version 3 from here on.
-	e.mu.Lock()
-	e.busy = true
-	e.mu.Unlock()
 	if s := control.nextReport(); s != nil {
 		t.Fatalf("while the engine loads, reported %+v", s)
 	}
 	e.mu.Lock()
-	e.busy, e.target = false, testLayers
+	e.busy = false
 	e.mu.Unlock()
 	for range 10 {
 		if s := control.nextReport(); s != nil {
--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -11,39 +11,22 @@
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/boottime"
-	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/version/pieces"
 )
 
 const (
-	// stagedFaultGrace is how long a staged piece may have been corrupt at most when the
-	// engine accepts the order to load it, as the platform requires.
-	stagedFaultGrace = 3 * time.Second
-	// maxReadBackAge is the age of the oldest read-back up to which a load is ordered. The
-	// rest of stagedFaultGrace is for the order itself.
+	// maxReadBackAge is the age of the oldest read-back up to which a load is ordered. A
+	// piece that became corrupt since then costs another load.
 	maxReadBackAge = 2 * time.Second
-	// maxReadBacks bounds the attempts to order a load within maxReadBackAge.
-	maxReadBacks = 5
+	// maxLoadOrders bounds the orders and the repeated read-backs of one load.
+	maxLoadOrders = 5
 )
 
 // readBackAgeBuckets are the buckets of the age of the oldest read-back when the engine
 // has accepted an order.
 var readBackAgeBuckets = tally.DurationBuckets{
-	100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, maxReadBackAge, stagedFaultGrace, 5 * time.Second, 10 * time.Second,
-}
-
-// uncertainLoad is a load that the engine may have accepted more than stagedFaultGrace
-// after its pieces were read back.
-type uncertainLoad struct {
-	key pieces.Key
-	// readBack is when the first piece was read back before the order was sent.
-	readBack boottime.Instant
-	// corrupt is set once a piece was found to be corrupt after that, or can't be
-	// verified any more.
-	corrupt bool
-	// dropping is set once the engine was ordered to drop the weights.
-	dropping bool
+	100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, maxReadBackAge, 3 * time.Second, 5 * time.Second, 10 * time.Second,
 }
 
 // completeReadBack is the last time at which every staged piece of a version was intact.
@@ -53,8 +36,8 @@
 }
 
 // stagePieces stages every piece at the engine and reads it back to verify it: a
-// staged piece may have become corrupt. All pieces were intact at the time that it
-// returns.
+// staged piece may have become corrupt. readBack is when the first one was read back for
+// the last time. The engine must not hold layers of the version that are to be verified.
 func (u *updater) stagePieces(ctx context.Context, key pieces.Key) (readBack boottime.Instant, err error) {
 	m, ok := u.sidecar.store.Manifest(key)
 	if !ok {
@@ -76,19 +59,13 @@
 		if data == nil {
 			return readBack, result.New(result.ChunkMissing, "version %d was replaced", key.Version)
 		}
-		if u.uncertain != nil && u.uncertain.key == key {
-			u.uncertain.corrupt = true
-		}
+		u.unconfirmedPut = key
 		if _, err := u.callEngine(ctx, http.MethodPut, platform.StagePutPath(key.Model, piece), data); err != nil {
 			return readBack, err
 		}
 		put++
 	}
-	if len(corrupt) > 0 {
-		u.sidecar.Log.Warn("staged pieces corrupt", "model", key.Model, "version", key.Version, "pieces", corrupt,
-			"since_intact", u.sidecar.AgeClock.Now().Sub(u.readBacks.at))
-		u.scope.Counter("pieces_corrupt").Inc(int64(len(corrupt)))
-	}
+	u.recordCorrupt(key, corrupt)
 	if put > 0 {
 		// The pieces that were put are read back as well before the engine loads them.
 		u.sidecar.Log.Info("pieces staged", "model", key.Model, "version", key.Version, "put", put, "took", u.sidecar.Clock.Since(started))
@@ -98,133 +75,145 @@
 	return readBack, nil
 }
 
-// loadStaged orders the engine to load the staged version once it carries out no other
-// order. If the wait was long, or this VM was suspended meanwhile, the pieces are read back
-// again first. readBack is when the first one was last read back.
-func (u *updater) loadStaged(ctx context.Context, key pieces.Key, readBack boottime.Instant) error {
-	for range maxReadBacks {
+// recordCorrupt logs and counts the staged pieces of a version that are not intact any more.
+func (u *updater) recordCorrupt(key pieces.Key, corrupt []int) {
+	if len(corrupt) == 0 {
+		return
+	}
+	log := u.sidecar.Log.With("model", key.Model, "version", key.Version, "pieces", corrupt)
+	if u.readBacks.key == key {
+		log = log.With("since_intact", u.sidecar.AgeClock.Now().Sub(u.readBacks.at))
+	}
+	log.Warn("staged pieces corrupt")
+	u.scope.Counter("pieces_corrupt").Inc(int64(len(corrupt)))
+}
+
+// loadStaged orders the engine to load the staged version once it executes no other order.
+func (u *updater) loadStaged(ctx context.Context, key pieces.Key, layers int, staged stagedPieces) error {
+	var refused error
+	var before platform.EngineReport
+	for range maxLoadOrders {
 		report, err := u.waitEngineIdle(ctx, key)
 		if err != nil {
 			return err
 		}
-		age := u.sidecar.AgeClock.Now().Sub(readBack)
-		if age <= maxReadBackAge {
-			return u.orderLoad(ctx, key, readBack, report)
+		if refused != nil && report.Born == before.Born && report.Orders == before.Orders {
+			return refused
 		}
-		u.sidecar.Log.Info("pieces read back again", "model", key.Model, "version", key.Version, "age", age)
-		if readBack, err = u.stagePieces(ctx, key); err != nil {
-			return err
+		before = report
+		step := nextLoadStep(heldLayers(report, key.Model, layers), key.Version, layers)
+		if step == stepHeld {
+			return nil // an order that received no response was accepted
+		}
+		if u.mayStage(key, step, report) && !u.isRecent(staged, report) {
+			u.sidecar.Log.Info("pieces read back again", "model", key.Model, "version", key.Version, "age", u.age(staged.readBack), "born", report.Born)
+			if staged, err = u.stageFor(ctx, key, report); err != nil {
+				return err
+			}
+			continue
+		}
+		if step == stepComplete && !u.intactSinceOrder(ctx, key) {
+			step = stepDrop
+		}
+		refused = u.order(ctx, key, step, layers, report)
+		if refused != nil && result.CodeOf(refused) != result.EngineRefused {
+			return refused
+		}
+		if refused == nil && step.loadsAll() {
+			u.readBackLoad(ctx, acceptedLoad{key: key, layers: layers, born: report.Born, orders: report.Orders + 1})
+			return nil
 		}
 	}
-	return result.New(result.EngineRefused, "staged pieces of version %d not read back within %v in %d attempts", key.Version, maxReadBackAge, maxReadBacks)
+	return result.New(result.EngineRefused, "version %d not loaded after %d orders and read-backs", key.Version, maxLoadOrders)
 }
 
-// orderLoad orders the engine to load the staged version, whose first piece was read back
-// at readBack. report is the engine's last one.
-func (u *updater) orderLoad(ctx context.Context, key pieces.Key, readBack boottime.Instant, report platform.EngineReport) error {
-	body, err := platform.EncodeLoadOrder(key.Model, key.Version)
-	if err != nil {
-		return err
-	}
-	u.reportEngine(wire.EngineState{Loading: true})
-	_, err = u.callEngine(ctx, http.MethodPost, platform.PathOrder, body)
-	age := u.sidecar.AgeClock.Now().Sub(readBack)
-	switch {
-	case result.CodeOf(err) == result.EngineRefused:
-		u.reportEngine(wire.EngineState{})
-	case u.uncertain != nil && u.uncertain.key == key && u.uncertain.corrupt:
-		// The engine may have accepted an earlier order with the corrupt piece.
-	case err != nil || age > stagedFaultGrace:
-		// The engine may accept the order at any later time, or has done so too late.
-		u.uncertain = &uncertainLoad{key: key, readBack: readBack}
-		u.scope.Counter("loads_unverified").Inc(1)
-	default:
-		u.uncertain = nil
-		u.scope.Counter("loads_verified").Inc(1)
-		go u.watchLoad(ctx, key)
-	}
-	u.orderedKey = key
-	u.recordOrder(key, report, age, err)
-	return err
+// stagedPieces describes the last time that all pieces of a version were staged; it is zero
+// if they were not.
+type stagedPieces struct {
+	// readBack is when the first piece was read back for the last time.
+	readBack boottime.Instant
+	// born is the start of the engine before that.
+	born int64
 }
 
-// recordOrder logs and counts an order to load a version. report is the engine's last one
-// before the order, age the age of the oldest read-back when the response came.
-func (u *updater) recordOrder(key pieces.Key, report platform.EngineReport, age time.Duration, err error) {
-	u.sidecar.Log.Info("load ordered", "model", key.Model, "version", key.Version, "born", report.Born, "orders", report.Orders,
-		"layers_before", report.Layers.String(), "read_back_age", age, "code", int(result.CodeOf(err)), "error", err)
-	u.scope.Counter("loads_ordered").Inc(1)
-	if err == nil {
-		u.scope.Histogram("read_back_age", readBackAgeBuckets).RecordDuration(age)
-	}
+// stageFor stages every piece at the engine whose last report is given.
+func (u *updater) stageFor(ctx context.Context, key pieces.Key, report platform.EngineReport) (stagedPieces, error) {
+	readBack, err := u.stagePieces(ctx, key)
+	return stagedPieces{readBack: readBack, born: report.Born}, err
+}
+
+// isRecent reports whether the pieces were staged at this incarnation of the engine, which
+// may have lost them otherwise, and not longer than maxReadBackAge ago.
+func (u *updater) isRecent(staged stagedPieces, report platform.EngineReport) bool {
+	return !staged.readBack.IsZero() && staged.born == report.Born && u.age(staged.readBack) <= maxReadBackAge
 }
 
-// resolveUncertainLoad reports whether the weights in the report may be used. If an
-// uncertain load was accepted, it reads the staged pieces back, and has the engine drop the
-// weights if one was corrupt.
-func (u *updater) resolveUncertainLoad(ctx context.Context, model string, layers int, report platform.EngineReport) bool {
-	load := u.uncertain
-	if load == nil || load.key.Model != model {
-		return true
+// age returns the time since a read-back.
+func (u *updater) age(readBack boottime.Instant) time.Duration {
+	return u.sidecar.AgeClock.Now().Sub(readBack)
+}
+
+// sentOrder is an order without a response: the engine may accept it as long as its start
+// and its number of orders are the same.
+type sentOrder struct {
+	key    pieces.Key
+	born   int64
+	orders uint64
+}
+
+// mayBeAccepted reports whether the engine may still accept an order for the version that
+// received no response. Its pieces are not staged until the order, which is sent again, is
+// accepted: a repaired piece would hide that it was loaded while it was corrupt.
+func (u *updater) mayBeAccepted(key pieces.Key, report platform.EngineReport) bool {
+	return u.inFlight == sentOrder{key: key, born: report.Born, orders: report.Orders}
+}
+
+// mayStage reports whether pieces may be put before a step.
+func (u *updater) mayStage(key pieces.Key, step loadStep, report platform.EngineReport) bool {
+	return step.mayStage() && !u.mayBeAccepted(key, report)
+}
+
+// order orders the engine to execute a step. report is the engine's last one; the engine
+// refuses the order if it has accepted another one since.
+func (u *updater) order(ctx context.Context, key pieces.Key, step loadStep, layers int, report platform.EngineReport) error {
+	if step == stepDrop && layers < minDropLayers {
+		return result.New(result.EngineRefused, "an engine with %d layers can't drop its weights", layers)
 	}
-	accepted := report.Busy || directory.VersionOf(report.Held, model) == load.key.Version
-	if !accepted && !load.dropping {
-		return true
+	from, target := step.layersOf(layers)
+	body, err := platform.EncodeLayersOrder(key.Model, key.Version, from, target, report.Orders)
+	if err != nil {
+		return err
 	}
-	log := u.sidecar.Log.With("model", model, "version", load.key.Version)
-	if !load.corrupt && u.sidecar.AgeClock.Now().Sub(load.readBack) > stagedFaultGrace {
-		_, err := u.stagePieces(ctx, load.key)
-		switch {
-		case result.CodeOf(err) == result.ChunkMissing:
-			load.corrupt = true
-		case err != nil:
-			log.Warn("failed to verify a load that was accepted late", "code", int(result.CodeOf(err)), "error", err)
-			return false
-		}
+	u.orderedKey = key
+	u.inFlight = sentOrder{key: key, born: report.Born, orders: report.Orders}
+	// The report was requested after the last piece was put.
+	u.unconfirmedPut = pieces.Key{}
+	u.reportEngine(wire.EngineState{Loading: true, Held: report.Held, Born: report.Born})
+	_, err = u.callEngine(ctx, http.MethodPost, platform.PathOrder, body)
+	code := result.CodeOf(err)
+	if code != result.EngineUnreadable {
+		u.inFlight = sentOrder{}
 	}
-	if load.corrupt {
-		load.dropping = true
-		err := u.dropLayers(ctx, load.key, layers)
-		log.Warn("dropping weights that may be loaded from a corrupt piece", "code", int(result.CodeOf(err)), "error", err)
-		return false
+	if code == result.EngineRefused {
+		u.reportEngine(wire.EngineState{Born: report.Born})
 	}
-	u.uncertain = nil
-	log.Info("load verified", "born", report.Born, "orders", report.Orders)
-	u.scope.Counter("loads_verified").Inc(1)
-	go u.watchLoad(ctx, load.key)
-	return true
+	u.recordOrder(key, step, report, err)
+	return err
 }
 
-// dropLayers has the engine drop every layer that it loaded before, and clears the
-// uncertain load. An order for a version that the engine already holds has no effect, so
-// the engine first holds only the last layer, and then only another one, which it loads
-// anew.
-func (u *updater) dropLayers(ctx context.Context, key pieces.Key, layers int) error {
-	const minLayers = 3 // with layer 0 the engine would count as holding the version
-	if layers < minLayers {
-		return result.New(result.EngineRefused, "an engine with %d layers can't drop its weights", layers)
+// recordOrder logs and counts an order. report is the engine's last one before it.
+func (u *updater) recordOrder(key pieces.Key, step loadStep, report platform.EngineReport, err error) {
+	log := u.sidecar.Log.With("model", key.Model, "version", key.Version, "born", report.Born, "orders", report.Orders,
+		"layers_before", report.Layers.String(), "code", int(result.CodeOf(err)), "error", err)
+	if step == stepDrop {
+		log.Warn("load dropped")
+		u.scope.Counter("loads_dropped").Inc(1)
+		return
 	}
-	for _, layer := range []int{layers - 1, 1} {
-		readBack, err := u.stagePieces(ctx, key)
-		if err != nil && result.CodeOf(err) != result.ChunkMissing {
-			return err
-		}
-		if _, err := u.waitEngineIdle(ctx, key); err != nil {
-			return err
-		}
-		body, err := platform.EncodeLayersOrder(key.Model, key.Version, layer, layer+1, nil)
-		if err != nil {
-			return err
-		}
-		if _, err := u.callEngine(ctx, http.MethodPost, platform.PathOrder, body); err != nil {
-			return err
-		}
-		if age := u.sidecar.AgeClock.Now().Sub(readBack); age > stagedFaultGrace {
-			return result.New(result.EngineRefused, "order for layer %d accepted %v after the pieces were read back", layer, age)
-		}
+	age := u.age(u.readBacks.at)
+	log.Info("load ordered", "complete", step != stepReplaceLast, "read_back_age", age)
+	u.scope.Counter("loads_ordered").Inc(1)
+	if err == nil {
+		u.scope.Histogram("read_back_age", readBackAgeBuckets).RecordDuration(age)
 	}
-	u.uncertain = nil
-	u.scope.Counter("loads_dropped").Inc(1)
-	_, err := u.waitEngineIdle(ctx, key)
-	return err
 }
--- a/process/sidecar/unload.go
+++ b/process/sidecar/unload.go
@@ -121,7 +121,7 @@
 func (l *unloader) unload(ctx context.Context, model string, layers int, report platform.EngineReport) {
 	version := directory.VersionOf(report.Held, model)
 	log := l.updater.sidecar.Log.With("model", model, "version", version)
-	body, err := platform.EncodeLayersOrder(model, version, layers-1, layers, &report.Orders)
+	body, err := platform.EncodeLayersOrder(model, version, layers-1, layers, report.Orders)
 	if err == nil {
 		_, err = l.updater.callEngine(ctx, http.MethodPost, platform.PathOrder, body)
 	}
--- a/process/sidecar/updater.go
+++ b/process/sidecar/updater.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingpost/waxwingpost/connection/backend"
@@ -53,9 +54,15 @@
 	// agents; orderedKey is the one that the engine was last ordered to load.
 	sharedKey  pieces.Key
 	orderedKey pieces.Key
-	// uncertain is the last load that was not accepted for certain in time, or nil.
-	uncertain *uncertainLoad
+	// inFlight is the last order if it received no response.
+	inFlight  sentOrder
 	readBacks completeReadBack
+	// unconfirmedPut is the version of which a piece was put after the last report that
+	// preceded an order: the engine may have accepted an earlier order meanwhile.
+	unconfirmedPut pieces.Key
+	// intact is the last load whose pieces were all intact after it was accepted, suspect
+	// the last one for which that is not certain.
+	intact, suspect acceptedLoad
 	// announceChecked is set once this agent has checked whether the control processes
 	// know the engine.
 	announceChecked bool
@@ -63,17 +70,21 @@
 	// mu guards the state that the dump and running transfers read.
 	mu           sync.Mutex
 	heldVersions map[string]int
-	stallTimes   stallTimes
-	progress     transferProgress
-	lastReport   platform.EngineReport
-	target       pieces.Key
-	step         string
+	// verified holds the last verified version of each model, publishedAt when one was
+	// last reported to the control processes.
+	verified    map[string]verifiedWeights
+	publishedAt time.Time
+	stallTimes  stallTimes
+	progress    transferProgress
+	lastReport  platform.EngineReport
+	target      pieces.Key
+	step        string
 }
 
 func newUpdater(s *Sidecar) *updater {
 	scope := s.Scope.SubScope("weights")
 	return &updater{
-		sidecar: s, scope: scope, wake: make(chan struct{}, 1), heldVersions: map[string]int{}, stallTimes: stallTimes{},
+		sidecar: s, scope: scope, wake: make(chan struct{}, 1), heldVersions: map[string]int{}, verified: map[string]verifiedWeights{}, stallTimes: stallTimes{},
 		fetcher: &pieces.Fetcher{
 			Self: s.node(), Store: s.store, Client: s.client, Clock: s.Clock, Log: s.Log, Scope: scope,
 		},
@@ -195,25 +206,25 @@
 			u.recordStep(newest, report, "engine does not answer")
 			return true
 		}
-		if !u.resolveUncertainLoad(ctx, model, engine.Layers, report) {
-			u.recordStep(newest, report, "load is uncertain")
-			settled = false
-			continue
-		}
 		u.recordHeld(model, report)
 		u.announceEngine(ctx, view, report)
-		if holdsVersion(report, newest) {
-			u.recordStep(newest, report, "held")
+		switch u.checkHeld(ctx, view, engine, newest, report) {
+		case heldNewest:
 			u.shareStaged(ctx, view, newest)
 			continue
+		case heldUnverified:
+			settled = false
+			continue
+		case heldOlder:
 		}
 		settled = false
 		key := u.nextKey(model, u.wanted(view, model))
-		if report.Busy && u.orderedKey == key {
+		if report.Busy && (u.orderedKey == key || u.orderedKey == pieces.Key{}) {
+			// The order of an earlier process may be for the same version.
 			u.recordStep(key, report, "engine is busy")
 			continue
 		}
-		if err := u.installVersion(ctx, view, key); err != nil && ctx.Err() == nil {
+		if err := u.installVersion(ctx, view, engine, key); err != nil && ctx.Err() == nil {
 			u.recordFailure(key)
 			u.sidecar.Log.Warn("failed to install weights", "model", key.Model, "version", key.Version, "code", int(result.CodeOf(err)), "error", err)
 		}
@@ -245,19 +256,59 @@
 	return u.progress.stalled(now)
 }
 
-// recordHeld records which version the engine holds and reports a change to the
-// control processes.
+// recordHeld records which version the engine holds.
 func (u *updater) recordHeld(model string, r platform.EngineReport) {
 	version := directory.VersionOf(r.Held, model)
 	u.mu.Lock()
-	changed := version != u.heldVersions[model]
+	defer u.mu.Unlock()
 	u.heldVersions[model] = version
-	u.mu.Unlock()
-	if changed && version > 0 {
-		u.reportEngine(wire.EngineState{Held: r.Held, Born: r.Born})
+	if u.verified[model] != heldWeights(r, model) {
+		// The version may be loaded again later.
+		delete(u.verified, model)
 	}
 }
 
+// heldState is what is left to do for the weights of a model that the engine holds.
+type heldState uint8
+
+const (
+	// heldOlder: the newest version is to be installed.
+	heldOlder heldState = iota
+	heldNewest
+	// heldUnverified: the newest version is held, but may not be used yet.
+	heldUnverified
+)
+
+// checkHeld verifies and publishes the version that the engine reports. The newest one is
+// dropped if that fails; an older one will be replaced.
+func (u *updater) checkHeld(ctx context.Context, view *feed.View, engine *deployment.Engine, newest pieces.Key, report platform.EngineReport) heldState {
+	key := pieces.Key{Model: newest.Model, Version: directory.VersionOf(report.Held, newest.Model)}
+	state := heldOlder
+	if key.Version >= newest.Version {
+		state = heldUnverified
+	}
+	if key.Version == 0 || report.Busy {
+		if state == heldUnverified {
+			u.recordStep(key, report, "engine is busy")
+		}
+		return state
+	}
+	switch verified := u.verifyHeld(ctx, view, engine, key, report); {
+	case verified == verifyIntact:
+		u.publishVerified(view, key, report)
+		if state == heldUnverified {
+			u.recordStep(newest, report, "held")
+			return heldNewest
+		}
+	case state == heldUnverified && verified == verifySuspect:
+		u.recordStep(key, report, "dropping weights that may come from a corrupt piece")
+		_ = u.order(ctx, key, stepDrop, engine.Layers, report) // logged; repeated after the next report
+	case state == heldUnverified:
+		u.recordStep(key, report, "load is not verified")
+	}
+	return state
+}
+
 // shareStaged collects the staged pieces of the version that the engine holds, so
 // that this agent can serve them to others.
 func (u *updater) shareStaged(ctx context.Context, view *feed.View, key pieces.Key) {
@@ -275,11 +326,6 @@
 	u.sidecar.Log.Info("staged pieces shared", "model", key.Model, "version", key.Version, "missing", len(u.sidecar.store.Missing(key)))
 }
 
-// holdsVersion reports whether an engine holds a version or a newer one.
-func holdsVersion(r platform.EngineReport, key pieces.Key) bool {
-	return directory.VersionOf(r.Held, key.Model) >= key.Version
-}
-
 // reportEngine reports the engine's state to the control processes ahead of its next
 // heartbeat.
 func (u *updater) reportEngine(s wire.EngineState) {
@@ -335,6 +381,8 @@
 	switch {
 	case err != nil:
 		return nil, nil, result.New(result.EngineUnreadable, "%s %s: %v", method, target, err)
+	case ex.Status == http.StatusNotFound:
+		return nil, nil, errors.Mark(result.New(result.EngineRefused, "%s %s: status %d", method, target, ex.Status), errNotFound)
 	case ex.Status >= 300:
 		return nil, nil, result.New(result.EngineRefused, "%s %s: status %d: %.100s", method, target, ex.Status, data)
 	default:
--- /dev/null
+++ b/process/sidecar/verify.go
@@ -0,0 +1,244 @@
+package sidecar
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
+	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/process/directory"
+	"github.com/waxwingpost/waxwingpost/process/feed"
+	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/version/pieces"
+)
+
+// A load counts as verified once all staged pieces were found intact after the engine had
+// accepted the order, with nothing staged in between: then they were intact when the
+// engine took them, however late that was. The check follows from the engine's reports and
+// the staged pieces alone, so an agent that was restarted in between makes it as well.
+
+// acceptedLoad is a load of all layers that an engine accepted.
+type acceptedLoad struct {
+	key    pieces.Key
+	layers int
+	// born is the engine's start, and orders its number of orders with this one.
+	born   int64
+	orders uint64
+}
+
+// heldBy reports whether an engine's report shows that the load has ended, and nothing
+// was loaded since.
+func (l acceptedLoad) heldBy(r platform.EngineReport) bool {
+	held := heldLayers(r, l.key.Model, l.layers)
+	return !r.Busy && r.Born == l.born && r.Orders == l.orders &&
+		directory.VersionOf(r.Held, l.key.Model) == l.key.Version && nextLoadStep(held, l.key.Version, l.layers) == stepHeld
+}
+
+// verifiedWeights is a version that was verified in an incarnation of the engine, after a
+// number of orders.
+type verifiedWeights struct {
+	version int
+	born    int64
+	orders  uint64
+}
+
+// heldWeights returns the version of a model that a report states.
+func heldWeights(r platform.EngineReport, model string) verifiedWeights {
+	return verifiedWeights{version: directory.VersionOf(r.Held, model), born: r.Born, orders: r.Orders}
+}
+
+// verifyResult is the result of the verification of the weights that an engine holds.
+type verifyResult uint8
+
+const (
+	// verifyPending: the weights could not be checked yet.
+	verifyPending verifyResult = iota
+	verifyIntact
+	// verifySuspect: a piece is not intact, or was repaired after the load.
+	verifySuspect
+)
+
+// errNotFound marks the error of a call that the engine answered with status 404.
+var errNotFound = errors.New("not found")
+
+// corruptPieces reads all staged pieces of a version back and returns those that are
+// missing or not intact. It changes none.
+func (u *updater) corruptPieces(ctx context.Context, key pieces.Key) ([]int, error) {
+	m, ok := u.sidecar.store.Manifest(key)
+	if !ok {
+		return nil, result.New(result.ChunkMissing, "version %d was replaced", key.Version)
+	}
+	var corrupt []int
+	for piece, digest := range m.Digests {
+		staged, err := u.callEngine(ctx, http.MethodGet, platform.StageGetPath(key.Model, piece), nil)
+		if err != nil && !errors.Is(err, errNotFound) {
+			return nil, err
+		}
+		if err != nil || sha256.Sum256(staged) != digest {
+			corrupt = append(corrupt, piece)
+		}
+	}
+	return corrupt, nil
+}
+
+// intactSinceOrder reports whether all staged pieces of a version are intact, and none was
+// put since the last order.
+func (u *updater) intactSinceOrder(ctx context.Context, key pieces.Key) bool {
+	if u.unconfirmedPut == key {
+		return false
+	}
+	corrupt, err := u.corruptPieces(ctx, key)
+	u.recordCorrupt(key, corrupt)
+	return err == nil && len(corrupt) == 0
+}
+
+// readBackLoad reads the pieces back while the engine loads them. If they are intact, the
+// weights are verified once the engine reports them.
+func (u *updater) readBackLoad(ctx context.Context, load acceptedLoad) {
+	corrupt, err := u.corruptPieces(ctx, load.key)
+	if err != nil || len(corrupt) > 0 {
+		u.recordCorrupt(load.key, corrupt)
+		u.scope.Counter("loads_unverified").Inc(1)
+		return
+	}
+	u.intact = load
+	go u.watchLoad(ctx, load)
+}
+
+// watchLoad verifies a load, of which all pieces are intact, when the engine reports it.
+// The next transfer may have begun by then and takes seconds.
+func (u *updater) watchLoad(ctx context.Context, load acceptedLoad) {
+	for range maxBusyPolls {
+		select {
+		case <-ctx.Done():
+			return
+		case <-u.sidecar.Clock.After(pendingPollInterval):
+		}
+		report, err := u.engineReport(ctx)
+		if err != nil || report.Busy {
+			continue
+		}
+		if load.heldBy(report) {
+			u.recordHeld(load.key.Model, report)
+			u.recordVerified(load.key, report)
+		}
+		return
+	}
+}
+
+// verifyHeld verifies the version of a model that the engine reports. A report of the
+// engine after the check must show the same load as the one before.
+func (u *updater) verifyHeld(ctx context.Context, view *feed.View, engine *deployment.Engine, key pieces.Key, report platform.EngineReport) verifyResult {
+	load := acceptedLoad{key: key, layers: engine.Layers, born: report.Born, orders: report.Orders}
+	switch {
+	case u.isVerified(view, key, report):
+		u.recordVerified(key, report)
+		return verifyIntact
+	case nextLoadStep(heldLayers(report, key.Model, engine.Layers), key.Version, engine.Layers) != stepHeld || u.unconfirmedPut == key:
+		return verifySuspect
+	case u.intact == load:
+		u.recordVerified(key, report)
+		return verifyIntact
+	case u.suspect == load:
+		return verifySuspect
+	}
+	fetchCtx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	if err := u.fetcher.FetchManifest(fetchCtx, u.fetchSpec(view, key)); err != nil {
+		u.sidecar.Log.Info("failed to fetch manifest", "model", key.Model, "version", key.Version, "error", err)
+		return verifyPending
+	}
+	corrupt, err := u.corruptPieces(ctx, key)
+	if err != nil {
+		u.sidecar.Log.Warn("failed to verify a load", "model", key.Model, "version", key.Version, "code", int(result.CodeOf(err)), "error", err)
+		return verifyPending
+	}
+	if len(corrupt) > 0 {
+		u.recordCorrupt(key, corrupt)
+		u.scope.Counter("loads_unverified").Inc(1)
+		u.suspect = load
+		return verifySuspect
+	}
+	after, err := u.engineReport(ctx)
+	if err != nil || !load.heldBy(after) {
+		return verifyPending
+	}
+	u.recordVerified(key, after)
+	return verifyIntact
+}
+
+// verifyTimeout bounds the transfer of the manifest of a version that the engine holds.
+const verifyTimeout = 2 * time.Second
+
+// isVerified reports whether the weights of a report were verified before: by this
+// process, or by an earlier one whose verification the control processes know. Weights
+// that an engine holds before its first order are those of its start.
+func (u *updater) isVerified(view *feed.View, key pieces.Key, r platform.EngineReport) bool {
+	if r.Initial {
+		return true
+	}
+	u.mu.Lock()
+	known := u.verified[key.Model] == heldWeights(r, key.Model)
+	u.mu.Unlock()
+	return known || u.orderedKey != key && u.publishedVersion(view, key.Model, r.Born) == key.Version
+}
+
+// publishedVersion returns the verified version of a model that the control processes know
+// of an incarnation of the engine, or 0.
+func (u *updater) publishedVersion(view *feed.View, model string, born int64) int {
+	for i := range view.Servers[u.sidecar.settings.BackendService] {
+		record := &view.Servers[u.sidecar.settings.BackendService][i]
+		if record.Address == u.sidecar.settings.BackendAddress && record.Born == born {
+			return record.VerifiedVersion(model)
+		}
+	}
+	return 0
+}
+
+// recordVerified records that the weights of a report are verified, and publishes it.
+func (u *updater) recordVerified(key pieces.Key, r platform.EngineReport) {
+	u.mu.Lock()
+	verified := heldWeights(r, key.Model)
+	known := u.verified[key.Model] == verified
+	u.verified[key.Model] = verified
+	u.mu.Unlock()
+	if known {
+		return
+	}
+	u.sidecar.Log.Info("load verified", "model", key.Model, "version", key.Version, "born", r.Born, "orders", r.Orders)
+	u.scope.Counter("loads_verified").Inc(1)
+	u.publish(r)
+}
+
+// publish reports the verified versions of the engine's current report to the control
+// processes.
+func (u *updater) publish(r platform.EngineReport) {
+	u.mu.Lock()
+	u.publishedAt = u.sidecar.Clock.Now()
+	var held []directory.ModelVersion
+	for _, w := range r.Held {
+		if u.verified[w.Model] == heldWeights(r, w.Model) {
+			held = append(held, w)
+		}
+	}
+	u.mu.Unlock()
+	checked := u.sidecar.AgeClock.Now().Sub(boottime.Instant{})
+	u.reportEngine(wire.EngineState{Held: held, Born: r.Born, Checked: checked.Milliseconds()})
+}
+
+// publishVerified repeats the report of a verified version until the control processes
+// know it: a report is lost with its link.
+func (u *updater) publishVerified(view *feed.View, key pieces.Key, r platform.EngineReport) {
+	u.mu.Lock()
+	recent := u.sidecar.Clock.Since(u.publishedAt) < settledPollInterval
+	u.mu.Unlock()
+	if !recent && u.publishedVersion(view, key.Model, r.Born) != key.Version {
+		u.publish(r)
+	}
+}
