forward: a request names the version of weights that was verified

Cause: an engine that hangs accepts an order seconds after its agent gave it up, and holds the next version before any heartbeat names it, or after the 6 s for which it counts as loading. Requests that are on their way then run on weights that nobody has verified.

Change: a request to an engine with verified weights carries Expect-Version, so that the engine answers 421 without running it, and it goes to another one.

TestRequestNamesTheVersionThatWasVerified fails without the header.

--- a/request/forward/scheduler.go
+++ b/request/forward/scheduler.go
@@ -159,7 +159,7 @@
 		weightsHeld, version, until := sc.usableWeights(models, record.Held)
 		loading := record.LoadingUntil > sc.view.At+now.Sub(sc.viewTime)
 		server := placement.Server{
-			ID: record.ID, Address: record.Address, Born: record.Born, Zone: record.Zone, Slots: slots, Held: record.Held, WeightsVersion: version, WeightsUntil: until,
+			ID: record.ID, Address: record.Address, Born: record.Born, Zone: record.Zone, Slots: slots, Held: record.Held, Verified: record.Verified, WeightsVersion: version, WeightsUntil: until,
 			Unloads: len(record.Unloads) > 0 && sc.unloadsExpiring(models, record),
 		}
 		server.Usable = record.State == directory.Ready && weightsHeld && weightsVerified(s, record) && !loading && (len(sc.leaving) == 0 || !sc.leaving[server.Incarnation()])
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -12,6 +12,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/backend"
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
+	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/placement"
 	"github.com/waxwingpost/waxwingpost/request/stream"
@@ -104,6 +105,10 @@
 	}
 	out[platform.HeaderDeadline] = []string{platform.FormatMilliseconds(cr.deadline.Sub(h.clock.Now()))}
 	out[platform.HeaderExpectServer] = []string{l.Server.ID}
+	if version := directory.VersionOf(l.Server.Verified, cr.tokens.Model); version > 0 {
+		// The server may have loaded another version since its last heartbeat.
+		out[platform.HeaderExpectVersion] = []string{strconv.Itoa(version)}
+	}
 	if cr.account != nil {
 		out[platform.HeaderAccount] = []string{cr.account.Name}
 	}
--- a/request/forward/verified_test.go
+++ b/request/forward/verified_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/directory"
@@ -62,6 +63,46 @@
 	}
 }
 
+// An engine may accept the order to load the next version seconds after its agent has sent
+// it, and hold it before any entry learns that.
+func TestRequestNamesTheVersionThatWasVerified(t *testing.T) {
+	held := "2"
+	s := newFakeServer(t, "s1", func(s *fakeServer, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(platform.HeaderExpectVersion) != held {
+			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		echo(s, w, r)
+	})
+	config := testConfig(deployment.Repeatable, testTimeout)
+	config.Services["svc"].Engine = &deployment.Engine{Models: []string{"m"}, Slots: 8, ReadPerSecond: 1000, Step: time.Millisecond, Pieces: 64}
+	config.Routes[0].Generation = true
+	e := newTestEntry(t, config)
+	view := *e.handler.View()
+	weights := func(version int) []directory.ModelVersion {
+		return []directory.ModelVersion{{Model: "m", Version: version}}
+	}
+	view.Servers = map[string][]directory.Record{"svc": {{
+		Server:   directory.Server{ID: "s1", Service: "svc", Address: s.Listener.Addr().String(), Slots: 8, State: directory.Ready, Engine: true, Held: weights(2)},
+		Verified: weights(2),
+	}}}
+	e.handler.Update(&view)
+	for _, c := range []struct {
+		held string
+		want int
+	}{{"2", http.StatusOK}, {"3", http.StatusServiceUnavailable}} {
+		held = c.held
+		resp, body, err := e.send(t, func(r *http.Request) {
+			r.Header.Set("Deadline-Ms", "300")
+			r.Header.Set(platform.HeaderModel, "m")
+		})
+		if err != nil || resp.StatusCode != c.want {
+			t.Errorf("the server holds version %s: status %v (%s), %v; want %d", c.held, resp.StatusCode, body, err, c.want)
+		}
+	}
+}
+
 func TestAllHeldWeightsMustBeVerified(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	sc := newScheduler(Config{OldVersionGrace: 8 * time.Second}, clock, boottime.NewFake(clock))
--- a/request/placement/types.go
+++ b/request/placement/types.go
@@ -36,6 +36,9 @@
 	Usable bool
 	// Held lists the weights that the server holds. It must not be modified.
 	Held []directory.ModelVersion
+	// Verified lists the weights that the server's agent has verified. It must not be
+	// modified.
+	Verified []directory.ModelVersion
 	// WeightsVersion is the version of the weights that expire first; it is only
 	// logged.
 	WeightsVersion int
