sidecar: a drop without a response doesn't confirm the staged pieces

Cause: a restarted agent repaired a piece while the engine accepted an order of the process before it, and ordered the drop. The order cleared the mark that the piece was put after the load, so when its response was lost, the next check found all pieces intact and verified the load.

Change: only orders that load clear the mark. TestDropWithoutResponseIsRepeated verified a load with one layer from a corrupt piece before.

--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -186,8 +186,10 @@
 	}
 	u.orderedKey = key
 	u.inFlight = sentOrder{key: key, born: report.Born, orders: report.Orders}
-	// The report was requested after the last piece was put.
-	u.unconfirmedPut = pieces.Key{}
+	if step != stepDrop {
+		// The report was requested after the last piece was put.
+		u.unconfirmedPut = pieces.Key{}
+	}
 	u.reportEngine(wire.EngineState{Loading: true, Held: report.Held, Born: report.Born})
 	_, err = u.callEngine(ctx, http.MethodPost, platform.PathOrder, body)
 	code := result.CodeOf(err)
--- a/process/sidecar/verify_test.go
+++ b/process/sidecar/verify_test.go
@@ -177,6 +177,21 @@
 	requireIntact(t, restarted, e)
 }
 
+func TestDropWithoutResponseIsRepeated(t *testing.T) {
+	u, e, _ := newStagingTest(t)
+	e.delayOrder = true
+	if err := install(t, u); err == nil {
+		t.Fatal("an order without a response succeeded")
+	}
+	e.corrupt(1)
+	e.beforePut = func() {
+		e.acceptDelayed()
+		e.delayOrder = true
+	}
+	restarted, _ := startStagingAgent(t, e)
+	requireIntact(t, restarted, e)
+}
+
 func TestLayerThatIsLoadedWhileItsPieceIsRepairedIsDropped(t *testing.T) {
 	u, e, _ := newStagingTest(t)
 	e.execute(stagingOrder{Version: 2, From: stagingLayers - 1, Target: stagingLayers})
