sidecar: no piece is repaired while an earlier process's order may be accepted

Cause: the engine held an order for 4.0 s, with a piece corrupt as long, and accepted it after the agent had been killed and started again. The new process repaired the piece, and was killed before it could drop the load; the third one found all pieces intact and verified it. That a piece was put after the load was known in memory only.

Change: a process that finds most pieces of a version staged, and the engine with the number of orders of its own start, first has the engine accept an order of its own. The engine refuses earlier ones from then on.

What remains: two corrupt pieces that are just the last ones can't be told from staging that was cut off. Also: read_back_age only for a version that this process has read back, a timeout of a read-back is not counted as a corrupt piece, "load dropped" only when the engine has accepted the drop.

--- a/process/sidecar/install.go
+++ b/process/sidecar/install.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/feed"
@@ -60,7 +62,10 @@
 	if !u.mayStage(key, step, report) {
 		return staged, nil
 	}
-	return u.stageFor(ctx, key, report)
+	if staged, err = u.stageFor(ctx, key, layers, report); errors.Is(err, errEarlierOrder) {
+		return stagedPieces{}, nil
+	}
+	return staged, err
 }
 
 // waitLoadTime waits until the time at which this engine is to load.
--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
@@ -52,7 +53,7 @@
 		if err == nil && sha256.Sum256(staged) == digest {
 			continue
 		}
-		if u.readBacks.key == key {
+		if u.readBacks.key == key && (err == nil || errors.Is(err, errNotFound)) {
 			corrupt = append(corrupt, piece)
 		}
 		data := u.sidecar.store.Piece(key, piece)
@@ -105,15 +106,12 @@
 		if step == stepHeld {
 			return nil // an order that received no response was accepted
 		}
-		if u.mayStage(key, step, report) && !u.isRecent(staged, report) {
-			u.sidecar.Log.Info("pieces read back again", "model", key.Model, "version", key.Version, "age", u.age(staged.readBack), "born", report.Born)
-			if staged, err = u.stageFor(ctx, key, report); err != nil {
-				return err
-			}
-			continue
+		var ready bool
+		if step, ready, err = u.prepareStep(ctx, key, step, layers, report, &staged); err != nil {
+			return err
 		}
-		if step == stepComplete && !u.intactSinceOrder(ctx, key) {
-			step = stepDrop
+		if !ready {
+			continue
 		}
 		refused = u.order(ctx, key, step, layers, report)
 		if refused != nil && result.CodeOf(refused) != result.EngineRefused {
@@ -127,6 +125,25 @@
 	return result.New(result.EngineRefused, "version %d not loaded after %d orders and read-backs", key.Version, maxLoadOrders)
 }
 
+// prepareStep stages the pieces before a step that loads them, unless they were staged
+// recently, and returns the step to order. It is not ready if the engine's report is from
+// before a piece was put.
+func (u *updater) prepareStep(ctx context.Context, key pieces.Key, step loadStep, layers int, report platform.EngineReport, staged *stagedPieces) (next loadStep, ready bool, err error) {
+	if step == stepComplete && !u.intactSinceOrder(ctx, key) {
+		return stepDrop, true, nil
+	}
+	if !u.mayStage(key, step, report) || u.isRecent(*staged, report) {
+		return step, true, nil
+	}
+	u.sidecar.Log.Info("pieces read back again", "model", key.Model, "version", key.Version, "age", u.age(staged.readBack), "born", report.Born)
+	*staged, err = u.stageFor(ctx, key, layers, report)
+	if errors.Is(err, errEarlierOrder) {
+		// The engine refuses earlier orders once it has accepted this one.
+		return stepDrop, true, nil
+	}
+	return step, false, err
+}
+
 // stagedPieces describes the last time that all pieces of a version were staged; it is zero
 // if they were not.
 type stagedPieces struct {
@@ -136,8 +153,22 @@
 	born int64
 }
 
+// errEarlierOrder means that no piece may be put: the engine may still accept an order of an
+// earlier process of this agent for the version.
+var errEarlierOrder = errors.New("the engine may accept an earlier order")
+
 // stageFor stages every piece at the engine whose last report is given.
-func (u *updater) stageFor(ctx context.Context, key pieces.Key, report platform.EngineReport) (stagedPieces, error) {
+func (u *updater) stageFor(ctx context.Context, key pieces.Key, layers int, report platform.EngineReport) (stagedPieces, error) {
+	if layers >= minDropLayers && report.Born == u.first.born && report.Orders == u.first.orders {
+		corrupt, err := u.corruptPieces(ctx, key)
+		if err != nil {
+			return stagedPieces{}, err
+		}
+		if m, _ := u.sidecar.store.Manifest(key); wereAllStaged(corrupt, len(m.Digests)) {
+			u.recordCorrupt(key, corrupt)
+			return stagedPieces{}, errEarlierOrder
+		}
+	}
 	readBack, err := u.stagePieces(ctx, key)
 	return stagedPieces{readBack: readBack, born: report.Born}, err
 }
@@ -207,15 +238,22 @@
 func (u *updater) recordOrder(key pieces.Key, step loadStep, report platform.EngineReport, err error) {
 	log := u.sidecar.Log.With("model", key.Model, "version", key.Version, "born", report.Born, "orders", report.Orders,
 		"layers_before", report.Layers.String(), "code", int(result.CodeOf(err)), "error", err)
-	if step == stepDrop {
+	switch {
+	case step == stepDrop && err != nil:
+		log.Warn("failed to drop a load")
+		return
+	case step == stepDrop:
 		log.Warn("load dropped")
 		u.scope.Counter("loads_dropped").Inc(1)
 		return
 	}
-	age := u.age(u.readBacks.at)
-	log.Info("load ordered", "complete", step != stepReplaceLast, "read_back_age", age)
 	u.scope.Counter("loads_ordered").Inc(1)
-	if err == nil {
-		u.scope.Histogram("read_back_age", readBackAgeBuckets).RecordDuration(age)
+	if u.readBacks.key == key {
+		age := u.age(u.readBacks.at)
+		log = log.With("read_back_age", age)
+		if err == nil {
+			u.scope.Histogram("read_back_age", readBackAgeBuckets).RecordDuration(age)
+		}
 	}
+	log.Info("load ordered", "complete", step != stepReplaceLast)
 }
--- a/process/sidecar/loadstep.go
+++ b/process/sidecar/loadstep.go
@@ -78,3 +78,12 @@
 		return 0, 0
 	}
 }
+
+// wereAllStaged reports whether an earlier process may have staged all pieces of a version,
+// and then ordered the load. Pieces are put in order, and corrupt lists those that are not
+// those of the version: unless they are the last ones, they became corrupt later.
+func wereAllStaged(corrupt []int, count int) bool {
+	const minUnstaged = 2 // the last piece alone may have become corrupt
+	n := len(corrupt)
+	return n > 0 && n < count && (n < minUnstaged || corrupt[0] != count-n)
+}
--- a/process/sidecar/loadstep_test.go
+++ b/process/sidecar/loadstep_test.go
@@ -43,3 +43,22 @@
 		}
 	}
 }
+
+func TestEarlierProcessMayHaveOrderedOnceAllPiecesWereStaged(t *testing.T) {
+	for name, c := range map[string]struct {
+		corrupt []int
+		want    bool
+	}{
+		"all intact":             {nil, false},
+		"nothing staged":         {[]int{0, 1, 2, 3}, false},
+		"staging was cut off":    {[]int{2, 3}, false},
+		"one corrupt":            {[]int{1}, true},
+		"the last one corrupt":   {[]int{3}, true},
+		"the first ones corrupt": {[]int{0, 1}, true},
+		"two corrupt, cut off":   {[]int{0, 3}, true},
+	} {
+		if got := wereAllStaged(c.corrupt, 4); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/process/sidecar/updater.go
+++ b/process/sidecar/updater.go
@@ -54,6 +54,9 @@
 	// agents; orderedKey is the one that the engine was last ordered to load.
 	sharedKey  pieces.Key
 	orderedKey pieces.Key
+	// first is the incarnation of the engine and its number of orders when this process
+	// began: an order of an earlier process expects no more of them.
+	first incarnation
 	// inFlight is the last order if it received no response.
 	inFlight  sentOrder
 	readBacks completeReadBack
@@ -81,6 +84,13 @@
 	step        string
 }
 
+// incarnation is a start of the engine and the number of orders that it had accepted.
+type incarnation struct {
+	known  bool
+	born   int64
+	orders uint64
+}
+
 func newUpdater(s *Sidecar) *updater {
 	scope := s.Scope.SubScope("weights")
 	return &updater{
@@ -206,6 +216,9 @@
 			u.recordStep(newest, report, "engine does not answer")
 			return true
 		}
+		if !u.first.known {
+			u.first = incarnation{known: true, born: report.Born, orders: report.Orders}
+		}
 		u.recordHeld(model, report)
 		u.announceEngine(ctx, view, report)
 		switch u.checkHeld(ctx, view, engine, newest, report) {
