forward: the line of a request names the version that was verified

The agent's verification may reach an entry before the engine's heartbeat; the request's line then named the older version of the heartbeat as expected, and requests_weights_unexpected counted a request that ran as it should. TestLineOfARequestNamesTheVerifiedVersion fails without the change.

--- a/request/forward/weights.go
+++ b/request/forward/weights.go
@@ -18,8 +18,8 @@
 	Server string
 	// Born is the server's start in Unix milliseconds.
 	Born int64
-	// Expected is the version of the request's model that the server was listed with, or 0
-	// if its service has no weights.
+	// Expected is the version of the request's model that was verified at the server, else
+	// the one that it was listed with, or 0 if its service has no weights.
 	Expected int
 	// Answered lists the versions that the response named: that of its header, and each later
 	// one with the event from which it was used.
@@ -30,7 +30,10 @@
 
 // newTriedServer describes the server of a lease before its response.
 func newTriedServer(cr *callerRequest, l *placement.Lease) triedServer {
-	expected := directory.VersionOf(l.Server.Held, cr.tokens.Model)
+	expected := directory.VersionOf(l.Server.Verified, cr.tokens.Model)
+	if expected == 0 {
+		expected = directory.VersionOf(l.Server.Held, cr.tokens.Model)
+	}
 	if expected == 0 {
 		expected = l.Server.WeightsVersion
 	}
--- a/request/forward/weights_test.go
+++ b/request/forward/weights_test.go
@@ -23,6 +23,7 @@
 func weightsEntry(t *testing.T, kind deployment.Repeatability, fakes ...*fakeServer) (*testEntry, *syncBuffer, tally.TestScope) {
 	t.Helper()
 	config := testConfig(kind, testTimeout)
+	config.Routes[0].Generation = true
 	config.Services["svc"].Engine = &deployment.Engine{Models: []string{"m"}, Slots: 8, ReadPerSecond: 1000, Step: time.Millisecond}
 	e := newTestEntry(t, config, fakes...)
 	for i := range fakes {
@@ -151,6 +152,19 @@
 	requireLine(t, logged, `msg="request served" id=id-1 |attempts="[{Server:`+first+` Expected:3 Answered:3 Events:3} {Server:`+second+` Expected:3 Answered:4 Events:3}]"`)
 }
 
+// The agent's verification may reach the entry before a heartbeat with the version.
+func TestLineOfARequestNamesTheVerifiedVersion(t *testing.T) {
+	e, logged, scope := weightsEntry(t, deployment.Stream, newFakeServer(t, "s1", withVersion("4", streamEvents(5, 0))))
+	view := *e.handler.View()
+	view.Servers["svc"][0].Verified = []directory.ModelVersion{{Model: "m", Version: 4}}
+	e.handler.Update(&view)
+	_, _, _ = e.send(t, func(r *http.Request) { r.Header.Set(platform.HeaderModel, "m") })
+	requireLine(t, logged, `msg="request served" id=id-1 |attempts="[{Server:s1 Born:1764895600100 Expected:4 Answered:4 Events:5}]"`)
+	if n := scope.Snapshot().Counters()["requests.weights_unexpected+"].Value(); n != 0 {
+		t.Errorf("%d requests counted as run on another version", n)
+	}
+}
+
 func TestLineOfARequestWithoutWeightsNamesNoVersions(t *testing.T) {
 	e := newTestEntry(t, testConfig(deployment.Repeatable, testTimeout), newFakeServer(t, "s1", echo))
 	logged, _ := e.observe()
