sidecar: hold the address until the last call to the engine has ended

An agent that stopped closed its listener before its updater and unloader had ended. The listener is what keeps a second agent from starting beside it (its Listen fails and it exits with that error), so a successor could begin to stage and to order loads while a call of the first one was under way: pieces would change between the acceptance of a load and its verification without the verifying process knowing it.

The server is now closed after the functions that call the engine have returned. A stop takes as long as before, as Run waited for them already, and other agents' requests for pieces are answered until then.

--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 
 	"golang.org/x/sync/errgroup"
 
@@ -75,17 +76,28 @@
 	s.AddOperatorPaths(mux, func() error { return nil }, runtime.ExplainUnsupported)
 	srv := runtime.NewServer(mux)
 	group, groupCtx := errgroup.WithContext(ctx)
-	group.Go(func() error { return runtime.Serve(srv, l) })
 	group.Go(func() error { s.follower.Run(groupCtx); return nil })
-	group.Go(func() error { s.updater.run(groupCtx); return nil })
-	group.Go(func() error { newUnloader(s.updater).run(groupCtx); return nil })
 	group.Go(func() error { return s.ServeMetrics(groupCtx, s.settings.IP, platform.MetricsPort) })
-	<-groupCtx.Done()
-	_ = srv.Close()
+	group.Go(func() error { return serveDuring(groupCtx, srv, l, s.updater.run, newUnloader(s.updater).run) })
 	err = runtime.IgnoreCanceled(group.Wait())
 	s.Log.Info("sidecar stopped", "code", int(result.CodeOf(err)))
 	return err
 }
 
+// serveDuring serves connections from l while the given functions run, which return after
+// ctx has ended. Another agent of the same engine can't start as long as l is open, so l is
+// closed only when none of them calls the engine any more.
+func serveDuring(ctx context.Context, srv *http.Server, l net.Listener, run ...func(context.Context)) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return runtime.Serve(srv, l) })
+	var calls sync.WaitGroup
+	for _, f := range run {
+		calls.Go(func() { f(ctx) })
+	}
+	calls.Wait()
+	_ = srv.Close()
+	return group.Wait()
+}
+
 // SetSeeds applies the seeds of changed settings.
 func (s *Sidecar) SetSeeds(cfg platform.Settings) { s.follower.AddControls(feed.PeerAddresses(&cfg)) }
