sidecar: manifests list all pieces of the engine's weights

The number of pieces that a manifest must list was taken from the configuration only while that named an origin. Without one, an agent accepted a manifest with fewer digests from another agent, staged, loaded and verified the listed pieces alone, and counted a load with layers from missing pieces as verified.

The number and the size of the pieces are now known whenever the configuration describes the engine. Without the change, TestManifestOfAnotherAgentMustListAllPieces loads a layer from a missing piece.

--- a/process/sidecar/install.go
+++ b/process/sidecar/install.go
@@ -141,9 +141,9 @@
 	if origin := view.Config.Origin(); origin != nil {
 		spec.Origin, spec.OriginConns, spec.HomeRegion = origin.Address, origin.MaxConns, u.sidecar.settings.Regions[origin.Zone]
 		spec.OriginTime = u.originTransferTime(view)
-		if engine := u.engineConfig(view); engine != nil {
-			spec.Pieces, spec.PieceBytes = engine.Pieces, engine.PieceBytes
-		}
+	}
+	if engine := u.engineConfig(view); engine != nil {
+		spec.Pieces, spec.PieceBytes = engine.Pieces, engine.PieceBytes
 	}
 	for _, record := range view.Servers[u.sidecar.settings.BackendService] {
 		host, _, err := net.SplitHostPort(record.Address)
