directory: verifications of an address are kept by incarnation

A server's start is the time of its VM's clock. If that was set back before the engine started again, the verification of the present incarnation never replaced that of the former, whose start is later: as long as any process had repeated the former within 60 s before its server was forgotten, the engine counted as unverified for good and received no requests.

Verifications are now kept by address, model and start, so that none displaces that of another incarnation, and those of incarnations that are not at their address are removed 60 s after the last message with them. Verifications are listed in a fixed order. Without the change, TestEngineWithEarlierStartIsVerified fails 61 s (of the test's time) after the restart.

--- a/process/directory/table.go
+++ b/process/directory/table.go
@@ -51,13 +51,13 @@
 	servers map[string]*Record
 	// idByAddress maps an address to the ID of the server that started there last.
 	idByAddress map[string]string
-	// verifications holds the agents' verifications by address and model.
-	verifications map[string]map[string]heardVerification
+	// verifications holds the agents' verifications by address, model and start.
+	verifications map[string]map[verificationKey]heardVerification
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{servers: map[string]*Record{}, idByAddress: map[string]string{}, verifications: map[string]map[string]heardVerification{}}
+	return &Table{servers: map[string]*Record{}, idByAddress: map[string]string{}, verifications: map[string]map[verificationKey]heardVerification{}}
 }
 
 // Outcome is the effect of a report on the table.
@@ -221,7 +221,7 @@
 }
 
 // Sweep removes servers without a message for recordTTL. It reports whether there
-// were any. Verifications are removed once there is no server at their address.
+// were any. Verifications are removed once their incarnation is not at its address.
 func (t *Table) Sweep(now time.Duration) bool {
 	swept := false
 	for id, record := range t.servers {
--- a/process/directory/verification.go
+++ b/process/directory/verification.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -31,6 +32,13 @@
 	heard time.Duration
 }
 
+// verificationKey identifies a model of one incarnation at an address. Incarnations are kept
+// apart, because a later one has an earlier start if its VM's clock was set back.
+type verificationKey struct {
+	model string
+	born  int64
+}
+
 func (v *Verification) validate() error {
 	if err := validateAddress(v.Address); err != nil {
 		return err
@@ -44,12 +52,10 @@
 	return nil
 }
 
-// supersedes reports whether v replaces old, which concerns the same address and model.
+// supersedes reports whether v replaces old, which concerns the same incarnation and model.
 // The order is total, so that the result doesn't depend on the order of messages.
 func (v *Verification) supersedes(old *Verification) bool {
 	switch {
-	case v.Born != old.Born:
-		return v.Born > old.Born
 	case v.Checked != old.Checked:
 		return v.Checked > old.Checked
 	case v.Version != old.Version:
@@ -65,23 +71,24 @@
 	if v.validate() != nil {
 		return false
 	}
-	byModel := t.verifications[v.Address]
-	if byModel == nil {
+	known := t.verifications[v.Address]
+	if known == nil {
 		if len(t.verifications) >= maxServers {
 			return false
 		}
-		byModel = map[string]heardVerification{}
-		t.verifications[v.Address] = byModel
+		known = map[verificationKey]heardVerification{}
+		t.verifications[v.Address] = known
 	}
-	old, known := byModel[v.Model]
+	key := verificationKey{model: v.Model, born: v.Born}
+	old, found := known[key]
 	switch {
-	case known && old.Verification == v:
-		byModel[v.Model] = heardVerification{Verification: v, heard: max(old.heard, now)}
+	case found && old.Verification == v:
+		known[key] = heardVerification{Verification: v, heard: max(old.heard, now)}
 		return false
-	case known && !v.supersedes(&old.Verification), !known && len(byModel) >= maxHeld:
+	case found && !v.supersedes(&old.Verification), !found && len(known) >= maxHeld:
 		return false
 	}
-	byModel[v.Model] = heardVerification{Verification: v, heard: now}
+	known[key] = heardVerification{Verification: v, heard: now}
 	return true
 }
 
@@ -122,25 +129,29 @@
 // endVerifications ends the verifications of an incarnation that match, and returns them.
 func (t *Table) endVerifications(address string, born int64, match func(*Verification) bool) []Verification {
 	var ended []Verification
-	byModel := t.verifications[address]
-	for model, v := range byModel {
-		if v.Born == born && !v.Ended && match(&v.Verification) {
+	known := t.verifications[address]
+	for key, v := range known {
+		if key.born == born && !v.Ended && match(&v.Verification) {
 			v.Ended = true
-			byModel[model] = v
+			known[key] = v
 			ended = append(ended, v.Verification)
 		}
 	}
 	return ended
 }
 
-// Verifications returns all verifications, also those that have ended.
+// Verifications returns all verifications, also those that have ended, sorted by address,
+// model and start.
 func (t *Table) Verifications() []Verification {
 	var all []Verification
-	for _, byModel := range t.verifications {
-		for _, v := range byModel {
+	for _, known := range t.verifications {
+		for _, v := range known {
 			all = append(all, v.Verification)
 		}
 	}
+	slices.SortFunc(all, func(a, b Verification) int {
+		return cmp.Or(strings.Compare(a.Address, b.Address), strings.Compare(a.Model, b.Model), cmp.Compare(a.Born, b.Born))
+	})
 	return all
 }
 
@@ -148,28 +159,26 @@
 func (t *Table) Snapshot(record *Record) Record {
 	snapshot := *record
 	snapshot.Verified = nil
-	for model, v := range t.verifications[record.Address] {
-		if v.Born == record.Born && !v.Ended {
-			snapshot.Verified = append(snapshot.Verified, ModelVersion{Model: model, Version: v.Version})
+	for key, v := range t.verifications[record.Address] {
+		if key.born == record.Born && !v.Ended {
+			snapshot.Verified = append(snapshot.Verified, ModelVersion{Model: key.model, Version: v.Version})
 		}
 	}
 	slices.SortFunc(snapshot.Verified, func(a, b ModelVersion) int { return strings.Compare(a.Model, b.Model) })
 	return snapshot
 }
 
-// sweepVerifications removes the verifications without a server at their address and
-// without a message for recordTTL.
+// sweepVerifications removes the verifications of incarnations that are not at their address
+// and without a message for recordTTL.
 func (t *Table) sweepVerifications(now time.Duration) {
-	for address, byModel := range t.verifications {
-		if t.servers[t.idByAddress[address]] != nil {
-			continue
-		}
-		for model, v := range byModel {
-			if now-v.heard >= recordTTL {
-				delete(byModel, model)
+	for address, known := range t.verifications {
+		current := t.servers[t.idByAddress[address]]
+		for key, v := range known {
+			if (current == nil || current.Born != key.born) && now-v.heard >= recordTTL {
+				delete(known, key)
 			}
 		}
-		if len(byModel) == 0 {
+		if len(known) == 0 {
 			delete(t.verifications, address)
 		}
 	}
--- a/process/directory/verification_test.go
+++ b/process/directory/verification_test.go
@@ -336,3 +336,51 @@
 		*pending = append(*pending, func() { receive(table, s, now) })
 	}
 }
+
+// The clock of a VM may be set back before its engine starts again, which then has an
+// earlier start than the one before it. Its verification counts as soon as it is the
+// server at its address, even if other processes repeat that of the former.
+func TestEngineWithEarlierStartIsVerified(t *testing.T) {
+	table := NewTable()
+	receive(table, heartbeat(9, 1, 2), 0)
+	table.Verify(verification(9, 2, 1), 0)
+	next := heartbeat(5, 1, 2)
+	next.ID = "b"
+	for now := time.Second; now < 3*recordTTL; now += time.Second {
+		next.Seq++
+		receive(table, next, now)
+		// Its agent repeats its check, as no view shows it.
+		table.Verify(verification(5, 2, 3), now)
+		if now%(recordTTL/2) == 0 {
+			table.Verify(verification(9, 2, 1), now)
+		}
+		table.Sweep(now)
+		record := table.Get("b")
+		snapshot := table.Snapshot(record)
+		if !table.Superseded(record) && snapshot.VerifiedVersion("m") != 2 {
+			t.Fatalf("not verified after %v, when it is the server at its address", now)
+		}
+	}
+	if table.Superseded(table.Get("b")) {
+		t.Error("the former engine is not forgotten")
+	}
+	table.Sweep(4 * recordTTL)
+	if n := len(table.Verifications()); n > 1 {
+		t.Errorf("%d verifications of incarnations that are gone", n)
+	}
+}
+
+func TestVerificationsOfIncarnationsAreBounded(t *testing.T) {
+	table := NewTable()
+	for born := range int64(maxHeld + 10) {
+		table.Verify(verification(born+1, 2, 1), 0)
+	}
+	if n := len(table.Verifications()); n != maxHeld {
+		t.Errorf("%d verifications, want %d", n, maxHeld)
+	}
+	receive(table, heartbeat(1, 1, 2), recordTTL)
+	table.Sweep(recordTTL)
+	if n := len(table.Verifications()); n != 1 || verifiedVersion(table) != 2 {
+		t.Errorf("%d verifications after the TTL, want that of the server alone", n)
+	}
+}
