sidecar: test the time of checks across suspensions and restarts

The time of a check orders the verifications of an incarnation. The test shows that it counts the time for which the VM was suspended and goes on from one agent process to the next; it fails if the time comes from the wall clock.

--- a/process/sidecar/verify_test.go
+++ b/process/sidecar/verify_test.go
@@ -264,3 +264,33 @@
 		t.Errorf("result %d", got)
 	}
 }
+
+// nextCheck returns the time of the check in the agent's next report of version 2.
+func nextCheck(t *testing.T, u *updater, c *fakeControl) int64 {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); {
+		u.reconcile(t.Context())
+		if s := c.nextReport(); s != nil && directory.VersionOf(s.Held, "m") == 2 {
+			return s.Checked
+		}
+	}
+	t.Fatal("no report")
+	return 0
+}
+
+// A check must count as later than all earlier ones of the incarnation, also after the VM
+// was suspended and by another process, and whatever the wall clock shows.
+func TestTimeOfChecksCountsSuspensions(t *testing.T) {
+	u, e, c := newStagingTest(t)
+	if err := install(t, u); err != nil {
+		t.Fatal(err)
+	}
+	first := nextCheck(t, u, c)
+	e.clock.Suspend(time.Hour)
+	second := nextCheck(t, u, c)
+	restarted, c := startStagingAgent(t, e)
+	third := nextCheck(t, restarted, c)
+	if first <= 0 || second < first+time.Hour.Milliseconds() || third <= second || third > second+time.Minute.Milliseconds() {
+		t.Errorf("checked at %d ms, after a suspension of 1h at %d ms, by the next process at %d ms", first, second, third)
+	}
+}
