sidecar: a held version is verified soon after all agents restart

Cause: the agents whose engines hold a version are its first sources, but they know no manifest after a restart, and the origin comes last.

Change: the manifest of a version that is to be verified is fetched like that of a new version: by the responsible agent from the origin, by the others from it. TestHeldVersionIsVerifiedSoonAfterAllAgentsRestart fails without the change.

--- a/process/sidecar/restart_test.go
+++ b/process/sidecar/restart_test.go
@@ -3,13 +3,20 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/directory"
 )
@@ -166,3 +173,48 @@
 	}
 	requireIntact(t, u, e)
 }
+
+// All agents restart at once: none of those whose engines hold the version knows its manifest.
+func TestHeldVersionIsVerifiedSoonAfterAllAgentsRestart(t *testing.T) {
+	e := newStagingEngine(boottime.NewFake(clockwork.NewRealClock()))
+	m := map[string]any{"model": "m", "version": 2, "chunkBytes": 8}
+	var digests []string
+	for piece := range stagingLayers {
+		e.staged[piece] = stagingPiece(2, piece)
+		digests = append(digests, fmt.Sprintf("%x", sha256.Sum256(stagingPiece(2, piece))))
+	}
+	m["digests"] = digests
+	e.execute(stagingOrder{Version: 2, Target: stagingLayers})
+	origin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(m) }))
+	defer origin.Close()
+	u := newTestUpdater(t, e)
+	u.sidecar.AgeClock = e.clock
+	config := strings.Replace(stagingConfig, "LAYERS", strconv.Itoa(stagingLayers), 2)
+	config = strings.TrimSuffix(config, "]}") + `,{"name":"o","origin":"` + origin.Listener.Addr().String() + `","zone":"z","linkMbps":0.00005,"maxConns":8}]}`
+	content, err := desired.Compress([]byte(config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := func(id, address string) directory.Server {
+		held := []directory.ModelVersion{{Model: "m", Version: 2}}
+		return directory.Server{ID: id, Service: "s", Address: address, State: directory.Ready, Born: stagingBorn, Seq: 1, Engine: true, Held: held}
+	}
+	c := &fakeControl{
+		state: wire.Update{
+			Revision: 1, ConfigVersion: 1, Weights: map[string]int{"m": 2},
+			Servers: wire.ServerList{server("i-1", u.sidecar.settings.BackendAddress), server("i-2", "127.0.0.9:1"), server("i-3", "127.0.0.8:1")},
+		},
+		document: wire.ConfigDocument{Version: 1, Content: content},
+	}
+	c.link(t, u)
+	for started := time.Now(); time.Since(started) < 4*time.Second; time.Sleep(pendingPollInterval) {
+		u.reconcile(t.Context())
+		u.mu.Lock()
+		verified := u.verified["m"].version
+		u.mu.Unlock()
+		if verified == 2 {
+			return
+		}
+	}
+	t.Error("the weights are not verified")
+}
--- a/process/sidecar/verify.go
+++ b/process/sidecar/verify.go
@@ -151,7 +151,10 @@
 	}
 	fetchCtx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
-	if err := u.fetcher.FetchManifest(fetchCtx, u.fetchSpec(view, key)); err != nil {
+	spec := u.fetchSpec(view, key)
+	// The agents of engines that hold the version may all have been restarted as well.
+	clear(spec.Holders)
+	if err := u.fetcher.FetchManifest(fetchCtx, spec); err != nil {
 		u.sidecar.Log.Info("failed to fetch manifest", "model", key.Model, "version", key.Version, "error", err)
 		if key.Version < u.newestKey(view, key.Model).Version {
 			// Another attempt would only delay the newest version.
