--- a/bench/cluster/process.go
+++ b/bench/cluster/process.go
@@ -73,6 +73,8 @@
 	path    string
 	args    []string
 	logPath string
+	// env is the environment, or nil for that of this process.
+	env []string
 
 	// mu guards the fields below, which describe the current or last run.
 	mu   sync.Mutex
@@ -93,6 +95,7 @@
 		return err
 	}
 	cmd := exec.Command(p.path, p.args...)
+	cmd.Env = p.env
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
