--- a/bench/fakes/content.go
+++ b/bench/fakes/content.go
@@ -39,7 +39,11 @@
 func fillRandom(data []byte, name string) {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
-	rnd := rand.NewPCG(h.Sum64(), 1)
+	fillWords(data, rand.NewPCG(h.Sum64(), 1))
+}
+
+// fillWords fills data with the words of a source.
+func fillWords(data []byte, rnd rand.Source) {
 	var word [8]byte
 	for len(data) > 0 {
 		binary.LittleEndian.PutUint64(word[:], rnd.Uint64())
