bench/weightsoak: weight rollouts under seeded faults

The bench did not show tokens made with weights from a corrupt piece: none of its runs had an engine that accepts an order late, or an agent that stands still between reading the staged pieces back and ordering the load. "wpbench weights-soak" runs three control processes, two entries and agents as processes beside fake engines, names versions in bursts, and freezes, stops and kills processes, corrupts, replaces and loses staged pieces, restarts and hangs engines and disturbs their links by a schedule that is a function of the seed. It counts tokens made with forbidden layers and checks answers, refusals and the configuration.

--- a/bench/cmd/wpbench/main.go
+++ b/bench/cmd/wpbench/main.go
@@ -26,6 +26,13 @@
 	Seed uint64
 	// Bin is the folder with the built binaries.
 	Bin string
+	// Seeds is the number of seeds, Duration the length of a run and Agents their number,
+	// for the experiments that use them.
+	Seeds    uint64
+	Duration time.Duration
+	Agents   int
+	// Without lists the faults that are left out.
+	Without []string
 	// Out receives the figures; Log receives all other output.
 	Out io.Writer
 	Log io.Writer
@@ -36,6 +43,8 @@
 	Name string
 	Help string
 	Run  func(ctx context.Context, opts options) error
+	// Timeout returns the limit of a run, if it is not runTimeout.
+	Timeout func(args cli) time.Duration
 }
 
 var experiments = map[string]experiment{}
@@ -52,6 +61,11 @@
 	Name string `arg:"" help:"Experiment to run: ${names}."`
 	Seed uint64 `default:"1" help:"Seed of the run."`
 	Bin  string `default:"bin" help:"Folder with the built binaries (make build)."`
+
+	Seeds    uint64        `default:"1" help:"Number of seeds, from --seed on (weights-soak)."`
+	Duration time.Duration `default:"75s" help:"Length of the run of a seed (weights-soak)."`
+	Agents   int           `default:"9" help:"Number of agents (weights-soak)."`
+	Without  []string      `help:"Kinds of faults to leave out, separated by commas (weights-soak)."`
 }
 
 func main() {
@@ -71,10 +85,17 @@
 func run(e experiment, args cli) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, runTimeout)
+	limit := runTimeout
+	if e.Timeout != nil {
+		limit = e.Timeout(args)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	fmt.Fprintf(os.Stderr, "wpbench %s --seed %d\n", e.Name, args.Seed)
-	opts := options{Seed: args.Seed, Bin: args.Bin, Out: os.Stdout, Log: os.Stderr}
+	opts := options{
+		Seed: args.Seed, Bin: args.Bin, Seeds: args.Seeds, Duration: args.Duration, Agents: args.Agents,
+		Without: args.Without, Out: os.Stdout, Log: os.Stderr,
+	}
 	start := time.Now()
 	err := e.Run(ctx, opts)
 	fmt.Fprintf(os.Stderr, "wpbench %s took %.1f s\n", e.Name, time.Since(start).Seconds())
--- a/bench/fakes/weights_engine.go
+++ b/bench/fakes/weights_engine.go
@@ -94,10 +94,11 @@
 	hungUntil time.Time
 	// late applies to the next load order, if not nil.
 	late *LateOrder
-	// readBack holds the staged pieces that were read since the last one was put, and
-	// onReadBack applies to the next report after all were read, if not nil.
-	readBack   map[int]bool
-	onReadBack func(answer func())
+	// readBack holds the staged pieces that were read since the last one was put.
+	readBack map[int]bool
+	// onReadBack and onReport are set by OnReadBack and OnReport.
+	onReadBack func()
+	onReport   func(answer func())
 }
 
 // LateOrder makes an engine hang when it receives a load order, before it accepts it,
@@ -248,27 +249,46 @@
 	e.late = &late
 }
 
-// OnReadBack calls f instead of answering the next report for which all staged pieces were
-// read since the last one was put. It calls answer to send the report.
-func (e *WeightsEngine) OnReadBack(f func(answer func())) {
+// OnReadBack calls f once all staged pieces were read from now on, and since the last one
+// was put.
+func (e *WeightsEngine) OnReadBack(f func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.onReadBack = f
+	clear(e.readBack)
+}
+
+// OnReport calls f instead of answering the next report that shows no order in progress and
+// before which all staged pieces were read, from now on and since the last one was put. It calls answer to send
+// the report.
+func (e *WeightsEngine) OnReport(f func(answer func())) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.onReport = f
+	clear(e.readBack)
 }
 
-// takeReadBack returns the function set by OnReadBack, if it is to be called now.
-func (e *WeightsEngine) takeReadBack() func(answer func()) {
+// takeOnReport returns the function set by OnReport, if it is to be called now.
+func (e *WeightsEngine) takeOnReport() func(answer func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.onReadBack == nil || len(e.readBack) < e.cfg.Weights.Pieces || e.current == nil || e.current.busy {
+	if e.onReport == nil || len(e.readBack) < e.cfg.Weights.Pieces || e.current == nil || e.current.busy {
 		return nil
 	}
-	f := e.onReadBack
-	e.onReadBack = nil
-	clear(e.readBack)
+	f := e.onReport
+	e.onReport = nil
 	return f
 }
 
+// recordRead records that a staged piece was read. The caller holds mu.
+func (e *WeightsEngine) recordRead(piece int) {
+	e.readBack[piece] = true
+	if e.onReadBack != nil && len(e.readBack) == e.cfg.Weights.Pieces {
+		go e.onReadBack()
+		e.onReadBack = nil
+	}
+}
+
 // loadedLayer is a layer that an incarnation holds.
 type loadedLayer struct {
 	version int
@@ -416,7 +436,7 @@
 	case r.URL.Path == healthPath:
 		w.Header().Set(platform.HeaderServer, i.id)
 	case r.URL.Path == platform.PathReport:
-		if f := i.engine.takeReadBack(); f != nil {
+		if f := i.engine.takeOnReport(); f != nil {
 			f(func() { i.serveReport(w) })
 			return
 		}
@@ -474,6 +494,6 @@
 		http.NotFound(w, r)
 		return
 	}
-	e.readBack[piece] = true
+	e.recordRead(piece)
 	_, _ = w.Write(staged.data)
 }
