--- a/bench/cluster/platform.go
+++ b/bench/cluster/platform.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,12 +25,6 @@
 	metricsPort = 9464
 )
 
-const (
-	controlRole = "control"
-	entryRole   = "entry"
-	agentRole   = "agent"
-)
-
 // Numbers of the first VM of each role in a network.
 const (
 	firstControlVM = 11
@@ -126,9 +119,8 @@
 }
 
 func (p *Platform) addControl(i int) {
-	name := fmt.Sprintf("control-%d", i+1)
-	address := p.controlAddresses[i]
-	process := p.add(name, controlRole, firstControlVM+i, "core",
+	name, address := fmt.Sprintf("control-%d", i+1), p.controlAddresses[i]
+	process := p.add(name, "control", firstControlVM+i, "core",
 		"serves=control", "faultCounted=true", "limits.memoryMb=280", "limits.linkMbps=170.0", "limits.diskMb=128",
 		"listen.control="+address, "dataDir="+filepath.Join(p.opts.Dir, name, "data"))
 	process.Address = address
@@ -138,7 +130,7 @@
 func (p *Platform) addEntry(i int) {
 	vm := firstEntryVM + i
 	front, ready := p.opts.Network.Address(vm, frontPort), p.opts.Network.Address(vm, readyPort)
-	process := p.add(fmt.Sprintf("entry-%d", i+1), entryRole, vm, "edge",
+	process := p.add(fmt.Sprintf("entry-%d", i+1), "entry", vm, "edge",
 		"serves=edge", "faultCounted=false", "limits.memoryMb=284", "limits.linkMbps=1000.0", "limits.diskMb=0",
 		"listen.front="+front, "listen.ready="+ready)
 	process.Address, process.PeerAddress = front, ready
@@ -146,7 +138,7 @@
 }
 
 func (p *Platform) addAgent(i int) {
-	process := p.add(fmt.Sprintf("agent-%d", i+1), agentRole, firstAgentVM+i, "side",
+	process := p.add(fmt.Sprintf("agent-%d", i+1), "agent", firstAgentVM+i, "side",
 		"serves=side", "faultCounted=false", "limits.memoryMb=152", "limits.linkMbps=7.6", "limits.diskMb=0",
 		"app="+p.EngineAddress(i), "service="+p.opts.Service)
 	p.agents = append(p.agents, process)
@@ -237,22 +229,15 @@
 
 // AwaitEntries waits until all entries report that they are ready.
 func (p *Platform) AwaitEntries(ctx context.Context) error {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, entry := range p.entries {
 		err := Await(ctx, entry.Name+" is ready", func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+			defer cancel()
 			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.PeerAddress+platform.PathReady, nil)
 			if err != nil {
 				return err
 			}
-			resp, err := client.Do(req)
-			if err != nil {
-				return err
-			}
-			_ = resp.Body.Close()
-			if resp.StatusCode != http.StatusOK {
-				return errors.Newf("status %d", resp.StatusCode)
-			}
-			return nil
+			return doQuery(req, nil)
 		})
 		if err != nil {
 			return err
--- a/bench/weightsoak/inject.go
+++ b/bench/weightsoak/inject.go
@@ -80,12 +80,8 @@
 	case AgentStop, ControlStop, EntryStop:
 		j.stop(ctx, p)
 		j.restartAfter(ctx, p, f.Duration)
-	case AgentKillTwo:
-		j.killAndRestart(ctx, p, f.Duration)
-		sleep(ctx, f.After)
-		j.killAndRestart(ctx, p, f.Duration)
 	default:
-		j.killAndRestart(ctx, p, f.Duration)
+		j.killAndRestart(ctx, p, f.Duration, f.Again)
 	}
 }
 
@@ -100,9 +96,14 @@
 	}
 }
 
-func (j *injector) killAndRestart(ctx context.Context, p *cluster.Process, down time.Duration) {
+// killAndRestart kills a process, and once more again after its restart, if that is not 0.
+func (j *injector) killAndRestart(ctx context.Context, p *cluster.Process, down, again time.Duration) {
 	_ = p.Kill()
 	j.restartAfter(ctx, p, down)
+	if again > 0 && sleep(ctx, again) {
+		_ = p.Kill()
+		j.restartAfter(ctx, p, down)
+	}
 }
 
 // restartAfter starts a process that has exited. Another fault may have started it already.
@@ -125,7 +126,7 @@
 			late.Received = func() {
 				j.group.Go(func() {
 					sleep(ctx, f.After)
-					j.killAndRestart(ctx, agent, f.After/4)
+					j.killAndRestart(ctx, agent, f.After/4, f.Again)
 				})
 			}
 		}
--- a/bench/weightsoak/schedule.go
+++ b/bench/weightsoak/schedule.go
@@ -35,7 +35,8 @@
 	// EngineReplace puts an engine with other staged pieces at the same address.
 	EngineReplace Kind = "engine-replace"
 	// PowerLoss stops an engine and its agent, and the staged pieces are lost.
-	PowerLoss     Kind = "power-loss"
+	PowerLoss Kind = "power-loss"
+	// Processes are frozen, stopped with SIGTERM, or killed.
 	AgentFreeze   Kind = "agent-freeze"
 	AgentStop     Kind = "agent-stop"
 	AgentKill     Kind = "agent-kill"
@@ -72,8 +73,9 @@
 	// Piece is the piece that becomes corrupt, or the first one that is staged at a
 	// replaced engine.
 	Piece int
-	// After is the time between an event and its consequence.
-	After time.Duration
+	// After is the time between an event and its consequence, and Again the time between
+	// the restart of a process and another kill, if not 0.
+	After, Again time.Duration
 	// Factor is the pace of a slow engine.
 	Factor float64
 }
@@ -84,6 +86,9 @@
 	if f.After > 0 {
 		text += fmt.Sprintf(" after=%.2fs", f.After.Seconds())
 	}
+	if f.Again > 0 {
+		text += fmt.Sprintf(" again=%.2fs", f.Again.Seconds())
+	}
 	return text
 }
 
@@ -160,7 +165,7 @@
 		for _, target := range r.Perm(b.size.Agents)[:min(2, b.size.Agents)] {
 			late := Fault{At: at, Kind: LateOrder, Target: target, Duration: r.between(3200, 4800), Piece: r.IntN(b.size.Pieces)}
 			if r.IntN(2) == 0 {
-				late.After = r.between(1000, 4000)
+				late.After, late.Again = r.between(1000, 4000), time.Duration(r.IntN(2))*r.between(100, 2500)
 			}
 			b.add(late)
 		}
@@ -205,7 +210,10 @@
 		f.Duration = r.between(300, 4800)
 		return f
 	}
-	f.Duration, f.After = r.between(100, 2000), r.between(100, 2500)
+	f.Duration = r.between(100, 2000)
+	if f.Kind == AgentKillTwo {
+		f.Again = r.between(100, 2500)
+	}
 	return f
 }
 
