--- /dev/null
+++ b/bench/weightsoak/soak_test.go
@@ -0,0 +1,31 @@
+package weightsoak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// TestWeightsAreWholeUnderFaults runs one seed as a regression test of tokens that were
+// made with weights from a corrupt staged piece.
+func TestWeightsAreWholeUnderFaults(t *testing.T) {
+	const seed = 1
+	t.Logf("seed %d; repeat: go test ./bench/weightsoak -run '^%s$'", seed, t.Name())
+	bin, dir := t.TempDir(), t.TempDir()
+	build := exec.Command("go", "build", "-o", bin+"/", "./cmd/waxwingpost")
+	build.Dir = filepath.Join("..", "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	report, err := Run(t.Context(), Options{Seed: seed, Bin: bin, Dir: dir, Duration: 45 * time.Second, Agents: 5, Rate: 15})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", *report)
+	if err := report.Err(); err != nil {
+		events, _ := os.ReadFile(filepath.Join(dir, "events.log"))
+		t.Errorf("%v\n%.20000s", err, events)
+	}
+}
