--- a/bench/fakes/weights_engine.go
+++ b/bench/fakes/weights_engine.go
@@ -94,6 +94,8 @@
 	hungUntil time.Time
 	// late applies to the next load order, if not nil.
 	late *LateOrder
+	// received is the late order that was received last, or nil.
+	received *LateOrder
 	// readBack holds the staged pieces that were read since the last one was put.
 	readBack map[int]bool
 	// onReadBack and onReport are set by OnReadBack and OnReport.
@@ -101,15 +103,6 @@
 	onReport   func(answer func())
 }
 
-// LateOrder makes an engine hang when it receives a load order, before it accepts it,
-// while a piece becomes corrupt.
-type LateOrder struct {
-	Hang  time.Duration
-	Piece int
-	// Received is called when the order is received, if not nil.
-	Received func()
-}
-
 // NewWeightsEngine returns an engine that is not started.
 func NewWeightsEngine(cfg WeightsEngineConfig) *WeightsEngine {
 	return &WeightsEngine{
@@ -206,89 +199,6 @@
 	}
 }
 
-// Corrupt changes a byte of a staged piece, if it is there.
-func (e *WeightsEngine) Corrupt(piece int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.stage.corrupt(piece, e.cfg.Clock.Now())
-}
-
-// ReplaceStage replaces all staged pieces by some pieces of a version, or by nothing if
-// from is not below end.
-func (e *WeightsEngine) ReplaceStage(version, from, end int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.stage.fill(version, from, end)
-}
-
-// SetPace makes all work take the given multiple of its time.
-func (e *WeightsEngine) SetPace(pace float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.pace = pace
-}
-
-// Hang makes the engine answer nothing and stop all work for a time. What it receives
-// meanwhile is processed afterwards, even if the sender has given up.
-func (e *WeightsEngine) Hang(d time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.hang(d)
-}
-
-func (e *WeightsEngine) hang(d time.Duration) {
-	if until := e.cfg.Clock.Now().Add(d); until.After(e.hungUntil) {
-		e.hungUntil = until
-	}
-}
-
-// DelayNextOrder makes the engine accept its next load order late.
-func (e *WeightsEngine) DelayNextOrder(late LateOrder) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.late = &late
-}
-
-// OnReadBack calls f once all staged pieces were read from now on, and since the last one
-// was put.
-func (e *WeightsEngine) OnReadBack(f func()) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.onReadBack = f
-	clear(e.readBack)
-}
-
-// OnReport calls f instead of answering the next report that shows no order in progress and
-// before which all staged pieces were read, from now on and since the last one was put. It calls answer to send
-// the report.
-func (e *WeightsEngine) OnReport(f func(answer func())) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.onReport = f
-	clear(e.readBack)
-}
-
-// takeOnReport returns the function set by OnReport, if it is to be called now.
-func (e *WeightsEngine) takeOnReport() func(answer func()) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.onReport == nil || len(e.readBack) < e.cfg.Weights.Pieces || e.current == nil || e.current.busy {
-		return nil
-	}
-	f := e.onReport
-	e.onReport = nil
-	return f
-}
-
-// recordRead records that a staged piece was read. The caller holds mu.
-func (e *WeightsEngine) recordRead(piece int) {
-	e.readBack[piece] = true
-	if e.onReadBack != nil && len(e.readBack) == e.cfg.Weights.Pieces {
-		go e.onReadBack()
-		e.onReadBack = nil
-	}
-}
-
 // loadedLayer is a layer that an incarnation holds.
 type loadedLayer struct {
 	version int
@@ -487,6 +397,10 @@
 	if r.Method == http.MethodPut {
 		e.stage.put(piece, body)
 		clear(e.readBack)
+		if e.received != nil && e.received.Repaired != nil && e.received.Piece == piece {
+			go e.received.Repaired()
+			e.received = nil
+		}
 		return
 	}
 	staged := e.stage.pieces[piece]
--- a/bench/fakes/weights_orders.go
+++ b/bench/fakes/weights_orders.go
@@ -6,21 +6,29 @@
 	"time"
 )
 
-// receiveOrder hangs if the next order is to be accepted late.
+// receiveOrder waits or hangs if the order is to be accepted late.
 func (i *incarnation) receiveOrder() {
 	e := i.engine
 	e.mu.Lock()
 	late := e.late
 	e.late = nil
-	if late != nil {
+	if late == nil {
+		e.mu.Unlock()
+		return
+	}
+	e.received = late
+	if !late.Alone {
 		e.hang(late.Hang)
-		e.stage.corrupt(late.Piece, e.cfg.Clock.Now())
-		e.cfg.Log("engine %s: hangs for %v before it accepts an order, and piece %d becomes corrupt", i.id, late.Hang, late.Piece)
 	}
+	e.stage.corrupt(late.Piece, e.cfg.Clock.Now())
 	e.mu.Unlock()
-	if late != nil && late.Received != nil {
+	e.cfg.Log("engine %s: accepts an order %v late, alone %v, and piece %d becomes corrupt", i.id, late.Hang, late.Alone, late.Piece)
+	if late.Received != nil {
 		late.Received()
 	}
+	if late.Alone {
+		i.sleep(late.Hang)
+	}
 }
 
 type startOrder struct {
--- a/bench/weightsoak/inject.go
+++ b/bench/weightsoak/inject.go
@@ -131,6 +131,14 @@
 			}
 		}
 		e.DelayNextOrder(late)
+	case RepairKill:
+		e.DelayNextOrder(fakes.LateOrder{Hang: f.Duration, Piece: f.Piece, Repaired: func() {
+			j.group.Go(func() { j.killAndRestart(ctx, agent, f.After, 0) })
+		}})
+	case SlowOrder:
+		e.DelayNextOrder(fakes.LateOrder{Hang: f.Duration, Piece: f.Piece, Alone: true, Received: func() {
+			j.group.Go(func() { j.killAndRestart(ctx, agent, f.After, f.Again) })
+		}})
 	case ReadBackFreeze:
 		e.OnReadBack(func() {
 			if agent.Freeze() != nil {
--- a/bench/weightsoak/schedule.go
+++ b/bench/weightsoak/schedule.go
@@ -21,6 +21,12 @@
 	// accepts it, while a piece becomes corrupt. If After is not 0, the agent is killed
 	// that long after the order was received.
 	LateOrder Kind = "late-order"
+	// RepairKill is like LateOrder, and the agent is killed when it puts the piece again.
+	RepairKill Kind = "repair-kill"
+	// SlowOrder holds back an engine's next load order alone, while a piece becomes
+	// corrupt. The agent is killed when the order is received, and starts again after
+	// After.
+	SlowOrder Kind = "slow-order"
 	// ReadBackFreeze freezes an agent once it has read back all staged pieces, and a piece
 	// becomes corrupt then.
 	ReadBackFreeze Kind = "read-back-freeze"
@@ -56,7 +62,7 @@
 
 // Kinds are all kinds of faults and changes.
 var Kinds = []Kind{
-	NameVersion, PutConfig, CorruptPiece, LateOrder, ReadBackFreeze, EngineSwap, EngineRestart, EngineRestartSameID, EngineHang, EngineSlow, EngineReplace,
+	NameVersion, PutConfig, CorruptPiece, LateOrder, RepairKill, SlowOrder, ReadBackFreeze, EngineSwap, EngineRestart, EngineRestartSameID, EngineHang, EngineSlow, EngineReplace,
 	PowerLoss, AgentFreeze, AgentStop, AgentKill, AgentKillTwo, ControlFreeze, ControlStop, ControlKill, EntryFreeze, EntryStop, EntryKill,
 	LinkDelay, LinkReset, LinkCutIn, LinkCutOut,
 }
@@ -169,6 +175,10 @@
 			}
 			b.add(late)
 		}
+		b.add(Fault{At: at, Kind: RepairKill, Target: r.IntN(b.size.Agents), Duration: r.between(3200, 4800), Piece: r.IntN(b.size.Pieces), After: r.between(50, 500)})
+		slow := Fault{At: at, Kind: SlowOrder, Target: r.IntN(b.size.Agents), Duration: r.between(3200, 5500), Piece: r.IntN(b.size.Pieces)}
+		slow.After, slow.Again = slow.Duration-r.between(100, 1500), r.between(100, 2500)
+		b.add(slow)
 		b.add(Fault{At: at, Kind: ReadBackFreeze, Target: r.IntN(b.size.Agents), Duration: r.between(3200, 4800), Piece: r.IntN(b.size.Pieces)})
 		b.add(Fault{At: at, Kind: EngineSwap, Target: r.IntN(b.size.Agents), Duration: r.between(300, 2500), Piece: r.IntN(b.size.Pieces)})
 		last := at
