--- a/process/sidecar/install.go
+++ b/process/sidecar/install.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingpost/waxwingpost/platform"
 	"github.com/waxwingpost/waxwingpost/process/deployment"
 	"github.com/waxwingpost/waxwingpost/process/feed"
@@ -60,7 +62,10 @@
 	if !u.mayStage(key, step, report) {
 		return staged, nil
 	}
-	return u.stageFor(ctx, key, report)
+	if staged, err = u.stageFor(ctx, key, layers, report); errors.Is(err, errEarlierOrder) {
+		return stagedPieces{}, nil
+	}
+	return staged, err
 }
 
 // waitLoadTime waits until the time at which this engine is to load.
@@ -141,9 +146,9 @@
 	if origin := view.Config.Origin(); origin != nil {
 		spec.Origin, spec.OriginConns, spec.HomeRegion = origin.Address, origin.MaxConns, u.sidecar.settings.Regions[origin.Zone]
 		spec.OriginTime = u.originTransferTime(view)
-		if engine := u.engineConfig(view); engine != nil {
-			spec.Pieces, spec.PieceBytes = engine.Pieces, engine.PieceBytes
-		}
+	}
+	if engine := u.engineConfig(view); engine != nil {
+		spec.Pieces, spec.PieceBytes = engine.Pieces, engine.PieceBytes
 	}
 	for _, record := range view.Servers[u.sidecar.settings.BackendService] {
 		host, _, err := net.SplitHostPort(record.Address)
--- a/process/sidecar/verify_test.go
+++ b/process/sidecar/verify_test.go
@@ -153,6 +153,8 @@
 // piece were repaired before, nothing would show that to the next process.
 func TestPieceIsNotRepairedWhileOrderMayBeAccepted(t *testing.T) {
 	u, e, _ := newStagingTest(t)
+	u.reconcile(t.Context())
+	e.execute(stagingOrder{Version: 1, Target: stagingLayers, Expect: &e.loads})
 	e.delayOrder = true
 	if err := install(t, u); err == nil {
 		t.Fatal("an order without a response succeeded")
@@ -164,8 +166,28 @@
 	requireIntact(t, restarted, e)
 }
 
+// corruptLastPieces leaves the staged pieces as if staging had been cut off.
+func corruptLastPieces(e *stagingEngine) {
+	for piece := 1; piece < stagingLayers; piece++ {
+		e.corrupt(piece)
+	}
+}
+
 // A restarted agent does not know of an order that the engine may still accept.
 func TestLoadThatIsAcceptedWhileItsPieceIsRepairedIsDropped(t *testing.T) {
+	u, e, _ := newStagingTest(t)
+	e.delayOrder = true
+	if err := install(t, u); err == nil {
+		t.Fatal("an order without a response succeeded")
+	}
+	corruptLastPieces(e)
+	e.beforePut = e.acceptDelayed
+	restarted, _ := startStagingAgent(t, e)
+	requireIntact(t, restarted, e)
+}
+
+// The process that repairs the piece may be killed before it drops the load.
+func TestPieceIsNotRepairedWhileOrderOfEarlierProcessMayBeAccepted(t *testing.T) {
 	u, e, _ := newStagingTest(t)
 	e.delayOrder = true
 	if err := install(t, u); err == nil {
@@ -173,6 +195,23 @@
 	}
 	e.corrupt(1)
 	e.beforePut = e.acceptDelayed
+	second, _ := startStagingAgent(t, e)
+	second.reconcile(t.Context())
+	third, _ := startStagingAgent(t, e)
+	requireIntact(t, third, e)
+}
+
+func TestDropWithoutResponseIsRepeated(t *testing.T) {
+	u, e, _ := newStagingTest(t)
+	e.delayOrder = true
+	if err := install(t, u); err == nil {
+		t.Fatal("an order without a response succeeded")
+	}
+	corruptLastPieces(e)
+	e.beforePut = func() {
+		e.acceptDelayed()
+		e.delayOrder = true
+	}
 	restarted, _ := startStagingAgent(t, e)
 	requireIntact(t, restarted, e)
 }
@@ -184,7 +223,7 @@
 	if err := install(t, u); err == nil {
 		t.Fatal("an order without a response succeeded")
 	}
-	e.corrupt(1)
+	corruptLastPieces(e)
 	e.beforePut = e.acceptDelayed
 	restarted, _ := startStagingAgent(t, e)
 	requireIntact(t, restarted, e)
@@ -264,3 +303,33 @@
 		t.Errorf("result %d", got)
 	}
 }
+
+// nextCheck returns the time of the check in the agent's next report of version 2.
+func nextCheck(t *testing.T, u *updater, c *fakeControl) int64 {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); {
+		u.reconcile(t.Context())
+		if s := c.nextReport(); s != nil && directory.VersionOf(s.Held, "m") == 2 {
+			return s.Checked
+		}
+	}
+	t.Fatal("no report")
+	return 0
+}
+
+// A check must count as later than all earlier ones of the incarnation, also after the VM
+// was suspended and by another process, and whatever the wall clock shows.
+func TestTimeOfChecksCountsSuspensions(t *testing.T) {
+	u, e, c := newStagingTest(t)
+	if err := install(t, u); err != nil {
+		t.Fatal(err)
+	}
+	first := nextCheck(t, u, c)
+	e.clock.Suspend(time.Hour)
+	second := nextCheck(t, u, c)
+	restarted, c := startStagingAgent(t, e)
+	third := nextCheck(t, restarted, c)
+	if first <= 0 || second < first+time.Hour.Milliseconds() || third <= second || third > second+time.Minute.Milliseconds() {
+		t.Errorf("checked at %d ms, after a suspension of 1h at %d ms, by the next process at %d ms", first, second, third)
+	}
+}
