--- a/process/directory/table.go
+++ b/process/directory/table.go
@@ -62,12 +62,12 @@
 	// idByAddress maps an address to the ID of the server that started there last.
 	idByAddress map[string]string
 	// verifications holds the agents' verifications by address, model and start.
-	verifications map[string]map[verificationKey]heardVerification
+	verifications map[string]map[verificationKey]receivedVerification
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{servers: map[string]*Record{}, idByAddress: map[string]string{}, verifications: map[string]map[verificationKey]heardVerification{}}
+	return &Table{servers: map[string]*Record{}, idByAddress: map[string]string{}, verifications: map[string]map[verificationKey]receivedVerification{}}
 }
 
 // Outcome is the effect of a report on the table.
--- a/process/directory/verification.go
+++ b/process/directory/verification.go
@@ -28,10 +28,10 @@
 	Ended bool `cbor:"6,keyasint,omitempty"`
 }
 
-// heardVerification is a verification and the time of the last message with it.
-type heardVerification struct {
+// receivedVerification is a verification and the time of the last message with it.
+type receivedVerification struct {
 	Verification
-	heard time.Duration
+	received time.Duration
 }
 
 // verificationKey identifies a model of one incarnation at an address. Incarnations are kept
@@ -78,19 +78,19 @@
 		if len(t.verifications) >= maxServers {
 			return false
 		}
-		known = map[verificationKey]heardVerification{}
+		known = map[verificationKey]receivedVerification{}
 		t.verifications[v.Address] = known
 	}
 	key := verificationKey{model: v.Model, born: v.Born}
 	old, found := known[key]
 	switch {
 	case found && old.Verification == v:
-		known[key] = heardVerification{Verification: v, heard: max(old.heard, now)}
+		known[key] = receivedVerification{Verification: v, received: max(old.received, now)}
 		return false
 	case found && !v.supersedes(&old.Verification), !found && len(known) >= maxHeld:
 		return false
 	}
-	known[key] = heardVerification{Verification: v, heard: now}
+	known[key] = receivedVerification{Verification: v, received: now}
 	return true
 }
 
@@ -185,7 +185,7 @@
 	for address, known := range t.verifications {
 		current := t.servers[t.idByAddress[address]]
 		for key, v := range known {
-			if (current == nil || current.Born != key.born) && now-v.heard >= recordTTL {
+			if (current == nil || current.Born != key.born) && now-v.received >= recordTTL {
 				delete(known, key)
 			}
 		}
--- a/process/feed/reload_test.go
+++ b/process/feed/reload_test.go
@@ -20,7 +20,7 @@
 // An engine starts again under its ID, and its first heartbeats are late. Its agent reports
 // that it loads weights: those that were verified are no longer held.
 func TestLoadOfALaterIncarnationEndsTheVerification(t *testing.T) {
-	h := quarantineHub()
+	h := verificationHub()
 	f := newTestFollower(clockwork.NewFakeClock())
 	h.Heartbeat(engineHeartbeat(1, 1, 2))
 	h.UpdateEngine(verifiedState(1, 2, 1))
@@ -39,12 +39,12 @@
 // that runs on must not use the new load because of the earlier verification.
 func TestLoadAfterARestartOfControlProcessesEndsTheVerification(t *testing.T) {
 	f := newTestFollower(clockwork.NewFakeClock())
-	h := quarantineHub()
+	h := verificationHub()
 	h.Heartbeat(engineHeartbeat(1, 1, 2))
 	h.UpdateEngine(verifiedState(1, 2, 1))
 	f.apply(h.FullState())
 
-	restarted := quarantineHub()
+	restarted := verificationHub()
 	restarted.Heartbeat(engineHeartbeat(1, 2, 2))
 	f.apply(restarted.FullState())
 	drop := loadState(1, 2, engineHeartbeat(1, 2, 2).Held)
@@ -65,7 +65,7 @@
 // The control process of the agent has restarted and does not know the verification yet when
 // the agent, which has restarted as well, drops the weights and loads the version again.
 func TestLoadThatPeersHearOfEndsTheirVerification(t *testing.T) {
-	h, restarted := quarantineHub(), quarantineHub()
+	h, restarted := verificationHub(), verificationHub()
 	h.Heartbeat(engineHeartbeat(1, 1, 2))
 	h.UpdateEngine(verifiedState(1, 2, 1))
 	restarted.Heartbeat(engineHeartbeat(1, 2, 2))
--- a/process/feed/verifications.go
+++ b/process/feed/verifications.go
@@ -21,8 +21,8 @@
 
 // endVerifications ends the verifications that a server's report shows to have ended, and
 // returns them. Only control processes conclude that: a server's reports and its agent's
-// checks overtake each other, and an agent repeats a check only if its own view, which
-// comes from a control process, shows that it has ended. The caller holds mu.
+// checks overtake each other, and an agent checks again only if its own view, which
+// comes from a control process, shows that the verification has ended. The caller holds mu.
 func (h *Hub) endVerifications(s directory.Server) []directory.Verification {
 	ended := h.table.EndVerifications(s)
 	logEnded(h.log, ended)
--- a/process/feed/verifications_test.go
+++ b/process/feed/verifications_test.go
@@ -27,7 +27,7 @@
 	return wire.EngineState{Address: engineAddress, Born: born, Held: []directory.ModelVersion{{Model: "m", Version: version}}, Checked: checked}
 }
 
-func quarantineHub() *Hub {
+func verificationHub() *Hub {
 	clock := clockwork.NewFakeClock()
 	return newTestHub(clock, boottime.NewFake(clock))
 }
@@ -42,7 +42,7 @@
 }
 
 func TestFullStateHoldsVerifications(t *testing.T) {
-	h := quarantineHub()
+	h := verificationHub()
 	h.Heartbeat(engineHeartbeat(1, 1, 1))
 	h.UpdateEngine(verifiedState(1, 2, 1))
 	f := newTestFollower(clockwork.NewFakeClock())
@@ -52,7 +52,7 @@
 	}
 	// A peer must not take what the agent reported for the server's own report: the next
 	// heartbeat, from before the load, would seem to show that the weights were unloaded.
-	peer := quarantineHub()
+	peer := verificationHub()
 	peer.ApplyPeerUpdate(h.FullState())
 	peer.UpdateEngine(verifiedState(1, 2, 1))
 	peer.Heartbeat(engineHeartbeat(1, 2, 1))
@@ -86,7 +86,7 @@
 			},
 		},
 	} {
-		h, peer := quarantineHub(), quarantineHub()
+		h, peer := verificationHub(), verificationHub()
 		for _, step := range steps {
 			step(h, peer)
 		}
@@ -100,7 +100,7 @@
 
 // A control process that was cut off must not bring back a verification that has ended.
 func TestEndedVerificationIsNotBroughtBack(t *testing.T) {
-	h, behind := quarantineHub(), quarantineHub()
+	h, behind := verificationHub(), verificationHub()
 	for _, control := range []*Hub{h, behind} {
 		control.Heartbeat(engineHeartbeat(1, 1, 2))
 		control.UpdateEngine(verifiedState(1, 2, 1))
@@ -131,7 +131,7 @@
 }
 
 func TestLoadOfAVersionThatIsNotHeldEndsItsVerification(t *testing.T) {
-	h := quarantineHub()
+	h := verificationHub()
 	h.Heartbeat(engineHeartbeat(1, 1, 2))
 	h.UpdateEngine(verifiedState(1, 2, 1))
 	h.UpdateEngine(wire.EngineState{Address: engineAddress, Born: 1, Loading: true})
