feed: LinksOpened beside the verifications that use it

The function is moved as it is; tests of process/feed and the tests of verifications in process/sidecar pass with -race.

--- a/process/feed/follower.go
+++ b/process/feed/follower.go
@@ -199,11 +199,6 @@
 	return all
 }
 
-// LinksOpened returns how many times a control process was linked to, and its full state
-// received. A process that has restarted doesn't know what was reported to it before, while
-// the view still contains that.
-func (f *Follower) LinksOpened() uint64 { return f.linksOpened.Load() }
-
 func (f *Follower) isBehind(address string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/process/feed/verifications.go
+++ b/process/feed/verifications.go
@@ -50,3 +50,8 @@
 		h.broadcast(wire.Update{Verified: ended}, true)
 	}
 }
+
+// LinksOpened returns how many times a control process was linked to, and its full state
+// received. A process that has restarted doesn't know what was reported to it before, while
+// the view still contains that.
+func (f *Follower) LinksOpened() uint64 { return f.linksOpened.Load() }
