observation: records whose times overflow are ignored

Another process's record with an age or TTL beyond what a duration holds got a time of observation that wrapped around: it could appear as observed 290 years ago or in the future, was never evicted, and was sent on with a negative age.

Cause: milliseconds of a message were multiplied without a bound. A TTL of more than 30 days is refused now, and an age that has reached the TTL, before either becomes a duration.

--- a/process/observation/observation.go
+++ b/process/observation/observation.go
@@ -41,6 +41,8 @@
 	// MaxBodyBytes and maxKeyBytes bound one record. Longer ones are not published.
 	MaxBodyBytes = 16 << 10
 	maxKeyBytes  = 512
+	// maxTTL bounds the TTL of a record, and with it the age.
+	maxTTL = 30 * 24 * time.Hour
 )
 
 // Record is one observation as it is sent.
@@ -87,10 +89,11 @@
 func (s *Store) Apply(records []Record, now boottime.Instant) []Record {
 	var added []Record
 	for _, r := range records {
-		r.At = now.Add(-time.Duration(max(r.Age, 0)) * time.Millisecond)
-		if len(r.Key) > maxKeyBytes || len(r.Body) > MaxBodyBytes || !r.expires().After(now) {
+		r.Age = max(r.Age, 0)
+		if len(r.Key) > maxKeyBytes || len(r.Body) > MaxBodyBytes || r.TTL > maxTTL.Milliseconds() || r.Age >= r.TTL {
 			continue
 		}
+		r.At = now.Add(-time.Duration(r.Age) * time.Millisecond)
 		if s.put(r, now) {
 			added = append(added, r)
 		}
--- a/process/observation/observation_test.go
+++ b/process/observation/observation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -78,3 +79,19 @@
 		t.Error("a record with a long key was added")
 	}
 }
+
+// maxMilliseconds is the greatest number of milliseconds that a time.Duration holds.
+const maxMilliseconds = math.MaxInt64 / int64(time.Millisecond)
+
+func TestRecordWhoseTimesOverflowIsIgnored(t *testing.T) {
+	_, age := newClock()
+	for _, r := range []Record{
+		{Kind: Limit, Key: "s1", Age: maxMilliseconds, TTL: maxMilliseconds + 1},
+		{Kind: Limit, Key: "s1", Age: 1, TTL: math.MaxInt64},
+		{Kind: Limit, Key: "s1", Age: maxMilliseconds + 2, TTL: 1000},
+	} {
+		if added := NewStore().Apply([]Record{r}, age.Now()); len(added) != 0 {
+			t.Errorf("age %d ms, TTL %d ms: applied as observed at %v", r.Age, r.TTL, added[0].At)
+		}
+	}
+}
