--- a/process/control/wal/open.go
+++ b/process/control/wal/open.go
@@ -62,10 +62,11 @@
 		}
 	}
 	stored.HardState = l.hardState
-	if stored.Entries, err = r.entriesAfter(stored.Snapshot); err != nil {
+	var replaced bool
+	if stored.Entries, replaced, err = r.entriesAfter(stored.Snapshot); err != nil {
 		return nil, stored, err
 	}
-	if err := l.resume(r, stored); err != nil {
+	if err := l.resume(stored, replaced); err != nil {
 		return nil, stored, err
 	}
 	return l, stored, nil
@@ -115,12 +116,12 @@
 	return s, nil
 }
 
-// resume prepares the log for appending after a replay.
-func (l *Log) resume(r *replayer, stored raft.StoredState) error {
+// resume prepares the log for appending after a replay. replaced is set if the snapshot
+// replaces the entries of the log: nothing may be appended to the segment that contains
+// them, since a replay would drop it with them.
+func (l *Log) resume(stored raft.StoredState, replaced bool) error {
 	l.lastIndex = lastIndexOf(stored)
-	// Entries that do not follow the snapshot were dropped, so nothing may be
-	// appended to the segment that contains them.
-	if r.lastIndex() != lastIndexOf(stored) {
+	if replaced {
 		s := stored.Snapshot
 		return l.startSegment(&position{Index: s.Index, Term: s.Term})
 	}
@@ -254,22 +255,22 @@
 // entry with the snapshot's index and term, the snapshot came from the leader
 // and replaces the log, and a crash prevented the write of the new segment that
 // records this.
-func (r *replayer) entriesAfter(s raft.Snapshot) ([]raft.Entry, error) {
+func (r *replayer) entriesAfter(s raft.Snapshot) (entries []raft.Entry, replaced bool, err error) {
 	if r.lastIndex() < s.Index {
-		return nil, nil
+		return nil, true, nil
 	}
 	first := r.lastIndex() + 1
 	if len(r.entries) > 0 {
 		first = r.entries[0].Index
 	}
 	if first > s.Index+1 {
-		return nil, result.New(result.LogDamaged, "entries %d to %d are missing", s.Index+1, first-1)
+		return nil, false, result.New(result.LogDamaged, "entries %d to %d are missing", s.Index+1, first-1)
 	}
 	if first == s.Index+1 {
-		return r.entries, nil
+		return r.entries, false, nil
 	}
 	if r.entries[s.Index-first].Term != s.Term {
-		return nil, nil
+		return nil, true, nil
 	}
-	return r.entries[s.Index+1-first:], nil
+	return r.entries[s.Index+1-first:], false, nil
 }
--- a/process/control/wal/wal_test.go
+++ b/process/control/wal/wal_test.go
@@ -303,3 +303,33 @@
 		d.Recover()
 	}
 }
+
+// A crash after the snapshot was written leaves the conflicting entries in the open segment.
+func TestEntriesAfterASnapshotThatReplacedTheLogAreKept(t *testing.T) {
+	for index := uint64(1); index <= 4; index++ {
+		d := newDisk(index)
+		if err := wal.Create(d, dir); err != nil {
+			t.Fatal(err)
+		}
+		l, _, err := openLog(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.Save(nil, []raft.Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}, {Index: 3, Term: 1}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := l.WriteSnapshot(raft.Snapshot{Index: index, Term: 2}); err != nil {
+			t.Fatal(err)
+		}
+		l, stored, err := openLog(d)
+		if err != nil || len(stored.entries) != 0 {
+			t.Fatalf("snapshot %d: entries %v, %v", index, stored.entries, err)
+		}
+		if err := l.Save(nil, []raft.Entry{{Index: index + 1, Term: 3}}); err != nil {
+			t.Fatal(err)
+		}
+		if _, stored, err = openLog(d); err != nil || len(stored.entries) != 1 || stored.entries[0].Term != 3 {
+			t.Errorf("snapshot %d: entries %v after the next start, %v", index, stored.entries, err)
+		}
+	}
+}
