wal: a record whose entries are not consecutive is damage

Opening a log with such a record panicked (index out of range) or returned entries with gaps, which the replica then took for its own. A replica writes none; a disk or a defect may. It is refused now as LogDamaged like any other damage, so that the replica starts anew from the others.

--- a/process/control/wal/open.go
+++ b/process/control/wal/open.go
@@ -236,6 +236,11 @@
 // addEntries appends entries, which replace those from the first one's index on.
 func (r *replayer) addEntries(entries []raft.Entry) error {
 	first := entries[0].Index
+	for i, e := range entries {
+		if e.Index == 0 || e.Index != first+uint64(i) {
+			return errors.Newf("record has entry %d at position %d after its first entry %d", e.Index, i, first)
+		}
+	}
 	switch {
 	case len(r.entries) == 0:
 		// The entries before are covered by a snapshot, which entriesAfter checks.
