sidecar: an order that is in effect already does not fence earlier ones

Tokens could be made with a layer from a corrupt piece after two kills of an agent.

Sequence: a drop is half done and the engine holds the last layer alone; an agent orders layer 1, the engine holds that order, and the agent is killed. A piece turns corrupt. The next agent fences: it orders the last layer alone. The engine has that already, answers 200 and counts no order, so that the earlier order still fits. The agent repairs the piece, the earlier order is accepted just before, the agent is killed, and the third one finds all pieces intact and verifies the load.

Cause: an order counted as accepted by its response. It does now once a report of the engine counts it, and in that state the fence is the order for layer 1, which begins something.

--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -139,8 +139,7 @@
 	u.sidecar.Log.Info("pieces read back again", "model", key.Model, "version", key.Version, "age", u.age(staged.readBack), "born", report.Born)
 	*staged, err = u.stageFor(ctx, key, layers, report)
 	if errors.Is(err, errEarlierOrder) {
-		// The engine refuses earlier orders once it has accepted this one.
-		return stepDrop, true, nil
+		return step.fence(), true, nil
 	}
 	return step, false, err
 }
@@ -240,7 +239,7 @@
 		u.inFlight = sentOrder{}
 	}
 	if err == nil {
-		u.accepted = incarnation{known: true, born: report.Born}
+		u.accepted = acceptedOrder{known: true, born: report.Born, orders: report.Orders + 1}
 	}
 	if code == result.EngineRefused {
 		u.reportEngine(wire.EngineState{Born: report.Born})
--- a/process/sidecar/loadstep.go
+++ b/process/sidecar/loadstep.go
@@ -65,6 +65,16 @@
 // those were intact.
 func (s loadStep) mayStage() bool { return s == stepLoadAll || s == stepReplaceLast }
 
+// fence returns the step to order in place of s so that the engine refuses the orders of
+// earlier processes afterwards. An order for the layers that the engine holds already would
+// not be counted.
+func (s loadStep) fence() loadStep {
+	if s == stepReplaceLast {
+		return stepReplaceLast
+	}
+	return stepDrop
+}
+
 // loadsAll reports whether the engine holds all layers after the step.
 func (s loadStep) loadsAll() bool { return s == stepLoadAll || s == stepComplete }
 
--- a/process/sidecar/stagingengine_test.go
+++ b/process/sidecar/stagingengine_test.go
@@ -104,15 +104,18 @@
 // ServeHTTP implements http.Handler.
 func (e *stagingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	piece, _ := strconv.Atoi(r.URL.Query().Get("num"))
-	if e.onCall != nil {
-		e.onCall()
+	e.mu.Lock()
+	onCall := e.onCall
+	e.mu.Unlock()
+	if onCall != nil {
+		onCall()
 	}
 	switch {
 	case r.URL.Path == platform.PathReport:
-		callOnce(&e.beforeReport)
+		e.callOnce(&e.beforeReport)
 		e.report(w)
 	case r.URL.Path == platform.PathOrder:
-		callOnce(&e.beforeOrder)
+		e.callOnce(&e.beforeOrder)
 		e.mu.Lock()
 		lose := e.loseOrderReply || e.delayOrder
 		e.loseOrderReply = false
@@ -123,12 +126,12 @@
 		}
 	case r.Method == http.MethodPut:
 		data, _ := io.ReadAll(r.Body)
-		callOnce(&e.beforePut)
+		e.callOnce(&e.beforePut)
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.staged[piece] = data
 	default:
-		callOnce(&e.beforeGet)
+		e.callOnce(&e.beforeGet)
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if e.staged[piece] == nil {
@@ -140,13 +143,23 @@
 }
 
 // callOnce calls the function that p holds, if any, and removes it.
-func callOnce(p *func()) {
-	if call := *p; call != nil {
-		*p = nil
+func (e *stagingEngine) callOnce(p *func()) {
+	e.mu.Lock()
+	call := *p
+	*p = nil
+	e.mu.Unlock()
+	if call != nil {
 		call()
 	}
 }
 
+// set changes fields of the engine. A call that the agent has given up may still run.
+func (e *stagingEngine) set(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+}
+
 func (e *stagingEngine) report(w http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -191,6 +204,9 @@
 		e.refused++
 		return false
 	}
+	if e.inEffect(order) {
+		return true
+	}
 	e.loads++
 	e.busy = e.busyAfterOrder
 	held := map[int]bool{}
@@ -204,6 +220,20 @@
 	return true
 }
 
+// inEffect reports whether the engine holds the layers of an order already. It counts no
+// such order. The caller holds mu.
+func (e *stagingEngine) inEffect(order stagingOrder) bool {
+	if e.version != order.Version || len(e.layers) != order.Target-order.From {
+		return false
+	}
+	for layer := order.From; layer < order.Target; layer++ {
+		if !e.layers[layer] {
+			return false
+		}
+	}
+	return true
+}
+
 // usable reports whether the engine holds all layers, and how many of them were loaded from
 // a corrupt piece.
 func (e *stagingEngine) usable() (whole bool, spoiled int) {
@@ -243,18 +273,31 @@
 func startVersionAgent(t *testing.T, e *stagingEngine, newest int) (*updater, *fakeControl) {
 	t.Helper()
 	u := newTestUpdater(t, e)
+	return u, fillVersionAgent(t, u, e, newest)
+}
+
+// addVersion gives an agent all pieces of a version.
+func addVersion(t *testing.T, u *updater, version int) {
+	t.Helper()
+	m := platform.Manifest{Model: "m", Version: version}
+	for piece := range stagingLayers {
+		m.Digests = append(m.Digests, sha256.Sum256(stagingPiece(version, piece)))
+	}
+	u.sidecar.store.AddVersion(m)
+	for piece := range stagingLayers {
+		if !u.sidecar.store.Put(pieces.Key{Model: "m", Version: version}, piece, stagingPiece(version, piece)) {
+			t.Fatal("piece not stored")
+		}
+	}
+}
+
+// fillVersionAgent gives an agent of the engine all pieces of the newest version and of the
+// one before it, and links it to a control process whose state edit may change.
+func fillVersionAgent(t *testing.T, u *updater, e *stagingEngine, newest int, edit ...func(*wire.Update)) *fakeControl {
+	t.Helper()
 	u.sidecar.AgeClock = e.clock
 	for version := newest - 1; version <= newest; version++ {
-		m := platform.Manifest{Model: "m", Version: version}
-		for piece := range stagingLayers {
-			m.Digests = append(m.Digests, sha256.Sum256(stagingPiece(version, piece)))
-		}
-		u.sidecar.store.AddVersion(m)
-		for piece := range stagingLayers {
-			if !u.sidecar.store.Put(pieces.Key{Model: "m", Version: version}, piece, stagingPiece(version, piece)) {
-				t.Fatal("piece not stored")
-			}
-		}
+		addVersion(t, u, version)
 	}
 	content, err := desired.Compress([]byte(strings.Replace(stagingConfig, "LAYERS", strconv.Itoa(stagingLayers), 2)))
 	if err != nil {
@@ -264,8 +307,11 @@
 		state:    wire.Update{Revision: 1, ConfigVersion: 1, Weights: map[string]int{"m": newest}},
 		document: wire.ConfigDocument{Version: 1, Content: content},
 	}
+	for _, change := range edit {
+		change(&c.state)
+	}
 	c.link(t, u)
-	return u, c
+	return c
 }
 
 const stagingConfig = `{"version":1,"services":[{"name":"s","healthPath":"/health",
--- a/process/sidecar/updater.go
+++ b/process/sidecar/updater.go
@@ -54,9 +54,9 @@
 	// agents; orderedKey is the one that the engine was last ordered to load.
 	sharedKey  pieces.Key
 	orderedKey pieces.Key
-	// accepted is the incarnation that accepted an order of this process last. It refuses
-	// the orders of earlier processes, which expect fewer orders.
-	accepted incarnation
+	// accepted is the last order of this process that the engine accepted. Once the engine
+	// has counted it, it refuses the orders of earlier processes, which expect fewer orders.
+	accepted acceptedOrder
 	// stagedFirst is the last version of which this process found the pieces not staged, so
 	// that no earlier process has ordered it.
 	stagedFirst pieces.Key
@@ -92,14 +92,19 @@
 	step               string
 }
 
-// incarnation is a start of the engine, if it is known.
-type incarnation struct {
+// acceptedOrder is an order that an incarnation of the engine accepted, if it is known.
+type acceptedOrder struct {
 	known bool
-	born  int64
+	// born is the engine's start, and orders its number of orders with this one.
+	born   int64
+	orders uint64
 }
 
-// in reports whether a report is of the incarnation.
-func (i incarnation) in(r platform.EngineReport) bool { return i.known && i.born == r.Born }
+// in reports whether a report is of the incarnation and counts the order. The engine does
+// not count one that was in effect already.
+func (a acceptedOrder) in(r platform.EngineReport) bool {
+	return a.known && a.born == r.Born && r.Orders >= a.orders
+}
 
 func newUpdater(s *Sidecar) *updater {
 	scope := s.Scope.SubScope("weights")
--- a/process/sidecar/verify_test.go
+++ b/process/sidecar/verify_test.go
@@ -154,7 +154,7 @@
 // piece were repaired before, nothing would show that to the next process.
 func TestPieceIsNotRepairedWhileOrderMayBeAccepted(t *testing.T) {
 	u, e, _ := newStagingTest(t)
-	u.accepted = incarnation{known: true, born: stagingBorn}
+	u.accepted = acceptedOrder{known: true, born: stagingBorn}
 	e.delayOrder = true
 	if err := install(t, u); err == nil {
 		t.Fatal("an order without a response succeeded")
@@ -189,7 +189,7 @@
 // The engine may accept the order between two reports of an agent that is killed soon after.
 func TestPieceIsNotRepairedWhileEngineLoadsTheVersion(t *testing.T) {
 	u, e, _ := newStagingTest(t)
-	u.accepted = incarnation{known: true, born: stagingBorn}
+	u.accepted = acceptedOrder{known: true, born: stagingBorn}
 	e.delayOrder = true
 	if err := install(t, u); err == nil {
 		t.Fatal("an order without a response succeeded")
