sidecar: all orders without a response are known until the engine counts more

Tokens could be made with pieces of another version. Sequence: an order for version 2 receives no response; version 3 is published and staged, and its order receives none either; the agent turns back to version 2, which is still usable, and stages it again. The engine accepts the first order meanwhile and takes pieces of version 3. If the agent is killed then, the next one finds version 2 held with all pieces intact, and verifies it.

Cause: orders without a response were kept in one place, which the next order took, and which any readable response cleared, also a refusal. They are a list now, which a higher number of orders in the engine's report empties, as only that makes the engine refuse them.

TestUnansweredOrderIsKnownAfterALaterOneOfAnotherVersion, ...WhenTheAgentTurnsBackToItsVersion (4 layers from wrong pieces are verified) and ...AfterIts- RepetitionWasRefused (1 layer) fail before and pass now.

--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -191,7 +192,7 @@
 }
 
 // sentOrder is an order without a response: the engine may accept it as long as its start
-// and its number of orders are the same.
+// and its number of orders are the same, also after it has refused a later one.
 type sentOrder struct {
 	key    pieces.Key
 	born   int64
@@ -202,7 +203,7 @@
 // received no response. Its pieces are not staged until the order, which is sent again, is
 // accepted: a repaired piece would hide that it was loaded while it was corrupt.
 func (u *updater) mayBeAccepted(key pieces.Key, report platform.EngineReport) bool {
-	return u.inFlight == sentOrder{key: key, born: report.Born, orders: report.Orders}
+	return slices.Contains(u.unanswered, sentOrder{key: key, born: report.Born, orders: report.Orders})
 }
 
 // mayStage reports whether pieces may be put before a step: not while the engine may load
@@ -224,7 +225,7 @@
 		return err
 	}
 	u.orderedKey = key
-	u.inFlight = sentOrder{key: key, born: report.Born, orders: report.Orders}
+	u.unanswered = slices.DeleteFunc(u.unanswered, func(o sentOrder) bool { return o.born != report.Born || o.orders < report.Orders })
 	if step != stepDrop {
 		// The report was requested after the last piece was put.
 		u.unconfirmedPut = pieces.Key{}
@@ -235,8 +236,8 @@
 	})
 	_, err = u.callEngine(ctx, http.MethodPost, platform.PathOrder, body)
 	code := result.CodeOf(err)
-	if code != result.EngineUnreadable {
-		u.inFlight = sentOrder{}
+	if sent := (sentOrder{key: key, born: report.Born, orders: report.Orders}); code == result.EngineUnreadable && !slices.Contains(u.unanswered, sent) {
+		u.unanswered = append(u.unanswered, sent)
 	}
 	if err == nil {
 		u.accepted = acceptedOrder{known: true, born: report.Born, orders: report.Orders + 1}
--- a/process/sidecar/unanswered_test.go
+++ b/process/sidecar/unanswered_test.go
@@ -2,8 +2,15 @@
 
 import (
 	"context"
+	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingpost/waxwingpost/connection/wire"
+	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/version/pieces"
 )
 
@@ -42,6 +49,29 @@
 	return ctx
 }
 
+// checkVerified reports an error if weights from wrong pieces are verified.
+func checkVerified(t *testing.T, u *updater, e *stagingEngine) {
+	t.Helper()
+	u.mu.Lock()
+	verified := u.verified["m"]
+	u.mu.Unlock()
+	whole, spoiled := e.usable()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if whole && spoiled > 0 && !e.busy && verified == (verifiedWeights{version: e.version, born: e.born, orders: uint64(e.loads)}) {
+		t.Errorf("version %d is verified, with %d layers from wrong pieces", e.version, spoiled)
+	}
+}
+
+// requireUnverified reconciles once, without loading another version, and fails if weights
+// from wrong pieces are verified then.
+func requireUnverified(t *testing.T, u *updater, e *stagingEngine) {
+	t.Helper()
+	e.set(func() { e.delayOrder = true })
+	u.reconcile(t.Context())
+	checkVerified(t, u, e)
+}
+
 func TestEarlierOrderIsFencedAlsoIfTheEngineHoldsTheLastLayerAlone(t *testing.T) {
 	first, e, _ := newStagingTest(t)
 	for piece := range stagingLayers {
@@ -56,3 +86,64 @@
 	third, _ := startStagingAgent(t, e)
 	requireIntact(t, third, e)
 }
+
+func TestUnansweredOrderIsKnownAfterALaterOneOfAnotherVersion(t *testing.T) {
+	e := newStagingEngine(boottime.NewFake(clockwork.NewRealClock()))
+	first, _ := startVersionAgent(t, e, 3)
+	loseOrder(t, e, first, 2)
+	loseOrder(t, e, first, 3)
+	_ = installVersion(e.acceptAtFirstPut(t, stagingLayers), first, 2)
+	second, _ := startVersionAgent(t, e, 3)
+	requireUnverified(t, second, e)
+}
+
+// Version 3 is published while the order for version 2 has no response, and the agent turns
+// back to version 2, which may still be used.
+func TestUnansweredOrderIsKnownWhenTheAgentTurnsBackToItsVersion(t *testing.T) {
+	e := newStagingEngine(boottime.NewFake(clockwork.NewRealClock()))
+	u := newTestUpdater(t, e)
+	u.sidecar.settings.Bounds.OldVersionGrace = 8 * time.Second
+	followerClock := u.sidecar.AgeClock
+	c := fillVersionAgent(t, u, e, 3, func(state *wire.Update) {
+		state.Weights, state.Published = map[string]int{"m": 2}, map[string][]int{"m": {1, 2}}
+		state.Ages = map[string][]wire.VersionAge{"m": {{Version: 2, Age: 100}}}
+	})
+	u.sidecar.AgeClock = followerClock
+	e.set(func() { e.delayOrder = true })
+	u.reconcile(t.Context())
+	if err := c.conn.Load().Notify(wire.KindUpdate, wire.Update{
+		Revision: 2, ConfigVersion: 1, Weights: map[string]int{"m": 3}, Published: map[string][]int{"m": {1, 2, 3}},
+		Ages: map[string][]wire.VersionAge{"m": {{Version: 2, Age: 1000}, {Version: 3, Age: 100}}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for u.sidecar.follower.View().Weights["m"].Newest() != 3 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	e.set(func() { e.delayOrder = true })
+	u.reconcile(t.Context())
+	u.reconcile(e.acceptAtFirstPut(t, stagingLayers))
+	second, _ := startVersionAgent(t, e, 3)
+	requireUnverified(t, second, e)
+}
+
+func TestUnansweredOrderIsKnownAfterItsRepetitionWasRefused(t *testing.T) {
+	_, e, _ := newStagingTest(t)
+	var refuse atomic.Bool
+	u := newTestUpdater(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && refuse.CompareAndSwap(true, false) {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		e.ServeHTTP(w, r)
+	}))
+	fillVersionAgent(t, u, e, 2)
+	u.accepted = acceptedOrder{known: true, born: stagingBorn}
+	loseOrder(t, e, u, 2)
+	refuse.Store(true)
+	_ = installVersion(t.Context(), u, 2)
+	e.corrupt(1)
+	u.reconcile(e.acceptAtFirstPut(t, 1))
+	second, _ := startStagingAgent(t, e)
+	requireIntact(t, second, e)
+}
--- a/process/sidecar/updater.go
+++ b/process/sidecar/updater.go
@@ -60,9 +60,9 @@
 	// stagedFirst is the last version of which this process found the pieces not staged, so
 	// that no earlier process has ordered it.
 	stagedFirst pieces.Key
-	// inFlight is the last order if it received no response.
-	inFlight  sentOrder
-	readBacks completeReadBack
+	// unanswered holds the orders without a response that the engine may still accept.
+	unanswered []sentOrder
+	readBacks  completeReadBack
 	// unconfirmedPut is the version of which a piece was put after the last report that
 	// preceded an order: the engine may have accepted an earlier order meanwhile.
 	unconfirmedPut pieces.Key
