sidecar: earlier orders are fenced at each incarnation, and after another version

Two more ways in which a restarted agent took pieces for never ordered and repaired them while the engine could still accept an order for them, so that the next agent verified a load of wrong pieces:

- An engine that restarts counts orders from 0, so that an order sent to the incarnation before may fit.
That the pieces were not staged is remembered for one incarnation now.
- An order for version 2 has no response, version 3 is staged over it, and a restarted agent turns to version 2: none of its pieces is staged.
Pieces of a third version, neither the one to load nor the one that is held, show now that an earlier agent may have got that far.
Missing pieces and those of the held version still need no fence, so that the first load after a start is one order.

TestLateOrderTakesPiecesOfTheNextVersion looked only after version 3 was loaded; it checks at each call to the engine now.

--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -160,9 +160,10 @@
 
 // stageFor stages every piece at the engine whose last report is given.
 func (u *updater) stageFor(ctx context.Context, key pieces.Key, layers int, report platform.EngineReport) (stagedPieces, error) {
-	if layers >= minDropLayers && !u.accepted.in(report) && u.stagedFirst != key {
+	first := stagedVersion{key: key, born: report.Born}
+	if layers >= minDropLayers && !u.accepted.in(report) && u.stagedFirst != first {
 		started := u.sidecar.AgeClock.Now()
-		corrupt, err := u.corruptPieces(ctx, key)
+		corrupt, digests, err := u.readStaged(ctx, key)
 		if err != nil {
 			return stagedPieces{}, err
 		}
@@ -170,16 +171,32 @@
 			u.readBacks = completeReadBack{key: key, at: started}
 			return stagedPieces{readBack: started, born: report.Born}, nil
 		}
-		if m, _ := u.sidecar.store.Manifest(key); wereAllStaged(corrupt, len(m.Digests)) {
+		if wereAllStaged(corrupt, len(digests)) || u.wasReplaced(key, corrupt, digests, report) {
 			u.recordCorrupt(key, corrupt)
 			return stagedPieces{}, errEarlierOrder
 		}
-		u.stagedFirst = key
+		u.stagedFirst = first
 	}
 	readBack, err := u.stagePieces(ctx, key)
 	return stagedPieces{readBack: readBack, born: report.Born}, err
 }
 
+// wasReplaced reports whether the staged pieces of a version, which are not intact, may have
+// been replaced by those of another version after an earlier process had ordered a load of
+// them. Pieces that are missing, or those of the version that the engine holds, were staged
+// before.
+func (u *updater) wasReplaced(key pieces.Key, corrupt []int, digests []digest, report platform.EngineReport) bool {
+	held, _ := u.sidecar.store.Manifest(pieces.Key{Model: key.Model, Version: directory.VersionOf(report.Held, key.Model)})
+	replaced := false
+	for _, piece := range corrupt {
+		if digests[piece] == missingPiece || piece < len(held.Digests) && digests[piece] == held.Digests[piece] {
+			return false
+		}
+		replaced = replaced || u.sidecar.store.Known(key.Model, piece, digests[piece])
+	}
+	return replaced
+}
+
 // isRecent reports whether the pieces were staged at this incarnation of the engine, which
 // may have lost them otherwise, and not longer than maxReadBackAge ago.
 func (u *updater) isRecent(staged stagedPieces, report platform.EngineReport) bool {
@@ -191,6 +208,13 @@
 	return u.sidecar.AgeClock.Now().Sub(readBack)
 }
 
+// stagedVersion is a version of which a process found the pieces not staged at an
+// incarnation of the engine.
+type stagedVersion struct {
+	key  pieces.Key
+	born int64
+}
+
 // sentOrder is an order without a response: the engine may accept it as long as its start
 // and its number of orders are the same, also after it has refused a later one.
 type sentOrder struct {
--- a/process/sidecar/restart_test.go
+++ b/process/sidecar/restart_test.go
@@ -159,7 +159,15 @@
 		t.Fatal("an order without a response succeeded")
 	}
 	next, _ := startVersionAgent(t, e, 3)
-	e.beforePut = func() { e.beforePut = e.acceptDelayed }
+	accept := func() {
+		e.acceptDelayed()
+		e.set(func() { e.delayOrder = true })
+	}
+	e.set(func() {
+		e.beforePut = func() { e.set(func() { e.beforePut = accept }) }
+		e.onCall = func() { checkVerified(t, next, e) }
+	})
+	next.reconcile(t.Context()) // its order for version 3 receives no response
 	requireIntact(t, next, e)
 }
 
--- a/process/sidecar/unanswered_test.go
+++ b/process/sidecar/unanswered_test.go
@@ -147,3 +147,42 @@
 	second, _ := startStagingAgent(t, e)
 	requireIntact(t, second, e)
 }
+
+func TestOrderThatALaterIncarnationAcceptsLateIsFenced(t *testing.T) {
+	u, e, _ := newStagingTest(t)
+	e.beforeOrder = func() { e.restart(true) }
+	loseOrder(t, e, u, 2)
+	e.corrupt(1)
+	u.reconcile(e.acceptAtFirstPut(t, 1))
+	second, _ := startStagingAgent(t, e)
+	requireIntact(t, second, e)
+}
+
+func TestEarlierOrderIsFencedAlsoIfAnotherVersionWasStagedSince(t *testing.T) {
+	e := newStagingEngine(boottime.NewFake(clockwork.NewRealClock()))
+	first, _ := startVersionAgent(t, e, 3)
+	loseOrder(t, e, first, 2)
+	if _, err := first.stageBeforeLoad(t.Context(), pieces.Key{Model: "m", Version: 3}, stagingLayers); err != nil {
+		t.Fatal(err)
+	}
+	second, _ := startVersionAgent(t, e, 3)
+	_ = installVersion(e.acceptAtFirstPut(t, stagingLayers), second, 2)
+	third, _ := startVersionAgent(t, e, 3)
+	requireUnverified(t, third, e)
+}
+
+// The first load after a start replaces an older version that is staged, without a fence.
+func TestPiecesOfTheHeldVersionAreReplacedWithoutAFence(t *testing.T) {
+	for name, change := range map[string]func(e *stagingEngine){"intact": func(*stagingEngine) {}, "one corrupt": func(e *stagingEngine) { e.corrupt(2) }, "missing": func(e *stagingEngine) { clear(e.staged) }} {
+		e := newStagingEngine(boottime.NewFake(clockwork.NewRealClock()))
+		for piece := range stagingLayers {
+			e.staged[piece] = stagingPiece(1, piece)
+		}
+		e.execute(stagingOrder{Version: 1, Target: stagingLayers})
+		change(e)
+		u, _ := startStagingAgent(t, e)
+		if err := installVersion(t.Context(), u, 2); err != nil || e.loads != 2 {
+			t.Errorf("%s: %d orders, %v", name, e.loads, err)
+		}
+	}
+}
--- a/process/sidecar/updater.go
+++ b/process/sidecar/updater.go
@@ -59,7 +59,7 @@
 	accepted acceptedOrder
 	// stagedFirst is the last version of which this process found the pieces not staged, so
 	// that no earlier process has ordered it.
-	stagedFirst pieces.Key
+	stagedFirst stagedVersion
 	// unanswered holds the orders without a response that the engine may still accept.
 	unanswered []sentOrder
 	readBacks  completeReadBack
--- a/process/sidecar/verify.go
+++ b/process/sidecar/verify.go
@@ -68,24 +68,40 @@
 // errNotFound marks the error of a call that the engine answered with status 404.
 var errNotFound = errors.New("not found")
 
-// corruptPieces reads all staged pieces of a version back and returns those that are
-// missing or not intact. It changes none.
-func (u *updater) corruptPieces(ctx context.Context, key pieces.Key) ([]int, error) {
+// digest is the SHA-256 of a piece.
+type digest = [sha256.Size]byte
+
+// missingPiece takes the place of the digest of a piece that is not staged.
+var missingPiece digest
+
+// readStaged reads all staged pieces of a version back. It returns their digests, and those
+// that are missing or not intact. It changes none.
+func (u *updater) readStaged(ctx context.Context, key pieces.Key) (corrupt []int, digests []digest, err error) {
 	m, ok := u.sidecar.store.Manifest(key)
 	if !ok {
-		return nil, result.New(result.ChunkMissing, "version %d was replaced", key.Version)
+		return nil, nil, result.New(result.ChunkMissing, "version %d was replaced", key.Version)
 	}
-	var corrupt []int
-	for piece, digest := range m.Digests {
+	digests = make([]digest, len(m.Digests))
+	for piece, want := range m.Digests {
 		staged, err := u.callEngine(ctx, http.MethodGet, platform.StageGetPath(key.Model, piece), nil)
-		if err != nil && !errors.Is(err, errNotFound) {
-			return nil, err
+		switch {
+		case err == nil:
+			digests[piece] = sha256.Sum256(staged)
+		case !errors.Is(err, errNotFound):
+			return nil, nil, err
 		}
-		if err != nil || sha256.Sum256(staged) != digest {
+		if digests[piece] != want {
 			corrupt = append(corrupt, piece)
 		}
 	}
-	return corrupt, nil
+	return corrupt, digests, nil
+}
+
+// corruptPieces reads all staged pieces of a version back and returns those that are
+// missing or not intact. It changes none.
+func (u *updater) corruptPieces(ctx context.Context, key pieces.Key) ([]int, error) {
+	corrupt, _, err := u.readStaged(ctx, key)
+	return corrupt, err
 }
 
 // intactSinceOrder reports whether all staged pieces of a version are intact, and none was
--- a/version/pieces/store.go
+++ b/version/pieces/store.go
@@ -169,6 +169,19 @@
 	return platform.Manifest{}, false
 }
 
+// Known reports whether a digest is that of a piece of one of the versions of a model that
+// are known here.
+func (s *Store) Known(model string, piece int, digest [sha256.Size]byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, v := range s.versions {
+		if k.Model == model && piece < len(v.manifest.Digests) && v.manifest.Digests[piece] == digest {
+			return true
+		}
+	}
+	return false
+}
+
 // Put verifies a piece and stores it. It reports whether the version is known and the
 // data matches a digest of the piece.
 func (s *Store) Put(k Key, piece int, data []byte) bool {
