quarantine: entries that know the same decide alike

Cause, in the product: ends of one time were sorted by time alone, so that the end which stands for a moment (and its requests in common with others) was that which the map gave first; of ends with the same latest report any one was evicted; holds were cleared, suspected again, explained and evicted in the order of a map; the rates of services were summed in the order of a map. Two entries with the same reports could decide differently.

Ties now go by the server's name, the part or the service. Ruled out: valid, confirmed, markShared, collect and rank give the same in any order.

That of the sums has no test: a difference in the last bit rarely changes the number of moments.

--- a/request/quarantine/cuts.go
+++ b/request/quarantine/cuts.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"maps"
 	"math"
+	"slices"
 
 	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
@@ -68,7 +70,8 @@
 func (c *cutRates) requiredMoments(chance float64, now boottime.Instant) int {
 	var total cutRate
 	fraction := 0.0
-	for _, r := range c.services {
+	for _, service := range slices.Sorted(maps.Keys(c.services)) { // sums of floats depend on the order
+		r := c.services[service]
 		r.decay(now)
 		total.cut += r.cut
 		total.proven += r.proven
--- a/request/quarantine/decide.go
+++ b/request/quarantine/decide.go
@@ -70,9 +70,12 @@
 	}
 }
 
-// sortEnds sorts ends by time, earliest first.
+// sortEnds sorts ends by time, earliest first, and those of one time by server: entries that
+// know the same decide alike.
 func sortEnds(ends []end) {
-	slices.SortFunc(ends, func(a, b end) int { return compareInstants(a.at, b.at) })
+	slices.SortFunc(ends, func(a, b end) int {
+		return cmp.Or(compareInstants(a.at, b.at), cmp.Compare(a.server, b.server))
+	})
 }
 
 // endsSinceProof returns the possible ends of servers that had a request with a part, since
@@ -182,7 +185,8 @@
 // suspected for. Another entry's proof may arrive after the decision.
 func (t *Table) clearProven(now boottime.Instant) []Decision {
 	var decisions []Decision
-	for p, h := range t.holds {
+	for _, p := range t.heldParts() {
+		h := t.holds[p]
 		suspectedFor := h.since
 		if last := t.watched[p].lastEnd; !last.IsZero() && last.Before(h.since) {
 			suspectedFor = last
@@ -198,7 +202,8 @@
 // repeatHolds suspects parts again that were being tried when another server ended.
 func (t *Table) repeatHolds(now boottime.Instant, ends []end) []Decision {
 	var decisions []Decision
-	for p, h := range t.holds {
+	for _, p := range t.heldParts() {
+		h := t.holds[p]
 		i := slices.IndexFunc(ends, func(e end) bool { return !e.at.Before(h.until(0)) && has(e, p) })
 		if i < 0 {
 			continue
@@ -341,7 +346,7 @@
 		return nil
 	}
 	var decisions []Decision
-	for p := range t.holds {
+	for _, p := range t.heldParts() {
 		with := endsWith(ends, p)
 		for other := range t.holds {
 			if other == p || len(with) == 0 || len(endsWith(with, other)) < len(with) || len(endsWith(ends, other)) == len(with) {
--- a/request/quarantine/holds.go
+++ b/request/quarantine/holds.go
@@ -1,6 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/process/boottime"
@@ -41,13 +44,18 @@
 func (t *Table) removeOldestHold() {
 	var oldest *hold
 	for _, h := range t.holds {
-		if oldest == nil || h.since.Before(oldest.since) {
+		if oldest == nil || cmp.Or(compareInstants(h.since, oldest.since), h.Part.compare(oldest.Part)) < 0 {
 			oldest = h
 		}
 	}
 	delete(t.holds, oldest.Part)
 }
 
+// heldParts returns the suspected parts in an order that all entries share.
+func (t *Table) heldParts() []Part {
+	return slices.SortedFunc(maps.Keys(t.holds), Part.compare)
+}
+
 func (t *Table) clear(p Part, at boottime.Instant) {
 	delete(t.holds, p)
 	if len(t.cleared) >= maxHolds {
@@ -91,7 +99,8 @@
 		// Required and RequiredOfRequest are the numbers of moments that are required now.
 		Required, RequiredOfRequest int
 	}{Ends: len(t.ends), Required: t.required(Part{}, now), RequiredOfRequest: t.required(Part{Request: true}, now)}
-	for p, h := range t.holds {
+	for _, p := range t.heldParts() {
+		h := t.holds[p]
 		dump.Suspected = append(dump.Suspected, suspected{
 			Part: p, Count: h.Count, HeldFor: now.Sub(h.since), HoldLeft: max(h.until(t.stagger).Sub(now), 0), Trials: h.trials,
 		})
--- a/request/quarantine/sim_test.go
+++ b/request/quarantine/sim_test.go
@@ -94,6 +94,8 @@
 	soundRefused int
 	sound        int
 	suspected    []string
+	// trace is called with what happens, if it is set.
+	trace func(format string, args ...any)
 }
 
 func newSim(t *testing.T, seed uint64) *sim {
@@ -101,6 +103,7 @@
 	s := &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), clock: clock, age: boottime.NewFake(clock),
 		bad: map[string]bool{}, crashes: map[string][]time.Duration{}, badSent: map[string][]time.Duration{}, applied: map[reportKey]int{},
+		trace: func(string, ...any) {},
 	}
 	for range 2 + s.rng.IntN(12) {
 		s.tables = append(s.tables, NewTable(s.rng.Float64()))
@@ -157,6 +160,7 @@
 
 func (s *sim) decide(entry int) {
 	for _, d := range s.tables[entry].Decide(s.age.Now()) {
+		s.trace("%v entry %d: %+v", s.now, entry, d)
 		if d.Action == Suspected && !s.bad[d.Hold.Part.ID] {
 			s.suspected = append(s.suspected, fmt.Sprintf("%s at %v: %d moments, runner-up %d", d.Hold.Part.ID, s.now, d.Moments, d.RunnerUp))
 		}
@@ -182,6 +186,7 @@
 		}
 	}
 	srv := s.servers[s.rng.IntN(len(s.servers))]
+	s.trace("%v entry %d: request %v to %s, up %v, refused %v", s.now, entry, candidates, s.id(srv), srv.up, refused)
 	if refused {
 		return
 	}
@@ -244,6 +249,7 @@
 	}
 	id := s.id(srv)
 	own, at := table.RecordBrokenOff(strconv.Itoa(r.entry), id, candidates, s.age.Now())
+	s.trace("%v entry %d: %s broke off a request, report %+v", s.now, r.entry, id, own)
 	s.tellReport(r.entry, id, own, at)
 	if table.StartCheck(id, s.age.Now()) {
 		s.after(time.Duration(1+s.rng.IntN(8))*time.Millisecond, func() { s.check(r.entry, srv, id) })
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -254,7 +255,8 @@
 			latest := e.latest()
 			reports, _ := e.valid()
 			isConfirmed := confirmed(reports)
-			if oldest == "" || !isConfirmed && oldestConfirmed || isConfirmed == oldestConfirmed && latest.Before(at) {
+			order := cmp.Or(compareInstants(latest, at), cmp.Compare(id, oldest))
+			if oldest == "" || !isConfirmed && oldestConfirmed || isConfirmed == oldestConfirmed && order < 0 {
 				oldest, at, oldestConfirmed = id, latest, isConfirmed
 			}
 		}
