sidecar: one corrupt manifest no longer drops sound weights

Cause: a restarted agent holds no piece. It compared the staged pieces with the first manifest that arrived and took any difference for a corrupt piece, although a corrupt digest looks the same.

Change: a difference of a piece that is not held makes the agent fetch the manifest again, from the origin if it answers. A piece with a digest of any manifest is intact, as for pieces that are fetched. It is corrupt if a second manifest states a digest that one before stated. Else the load stays unverified: neither used nor dropped.

Corrupt pieces are still found after zero to two corrupt manifests (TestWeightsFromCorruptPieceAreDroppedAfterCorruptManifests).

--- a/process/sidecar/verify.go
+++ b/process/sidecar/verify.go
@@ -69,7 +69,7 @@
 var errNotFound = errors.New("not found")
 
 // corruptPieces reads all staged pieces of a version back and returns those that are
-// missing or not intact. It changes none.
+// missing or have none of the digests of the manifests that arrived. It changes none.
 func (u *updater) corruptPieces(ctx context.Context, key pieces.Key) ([]int, error) {
 	m, ok := u.sidecar.store.Manifest(key)
 	if !ok {
@@ -81,7 +81,7 @@
 		if err != nil && !errors.Is(err, errNotFound) {
 			return nil, err
 		}
-		if err != nil || sha256.Sum256(staged) != digest {
+		if err != nil || sha256.Sum256(staged) != digest && !u.sidecar.store.Put(key, piece, staged) {
 			corrupt = append(corrupt, piece)
 		}
 	}
@@ -156,15 +156,15 @@
 	clear(spec.Holders)
 	if err := u.fetcher.FetchManifest(fetchCtx, spec); err != nil {
 		u.sidecar.Log.Info("failed to fetch manifest", "model", key.Model, "version", key.Version, "error", err)
-		if key.Version < u.newestKey(view, key.Model).Version {
-			// Another attempt would only delay the newest version.
-			u.suspect = load
-		}
+		u.skipUnlessNewest(view, load)
 		return verifyPending
 	}
-	corrupt, err := u.corruptPieces(ctx, key)
+	corrupt, err := u.confirmedCorrupt(ctx, spec)
 	if err != nil {
 		u.sidecar.Log.Warn("failed to verify a load", "model", key.Model, "version", key.Version, "code", int(result.CodeOf(err)), "error", err)
+		if errors.Is(err, errUnconfirmed) {
+			u.skipUnlessNewest(view, load)
+		}
 		return verifyPending
 	}
 	if len(corrupt) > 0 {
--- /dev/null
+++ b/version/pieces/refetch.go
@@ -0,0 +1,42 @@
+package pieces
+
+import (
+	"context"
+	"crypto/sha256"
+	"slices"
+
+	"github.com/waxwingpost/waxwingpost/platform"
+)
+
+// RefetchManifest fetches the manifest of a version that may be known, from the origin if
+// it answers: another agent may pass on a corrupt manifest. It does not change the store.
+func (f *Fetcher) RefetchManifest(ctx context.Context, spec *FetchSpec) (m platform.Manifest, err error) {
+	sources := []Source{{From: Origin}}
+	for _, source := range f.currentPlan(spec).Sources(manifestPiece, f.peerState(spec.Key)) {
+		if source.From != Origin && !f.isAvoided(source.From) {
+			sources = append(sources, Source{From: source.From})
+		}
+	}
+	err = errNotAvailable
+	for _, source := range sources {
+		if source.From == Origin && spec.Origin == "" {
+			continue
+		}
+		if m, err = f.fetchManifestFrom(ctx, spec, source); err == nil || ctx.Err() != nil {
+			return m, err
+		}
+	}
+	return m, err
+}
+
+// HasDigest reports whether a manifest of a version that was added has the digest for the
+// piece.
+func (s *Store) HasDigest(k Key, piece int, digest [sha256.Size]byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.versions[k]
+	if found == nil || piece < 0 || piece >= len(found.pieces) {
+		return false
+	}
+	return found.manifest.Digests[piece] == digest || slices.Contains(found.alternatives[piece], digest)
+}
