Restarted agents verify held weights while the origin is dark

Cause: an engine gets requests once its agent has compared the staged pieces with the manifest, and the manifest was in memory only: of agents, which have no disk, and of the origin.

Change: an agent that has verified a load reports the digests of the staged pieces, all of which matched the manifest. The control processes record them with the desired state (2 KB for 64 pieces, the two newest versions a model), so they survive what the configuration survives. A restarted agent asks for them while it asks the sources of the manifest. They replace the manifest only: the comparison with the staged pieces and with the engine's start and number of orders is unchanged. If two lists for a version differ, neither is used. They also confirm that a piece is corrupt or intact if the first manifest says otherwise.

Ruled out: sending the lists with each update, which costs each agent 2 KB a version for what only restarted ones need; a file of its own beside the log, which would need its own handling of lost and full disks.

--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -40,6 +40,8 @@
 	KindEngine         Kind = 24 // agent to control: EngineState
 	KindServer         Kind = 25 // agent to control: directory.Server
 	KindObservations   Kind = 26 // entry to control: []observation.Record
+	KindPieceDigests   Kind = 27 // agent to control: PieceDigests
+	KindDigestsQuery   Kind = 28 // agent to control: DigestsQuery, reply PieceDigests
 )
 
 // Envelope wraps every message. A call and its reply have the same ID; a
--- a/process/control/desired/desired.go
+++ b/process/control/desired/desired.go
@@ -38,6 +38,8 @@
 	// the newest included. It starts with the version before the first one that was
 	// published after the state had this field.
 	Published map[string][]int `cbor:"5,keyasint,omitempty"`
+	// Digests holds the recorded digests of each model's pieces; see RecordedDigests.
+	Digests map[string][]control.PieceDigests `cbor:"6,keyasint,omitempty"`
 }
 
 // Machine is the state machine of one replica.
@@ -67,6 +69,9 @@
 			m.publish(w.Model, w.Version)
 			m.recordChange(index)
 		}
+	case cmd.Pieces != nil:
+		// The revision stays: followers ask for digests when they need them.
+		m.recordDigests(*cmd.Pieces)
 	default:
 		res.Code, res.Detail = int(result.BadCommand), "the command has no deployment change"
 	}
@@ -124,7 +129,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.state = State{ConfigVersion: s.ConfigVersion, Content: s.Content, Weights: maps.Clone(s.Weights), Published: maps.Clone(s.Published)}
+	m.state = State{ConfigVersion: s.ConfigVersion, Content: s.Content, Weights: maps.Clone(s.Weights), Published: maps.Clone(s.Published), Digests: maps.Clone(s.Digests)}
 	m.recordChange(s.Revision)
 	return nil
 }
--- a/process/control/types.go
+++ b/process/control/types.go
@@ -44,6 +44,9 @@
 	// Deploy and Weights change a whole deployment; see process/control/desired.
 	Deploy  *Deploy         `cbor:"9,keyasint,omitempty"`
 	Weights *PublishWeights `cbor:"10,keyasint,omitempty"`
+	// Pieces records the digests of a version's pieces in a deployment. Replicas of
+	// releases without it reject the command.
+	Pieces *PieceDigests `cbor:"11,keyasint,omitempty"`
 }
 
 // Deploy replaces the whole configuration of a deployment if its version is
@@ -60,6 +63,14 @@
 	Version int    `cbor:"2,keyasint"`
 }
 
+// PieceDigests holds the SHA-256 digests of the pieces of a version of a model's weights,
+// one after another. They are those of pieces that all matched one manifest.
+type PieceDigests struct {
+	Model   string `cbor:"1,keyasint"`
+	Version int    `cbor:"2,keyasint"`
+	Digests []byte `cbor:"3,keyasint,omitempty"`
+}
+
 // Edit is a compare-and-set on one file of the configuration folder.
 type Edit struct {
 	File string `cbor:"1,keyasint"`
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -20,6 +20,7 @@
 	"github.com/waxwingpost/waxwingpost/connection/mesh"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/platform"
+	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/control/node"
 	"github.com/waxwingpost/waxwingpost/process/control/wal"
@@ -57,9 +58,14 @@
 	// maxEntries is the highest number of entries that followed at the same time.
 	maxEntries atomic.Int64
 
-	// mu guards seeds, the peer addresses of the control processes in the settings.
-	mu    sync.Mutex
-	seeds []string
+	// digestsReported receives a value after pendingDigests has grown.
+	digestsReported chan struct{}
+
+	// mu guards seeds, the peer addresses of the control processes in the settings, and
+	// pendingDigests, the reported digests that are to be recorded.
+	mu             sync.Mutex
+	seeds          []string
+	pendingDigests []control.PieceDigests
 }
 
 // replica is the replica of the desired state that is open on the data folder.
@@ -70,7 +76,7 @@
 
 // New returns a control process that does nothing until Run.
 func New(settings platform.Settings, rt *runtime.Runtime) *Controller {
-	c := &Controller{Runtime: rt, settings: settings, self: settings.PeerAddress(settings.IP), seeds: feed.PeerAddresses(&settings), replicaOpened: make(chan struct{}, 1)}
+	c := &Controller{Runtime: rt, settings: settings, self: settings.PeerAddress(settings.IP), seeds: feed.PeerAddresses(&settings), replicaOpened: make(chan struct{}, 1), digestsReported: make(chan struct{}, 1)}
 	dialer := &link.Dialer{Auth: rt.Auth, Self: c.hello, Handler: c, Stats: rt.Stats, Log: rt.Log, Client: runtime.LinkClient()}
 	c.mesh = mesh.New(mesh.Config{OnOpen: c.onLinkOpened}, dialer, rt.Log)
 	c.hub = feed.NewHub(rt.Clock, rt.AgeClock, settings.Bounds.OldVersionGrace, rt.Log, c.mesh, c.controls)
@@ -152,6 +158,7 @@
 	group.Go(func() error { defer close(replicaStopped); c.runReplica(groupCtx); return nil })
 	group.Go(func() error { c.runFeed(linkCtx); return nil })
 	group.Go(func() error { c.confirmCurrent(groupCtx); return nil })
+	group.Go(func() error { c.recordDigests(groupCtx); return nil })
 	<-groupCtx.Done()
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
--- a/process/controller/links.go
+++ b/process/controller/links.go
@@ -87,6 +87,11 @@
 		if c.decodeMessage(l, kind, body, &state) {
 			c.hub.UpdateEngine(state)
 		}
+	case wire.KindPieceDigests:
+		var digests wire.PieceDigests
+		if c.decodeMessage(l, kind, body, &digests) {
+			c.reportDigests(digests)
+		}
 	case wire.KindServer:
 		var server directory.Server
 		if c.decodeMessage(l, kind, body, &server) && server.ID != "" {
@@ -118,6 +123,12 @@
 		return update, nil
 	case kind == wire.KindConfigDocument:
 		return c.hub.ConfigDocument(), nil
+	case kind == wire.KindDigestsQuery:
+		var q wire.DigestsQuery
+		if err := wire.Decode(body, &q); err != nil {
+			return nil, result.New(result.BadMessage, "decode query of digests: %v", err)
+		}
+		return c.recordedDigests(q), nil
 	case l.Peer().Role == wire.RoleControl:
 		if r := c.replica.Load(); r != nil {
 			return r.node.Call(ctx, l.Peer(), kind, body)
--- a/process/sidecar/confirm.go
+++ b/process/sidecar/confirm.go
@@ -15,7 +15,8 @@
 
 // confirmedCorrupt is like corruptPieces, but fails with errUnconfirmed if only one manifest
 // states that a piece is corrupt. A piece that is held confirms the digest in the manifest;
-// for others the manifest is fetched again.
+// for others the manifest is fetched again, unless the control processes have recorded the
+// digests of intact pieces.
 func (u *updater) confirmedCorrupt(ctx context.Context, spec *pieces.FetchSpec) ([]int, error) {
 	corrupt, err := u.corruptPieces(ctx, spec.Key)
 	if err != nil || !u.hasUnheld(spec.Key, corrupt) {
@@ -23,13 +24,15 @@
 	}
 	fetchCtx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
-	second, err := u.fetcher.RefetchManifest(fetchCtx, spec)
-	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "pieces %v", corrupt), errUnconfirmed)
+	second, recorded := u.recordedManifest(fetchCtx, spec)
+	if !recorded {
+		if second, err = u.fetcher.RefetchManifest(fetchCtx, spec); err != nil {
+			return nil, errors.Mark(errors.Wrapf(err, "pieces %v", corrupt), errUnconfirmed)
+		}
 	}
 	confirmed := map[int]bool{}
 	for _, piece := range corrupt {
-		confirmed[piece] = piece < len(second.Digests) && u.sidecar.store.HasDigest(spec.Key, piece, second.Digests[piece])
+		confirmed[piece] = recorded || piece < len(second.Digests) && u.sidecar.store.HasDigest(spec.Key, piece, second.Digests[piece])
 	}
 	u.sidecar.store.AddVersion(second)
 	if corrupt, err = u.corruptPieces(ctx, spec.Key); err != nil {
--- a/process/sidecar/install_test.go
+++ b/process/sidecar/install_test.go
@@ -26,12 +26,18 @@
 	// state and document are its state and configuration.
 	state    wire.Update
 	document wire.ConfigDocument
+	// digests holds the recorded digests of pieces, or those that the agent reported last.
+	digests atomic.Pointer[wire.PieceDigests]
 	// conn is the last link.
 	conn atomic.Pointer[link.Conn]
 }
 
 // Notify implements link.Handler.
 func (c *fakeControl) Notify(_ *link.Conn, kind wire.Kind, body cbor.RawMessage) {
+	var d wire.PieceDigests
+	if kind == wire.KindPieceDigests && cbor.Unmarshal(body, &d) == nil {
+		c.digests.Store(&d)
+	}
 	var s wire.EngineState
 	if kind == wire.KindEngine && cbor.Unmarshal(body, &s) == nil {
 		c.reports <- s
@@ -43,6 +49,12 @@
 	if kind == wire.KindConfigDocument {
 		return c.document, nil
 	}
+	if kind == wire.KindDigestsQuery {
+		if d := c.digests.Load(); d != nil {
+			return *d, nil
+		}
+		return wire.PieceDigests{}, nil
+	}
 	return c.state, nil
 }
 
--- a/process/sidecar/updater.go
+++ b/process/sidecar/updater.go
@@ -82,6 +82,10 @@
 	verified       map[string]verifiedWeights
 	publishedAt    time.Time
 	publishedLinks uint64
+	// matched holds the digests of the last version of which all staged pieces matched the
+	// manifest, and matchedSent is set once they were sent on publishedLinks.
+	matched     wire.PieceDigests
+	matchedSent sentDigests
 	// checked is the time of the check that verified the weights, and lastCheck that of the
 	// last check or order; see directory.Verification.
 	checked, lastCheck int64
--- a/process/sidecar/verify.go
+++ b/process/sidecar/verify.go
@@ -76,14 +76,20 @@
 		return nil, result.New(result.ChunkMissing, "version %d was replaced", key.Version)
 	}
 	var corrupt []int
+	digests := make([]byte, 0, len(m.Digests)*sha256.Size)
 	for piece, digest := range m.Digests {
 		staged, err := u.callEngine(ctx, http.MethodGet, platform.StageGetPath(key.Model, piece), nil)
 		if err != nil && !errors.Is(err, errNotFound) {
 			return nil, err
 		}
-		if err != nil || sha256.Sum256(staged) != digest && !u.sidecar.store.Put(key, piece, staged) {
+		sum := sha256.Sum256(staged)
+		if err != nil || sum != digest && !u.sidecar.store.Put(key, piece, staged) {
 			corrupt = append(corrupt, piece)
 		}
+		digests = append(digests, sum[:]...)
+	}
+	if len(corrupt) == 0 {
+		u.recordMatched(key, digests)
 	}
 	return corrupt, nil
 }
@@ -154,7 +160,7 @@
 	spec := u.fetchSpec(view, key)
 	// The agents of engines that hold the version may all have been restarted as well.
 	clear(spec.Holders)
-	if err := u.fetcher.FetchManifest(fetchCtx, spec); err != nil {
+	if err := u.learnManifest(fetchCtx, cancel, spec); err != nil {
 		u.sidecar.Log.Info("failed to fetch manifest", "model", key.Model, "version", key.Version, "error", err)
 		u.skipUnlessNewest(view, load)
 		return verifyPending
@@ -253,6 +259,7 @@
 	}
 	u.mu.Unlock()
 	u.reportEngine(wire.EngineState{Held: held, Born: r.Born, Checked: checked, Orders: r.Orders})
+	u.reportDigests(held, links)
 }
 
 // publishVerified repeats the report of a verified version to each control process that is
