sidecar: weights that an engine keeps after a refused order stay verified

Cause: the report before an order ends the verification of the model at that start, which takes the place of the one of the older version. After a refusal the agent only reported that nothing is loading. It publishes what is held now, once a report after the refusal shows the same start and number of orders.

TestWeightsThatTheEngineKeepsAfterARefusedOrderStayVerified fails before (version 0 is verified).

--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -101,6 +101,7 @@
 			return err
 		}
 		if refused != nil && report.Born == before.Born && report.Orders == before.Orders {
+			u.publishKept(key.Model, report)
 			return refused
 		}
 		before = report
--- a/process/sidecar/unanswered_test.go
+++ b/process/sidecar/unanswered_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/boottime"
+	"github.com/waxwingpost/waxwingpost/process/directory"
 	"github.com/waxwingpost/waxwingpost/version/pieces"
 )
 
@@ -186,3 +187,44 @@
 		}
 	}
 }
+
+func TestWeightsThatTheEngineKeepsAfterARefusedOrderStayVerified(t *testing.T) {
+	first, e, _ := newStagingTest(t)
+	if err := install(t, first); err != nil {
+		t.Fatal(err)
+	}
+	u := newTestUpdater(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		e.ServeHTTP(w, r)
+	}))
+	c := fillVersionAgent(t, u, e, 3)
+	table := directory.NewTable()
+	table.Update(directory.Server{
+		ID: "i-1", Service: "s", Address: u.sidecar.settings.BackendAddress, State: directory.Ready, Born: stagingBorn, Seq: 1, Engine: true,
+		Held: []directory.ModelVersion{{Model: "m", Version: 2}},
+	}, 0)
+	u.reconcile(t.Context())
+	orders := 0
+	for {
+		select {
+		case s := <-c.reports:
+			if s.Loading {
+				orders++
+			}
+			for _, v := range s.Verifications() {
+				table.Verify(v, 0)
+			}
+			table.UpdateEngine(s.Address, s.Born, s.Loading, s.Held, 0)
+			continue
+		case <-time.After(300 * time.Millisecond):
+		}
+		break
+	}
+	record := table.Snapshot(table.Get("i-1"))
+	if orders == 0 || record.VerifiedVersion("m") != 2 || record.LoadingUntil > 0 {
+		t.Errorf("after %d refused orders version %d is verified, loading until %v", orders, record.VerifiedVersion("m"), record.LoadingUntil)
+	}
+}
--- a/process/sidecar/verify.go
+++ b/process/sidecar/verify.go
@@ -288,10 +288,26 @@
 	case linked:
 		u.publish(r)
 	case !known && !recent:
-		checked := u.nextCheck()
-		u.mu.Lock()
-		u.checked = checked
-		u.mu.Unlock()
-		u.publish(r)
+		u.publishNow(r)
+	}
+}
+
+// publishNow publishes the verified versions of the engine's current report as checked now.
+func (u *updater) publishNow(r platform.EngineReport) {
+	checked := u.nextCheck()
+	u.mu.Lock()
+	u.checked = checked
+	u.mu.Unlock()
+	u.publish(r)
+}
+
+// publishKept publishes the verified version of a model that the engine has kept after it
+// refused an order: the order ended the verification.
+func (u *updater) publishKept(model string, r platform.EngineReport) {
+	u.mu.Lock()
+	kept := u.verified[model].version > 0 && u.verified[model] == heldWeights(r, model)
+	u.mu.Unlock()
+	if kept {
+		u.publishNow(r)
 	}
 }
