quarantine: an outage does not push out the ends that a part has caused

Cause: 64 ends are kept, and the earliest confirmed one made room. Four outages of 18 servers fill the table, so that ends of a part that crashes a server every few seconds went before there were the 5 moments that are required. One zone of 127 engines would push out everything.

If nothing refuted or unconfirmed is there, one end of the moment with the most ends makes room: all of a moment counts once for a part. Ends at moments of their own go only when there are 64 such. The bound stays, the cost of an eviction too, but for a sort of 64.

--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"strconv"
 	"time"
 
@@ -241,32 +240,55 @@
 	}
 }
 
-// end returns the record of a server, and creates it on first use. If there is no room,
-// one that is refuted or not confirmed makes room, or else the earliest one.
+// end returns the record of a server, and creates it on first use.
 func (t *Table) end(server string) *serverEnd {
 	if e := t.ends[server]; e != nil {
 		return e
 	}
 	if len(t.ends) >= maxEnds {
-		var oldest string
-		var at boottime.Instant
-		oldestConfirmed := true
-		for id, e := range t.ends {
-			latest := e.latest()
-			reports, _ := e.valid()
-			isConfirmed := confirmed(reports)
-			order := cmp.Or(compareInstants(latest, at), cmp.Compare(id, oldest))
-			if oldest == "" || !isConfirmed && oldestConfirmed || isConfirmed == oldestConfirmed && order < 0 {
-				oldest, at, oldestConfirmed = id, latest, isConfirmed
-			}
-		}
-		delete(t.ends, oldest)
+		t.evictEnd()
 	}
 	e := &serverEnd{reports: map[string]report{}}
 	t.ends[server] = e
 	return e
 }
 
+// evictEnd removes the earliest end that is refuted or not confirmed, or else one of the moment
+// at which most servers ended: all of it counts once, whereas a part that crashes servers is in
+// ends at moments of their own, which a failed zone must not push out.
+func (t *Table) evictEnd() {
+	var unconfirmed, ends []end
+	for server, e := range t.ends {
+		if reports, at := e.valid(); confirmed(reports) {
+			ends = append(ends, end{server: server, at: at})
+		} else {
+			unconfirmed = append(unconfirmed, end{server: server, at: e.latest()})
+		}
+	}
+	if len(unconfirmed) > 0 {
+		sortEnds(unconfirmed)
+		delete(t.ends, unconfirmed[0].server)
+		return
+	}
+	sortEnds(ends)
+	delete(t.ends, lastOfLargestMoment(ends).server)
+}
+
+// lastOfLargestMoment returns the last end of the moment that has the most ends, the earliest such
+// moment if there are several. The ends are sorted.
+func lastOfLargestMoment(ends []end) end {
+	first, last, most := 0, 0, 0
+	for i := range ends {
+		if ends[i].at.Sub(ends[first].at) >= sameMoment {
+			first = i
+		}
+		if n := i + 1 - first; n > most {
+			last, most = i, n
+		}
+	}
+	return ends[last]
+}
+
 // RecordAlive records that a server has sent something. It returns true if that shows
 // that the server has not ended, contrary to a report.
 func (t *Table) RecordAlive(server string, now boottime.Instant) bool {
--- a/request/quarantine/table_test.go
+++ b/request/quarantine/table_test.go
@@ -223,3 +223,28 @@
 		t.Errorf("the table holds %d ends, %d watched parts, %d holds, %d proofs", len(r.table.ends), len(r.table.watched), len(r.table.holds), len(r.table.provenParts.recent))
 	}
 }
+
+// Each outage of a zone pushed out the ends that a part had caused between them.
+func TestOutagesDoNotDisplaceTheEndsOfASuspectedPart(t *testing.T) {
+	r := newRig(t)
+	for i := range maxMoments {
+		r.end([]string{"first", "bad"}, []string{"first", fmt.Sprint("topic", i)})
+		for j := range maxEnds - 1 {
+			server := fmt.Sprint("zone", i, "-", j)
+			for k := range 2 {
+				r.table.RecordBrokenOff("", server, Candidates("m", []string{"first", fmt.Sprint("topic", i, "-", j, "-", k)}), r.age.Now())
+			}
+		}
+		r.clock.Advance(time.Second)
+		r.prove()
+		r.table.RecordProven(Candidates("m", []string{"first"}), r.age.Now())
+	}
+	r.clock.Advance(time.Second)
+	r.table.Decide(r.age.Now())
+	if !r.refused("bad") || r.refused("first", "topic0-0-0") {
+		t.Errorf("after %d ends: %+v", r.ended, r.table.Dump(r.age.Now()))
+	}
+	if len(r.table.ends) > maxEnds {
+		t.Errorf("the table holds %d ends", len(r.table.ends))
+	}
+}
