quarantine: an end is not evicted before it can be confirmed

With a full table the entry that had the crashing request could lose its own report on the end, so that this entry suspected the part later than others or not at all.

Cause: an end that is not confirmed made room first, whatever its age. Between the first report on a crash and the refused connection that confirms it lie a few milliseconds; a broken connection to another server in that time evicted the end with its candidates. Later reports made it anew, without them.

An end that is not yet confirmed now goes before others only after settleTime, the time that reports have; until then one of the largest moment makes room. If all ends are at moments of their own, it still goes first, so that a burst of broken connections does not push out confirmed ends.

--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -207,7 +207,7 @@
 // ApplyReport applies the report of an entry on the end of a server. It returns the parts
 // that were proven sound since, which the other entries may not know.
 func (t *Table) ApplyReport(origin, server string, r Report, at, now boottime.Instant) []Part {
-	e := t.end(server)
+	e := t.end(server, now)
 	room := maxEndParts
 	for other, known := range e.reports {
 		if other != origin {
@@ -241,52 +241,62 @@
 }
 
 // end returns the record of a server, and creates it on first use.
-func (t *Table) end(server string) *serverEnd {
+func (t *Table) end(server string, now boottime.Instant) *serverEnd {
 	if e := t.ends[server]; e != nil {
 		return e
 	}
 	if len(t.ends) >= maxEnds {
-		t.evictEnd()
+		t.evictEnd(now)
 	}
 	e := &serverEnd{reports: map[string]report{}}
 	t.ends[server] = e
 	return e
 }
 
-// evictEnd removes the earliest end that is refuted or not confirmed, or else one of the moment
-// at which most servers ended: all of it counts once, whereas a part that crashes servers is in
-// ends at moments of their own, which a failed zone must not push out.
-func (t *Table) evictEnd() {
-	var unconfirmed, ends []end
+// evictEnd removes an end: the earliest one that is refuted or was not confirmed in time, or else
+// one of the moment at which most servers ended. All of that counts once, whereas a part that
+// crashes servers is in ends at moments of their own, which a failed zone must not push out. If
+// there are only such, an end that is not yet confirmed makes room, or else the earliest one.
+func (t *Table) evictEnd(now boottime.Instant) {
+	var unconfirmed, recent, ends []end
 	for server, e := range t.ends {
-		if reports, at := e.valid(); confirmed(reports) {
+		reports, at := e.valid()
+		switch {
+		case confirmed(reports):
 			ends = append(ends, end{server: server, at: at})
-		} else {
+		case !at.IsZero() && now.Sub(at) < settleTime:
+			recent = append(recent, end{server: server, at: at})
+		default:
 			unconfirmed = append(unconfirmed, end{server: server, at: e.latest()})
 		}
 	}
-	if len(unconfirmed) > 0 {
-		sortEnds(unconfirmed)
+	sortEnds(unconfirmed)
+	sortEnds(recent)
+	sortEnds(ends)
+	last, size := largestMoment(ends)
+	switch {
+	case len(unconfirmed) > 0:
 		delete(t.ends, unconfirmed[0].server)
-		return
+	case size > 1 || len(recent) == 0:
+		delete(t.ends, ends[last].server)
+	default:
+		delete(t.ends, recent[0].server)
 	}
-	sortEnds(ends)
-	delete(t.ends, lastOfLargestMoment(ends).server)
 }
 
-// lastOfLargestMoment returns the last end of the moment that has the most ends, the earliest such
-// moment if there are several. The ends are sorted.
-func lastOfLargestMoment(ends []end) end {
-	first, last, most := 0, 0, 0
+// largestMoment returns the index of the last end of the moment that has the most ends, the
+// earliest such moment if there are several, and their number. The ends are sorted.
+func largestMoment(ends []end) (last, size int) {
+	first := 0
 	for i := range ends {
 		if ends[i].at.Sub(ends[first].at) >= sameMoment {
 			first = i
 		}
-		if n := i + 1 - first; n > most {
-			last, most = i, n
+		if n := i + 1 - first; n > size {
+			last, size = i, n
 		}
 	}
-	return ends[last]
+	return last, size
 }
 
 // RecordAlive records that a server has sent something. It returns true if that shows
@@ -305,7 +315,7 @@
 
 // ApplyAlive applies another entry's sign of life from a server.
 func (t *Table) ApplyAlive(server string, at boottime.Instant) {
-	e := t.end(server)
+	e := t.end(server, at)
 	if at.After(e.aliveAt) {
 		e.aliveAt = at
 	}
--- a/request/quarantine/table_test.go
+++ b/request/quarantine/table_test.go
@@ -248,3 +248,29 @@
 		t.Errorf("the table holds %d ends", len(r.table.ends))
 	}
 }
+
+// A report that came before the end was confirmed made room for the next one on another server.
+func TestReportOnAnotherServerDoesNotDisplaceAnEndBeforeItIsConfirmed(t *testing.T) {
+	r := newRig(t)
+	for i := range maxEnds {
+		server := fmt.Sprint("zone", i)
+		for j := range 2 {
+			r.table.RecordBrokenOff("", server, Candidates("m", []string{fmt.Sprint("topic", i, "-", j)}), r.age.Now())
+		}
+	}
+	for i := range maxMoments {
+		r.clock.Advance(time.Second)
+		r.prove()
+		server := fmt.Sprint("server", i)
+		r.table.RecordBrokenOff("", server, Candidates("m", []string{"bad"}), r.age.Now())
+		r.clock.Advance(sameMoment / 4)
+		r.table.RecordBrokenOff("", fmt.Sprint("reset", i), Candidates("m", []string{fmt.Sprint("other", i)}), r.age.Now())
+		r.clock.Advance(sameMoment / 4)
+		r.table.RecordRefused("", server, r.age.Now())
+	}
+	r.clock.Advance(time.Second)
+	r.table.Decide(r.age.Now())
+	if !r.refused("bad") {
+		t.Errorf("after %d ends: %+v", maxMoments, r.table.Dump(r.age.Now()))
+	}
+}
