frontend: deadlines count from the arrival at the socket

Callers on a loaded machine got answers up to 0.9 s late although the entry kept the deadline that it knew: it counted Deadline-Ms from the moment at which it came to read the request. What the request had waited before that, in the accept queue or in the socket, was added to the deadline, also to the one that the server was told.

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -43,6 +43,9 @@
 	RetryWindow    time.Duration
 	// Observe tells the other entries what this one has learned; nil if there are none.
 	Observe func(kind observation.Kind, key string, body []byte, at boottime.Instant, ttl time.Duration)
+	// Waited returns how long ago the request with the context arrived at the VM; nil if that
+	// is unknown.
+	Waited func(context.Context) time.Duration
 }
 
 // Handler serves the requests of callers. Safe for concurrent use.
@@ -78,6 +81,9 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(observation.Kind, string, []byte, boottime.Instant, time.Duration) {}
 	}
+	if cfg.Waited == nil {
+		cfg.Waited = func(context.Context) time.Duration { return 0 }
+	}
 	scope = scope.SubScope("requests")
 	h := &Handler{
 		cfg: cfg, client: client, clock: clock, ageClock: ageClock, log: log,
@@ -278,14 +284,14 @@
 }
 
 // setDeadline sets the deadline: the caller's, or the route's timeout if that is
-// shorter. A request is late if less than lateTimeoutFraction of the route's timeout
+// shorter, counted from the arrival of the request. A request is late if less than lateTimeoutFraction of the route's timeout
 // is left: its caller has spent the rest on earlier attempts.
 func (h *Handler) setDeadline(cr *callerRequest) {
 	remaining, hasDeadline := platform.ParseMilliseconds(cr.request.Header.Get(platform.HeaderDeadline))
 	if !hasDeadline || remaining > cr.route.Timeout {
 		remaining = cr.route.Timeout
 	}
-	cr.deadline = cr.start.Add(remaining)
+	cr.deadline = cr.start.Add(remaining - h.cfg.Waited(cr.request.Context()))
 	cr.late = hasDeadline && remaining < time.Duration(lateTimeoutFraction*float64(cr.route.Timeout))
 }
 
