api: a repeatable dispatch whose lease expired goes again with a newer token

The partition has no part in it. The entry takes the token with the server that it picks; if it is not run for longer than the lease between that and the agent's check (250 ms in the tests, 3 s by default), the agent refuses the request as not run. The entry then looked for another server within the retry budget and refused the caller if there was none, though heartbeats with newer tokens had come meanwhile.

The entry now sends the dispatch once more to the same incarnation if it knows a newer token of it and the same version is served. The agent did not run the request, so that this needs no retry budget. Calls that may run once only are refused as before (TestDispatchDelayedPastTheLeaseIsNotRun).

Still refused is a call to an agent that has sent no newer token; with the default times it counts as silent first (1.25 s).

--- a/request/api/once_test.go
+++ b/request/api/once_test.go
@@ -194,6 +194,26 @@
 	}
 }
 
+// A repeatable call that a busy entry sent after its token's lease was refused with 3015, though newer tokens had come.
+func TestRepeatableDispatchDelayedPastTheLeaseIsSentAgainWithANewerToken(t *testing.T) {
+	f := newFleet(t, 1)
+	service := newCountingService()
+	f.addAgent("a1", "desk", "", 8, service)
+	var delayed sync.Once
+	hook := func(at callStage) {
+		if at == beforeDispatch {
+			delayed.Do(func() { time.Sleep(2 * f.session.LeaseTTL) })
+		}
+	}
+	f.entries[0].onStage.Store(&hook)
+	if got := f.entries[0].send(context.Background(), "GET", "/status", ""); got.status != 200 {
+		t.Errorf("delayed dispatch: %+v", got)
+	}
+	if n := service.count(""); n != 1 {
+		t.Errorf("the call ran %d times", n)
+	}
+}
+
 func TestAnswerIsReturnedWhenRecordingFails(t *testing.T) {
 	f := newFleet(t, 2)
 	service := newCountingService()
--- a/request/api/serve.go
+++ b/request/api/serve.go
@@ -145,7 +145,7 @@
 		d.version = backend.Serving
 	}
 	pr.tried = append(pr.tried, backend.Name)
-	resp, err := a.exchange(pr.ctx, d)
+	resp, err := a.exchangeRenewed(pr, d)
 	if err == nil {
 		err = a.acceptResponse(pr, resp, d)
 	}
@@ -160,6 +160,29 @@
 	return err
 }
 
+// exchangeRenewed is like exchange, and sends the dispatch again if the lease of its token had
+// expired and the agent has sent a newer one.
+func (a *API) exchangeRenewed(pr *proxiedResponse, d *dispatch) (*http.Response, *result.Error) {
+	resp, err := a.exchange(pr.ctx, d)
+	if err == nil || err.Code != result.StaleLease || !a.renewToken(d) {
+		return resp, err
+	}
+	pr.req.log.Add(reqlog.Step{Event: "dispatched again with a newer token", Backend: d.backend.Name, Code: int(err.Code)})
+	return a.exchange(pr.ctx, d)
+}
+
+// renewToken replaces the token of a dispatch that was refused because its lease had expired.
+// It returns false if the agent has sent no newer one, or now serves another version. The
+// request was not run, so that this uses no retry budget.
+func (a *API) renewToken(d *dispatch) bool {
+	newest, _ := a.deps.Sessions.Lookup(d.backend.Name, d.backend.Incarnation)
+	if newest == nil || newest.Token == d.backend.Token || newest.Serving != d.backend.Serving || !d.req.body.canResend() {
+		return false
+	}
+	d.backend = newest
+	return true
+}
+
 // acceptResponse checks the status of a response and buffers a small body.
 func (a *API) acceptResponse(pr *proxiedResponse, resp *http.Response, d *dispatch) *result.Error {
 	if isRetryableStatus(resp.StatusCode) && len(pr.tried) < a.cfg.MaxAttempts && pr.req.body.canResend() {
