--- a/process/frontend/callerconn.go
+++ b/process/frontend/callerconn.go
@@ -117,7 +117,8 @@
 	n, err := c.TCPConn.Read(p)
 	if state := connState(c.state.Load()); n > 0 && (state == connNew || state == connIdle) {
 		c.state.Store(int32(connReading))
-		c.arrived.Store(int64(time.Since(c.opened) - sinceLastData(c.TCPConn)))
+		age := sinceLastData(c.TCPConn)
+		c.arrived.Store(int64(time.Since(c.opened) - age)) // too late, not too early, if this is interrupted
 	}
 	if err != nil && !os.IsTimeout(err) && !c.isClosed() {
 		c.ended.Store(true)
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -152,8 +152,10 @@
 
 // callerRequest is the state of one request of a caller.
 type callerRequest struct {
-	id       string
-	start    time.Time
+	id    string
+	start time.Time
+	// waited is for how long the request had waited in the socket before start.
+	waited   time.Duration
 	deadline time.Time
 	request  *http.Request
 	body     []byte
@@ -191,7 +193,8 @@
 	if h.keepAlivesOff.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	cr := &callerRequest{id: r.Header.Get(platform.HeaderRequestID), start: h.clock.Now(), request: r}
+	waited := h.cfg.Waited(r.Context())
+	cr := &callerRequest{id: r.Header.Get(platform.HeaderRequestID), start: h.clock.Now(), waited: waited, request: r}
 	defer h.countOutcome(cr)
 	if r.ContentLength != 0 {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTimeout)) // until readBody sets its own
@@ -291,7 +294,7 @@
 	if !hasDeadline || remaining > cr.route.Timeout {
 		remaining = cr.route.Timeout
 	}
-	cr.deadline = cr.start.Add(remaining - h.cfg.Waited(cr.request.Context()))
+	cr.deadline = cr.start.Add(remaining - cr.waited)
 	cr.late = hasDeadline && remaining < time.Duration(lateTimeoutFraction*float64(cr.route.Timeout))
 }
 
