weightsoak: orders that are accepted at the step where a guard matters

Its late orders are accepted at a random moment, and the wrong result needs the engine to accept one between two steps of the agent, and mostly the agent to be killed right after it put the piece.

Change: HeldOrder holds one order back until such a step: after the agent's next report or read, before its next put of a corrupt piece, while the agent is frozen (for the order for layer 1 alone), or until the engine holds a newer version while all control processes are frozen. The agent is frozen or killed when the order is received, and in most forms killed when it has put the pieces. Kinds hold-freeze, hold-kill, hold-fence and hold-newer. On an engine with such an order no other piece becomes corrupt until it is repaired. Orders that are not held when the schedule ends are not delayed any more.

--- a/bench/fakes/weights_engine.go
+++ b/bench/fakes/weights_engine.go
@@ -96,6 +96,10 @@
 	late *LateOrder
 	// received is the late order that was received last, or nil.
 	received *LateOrder
+	// holds apply to the next load orders of their kinds. held is the order that was held
+	// back last, until its pieces were put again.
+	holds []HeldOrder
+	held  *heldOrder
 	// readBack holds the staged pieces that were read since the last one was put.
 	readBack map[int]bool
 	// onReadBack and onReport are set by OnReadBack and OnReport.
@@ -191,7 +195,7 @@
 func (e *WeightsEngine) Stop() {
 	e.mu.Lock()
 	i := e.current
-	e.current, e.hungUntil, e.late = nil, time.Time{}, nil
+	e.current, e.hungUntil, e.late, e.held = nil, time.Time{}, nil, nil
 	e.mu.Unlock()
 	if i != nil {
 		i.cancel()
@@ -336,8 +340,14 @@
 		return
 	}
 	received := i.engine.cfg.Clock.Now()
+	var held *heldOrder
 	if r.URL.Path == platform.PathOrder {
-		i.receiveOrder()
+		if held = i.holdOrder(body); held == nil {
+			i.receiveOrder()
+		}
+	}
+	if held == nil {
+		i.awaitHeldOrder()
 	}
 	if !i.awaitAnswering() {
 		panic(http.ErrAbortHandler)
@@ -351,10 +361,21 @@
 			return
 		}
 		i.serveReport(w)
+		i.reach(AfterReport, 0)
 	case r.URL.Path == platform.PathOrder:
 		i.serveOrder(w, r, body, received)
-	case strings.HasPrefix(r.URL.Path, stagePutPrefix), strings.HasPrefix(r.URL.Path, stageGetPrefix):
+		if held != nil {
+			close(held.processed)
+			panic(http.ErrAbortHandler)
+		}
+	case strings.HasPrefix(r.URL.Path, stagePutPrefix):
+		if piece, ok := pieceNumber(r, i.engine.cfg.Weights.Pieces); ok {
+			i.reach(BeforePut, piece)
+		}
+		i.serveStage(w, r, body)
+	case strings.HasPrefix(r.URL.Path, stageGetPrefix):
 		i.serveStage(w, r, body)
+		i.reach(AfterRead, 0)
 	default:
 		i.serveRequest(w, r)
 	}
@@ -397,6 +418,7 @@
 	if r.Method == http.MethodPut {
 		e.stage.put(piece, body)
 		clear(e.readBack)
+		e.recordRepair(piece)
 		if e.received != nil && e.received.Repaired != nil && e.received.Piece == piece {
 			go e.received.Repaired()
 			e.received = nil
--- a/bench/fakes/weights_faults.go
+++ b/bench/fakes/weights_faults.go
@@ -15,10 +15,13 @@
 	Repaired func()
 }
 
-// Corrupt changes a byte of a staged piece, if it is there.
+// Corrupt changes a byte of a staged piece, if it is there and may become corrupt.
 func (e *WeightsEngine) Corrupt(piece int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.piecesFixed() {
+		return
+	}
 	e.stage.corrupt(piece, e.cfg.Clock.Now())
 }
 
@@ -81,9 +84,12 @@
 func (e *WeightsEngine) takeOnReport() func(answer func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.onReport == nil || len(e.readBack) < e.cfg.Weights.Pieces || e.current == nil || e.current.busy {
+	if len(e.readBack) < e.cfg.Weights.Pieces || e.current == nil || e.current.busy {
 		return nil
 	}
+	if f := e.takeNewerStaged(); f != nil || e.onReport == nil {
+		return f
+	}
 	f := e.onReport
 	e.onReport = nil
 	return f
--- a/bench/fakes/weights_orders.go
+++ b/bench/fakes/weights_orders.go
@@ -131,6 +131,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	i.layers, i.busy, i.refuses, i.broken = next, false, false, false
+	if o.From == 0 && o.Target == e.cfg.Weights.Layers {
+		e.loaded(o.Version)
+	}
 	e.cfg.Log("engine %s: holds layers %d to %d of version %d", i.id, o.From, o.Target, o.Version)
 }
 
--- a/bench/fakes/weights_test.go
+++ b/bench/fakes/weights_test.go
@@ -196,3 +196,76 @@
 		t.Errorf("broken events %v, %v", broken, e.Stats().Breaks)
 	}
 }
+
+// A held order is accepted after a report, with the staged pieces as they are then, and the
+// piece is known to be put again after that.
+func TestHeldOrderIsAcceptedAfterAReport(t *testing.T) {
+	e, clock := newTestEngine(t)
+	testPut(t, e, 2, 0, 8)
+	received, repaired := make(chan struct{}), make(chan struct{})
+	e.DelayOrderUntil(HeldOrder{
+		Empty: true, Pieces: []int{5}, Hold: time.Hour, Until: AfterReport, Received: func() { close(received) }, Repaired: func() { close(repaired) },
+	})
+	testOrder(t, e, 2, 0, 4, 0) // the engine holds version 1
+	testOrder(t, e, 2, 3, 4, 1) // not one for all layers
+	testOrder(t, e, 2, 1, 2, 2)
+	server := httptest.NewServer(e.current)
+	defer server.Close()
+	client := &http.Client{Timeout: 100 * time.Millisecond}
+	resp, err := client.Post(server.URL+platform.PathOrder, "", strings.NewReader(`{"op":"start","model":"m","version":2,"mode":"wait"}`))
+	if err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		t.Fatalf("answer %d", resp.StatusCode)
+	}
+	<-received
+	e.Corrupt(4)
+	clock.Advance(4 * time.Second)
+	for e.Held() != 2 {
+		testCall(e, http.MethodGet, platform.PathReport, "")
+		time.Sleep(time.Millisecond)
+	}
+	testPut(t, e, 2, 5, 6)
+	<-repaired
+	if broken := testBroken(t, e); broken[PieceCorrupt] != 1 || len(e.Stats().Breaks[0].Faults) != 1 {
+		t.Errorf("broken events %v, %v", broken, e.Stats().Breaks)
+	}
+}
+
+// An order that is held until a newer version is loaded is refused if it expects the number
+// of orders before that, and else takes the pieces of the newer version.
+func TestHeldOrderIsAcceptedAfterTheNextVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		expect string
+		held   int
+	}{"expects a number": {`,"expect":0`, 3}, "expects none": {"", 2}} {
+		t.Run(name, func(t *testing.T) {
+			e, _ := newTestEngine(t)
+			testPut(t, e, 2, 0, 8)
+			received, ended := make(chan struct{}), make(chan struct{})
+			e.DelayOrderUntil(HeldOrder{Hold: time.Hour, Until: AfterNewer, Received: func() { close(received) }, NewerStaged: func(answer func()) { answer() }})
+			server := httptest.NewServer(e.current)
+			defer server.Close()
+			go func() {
+				defer close(ended)
+				resp, err := http.Post(server.URL+platform.PathOrder, "", strings.NewReader(`{"op":"start","model":"m","version":2,"mode":"wait"`+c.expect+`}`))
+				if err == nil {
+					_ = resp.Body.Close()
+					t.Errorf("the order has a response")
+				}
+			}()
+			<-received
+			testPut(t, e, 3, 0, 8)
+			testOrder(t, e, 3, 0, 4, 0)
+			<-ended
+			for n := 0; e.Held() != c.held && n < 1000; n++ {
+				time.Sleep(time.Millisecond)
+			}
+			if e.Held() != c.held {
+				t.Fatalf("holds %d, want %d", e.Held(), c.held)
+			}
+			if broken := testBroken(t, e); (broken[PieceVersion] == 1) != (c.held == 2) {
+				t.Errorf("broken events %v", broken)
+			}
+		})
+	}
+}
--- a/bench/weightsoak/inject.go
+++ b/bench/weightsoak/inject.go
@@ -9,8 +9,12 @@
 	"github.com/waxwingpost/waxwingpost/bench/fakes"
 )
 
-// stopGrace is the time between SIGTERM and SIGKILL.
-const stopGrace = 8 * time.Second
+const (
+	// stopGrace is the time between SIGTERM and SIGKILL.
+	stopGrace = 8 * time.Second
+	// signalTime is the time in which a signal is delivered.
+	signalTime = 5 * time.Millisecond
+)
 
 // injector carries out a schedule. A fault whose process is down at its time has no
 // effect.
@@ -37,6 +41,9 @@
 		}
 		j.group.Go(func() { j.inject(ctx, fault) })
 	}
+	for _, e := range j.engines {
+		e.CancelDelays()
+	}
 	j.group.Wait()
 	return counts
 }
@@ -139,6 +146,8 @@
 		e.DelayNextOrder(fakes.LateOrder{Hang: f.Duration, Piece: f.Piece, Alone: true, Received: func() {
 			j.group.Go(func() { j.killAndRestart(ctx, agent, f.After, f.Again) })
 		}})
+	case HoldFreeze, HoldKill, HoldFence, HoldNewer:
+		e.DelayOrderUntil(j.heldOrder(ctx, agent, f))
 	case ReadBackFreeze:
 		e.OnReadBack(func() {
 			if agent.Freeze() != nil {
@@ -183,8 +192,7 @@
 // swapEngine replaces the engine while its agent has the report, but can't continue.
 func (j *injector) swapEngine(ctx context.Context, e *fakes.WeightsEngine, agent *cluster.Process, f Fault, answer func()) {
 	frozen := agent.Freeze() == nil
-	// The signal is delivered before the report.
-	sleep(ctx, 5*time.Millisecond)
+	sleep(ctx, signalTime)
 	answer()
 	j.group.Go(func() {
 		j.replaceEngine(ctx, e, f)
--- a/bench/weightsoak/schedule.go
+++ b/bench/weightsoak/schedule.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"github.com/waxwingpost/waxwingpost/bench/fakes"
 )
 
 // Kind is what happens in a fault or in an operator's change.
@@ -27,6 +29,22 @@
 	// corrupt. The agent is killed when the order is received, and starts again after
 	// After.
 	SlowOrder Kind = "slow-order"
+	// HoldFreeze holds back an engine's next load order, while a piece becomes corrupt, and
+	// freezes the agent when the order is received. It is accepted after the agent's next
+	// report, before the agent's next put of the piece, or, if it is for layer 1 alone,
+	// while the agent is frozen. The agent is killed when it has put the piece after that.
+	HoldFreeze Kind = "hold-freeze"
+	// HoldKill is like HoldFreeze, but the agent is killed when the order is received, and
+	// starts again after Duration, and the last two pieces become corrupt, as if they were
+	// not staged yet. The order is accepted after the agent's next read of a piece, and the
+	// agent is killed again when it has put them, or before its next put of one of them.
+	HoldKill Kind = "hold-kill"
+	// HoldFence is like HoldKill with one piece, and the agent is killed again when it has
+	// put it. The order is accepted before that.
+	HoldFence Kind = "hold-fence"
+	// HoldNewer holds back an order until the engine holds a newer version, while all
+	// control processes are frozen from just before the order for that on.
+	HoldNewer Kind = "hold-newer"
 	// ReadBackFreeze freezes an agent once it has read back all staged pieces, and a piece
 	// becomes corrupt then.
 	ReadBackFreeze Kind = "read-back-freeze"
@@ -62,7 +80,7 @@
 
 // Kinds are all kinds of faults and changes.
 var Kinds = []Kind{
-	NameVersion, PutConfig, CorruptPiece, LateOrder, RepairKill, SlowOrder, ReadBackFreeze, EngineSwap, EngineRestart, EngineRestartSameID, EngineHang, EngineSlow, EngineReplace,
+	NameVersion, PutConfig, CorruptPiece, LateOrder, RepairKill, SlowOrder, HoldFreeze, HoldKill, HoldFence, HoldNewer, ReadBackFreeze, EngineSwap, EngineRestart, EngineRestartSameID, EngineHang, EngineSlow, EngineReplace,
 	PowerLoss, AgentFreeze, AgentStop, AgentKill, AgentKillTwo, ControlFreeze, ControlStop, ControlKill, EntryFreeze, EntryStop, EntryKill,
 	LinkDelay, LinkReset, LinkCutIn, LinkCutOut,
 }
@@ -82,6 +100,8 @@
 	// After is the time between an event and its consequence, and Again the time between
 	// the restart of a process and another kill, if not 0.
 	After, Again time.Duration
+	// Until is when an order that is held back is accepted.
+	Until fakes.Moment
 	// Factor is the pace of a slow engine.
 	Factor float64
 }
@@ -92,6 +112,9 @@
 	if f.After > 0 {
 		text += fmt.Sprintf(" after=%.2fs", f.After.Seconds())
 	}
+	if f.Until != "" {
+		text += " until=" + string(f.Until)
+	}
 	if f.Again > 0 {
 		text += fmt.Sprintf(" again=%.2fs", f.Again.Seconds())
 	}
@@ -127,6 +150,13 @@
 		b.add(Fault{At: at, Kind: pick(r, EntryFreeze, EntryStop, EntryKill), Target: r.IntN(size.Entries), Duration: r.between(300, 3500)})
 	})
 	b.every(4*time.Second, 8*time.Second, func(_ source, at time.Duration) { b.add(Fault{At: at, Kind: PutConfig}) })
+	b.every(time.Second, 2*time.Second, b.holdOrder)
+	b.every(2*time.Second, 3*time.Second, func(r source, at time.Duration) {
+		b.add(Fault{
+			At: at, Kind: HoldFence, Target: r.IntN(size.Agents), Piece: r.IntN(size.Pieces), Until: fakes.BeforePut,
+			Duration: r.between(3200, 4800), After: r.between(50, 500),
+		})
+	})
 	sort.SliceStable(b.faults, func(i, j int) bool { return b.faults[i].At < b.faults[j].At })
 	return b.faults
 }
@@ -192,6 +222,22 @@
 	})
 }
 
+// holdOrder holds back an order at one engine until its agent is at a step where it may put
+// pieces, or has loaded another version.
+func (b *scheduler) holdOrder(r source, at time.Duration) {
+	f := Fault{
+		At: at, Target: r.IntN(b.size.Agents), Piece: r.IntN(b.size.Pieces), Kind: pick(r, HoldFreeze, HoldFreeze, HoldFreeze, HoldKill, HoldKill, HoldNewer),
+		Duration: r.between(3200, 4800), After: r.between(50, 500),
+	}
+	switch f.Kind {
+	case HoldFreeze:
+		f.Until = []fakes.Moment{fakes.AfterReport, fakes.BeforePut, fakes.AfterHold}[r.IntN(3)]
+	case HoldKill:
+		f.Until = []fakes.Moment{fakes.AfterRead, fakes.BeforePut}[r.IntN(2)]
+	}
+	b.add(f)
+}
+
 // many returns between 40 and 55 in 100 of the agents.
 func (b *scheduler) many(r source) []int {
 	n := b.size.Agents * (40 + r.IntN(16)) / 100
