weightsoak: an order that another one has overtaken must be refused

Cause: without `expect` an engine accepts an order of a state that has passed, for instance for version 2 with the pieces of version 3.

Change: the engine counts orders that it accepts although it has accepted another one since it received them; a run with such an order fails. With `expect` none can be accepted.

--- a/bench/cmd/wpbench/weights_soak.go
+++ b/bench/cmd/wpbench/weights_soak.go
@@ -80,7 +80,7 @@
 	for _, n := range r.Faults {
 		faults += n
 	}
-	fmt.Fprintf(w, " broken_loads=%d broken_loads_accepted_late=%d late_loads=%d loads=%d versions=%d tokens=%d", len(r.Breaks), waited, r.LateLoads, r.Loads, r.Versions, r.Tokens)
+	fmt.Fprintf(w, " broken_loads=%d broken_loads_accepted_late=%d late_loads=%d overtaken=%d loads=%d versions=%d tokens=%d", len(r.Breaks), waited, r.LateLoads, r.Overtaken, r.Loads, r.Versions, r.Tokens)
 	fmt.Fprintf(w, " sent=%d served=%d refused=%d cut=%d recovered=%d/%d current=%d violations=%d faults=%d",
 		r.Sent, r.Served, r.Refused, r.Cut, r.RecoveredGood, r.RecoveredSent, r.Current, len(r.Violations), faults)
 	printCounts(w, "", r.Faults)
--- a/bench/fakes/weights_engine.go
+++ b/bench/fakes/weights_engine.go
@@ -65,6 +65,9 @@
 	// Loads counts the orders that began something, LateLoads those that were accepted
 	// while a piece had been corrupt for too long, was missing or of another version.
 	Loads, LateLoads int
+	// Overtaken counts the orders that were accepted though another one had been accepted
+	// since they were received. Their senders knew a state that has passed.
+	Overtaken int
 	// Tokens counts the stream events, TokensByVersion by the version of the weights.
 	Tokens          int
 	TokensByVersion map[int]int
@@ -339,7 +342,7 @@
 	if err != nil {
 		return
 	}
-	received := i.engine.cfg.Clock.Now()
+	received := i.receipt()
 	var held *heldOrder
 	if r.URL.Path == platform.PathOrder {
 		if held = i.holdOrder(body); held == nil {
--- a/bench/fakes/weights_orders.go
+++ b/bench/fakes/weights_orders.go
@@ -31,6 +31,18 @@
 	}
 }
 
+// receipt is the state when a request was received.
+type receipt struct {
+	at     time.Time
+	orders int
+}
+
+func (i *incarnation) receipt() receipt {
+	i.engine.mu.Lock()
+	defer i.engine.mu.Unlock()
+	return receipt{at: i.engine.cfg.Clock.Now(), orders: i.orders}
+}
+
 type startOrder struct {
 	Op      string `json:"op"`
 	Model   string `json:"model"`
@@ -54,7 +66,7 @@
 	return o, known && o.Version > 0 && o.From >= 0 && o.From < o.Target && o.Target <= spec.Layers
 }
 
-func (i *incarnation) serveOrder(w http.ResponseWriter, r *http.Request, body []byte, received time.Time) {
+func (i *incarnation) serveOrder(w http.ResponseWriter, r *http.Request, body []byte, received receipt) {
 	e := i.engine
 	o, valid := decodeOrder(body, e.cfg.Weights.WeightsSpec)
 	e.mu.Lock()
@@ -70,7 +82,11 @@
 	case version == o.Version && from == o.From && target == o.Target:
 		w.WriteHeader(http.StatusOK)
 	default:
-		i.accept(o, e.cfg.Clock.Since(received))
+		if i.orders != received.orders {
+			e.stats.Overtaken++
+			e.cfg.Log("engine %s: accepts an order for version %d that it received %d orders ago", i.id, o.Version, i.orders-received.orders)
+		}
+		i.accept(o, e.cfg.Clock.Since(received.at))
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
--- a/bench/fakes/weights_test.go
+++ b/bench/fakes/weights_test.go
@@ -263,8 +263,9 @@
 			if e.Held() != c.held {
 				t.Fatalf("holds %d, want %d", e.Held(), c.held)
 			}
-			if broken := testBroken(t, e); (broken[PieceVersion] == 1) != (c.held == 2) {
-				t.Errorf("broken events %v", broken)
+			broken := testBroken(t, e)
+			if overtaken := e.Stats().Overtaken; (broken[PieceVersion] == 1) != (c.held == 2) || (overtaken == 1) != (c.held == 2) {
+				t.Errorf("broken events %v, %d orders overtaken", broken, overtaken)
 			}
 		})
 	}
--- a/bench/weightsoak/soak.go
+++ b/bench/weightsoak/soak.go
@@ -65,7 +65,9 @@
 	Breaks []fakes.WeightsBreak
 	// LateLoads counts the loads that were accepted while a piece was in such a state.
 	Loads, LateLoads int
-	Tokens           int
+	// Overtaken counts the orders that were accepted after one that was received later.
+	Overtaken int
+	Tokens    int
 	// Versions is the number of versions with which tokens were made.
 	Versions                     int
 	Sent, Served, Refused, Cut   int
@@ -89,6 +91,8 @@
 	switch {
 	case r.Broken() > 0:
 		return errors.Newf("%d events were made with forbidden layers", r.Broken())
+	case r.Overtaken > 0:
+		return errors.Newf("%d orders were accepted after one that was received later", r.Overtaken)
 	case len(r.Violations) > 0:
 		return errors.Newf("%d violations, the first: %s", len(r.Violations), r.Violations[0])
 	case r.Loads == 0 || r.Versions < 2 || r.Served == 0:
@@ -240,6 +244,7 @@
 	for _, engine := range s.engines {
 		stats := engine.Stats()
 		r.Loads, r.LateLoads, r.Tokens = r.Loads+stats.Loads, r.LateLoads+stats.LateLoads, r.Tokens+stats.Tokens
+		r.Overtaken += stats.Overtaken
 		for kind, n := range stats.BrokenTokens {
 			r.BrokenTokens[kind] += n
 		}
