weightsoak: all agents and control processes killed at the same moment

Cause: the rule that the service recovers from that was not in the soak.

Change: kind kill-all, once or twice in a run of 60 s, in a source of its own. The share of requests that must be served in the last 4 s covers the recovery. Versions in bursts were there already (one to three within 5 s).

--- a/bench/weightsoak/hold.go
+++ b/bench/weightsoak/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/bench/cluster"
@@ -68,3 +69,10 @@
 		})
 	}
 }
+
+// killAll kills all agents and control processes, and starts them after a time.
+func (j *injector) killAll(ctx context.Context, down time.Duration) {
+	for _, p := range slices.Concat(j.platform.Agents(), j.platform.Controls()) {
+		j.group.Go(func() { j.killAndRestart(ctx, p, down, 0) })
+	}
+}
--- a/bench/weightsoak/inject.go
+++ b/bench/weightsoak/inject.go
@@ -64,6 +64,8 @@
 		j.operator.nameVersion(ctx)
 	case PutConfig:
 		j.operator.putConfig(ctx)
+	case KillAll:
+		j.killAll(ctx, f.Duration)
 	case AgentFreeze, AgentStop, AgentKill, AgentKillTwo:
 		j.process(ctx, j.platform.Agents()[f.Target], f)
 	case ControlFreeze, ControlStop, ControlKill:
--- a/bench/weightsoak/schedule.go
+++ b/bench/weightsoak/schedule.go
@@ -45,6 +45,8 @@
 	// HoldNewer holds back an order until the engine holds a newer version, while all
 	// control processes are frozen from just before the order for that on.
 	HoldNewer Kind = "hold-newer"
+	// KillAll kills all agents and control processes at once.
+	KillAll Kind = "kill-all"
 	// ReadBackFreeze freezes an agent once it has read back all staged pieces, and a piece
 	// becomes corrupt then.
 	ReadBackFreeze Kind = "read-back-freeze"
@@ -80,7 +82,7 @@
 
 // Kinds are all kinds of faults and changes.
 var Kinds = []Kind{
-	NameVersion, PutConfig, CorruptPiece, LateOrder, RepairKill, SlowOrder, HoldFreeze, HoldKill, HoldFence, HoldNewer, ReadBackFreeze, EngineSwap, EngineRestart, EngineRestartSameID, EngineHang, EngineSlow, EngineReplace,
+	NameVersion, PutConfig, CorruptPiece, LateOrder, RepairKill, SlowOrder, HoldFreeze, HoldKill, HoldFence, HoldNewer, KillAll, ReadBackFreeze, EngineSwap, EngineRestart, EngineRestartSameID, EngineHang, EngineSlow, EngineReplace,
 	PowerLoss, AgentFreeze, AgentStop, AgentKill, AgentKillTwo, ControlFreeze, ControlStop, ControlKill, EntryFreeze, EntryStop, EntryKill,
 	LinkDelay, LinkReset, LinkCutIn, LinkCutOut,
 }
@@ -151,6 +153,9 @@
 	})
 	b.every(4*time.Second, 8*time.Second, func(_ source, at time.Duration) { b.add(Fault{At: at, Kind: PutConfig}) })
 	b.every(time.Second, 2*time.Second, b.holdOrder)
+	b.every(20*time.Second, 15*time.Second, func(r source, at time.Duration) {
+		b.add(Fault{At: at, Kind: KillAll, Duration: r.between(100, 2000)})
+	})
 	b.every(2*time.Second, 3*time.Second, func(r source, at time.Duration) {
 		b.add(Fault{
 			At: at, Kind: HoldFence, Target: r.IntN(size.Agents), Piece: r.IntN(size.Pieces), Until: fakes.BeforePut,
