pieces: a manifest is not confirmed by the agent that sent it

A restarted agent could drop sound weights while the origin is dark: it got a manifest with a corrupt digest from an agent, asked again because a piece did not match, got the same one from the same agent, and took the piece for corrupt, although another agent had a sound manifest.

Cause: RefetchManifest asked the agents in the same order. It leaves out the source of the first manifest now, unless that is the origin, whose answers are independent transfers.

TestManifestIsNotConfirmedByItsOwnSource fails before.

--- a/version/pieces/fetch.go
+++ b/version/pieces/fetch.go
@@ -72,6 +72,8 @@
 	// requested.
 	manifestSince time.Time
 	manifestKey   Key
+	// manifestFrom is the source of the first manifest of that version.
+	manifestFrom string
 	// schedule is the schedule of the version scheduleKey, created at
 	// scheduleStart.
 	schedule      *schedule
@@ -219,6 +221,9 @@
 		}
 		var m platform.Manifest
 		if m, err = f.fetchManifestFrom(ctx, spec, source); err == nil {
+			f.mu.Lock()
+			f.manifestFrom = source.From
+			f.mu.Unlock()
 			f.Store.AddVersion(m)
 			return nil
 		}
--- a/version/pieces/refetch.go
+++ b/version/pieces/refetch.go
@@ -8,12 +8,16 @@
 	"github.com/waxwingpost/waxwingpost/platform"
 )
 
-// RefetchManifest fetches the manifest of a version that may be known, from the origin if
-// it answers: another agent may pass on a corrupt manifest. It does not change the store.
+// RefetchManifest fetches the manifest of a version that is known, from the origin if it
+// answers, or else from an agent that did not send the first one: it may pass on a corrupt
+// manifest. It does not change the store.
 func (f *Fetcher) RefetchManifest(ctx context.Context, spec *FetchSpec) (m platform.Manifest, err error) {
+	f.mu.Lock()
+	first := f.manifestFrom
+	f.mu.Unlock()
 	sources := []Source{{From: Origin}}
 	for _, source := range f.currentPlan(spec).Sources(manifestPiece, f.peerState(spec.Key)) {
-		if source.From != Origin && !f.isAvoided(source.From) {
+		if source.From != Origin && source.From != first && !f.isAvoided(source.From) {
 			sources = append(sources, Source{From: source.From})
 		}
 	}
