controller: rejected digests of pieces are not logged as recorded

A leader of an earlier release rejects the command; the line said that the digests were recorded. The result's code is checked, and a rejected record is not tried again: agents report theirs at their next link.

--- a/process/controller/digests.go
+++ b/process/controller/digests.go
@@ -11,6 +11,7 @@
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/control/desired"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
@@ -20,6 +21,9 @@
 // reportDigests queues the digests that an agent reports to be recorded.
 func (c *Controller) reportDigests(d wire.PieceDigests) {
 	reported := control.PieceDigests(d)
+	if len(d.Digests) > desired.MaxDigestBytes {
+		return
+	}
 	if r := c.replica.Load(); r != nil {
 		if s, _ := r.machine.Current(); !s.NeedsDigests(reported) {
 			return
@@ -82,13 +86,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	_, err := r.node.Propose(ctx, control.Command{
+	res, err := r.node.Propose(ctx, control.Command{
 		ID:     fmt.Sprintf("pieces/%s/%d/%x", hex.EncodeToString([]byte(d.Model)), d.Version, xxhash.Sum64(d.Digests)),
 		Pieces: &d,
 	})
+	rejected := err == nil && res.Code != 0
+	if rejected {
+		err = result.New(result.Code(res.Code), "%s", res.Detail)
+	}
 	if err != nil {
 		c.Log.Warn("failed to record digests of pieces", "model", d.Model, "version", d.Version, "code", int(result.CodeOf(err)), "error", err)
-		return false
+		return rejected
 	}
 	c.Log.Info("digests of pieces recorded", "model", d.Model, "version", d.Version, "pieces", len(d.Digests)/sha256.Size)
 	return true
