sidecar: recorded digests are used also if the origin fails at once

Sound weights stayed unverified, and their engines without requests, if the origin refused or broke off at once: learnManifest returned with the failed fetch, which canceled the question to the control processes, at each attempt. It waits for the first round of answers now, at most for its timeout.

The origin of the earlier test was silent, so that the fetch outlasted the question.

--- a/process/sidecar/digests.go
+++ b/process/sidecar/digests.go
@@ -71,12 +71,19 @@
 	if _, known := u.sidecar.store.Manifest(spec.Key); known {
 		return nil
 	}
+	asked := make(chan struct{})
 	go func() {
-		for ctx.Err() == nil {
-			if m, ok := u.recordedManifest(ctx, spec); ok {
+		for first := true; ctx.Err() == nil; first = false {
+			m, ok := u.recordedManifest(ctx, spec)
+			if ok {
 				u.sidecar.store.AddVersion(m)
 				u.sidecar.Log.Info("manifest recorded by control processes used", "model", spec.Key.Model, "version", spec.Key.Version)
 				cancel()
+			}
+			if first {
+				close(asked)
+			}
+			if ok {
 				return
 			}
 			select {
@@ -86,6 +93,13 @@
 		}
 	}()
 	err := u.fetcher.FetchManifest(ctx, spec)
+	if err != nil {
+		// The sources may fail before the control processes have answered.
+		select {
+		case <-ctx.Done():
+		case <-asked:
+		}
+	}
 	if _, known := u.sidecar.store.Manifest(spec.Key); known {
 		return nil
 	}
--- a/process/sidecar/digests_test.go
+++ b/process/sidecar/digests_test.go
@@ -49,6 +49,22 @@
 	t.Error("sound weights are not verified")
 }
 
+// The origin refuses at once, before a control process has answered.
+func TestRecordedDigestsAreUsedAlsoIfTheOriginFailsFirst(t *testing.T) {
+	for _, delay := range []time.Duration{time.Millisecond, 80 * time.Millisecond, 200 * time.Millisecond} {
+		e := newHeldEngine()
+		u, c := startOriginAgent(t, e, &manifestOrigin{alter: func(int, [][sha256.Size]byte) bool { return false }})
+		c.digestsDelay = delay
+		c.digests.Store(stagingDigests(2))
+		for started := time.Now(); verifiedVersion(u) != 2 && time.Since(started) < 4*time.Second; time.Sleep(pendingPollInterval) {
+			u.reconcile(t.Context())
+		}
+		if got := verifiedVersion(u); got != 2 {
+			t.Errorf("answer after %v: version %d is verified", delay, got)
+		}
+	}
+}
+
 // Recorded digests replace the manifest, not the comparison with the staged pieces.
 func TestRecordedDigestsDoNotVerifyCorruptPiece(t *testing.T) {
 	for name, recorded := range map[string]*wire.PieceDigests{"of the pieces": stagingDigests(2), "of another version's pieces": {Model: "m", Version: 2, Digests: stagingDigests(3).Digests}} {
--- a/process/sidecar/install_test.go
+++ b/process/sidecar/install_test.go
@@ -28,6 +28,8 @@
 	document wire.ConfigDocument
 	// digests holds the recorded digests of pieces, or those that the agent reported last.
 	digests atomic.Pointer[wire.PieceDigests]
+	// digestsDelay is the time that an answer with the digests takes.
+	digestsDelay time.Duration
 	// conn is the last link.
 	conn atomic.Pointer[link.Conn]
 }
@@ -50,6 +52,7 @@
 		return c.document, nil
 	}
 	if kind == wire.KindDigestsQuery {
+		time.Sleep(c.digestsDelay)
 		if d := c.digests.Load(); d != nil {
 			return *d, nil
 		}
