sidecar: an order to an earlier incarnation may fit a later one at any number of orders

Tokens could be made with a layer from a corrupt piece. Sequence: the engine has accepted one order, the next one receives no response while the engine restarts; the later incarnation accepts a fence and counts one order, too. The agent repairs a corrupt piece, the late order fits and loads it just before, the agent is killed, and the next one verifies the load.

Cause: orders without a response were forgotten with their incarnation. They are kept, the last 16, and before pieces are put at an incarnation whose count fits one of them, the staged pieces show whether a fence is needed, as for orders of earlier processes.

TestOrderThatALaterIncarnationAcceptsLateIsFenced/expects_1 fails before.

--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -24,6 +24,8 @@
 	maxReadBackAge = 2 * time.Second
 	// maxLoadOrders bounds the orders and the repeated read-backs of one load.
 	maxLoadOrders = 5
+	// maxUnanswered bounds the orders without a response that are known; the oldest goes.
+	maxUnanswered = 16
 )
 
 // readBackAgeBuckets are the buckets of the age of the oldest read-back when the engine
@@ -162,7 +164,7 @@
 // stageFor stages every piece at the engine whose last report is given.
 func (u *updater) stageFor(ctx context.Context, key pieces.Key, layers int, report platform.EngineReport) (stagedPieces, error) {
 	first := stagedVersion{key: key, born: report.Born}
-	if layers >= minDropLayers && !u.accepted.in(report) && u.stagedFirst != first {
+	if layers >= minDropLayers && (u.fitsEarlierOrder(key, report) || !u.accepted.in(report) && u.stagedFirst != first) {
 		started := u.sidecar.AgeClock.Now()
 		corrupt, digests, err := u.readStaged(ctx, key)
 		if err != nil {
@@ -231,6 +233,14 @@
 	return slices.Contains(u.unanswered, sentOrder{key: key, born: report.Born, orders: report.Orders})
 }
 
+// fitsEarlierOrder reports whether an order for the version that was sent to an earlier
+// incarnation and received no response fits this one, which counts its own orders.
+func (u *updater) fitsEarlierOrder(key pieces.Key, report platform.EngineReport) bool {
+	return slices.ContainsFunc(u.unanswered, func(o sentOrder) bool {
+		return o.key == key && o.born != report.Born && o.orders == report.Orders
+	})
+}
+
 // mayStage reports whether pieces may be put before a step: not while the engine may load
 // the version.
 func (u *updater) mayStage(key pieces.Key, step loadStep, report platform.EngineReport) bool {
@@ -250,7 +260,7 @@
 		return err
 	}
 	u.orderedKey = key
-	u.unanswered = slices.DeleteFunc(u.unanswered, func(o sentOrder) bool { return o.born != report.Born || o.orders < report.Orders })
+	u.unanswered = slices.DeleteFunc(u.unanswered, func(o sentOrder) bool { return o.born == report.Born && o.orders < report.Orders })
 	if step != stepDrop {
 		// The report was requested after the last piece was put.
 		u.unconfirmedPut = pieces.Key{}
@@ -262,7 +272,7 @@
 	_, err = u.callEngine(ctx, http.MethodPost, platform.PathOrder, body)
 	code := result.CodeOf(err)
 	if sent := (sentOrder{key: key, born: report.Born, orders: report.Orders}); code == result.EngineUnreadable && !slices.Contains(u.unanswered, sent) {
-		u.unanswered = append(u.unanswered, sent)
+		u.unanswered = append(u.unanswered[max(0, len(u.unanswered)+1-maxUnanswered):], sent)
 	}
 	if err == nil {
 		u.accepted = acceptedOrder{known: true, born: report.Born, orders: report.Orders + 1}
--- a/process/sidecar/unanswered_test.go
+++ b/process/sidecar/unanswered_test.go
@@ -150,13 +150,23 @@
 }
 
 func TestOrderThatALaterIncarnationAcceptsLateIsFenced(t *testing.T) {
-	u, e, _ := newStagingTest(t)
-	e.beforeOrder = func() { e.restart(true) }
-	loseOrder(t, e, u, 2)
-	e.corrupt(1)
-	u.reconcile(e.acceptAtFirstPut(t, 1))
-	second, _ := startStagingAgent(t, e)
-	requireIntact(t, second, e)
+	for name, expect := range map[string]int{"expects 0": 0, "expects 1": 1} {
+		t.Run(name, func(t *testing.T) {
+			u, e, _ := newStagingTest(t)
+			if expect > 0 {
+				for piece := range stagingLayers {
+					e.staged[piece] = stagingPiece(1, piece)
+				}
+				e.execute(stagingOrder{Version: 1, Target: stagingLayers})
+			}
+			e.beforeOrder = func() { e.restart(true) }
+			loseOrder(t, e, u, 2)
+			e.corrupt(1)
+			u.reconcile(e.acceptAtFirstPut(t, 1))
+			second, _ := startStagingAgent(t, e)
+			requireIntact(t, second, e)
+		})
+	}
 }
 
 func TestEarlierOrderIsFencedAlsoIfAnotherVersionWasStagedSince(t *testing.T) {
@@ -174,7 +184,7 @@
 
 // The first load after a start replaces an older version that is staged, without a fence.
 func TestPiecesOfTheHeldVersionAreReplacedWithoutAFence(t *testing.T) {
-	for name, change := range map[string]func(e *stagingEngine){"intact": func(*stagingEngine) {}, "one corrupt": func(e *stagingEngine) { e.corrupt(2) }, "missing": func(e *stagingEngine) { clear(e.staged) }} {
+	for name, change := range map[string]func(e *stagingEngine){"intact": func(*stagingEngine) {}, "one corrupt": func(e *stagingEngine) { e.corrupt(2) }, "missing": func(e *stagingEngine) { clear(e.staged) }, "partly replaced": func(e *stagingEngine) { e.staged[0] = stagingPiece(2, 0) }} {
 		e := newStagingEngine(boottime.NewFake(clockwork.NewRealClock()))
 		for piece := range stagingLayers {
 			e.staged[piece] = stagingPiece(1, piece)
