sidecar: orders name the engine's ID

An order that an earlier process of the agent sent to an earlier incarnation may fit a later one that counts as many orders: neither the agent nor its fence can know of it.

TestOrderIsRefusedByALaterIncarnationWithAnotherID fails without the header (version 2 with 1 layer from a corrupt piece is verified).

--- a/process/sidecar/announce.go
+++ b/process/sidecar/announce.go
@@ -38,7 +38,7 @@
 // The ID is taken from a health check, which succeeds only while the engine is not
 // draining.
 func (u *updater) describeEngine(ctx context.Context, service *deployment.Service, r platform.EngineReport) (directory.Server, error) {
-	_, header, err := u.doEngine(ctx, http.MethodGet, service.HealthPath, nil)
+	_, header, err := u.doEngine(ctx, http.MethodGet, service.HealthPath, nil, "")
 	if err != nil {
 		return directory.Server{}, err
 	}
--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -269,7 +269,7 @@
 		Loading: true, Held: report.Held, Born: report.Born, Checked: u.nextCheck(), Orders: report.Orders,
 		Loads: []directory.ModelVersion{{Model: key.Model, Version: key.Version}},
 	})
-	_, err = u.callEngine(ctx, http.MethodPost, platform.PathOrder, body)
+	err = u.postOrder(ctx, report.Born, body)
 	code := result.CodeOf(err)
 	if sent := (sentOrder{key: key, born: report.Born, orders: report.Orders}); code == result.EngineUnreadable && !slices.Contains(u.unanswered, sent) {
 		u.unanswered = append(u.unanswered[max(0, len(u.unanswered)+1-maxUnanswered):], sent)
--- a/process/sidecar/stagingengine_test.go
+++ b/process/sidecar/stagingengine_test.go
@@ -38,7 +38,9 @@
 	// delayOrder makes the engine accept the next order only when acceptDelayed is called.
 	delayOrder bool
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// id is the engine's ID; without one it accepts the orders for any.
+	id      string
 	born    int64
 	busy    bool
 	staged  map[int][]byte
@@ -83,6 +85,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.born++
+	if e.id != "" {
+		e.id += "-next"
+	}
 	e.loads, e.version, e.delayed = 0, 0, nil
 	clear(e.layers)
 	clear(e.spoiled)
@@ -187,7 +192,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	expected := r.Header.Get(platform.HeaderExpectServer)
 	switch {
+	case e.id != "" && expected != "" && expected != e.id:
+		e.refused++
+		w.WriteHeader(http.StatusMisdirectedRequest)
 	case e.delayOrder:
 		e.delayOrder = false
 		e.delayed = append(e.delayed, order)
--- a/process/sidecar/unanswered_test.go
+++ b/process/sidecar/unanswered_test.go
@@ -169,6 +169,39 @@
 	}
 }
 
+// The process that sent the order is gone as well: nothing but the ID in it can refuse it.
+func TestOrderIsRefusedByALaterIncarnationWithAnotherID(t *testing.T) {
+	for name, expect := range map[string]int{"expects 0": 0, "expects 1": 1} {
+		t.Run(name, func(t *testing.T) {
+			e := newStagingEngine(boottime.NewFake(clockwork.NewRealClock()))
+			e.id = "i-1"
+			if expect > 0 {
+				for piece := range stagingLayers {
+					e.staged[piece] = stagingPiece(1, piece)
+				}
+				e.execute(stagingOrder{Version: 1, Target: stagingLayers})
+			}
+			u := newTestUpdater(t, e)
+			fillVersionAgent(t, u, e, 2, func(state *wire.Update) {
+				state.Servers = wire.ServerList{{
+					ID: "i-1", Service: "s", Address: u.sidecar.settings.BackendAddress, State: directory.Ready, Born: stagingBorn, Seq: 1, Engine: true,
+				}}
+			})
+			e.beforeOrder = func() { e.restart(true) }
+			e.set(func() { e.delayOrder = true })
+			if err := installVersion(t.Context(), u, 2); err == nil && len(e.delayed) > 0 {
+				t.Error("a later incarnation has the order")
+			}
+			e.set(func() { e.delayOrder = false })
+			e.corrupt(1)
+			second, _ := startStagingAgent(t, e)
+			second.reconcile(e.acceptAtFirstPut(t, 1))
+			third, _ := startStagingAgent(t, e)
+			requireIntact(t, third, e)
+		})
+	}
+}
+
 func TestEarlierOrderIsFencedAlsoIfAnotherVersionWasStagedSince(t *testing.T) {
 	e := newStagingEngine(boottime.NewFake(clockwork.NewRealClock()))
 	first, _ := startVersionAgent(t, e, 3)
--- a/process/sidecar/unload.go
+++ b/process/sidecar/unload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/connection/wire"
@@ -123,7 +122,7 @@
 	log := l.updater.sidecar.Log.With("model", model, "version", version)
 	body, err := platform.EncodeLayersOrder(model, version, layers-1, layers, report.Orders)
 	if err == nil {
-		_, err = l.updater.callEngine(ctx, http.MethodPost, platform.PathOrder, body)
+		err = l.updater.postOrder(ctx, report.Born, body)
 	}
 	if err != nil {
 		log.Warn("failed to unload expired weights", "code", int(result.CodeOf(err)), "error", err)
--- a/process/sidecar/updater.go
+++ b/process/sidecar/updater.go
@@ -385,12 +385,30 @@
 // callEngine calls the engine on this VM and returns the body of a successful
 // response.
 func (u *updater) callEngine(ctx context.Context, method, target string, body []byte) ([]byte, error) {
-	data, _, err := u.doEngine(ctx, method, target, body)
+	data, _, err := u.doEngine(ctx, method, target, body, "")
 	return data, err
 }
 
-// doEngine is like callEngine but also returns the response headers.
-func (u *updater) doEngine(ctx context.Context, method, target string, body []byte) ([]byte, http.Header, error) {
+// postOrder sends an order to the engine. Another incarnation than the one that started at
+// born refuses it if it has an ID of its own.
+func (u *updater) postOrder(ctx context.Context, born int64, body []byte) error {
+	_, _, err := u.doEngine(ctx, http.MethodPost, platform.PathOrder, body, u.engineID(born))
+	return err
+}
+
+// engineID returns the ID of an incarnation of the engine, or "" if it is not listed yet.
+func (u *updater) engineID(born int64) string {
+	for _, record := range u.sidecar.follower.View().Servers[u.sidecar.settings.BackendService] {
+		if record.Address == u.sidecar.settings.BackendAddress && record.Born == born && born != 0 {
+			return record.ID
+		}
+	}
+	return ""
+}
+
+// doEngine is like callEngine but also returns the response headers. Engines with another ID
+// than expected refuse the call, unless expected is empty.
+func (u *updater) doEngine(ctx context.Context, method, target string, body []byte, expected string) ([]byte, http.Header, error) {
 	deadline := time.Now().Add(engineTimeout)
 	req := &backend.Request{Method: method, Target: target, Host: u.sidecar.settings.BackendAddress, Body: body, HeadDeadline: deadline}
 	if body != nil {
@@ -399,6 +417,9 @@
 			contentType = "application/json"
 		}
 		req.Header = http.Header{"Content-Type": {contentType}}
+		if expected != "" {
+			req.Header[platform.HeaderExpectServer] = []string{expected}
+		}
 	}
 	ex, err := u.sidecar.client.Do(ctx, u.sidecar.settings.BackendAddress, req)
 	if err != nil {
