sidecar: corrupt last pieces are not taken for staging that was cut off

The engine held an order back, its last two pieces became corrupt, the agent was killed, and its successor took the pieces for never staged completely, so that it repaired them without a fence. The order was accepted just before, the successor was killed, and the third process verified the load.

Pieces that were not put yet are missing, or still those of the version that the engine holds; if none of the last ones is, an earlier order is fenced.

TestEarlierOrderIsFencedAlsoIfJustTheLastPiecesAreCorrupt fails before (2 layers from a corrupt piece are verified).

--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -174,7 +174,7 @@
 			u.readBacks = completeReadBack{key: key, at: started}
 			return stagedPieces{readBack: started, born: report.Born}, nil
 		}
-		if wereAllStaged(corrupt, len(digests)) || u.wasReplaced(key, corrupt, digests, report) {
+		if u.mayBeOrdered(key, corrupt, digests, report) {
 			u.recordCorrupt(key, corrupt)
 			return stagedPieces{}, errEarlierOrder
 		}
@@ -184,20 +184,23 @@
 	return stagedPieces{readBack: readBack, born: report.Born}, err
 }
 
-// wasReplaced reports whether the staged pieces of a version, which are not intact, may have
-// been replaced by those of another version after an earlier process had ordered a load of
-// them. Pieces that are missing, or those of the version that the engine holds, were staged
-// before.
-func (u *updater) wasReplaced(key pieces.Key, corrupt []int, digests []digest, report platform.EngineReport) bool {
+// mayBeOrdered reports whether an earlier process may have ordered a load of a version, of
+// which some staged pieces are not intact. Pieces are put in order: the load was not ordered
+// if one of the last ones is missing, or still that of the version that the engine holds. If
+// no piece is intact, one of a third version shows that an earlier process got that far.
+func (u *updater) mayBeOrdered(key pieces.Key, corrupt []int, digests []digest, report platform.EngineReport) bool {
+	if wereAllStaged(corrupt, len(digests)) {
+		return true
+	}
 	held, _ := u.sidecar.store.Manifest(pieces.Key{Model: key.Model, Version: directory.VersionOf(report.Held, key.Model)})
-	replaced := false
+	third := false
 	for _, piece := range corrupt {
 		if digests[piece] == missingPiece || piece < len(held.Digests) && digests[piece] == held.Digests[piece] {
 			return false
 		}
-		replaced = replaced || u.sidecar.store.Known(key.Model, piece, digests[piece])
+		third = third || u.sidecar.store.Known(key.Model, piece, digests[piece])
 	}
-	return replaced
+	return third || len(corrupt) < len(digests)
 }
 
 // isRecent reports whether the pieces were staged at this incarnation of the engine, which
--- a/process/sidecar/unanswered_test.go
+++ b/process/sidecar/unanswered_test.go
@@ -215,6 +215,18 @@
 	requireUnverified(t, third, e)
 }
 
+// Seed 912 of the soak: just the last pieces are corrupt, as if staging had been cut off.
+func TestEarlierOrderIsFencedAlsoIfJustTheLastPiecesAreCorrupt(t *testing.T) {
+	first, e, _ := newStagingTest(t)
+	loseOrder(t, e, first, 2)
+	e.corrupt(stagingLayers - 2)
+	e.corrupt(stagingLayers - 1)
+	second, _ := startStagingAgent(t, e)
+	second.reconcile(e.acceptAtFirstPut(t, 2))
+	third, _ := startStagingAgent(t, e)
+	requireIntact(t, third, e)
+}
+
 // The first load after a start replaces an older version that is staged, without a fence.
 func TestPiecesOfTheHeldVersionAreReplacedWithoutAFence(t *testing.T) {
 	for name, change := range map[string]func(e *stagingEngine){"intact": func(*stagingEngine) {}, "one corrupt": func(e *stagingEngine) { e.corrupt(2) }, "missing": func(e *stagingEngine) { clear(e.staged) }, "partly replaced": func(e *stagingEngine) { e.staged[0] = stagingPiece(2, 0) }} {
