--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -287,8 +287,9 @@
 }
 
 // setDeadline sets the deadline: the caller's, or the route's timeout if that is
-// shorter, counted from the arrival of the request. A request is late if less than lateTimeoutFraction of the route's timeout
-// is left: its caller has spent the rest on earlier attempts.
+// shorter, counted from the arrival of the request. A request is late if less than
+// lateTimeoutFraction of the route's timeout is left: its caller has spent the rest on
+// earlier attempts.
 func (h *Handler) setDeadline(cr *callerRequest) {
 	remaining, hasDeadline := platform.ParseMilliseconds(cr.request.Header.Get(platform.HeaderDeadline))
 	if !hasDeadline || remaining > cr.route.Timeout {
