--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,12 @@
 	answer func(e *engine, i *incarnation, w http.ResponseWriter, r *http.Request, body []byte)
 	// models is set for model engines.
 	models []map[string]any
+	// keepID is set if the server starts again under its id. clock is how far the clock of its
+	// machine is ahead.
+	keepID bool
+	clock  time.Duration
+	// leaving is set once the server leaves.
+	leaving bool
 
 	mu      sync.Mutex
 	starts  int
@@ -34,6 +41,7 @@
 type incarnation struct {
 	id     string
 	born   int64
+	seq    atomic.Int64
 	server *http.Server
 	ended  chan struct{}
 }
@@ -49,13 +57,15 @@
 	if err != nil {
 		return err
 	}
-	e.starts++
-	i := &incarnation{id: fmt.Sprintf("i-%s-%d", e.name, e.starts), born: time.Now().UnixMilli(), ended: make(chan struct{})}
+	if e.starts == 0 || !e.keepID {
+		e.starts++
+	}
+	i := &incarnation{id: fmt.Sprintf("i-%s-%d", e.name, e.starts), born: time.Now().Add(e.clock).UnixMilli(), ended: make(chan struct{})}
 	i.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(i, w, r) })}
 	e.current = i
 	go func() { _ = i.server.Serve(l) }()
 	go e.beat(i)
-	e.w.rec.line("server %s starts at %s", i.id, e.address)
+	e.w.rec.line("server %s starts at %s, born %d", i.id, e.address, i.born)
 	return nil
 }
 
@@ -81,6 +91,13 @@
 
 func (e *engine) beat(i *incarnation) {
 	for seq := 1; ; seq++ {
+		e.mu.Lock()
+		leaving := e.leaving
+		e.mu.Unlock()
+		if leaving {
+			return
+		}
+		i.seq.Store(int64(seq))
 		body := map[string]any{
 			"service": e.service, "addr": e.address, "zone": "zone-a", "version": "v1", "slots": e.slots, "state": "ready",
 			"coldLeftMs": 0, "seq": seq, "born": i.born,
@@ -105,6 +122,31 @@
 	}
 }
 
+// drain reports that the server drains to one control process after the other until one
+// acknowledges it, and returns when that was. The server goes on serving.
+func (e *engine) drain() (time.Time, bool) {
+	e.mu.Lock()
+	e.leaving = true
+	i := e.current
+	e.mu.Unlock()
+	for n := range 20 {
+		data, err := json.Marshal(map[string]any{
+			"service": e.service, "addr": e.address, "zone": "zone-a", "version": "v1", "slots": e.slots, "state": "draining",
+			"coldLeftMs": 0, "seq": i.seq.Load() + 1 + int64(n), "born": i.born,
+		})
+		if err != nil {
+			panic(err)
+		}
+		control := n % len(e.w.control)
+		status, _ := e.w.send(http.MethodPost, control, "/-/Instances.Heartbeat/"+i.id, data)
+		e.w.rec.line("server %s reports to %s that it drains: answer %d", i.id, e.w.control[control].name, status)
+		if status/100 == 2 {
+			return time.Now(), true
+		}
+	}
+	return time.Time{}, false
+}
+
 func (e *engine) serve(i *incarnation, w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -22,6 +22,10 @@
 var cases = map[string]func(rec *record, bin string, trouble bool) verdict{
 	"first-start": firstStart,
 	"long-prompt": longPrompt,
+	"quick-retry": quickRetry,
+	"founders":    founders,
+	"born":        born,
+	"end-moved":   endMoved,
 }
 
 func main() {
