--- a/review/standins-2/case_end_moved.go
+++ b/review/standins-2/case_end_moved.go
@@ -44,7 +44,7 @@
 		return couldNotRun
 	}
 	defer w.close()
-	var slow atomic.Int64 // the server that is slow now
+	var slow [2]atomic.Int64 // the servers that are slow now
 	var mu sync.Mutex
 	history := map[string][]string{}
 	finished := map[string]bool{} // requests whose answer a server has completed
@@ -53,7 +53,7 @@
 		defer mu.Unlock()
 		history[id] = append(history[id], fmt.Sprintf("%.3f s %s", rec.at(), fmt.Sprintf(format, args...)))
 	}
-	const servers = 5
+	const servers = 7
 	for n := range servers {
 		e := w.newEngine(n+1, "assist", 16)
 		e.models = []map[string]any{{"name": model, "version": 1, "adapters": []string{}}}
@@ -66,7 +66,7 @@
 			time.Sleep(70 * time.Millisecond) // reads the prompt
 			for event := from + 1; event <= answerEvents; event++ {
 				gap := usualGap
-				if slow.Load() == int64(n) {
+				if slow[0].Load() == int64(n) || slow[1].Load() == int64(n) {
 					gap = time.Duration(slowFactor * float64(usualGap))
 				}
 				select {
@@ -102,7 +102,7 @@
 	}
 	time.Sleep(5 * time.Second)
 	begun := time.Now()
-	end := begun.Add(50 * time.Second)
+	end := begun.Add(56 * time.Second)
 	type planned struct {
 		entry int
 		at    time.Time // of SIGTERM
@@ -114,16 +114,18 @@
 	var group sync.WaitGroup
 	group.Go(func() {
 		for time.Now().Before(end) {
-			slow.Store(int64(rand.IntN(servers)))
+			perm := rand.Perm(servers)
+			slow[0].Store(int64(perm[0]))
+			slow[1].Store(int64(perm[1]))
 			time.Sleep(slowTime)
 		}
 	})
 	if trouble {
 		group.Go(func() {
-			for stop := range 3 {
+			for stop := range 4 {
 				n := stop % len(w.entry)
 				m := w.entry[n]
-				time.Sleep(time.Until(begun.Add(time.Duration(8+14*stop) * time.Second)))
+				time.Sleep(time.Until(begun.Add(time.Duration(8+12*stop) * time.Second)))
 				mu.Lock()
 				stops = append(stops, planned{n, time.Now()})
 				mu.Unlock()
@@ -143,7 +145,7 @@
 	}
 	var cuts []cut
 	counts := map[string]int{}
-	for client := range 64 {
+	for client := range 90 {
 		group.Go(func() {
 			entry := client % len(w.entry)
 			var conn net.Conn
