review: two removals without notice, then two lost disks: no configuration

Cause: seven voters count for 2 s after two were removed without notice, and three of seven are no quorum when two disks are lost then. Done: case review/7, a script with the real programs: two machines are replaced and removed within the limits of the site file, then two disks are lost.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 target=$here/../../target
 [ -x "$target/waxwingpost" ] && [ -x "$target/standins-2" ] || { echo "build first" >&2; exit 2; }
-exec "$target/standins-2" first-start "$target/waxwingpost" "$here/record.txt"
+exec "$target/standins-2" removed "$target/waxwingpost" "$here/record.txt"
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -26,6 +26,7 @@
 	"founders":    founders,
 	"born":        born,
 	"end-moved":   endMoved,
+	"removed":     removed,
 }
 
 func main() {
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -282,7 +282,11 @@
 
 // send makes one call of the operator; it returns 0 if there was no response.
 func (w *world) send(method string, control int, path string, body []byte) (int, []byte) {
-	req, err := http.NewRequest(method, "http://"+w.address(firstControl+control, w.ports.control)+path, bytes.NewReader(body))
+	return w.sendTo(w.control[control], method, path, body)
+}
+
+func (w *world) sendTo(m *machine, method, path string, body []byte) (int, []byte) {
+	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", m.ip, w.ports.control, path), bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
