backend: a part that is reset during the upload is no complete body

Callers got a part of an engine's response as a complete answer: the engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the operating system reports a reset to the first of the reader and the writer that asks. If the goroutine that writes the request gets ECONNRESET, the one that reads the response gets an end of file, which Exchange.Read took for the end of a body without framing. The result of the write was looked at only in Close, when the response had been forwarded.

Change: at the end of such a body, a write that has not ended is stopped, and its error decides. ECONNRESET, ETIMEDOUT and the like mean that the connection broke. EPIPE, or a write that is still waiting for the server, mean that the server closed its side first: a reader that finds an end of file has either received the FIN or come after the writer. So this needs no wait for a server that does not read on, and such a response, early and sound, is served as before. What stays ambiguous is a process that ends between two reads of the upload: it closes first and resets then, like a server that has answered. The check whether its address refuses connections (checkUnframedEnd) stays.

--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -85,9 +85,8 @@
 	// stopCancel unregisters the function that closes the connection when the
 	// request's context ends. It returns false if that function has started.
 	stopCancel func() bool
-	// writeDone receives the result of writing the request in the background; nil
-	// if it was written before the response was read.
-	writeDone chan error
+	// upload is nil if the request was written before the response was read.
+	upload *upload
 	// complete is set once the body was read to its end.
 	complete bool
 	// keepAlive is set if the server keeps the connection open after the response.
@@ -210,15 +209,7 @@
 		req.Times.end(clock, err)
 		return writeError(n, err)
 	}
-	// The exchange may end before the goroutine runs, and then has no connection.
-	conn, done := ex.conn, make(chan error, 1)
-	ex.writeDone = done
-	go func() {
-		// The body may have megabytes and is not copied.
-		_, err := (&net.Buffers{head, req.Body}).WriteTo(conn.Conn)
-		req.Times.end(clock, err)
-		done <- err
-	}()
+	ex.upload = startUpload(ex.conn.Conn, net.Buffers{head, req.Body}, func(err error) { req.Times.end(clock, err) })
 	return nil
 }
 
@@ -313,7 +304,7 @@
 		ex.complete = n == 0
 	default:
 		ex.keepAlive = false
-		ex.body = ex.conn.r
+		ex.body = &closeReader{r: ex.conn.r, upload: ex.upload}
 	}
 	return nil
 }
@@ -337,7 +328,8 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of the body; a body that
-// is cut off causes another error, unless Framed is false.
+// is cut off causes another error. If Framed is false, that holds only for a connection
+// that breaks, not for one that the server closes too early.
 func (ex *Exchange) Read(p []byte) (int, error) {
 	if ex.complete {
 		return 0, io.EOF
@@ -371,18 +363,9 @@
 	if ex.conn == nil {
 		return
 	}
-	written := true
-	if ex.writeDone != nil {
-		select {
-		case err := <-ex.writeDone:
-			written = err == nil
-		default:
-			// The server responded before it read the whole request. It would take
-			// the rest for the next request, so the connection can't be reused.
-			written = false
-		}
-	}
-	if !ex.complete || !written {
+	// A server that responded before it read the whole request would take the rest for
+	// the next one, so the connection can't be reused.
+	if !ex.complete || ex.upload != nil && !ex.upload.written() {
 		ex.resetConn()
 		return
 	}
