backend: a head with a line that is no field is no response

Callers got broken responses as complete ones: an engine in trouble sent a head that was spoilt where it tells the length of the body, or in which the name of a field held a blank, and the entry forwarded a part of the body, the chunks' sizes as body, or the line itself.

Cause, one for both reports: textproto.ReadMIMEHeader accepts blanks in names, before the colon too, and folded lines. It keeps such a field under another name than Content-Length or Transfer-Encoding, or as a part of the value before it, and the body is left without framing: whatever comes until the connection closes is a complete body.

Change: heads are read line by line, and a line that is no field as RFC 9112, section 5, defines it (a token, the colon at once, no folding, no control character in the value but a tab) fails the exchange, in interim responses too. The server got the request, so its result is unknown: another server is tried where the request's rules allow that, else the caller gets 502. The check is in connection/httphead, for the other readers of heads. Line ends of LF alone are accepted as before.

FuzzResponse checks accepted heads against a regular expression, and compares bodies without framing too.

--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -253,9 +252,8 @@
 func (ex *Exchange) readHead(method string) error {
 	ex.conn.limit.remaining, ex.conn.limit.lines = maxHeadBytes, maxHeadLines
 	defer func() { ex.conn.limit.remaining = unlimited }()
-	tp := textproto.NewReader(ex.conn.r)
 	for {
-		line, err := tp.ReadLine()
+		line, err := readLine(ex.conn.r)
 		if err != nil {
 			return errors.Wrap(err, "read status")
 		}
@@ -265,17 +263,14 @@
 		if err != nil || !strings.HasPrefix(proto, "HTTP/1.") || status < 100 || status > 599 {
 			return errors.Newf("invalid status line %.60q", line)
 		}
-		header, err := tp.ReadMIMEHeader()
-		if err != nil && ex.conn.limit.reached() {
-			err = errHeadTooLong // a part of a line has another error
-		}
+		header, err := readFields(ex.conn.r)
 		if err != nil {
 			return errors.Wrap(err, "read headers")
 		}
 		if status < http.StatusOK {
 			continue
 		}
-		ex.Status, ex.Header = status, http.Header(header)
+		ex.Status, ex.Header = status, header
 		return ex.setFraming(method, proto)
 	}
 }
--- a/connection/backend/fuzz_test.go
+++ b/connection/backend/fuzz_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"testing"
 	"time"
 
@@ -40,7 +41,21 @@
 	return ex, body, err == nil
 }
 
-// FuzzResponse passes a server's bytes to an exchange. net/http must see the same response.
+// firstHead matches a head as RFC 9112 defines its fields.
+var firstHead = regexp.MustCompile("^[^\\n]*\\n([!#$%&'*+\\-.^_`|~0-9A-Za-z]+:[\\t\\x20-\\x7e\\x80-\\xff]*\\r?\\n)*\\r?\\n")
+
+// latin1 returns the bytes as characters, which a regular expression needs to match single
+// bytes.
+func latin1(data []byte) string {
+	chars := make([]rune, len(data))
+	for i, b := range data {
+		chars[i] = rune(b)
+	}
+	return string(chars)
+}
+
+// FuzzResponse passes a server's bytes to an exchange. It must accept only strict heads, and
+// net/http must see the same response.
 func FuzzResponse(f *testing.F) {
 	const id = "r-1"
 	for _, text := range []string{
@@ -55,6 +70,10 @@
 		"HTTP/1.0 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\nRequest-Id: r-1\nContent-Length: +2\n\nok",
+		"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length : 5\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent Length: 5\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n Content-Length: 5\r\n\r\nok",
+		"HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n" + response(id, "hello"),
 	} {
 		f.Add([]byte(text))
 	}
@@ -65,13 +84,16 @@
 			if ex == nil {
 				continue
 			}
+			if !firstHead.MatchString(latin1(data)) {
+				t.Fatal("a spoilt head was accepted")
+			}
 			if got := ex.Header.Get("Request-Id"); got != id || ex.Status < 200 || ex.Status > 599 {
 				t.Fatalf("status %d to request %q was accepted", ex.Status, got)
 			}
 			if len(body) > maxFuzzBody {
 				t.Fatalf("a body of %d bytes was read", len(body))
 			}
-			if complete && ex.Framed() {
+			if complete {
 				requireSameBody(t, data, id, body)
 			}
 		}
--- /dev/null
+++ b/connection/backend/head_test.go
@@ -0,0 +1,60 @@
+package backend
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+)
+
+// respondRaw returns the address of a server that writes the same bytes to every request and
+// closes the connection.
+func respondRaw(t *testing.T, text string) string {
+	t.Helper()
+	address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err == nil {
+			_, _ = io.WriteString(c, text)
+		}
+	})
+	return address
+}
+
+// requireNoResponse requires that the bytes are not read as a complete response.
+func requireNoResponse(t *testing.T, text string) {
+	t.Helper()
+	if body, err := get(t, newClient(), respondRaw(t, text), "1"); err == nil {
+		t.Errorf("%q: body %q was read as complete", text, body)
+	}
+}
+
+const headOfResponse = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+
+// A line that is ignored, or kept under another name, leaves the body without its framing.
+func TestResponseWithALineThatIsNoFieldIsNotComplete(t *testing.T) {
+	for _, lines := range []string{
+		"Content-Length : 10\r\n", "Content Length: 10\r\n", "Content-Length\t: 10\r\n", "X-A: b\r\n Content-Length: 10\r\n",
+		"X-A: b\r\n\tContent-Length: 10\r\n", " Content-Length: 10\r\n", "Content-Length 10\r\n", ": 10\r\n", "Content\x01Length: 10\r\n",
+		"Content\tLength: 10\r\n", "Content\xe9Length: 10\r\n", "Content\x00-Length: 10\r\n", "X-A: b\rContent-Length: 10\r\n",
+		"X-A: \x00\r\n", "X-A: \x01\r\n", "X-A: \x7f\r\n", "X-A: b\r\r\n", "A name: b\r\nContent-Length: 4\r\n",
+		"Transfer-Encoding : chunked\r\n", "Transfer Encoding: chunked\r\n", "X-A: b\r\n Transfer-Encoding: chunked\r\n",
+	} {
+		requireNoResponse(t, headOfResponse+lines+"\r\npart")
+		requireNoResponse(t, "HTTP/1.1 103 Early Hints\r\n"+lines+"\r\n"+response("1", "whole"))
+	}
+}
+
+func TestUnusualHeadIsRead(t *testing.T) {
+	for _, text := range []string{
+		headOfResponse + "Content-Length:5\r\n\r\nwhole",
+		headOfResponse + "content-length: \t5 \t\r\nX-A:\r\nX-B: caf\xe9\tand tea\r\n\r\nwhole",
+		"HTTP/1.1 200\nrequest-id: 1\nContent-Length: 5\n\nwhole",
+		"HTTP/1.0 200 OK\r\nRequest-Id: 1\r\n\r\nwhole",
+		headOfResponse + "X-A: " + strings.Repeat("long", bufferSize) + "\r\nContent-Length: 5\r\n\r\nwhole",
+		headOfResponse + strings.Repeat("X-A: b\r\n", 2*maxPresized) + "Content-Length: 5\r\n\r\nwhole",
+	} {
+		if body, err := get(t, newClient(), respondRaw(t, text), "1"); err != nil || body != "whole" {
+			t.Errorf("%.80q: got %q, %v", text, body, err)
+		}
+	}
+}
--- /dev/null
+++ b/connection/httphead/httphead.go
@@ -0,0 +1,53 @@
+// Package httphead parses the lines of HTTP/1 response heads as strictly as RFC 9112 defines
+// them. A line that is almost a field may be the one that frames the body: a parser that
+// ignores it, or takes it for another field, takes a part of the body for the whole.
+package httphead
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// TrimLineEnd removes the LF that ends a line and a CR before it.
+func TrimLineEnd(line string) string {
+	return strings.TrimSuffix(strings.TrimSuffix(line, "\n"), "\r")
+}
+
+// ParseField returns the name and the value of a field line without its line end. A folded
+// line is no field.
+func ParseField(line string) (name, value string, err error) {
+	name, value, ok := strings.Cut(line, ":")
+	if !ok || !isToken(name) || !isText(value) {
+		return "", "", errors.Newf("invalid field line %.60q", line)
+	}
+	return name, strings.Trim(value, " \t"), nil
+}
+
+// isToken reports whether s is a token of RFC 9110, section 5.6.2.
+func isToken(s string) bool {
+	for i := range len(s) {
+		if !tokenChars[s[i]] {
+			return false
+		}
+	}
+	return s != ""
+}
+
+var tokenChars = func() (chars [256]bool) {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789" + letters + strings.ToUpper(letters)) {
+		chars[c] = true
+	}
+	return chars
+}()
+
+// isText reports whether s contains no control character except tabs.
+func isText(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/request/forward/brokenresponse_test.go
+++ b/request/forward/brokenresponse_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -118,3 +119,80 @@
 		}
 	}
 }
+
+// responseKind is a kind of request and the response that its server would give.
+type responseKind struct {
+	kind              deployment.Repeatability
+	contentType, body string
+	long              bool
+}
+
+var responseKinds = map[string]responseKind{
+	"repeatable":   {deployment.Repeatable, "text/plain", "the whole body", false},
+	"unrepeatable": {deployment.Unrepeatable, "text/plain", "the whole body", false},
+	"upload":       {deployment.Unrepeatable, "text/plain", "the whole body", true},
+	"stream":       {deployment.Stream, "text/event-stream", expectedStream(4), false},
+	"long stream":  {deployment.Stream, "text/event-stream", expectedStream(4), true},
+}
+
+// sendTo sends a request of a kind to an entry with one server, whose response is the template.
+// In it, ID, TYPE, LENGTH, PART and WHOLE stand for the request's ID, the type, the length, the
+// first half and the whole of the body.
+func (k responseKind) sendTo(t *testing.T, template string) (*http.Response, string, error) {
+	t.Helper()
+	s := newRawServer(t, "s1", func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = strings.NewReplacer("ID", r.Header.Get(platform.HeaderRequestID), "TYPE", k.contentType, "LENGTH", fmt.Sprint(len(k.body)),
+			"PART", k.body[:len(k.body)/2], "WHOLE", k.body).WriteString(c, template)
+	})
+	e := newTestEntry(t, testConfig(k.kind, testTimeout), s)
+	defer e.Close()
+	resp, body, err := e.send(t, func(r *http.Request) {
+		if k.long {
+			withLongBody(r)
+		}
+	})
+	if s.runCount() != 1 {
+		t.Errorf("the server got %d requests", s.runCount())
+	}
+	return resp, body, err
+}
+
+const (
+	signedFields  = "Request-Id: ID\r\nSignature: s\r\nContent-Type: TYPE\r\n"
+	signedHead    = "HTTP/1.1 200 OK\r\n" + signedFields
+	refusalFields = "Request-Id: ID\r\nNot-Executed: 1\r\n"
+)
+
+// The server got the request, so that its caller gets neither a success nor a promise that the
+// request was not run.
+func TestResponseWithASpoiltHeadIsAnsweredAsBadGateway(t *testing.T) {
+	for _, template := range []string{
+		signedHead + "Content-Length : LENGTH\r\n\r\nPART",
+		signedHead + "Content Length: LENGTH\r\n\r\nPART",
+		signedHead + "X-A: b\r\n Content-Length: LENGTH\r\n\r\nPART",
+		signedHead + "Content-Length LENGTH\r\n\r\nPART",
+		signedHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
+		signedHead + "Transfer Encoding: chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
+		signedHead + "X-A: b\r\n\tTransfer-Encoding: chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
+		signedHead + "A name: b\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+		signedHead + "A\x01name: b\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+		signedHead + "X-A: \x00\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+		signedHead + "X-A: b\r\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+		signedHead + "no field\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+		signedHead + ": b\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+		"HTTP/1.1 200 OK\r\n folded\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+		"HTTP/1.1 503 Busy\r\n" + refusalFields + "A name: b\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 Misdirected\r\n" + refusalFields + "Content-Length : 0\r\n\r\n",
+	} {
+		for name, kind := range responseKinds {
+			t.Run(fmt.Sprintf("%s %.120q", name, template), func(t *testing.T) {
+				t.Parallel()
+				resp, body, err := kind.sendTo(t, template)
+				if err != nil || resp.StatusCode != http.StatusBadGateway || resp.Header.Get(platform.HeaderNotRun) != "" {
+					t.Errorf("got response %v, body %q, error %v", resp, body, err)
+				}
+			})
+		}
+	}
+}
