backend: chunks in an HTTP/1.0 response are no framing

RFC 9112, section 6.1, has such a message treated as having faulty framing: it came through an intermediary that does not know chunks. The exchange fails, and the caller gets 502 or another server's response.

--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -285,8 +285,9 @@
 	case method == http.MethodHead || ex.Status == http.StatusNoContent || ex.Status == http.StatusNotModified:
 		ex.Length, ex.body, ex.complete = 0, http.NoBody, true
 	case len(encodings) > 0:
-		if len(encodings) > 1 || !strings.EqualFold(encodings[0], "chunked") || len(lengths) > 0 {
-			return errors.Newf("unsupported transfer encoding %q with content length %q", encodings, lengths)
+		// HTTP/1.0 has no chunks: an intermediary may have added the header or decoded the body.
+		if len(encodings) > 1 || !strings.EqualFold(encodings[0], "chunked") || len(lengths) > 0 || proto == "HTTP/1.0" {
+			return errors.Newf("unsupported transfer encoding %q with content length %q in %s", encodings, lengths, proto)
 		}
 		ex.body = &chunkedReader{r: ex.conn.r}
 	case len(lengths) > 0:
--- a/connection/backend/fuzz_test.go
+++ b/connection/backend/fuzz_test.go
@@ -74,6 +74,7 @@
 		"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent Length: 5\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n Content-Length: 5\r\n\r\nok",
 		"HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n" + response(id, "hello"),
+		"HTTP/1.0 200 \nRequest-Id: r-1\nTransfer-Encoding: chunked\n\n000\n\n",
 	} {
 		f.Add([]byte(text))
 	}
--- a/connection/backend/head_test.go
+++ b/connection/backend/head_test.go
@@ -58,3 +58,8 @@
 		}
 	}
 }
+
+// HTTP/1.0 has no chunks, so the response has no framing that can be trusted.
+func TestChunksInHTTP10AreNotDecoded(t *testing.T) {
+	requireNoResponse(t, "HTTP/1.0 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n")
+}
