backend: a spoilt status line is no response

Callers got responses whose status line was not one as if they were sound: statuses +200, 0200 and 00200, versions 1.x and 1.12, a control character in the reason, a line that ends with CR CR LF. A status of 000, 0, 99, 600 or 2000 never reached them; the tests of these stay.

Cause: strconv.Atoi takes signs and leading zeros, the version was checked by its prefix only, and the reason not at all.

Change: httphead.ParseStatusLine takes HTTP/1.0 or 1.1, three digits from 100 to 599 and a reason without control characters. A missing reason, with the blank before it, is accepted as before.

Evidence: before, TestResponseWithASpoiltStatusLineIsNotComplete read 7 of 13 forms, and 20 of the 25 new cases of the test in request/forward passed them on; the other five are status 000.

--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingpost/waxwingpost/connection/httphead"
 	"github.com/waxwingpost/waxwingpost/process/boottime"
 	"github.com/waxwingpost/waxwingpost/process/intake"
 )
@@ -257,11 +258,9 @@
 		if err != nil {
 			return errors.Wrap(err, "read status")
 		}
-		proto, rest, _ := strings.Cut(line, " ")
-		text, _, _ := strings.Cut(rest, " ")
-		status, err := strconv.Atoi(text)
-		if err != nil || !strings.HasPrefix(proto, "HTTP/1.") || status < 100 || status > 599 {
-			return errors.Newf("invalid status line %.60q", line)
+		proto, status, err := httphead.ParseStatusLine(line)
+		if err != nil {
+			return err
 		}
 		header, err := readFields(ex.conn.r)
 		if err != nil {
--- a/connection/backend/fuzz_test.go
+++ b/connection/backend/fuzz_test.go
@@ -41,8 +41,8 @@
 	return ex, body, err == nil
 }
 
-// firstHead matches a head as RFC 9112 defines its fields.
-var firstHead = regexp.MustCompile("^[^\\n]*\\n([!#$%&'*+\\-.^_`|~0-9A-Za-z]+:[\\t\\x20-\\x7e\\x80-\\xff]*\\r?\\n)*\\r?\\n")
+// firstHead matches a head as RFC 9112 defines its lines.
+var firstHead = regexp.MustCompile("^HTTP/1\\.[01] [1-5][0-9][0-9]( [\\t\\x20-\\x7e\\x80-\\xff]*)?\\r?\\n([!#$%&'*+\\-.^_`|~0-9A-Za-z]+:[\\t\\x20-\\x7e\\x80-\\xff]*\\r?\\n)*\\r?\\n")
 
 // latin1 returns the bytes as characters, which a regular expression needs to match single
 // bytes.
@@ -74,6 +74,7 @@
 		"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent Length: 5\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n Content-Length: 5\r\n\r\nok",
 		"HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n" + response(id, "hello"),
+		"HTTP/1.12 +200 O\x01K\r\nRequest-Id: r-1\r\n\r\nok",
 		"HTTP/1.0 200 \nRequest-Id: r-1\nTransfer-Encoding: chunked\n\n000\n\n",
 	} {
 		f.Add([]byte(text))
--- a/connection/backend/head_test.go
+++ b/connection/backend/head_test.go
@@ -63,3 +63,13 @@
 func TestChunksInHTTP10AreNotDecoded(t *testing.T) {
 	requireNoResponse(t, "HTTP/1.0 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n")
 }
+
+// A status line that is almost one may be what is left of another response.
+func TestResponseWithASpoiltStatusLineIsNotComplete(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 0 OK", "HTTP/1.1 99 OK", "HTTP/1.1 600 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +200 OK", "HTTP/1.1 0200 OK",
+		"HTTP/1.1 00200 OK", "HTTP/1.x 200 OK", "HTTP/1.12 200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 OK\r", "HTTP/1.1  200 OK",
+	} {
+		requireNoResponse(t, line+"\r\nRequest-Id: 1\r\nContent-Length: 5\r\n\r\nwhole")
+	}
+}
--- a/connection/httphead/httphead.go
+++ b/connection/httphead/httphead.go
@@ -4,6 +4,7 @@
 package httphead
 
 import (
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,23 @@
 	return strings.TrimSuffix(strings.TrimSuffix(line, "\n"), "\r")
 }
 
+// ParseStatusLine returns the version and the status of a status line without its line end.
+// The reason may be missing, with the blank before it.
+func ParseStatusLine(line string) (proto string, status int, err error) {
+	proto, rest, _ := strings.Cut(line, " ")
+	code, reason, _ := strings.Cut(rest, " ")
+	if proto != "HTTP/1.1" && proto != "HTTP/1.0" || len(code) != statusDigits || !isText(reason) {
+		return "", 0, errors.Newf("invalid status line %.60q", line)
+	}
+	n, err := strconv.ParseUint(code, 10, 16)
+	if err != nil || n < 100 || n > 599 {
+		return "", 0, errors.Newf("invalid status in line %.60q", line)
+	}
+	return proto, int(n), nil
+}
+
+const statusDigits = 3
+
 // ParseField returns the name and the value of a field line without its line end. A folded
 // line is no field.
 func ParseField(line string) (name, value string, err error) {
--- a/connection/httphead/httphead_test.go
+++ b/connection/httphead/httphead_test.go
@@ -2,6 +2,27 @@
 
 import "testing"
 
+func TestParseStatusLine(t *testing.T) {
+	for line, want := range map[string]int{
+		"HTTP/1.1 200 OK": 200, "HTTP/1.0 404 Not Found": 404, "HTTP/1.1 100 ": 100, "HTTP/1.1 599": 599, "HTTP/1.1 503 caf\xe9\tbusy": 503,
+	} {
+		if proto, status, err := ParseStatusLine(line); err != nil || status != want || proto != line[:8] {
+			t.Errorf("%q: got %q, %d, %v", line, proto, status, err)
+		}
+	}
+	for _, line := range []string{
+		"", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", " HTTP/1.1 200 OK", "HTTP/1.1 200\tOK",
+		"HTTP/1.1 000 OK", "HTTP/1.1 0 OK", "HTTP/1.1 99 OK", "HTTP/1.1 600 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +200 OK", "HTTP/1.1 +20 OK",
+		"HTTP/1.1 -20 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 00200 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 0x1 OK", "HTTP/1.1 2_0 OK",
+		"HTTP/1.x 200 OK", "HTTP/1.12 200 OK", "HTTP/1. 200 OK", "HTTP/2.0 200 OK", "HTTP/01.1 200 OK", "http/1.1 200 OK", "ICY 200 OK",
+		"HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 OK\r", "HTTP/1.1 200 O\x7fK",
+	} {
+		if proto, status, err := ParseStatusLine(line); err == nil {
+			t.Errorf("%q: got %q, %d", line, proto, status)
+		}
+	}
+}
+
 func TestParseField(t *testing.T) {
 	for line, want := range map[string][2]string{
 		"Name: value":                            {"Name", "value"},
--- a/request/forward/brokenresponse_test.go
+++ b/request/forward/brokenresponse_test.go
@@ -182,6 +182,11 @@
 		signedHead + "no field\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
 		signedHead + ": b\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
 		"HTTP/1.1 200 OK\r\n folded\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+		"HTTP/1.1 000 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+		"HTTP/1.1 +200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+		"HTTP/1.1 0200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+		"HTTP/1.12 200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+		"HTTP/1.1 200 O\x01K\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
 		"HTTP/1.1 503 Busy\r\n" + refusalFields + "A name: b\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 421 Misdirected\r\n" + refusalFields + "Content-Length : 0\r\n\r\n",
 	} {
