--- a/request/forward/brokenresponse_test.go
+++ b/request/forward/brokenresponse_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -164,40 +165,47 @@
 	refusalFields = "Request-Id: ID\r\nNot-Executed: 1\r\n"
 )
 
+// spoiltHeads are responses whose heads contain a line that is none.
+var spoiltHeads = []string{
+	signedHead + "Content-Length : LENGTH\r\n\r\nPART",
+	signedHead + "Content Length: LENGTH\r\n\r\nPART",
+	signedHead + "X-A: b\r\n Content-Length: LENGTH\r\n\r\nPART",
+	signedHead + "Content-Length LENGTH\r\n\r\nPART",
+	signedHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
+	signedHead + "Transfer Encoding: chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
+	signedHead + "X-A: b\r\n\tTransfer-Encoding: chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
+	signedHead + "A name: b\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+	signedHead + "A\x01name: b\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+	signedHead + "X-A: \x00\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+	signedHead + "X-A: b\r\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+	signedHead + "no field\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+	signedHead + ": b\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.1 200 OK\r\n folded\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.1 000 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.1 +200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.1 0200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.12 200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.1 200 O\x01K\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.1 503 Busy\r\n" + refusalFields + "A name: b\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 421 Misdirected\r\n" + refusalFields + "Content-Length : 0\r\n\r\n",
+}
+
 // The server got the request, so that its caller gets neither a success nor a promise that the
 // request was not run.
 func TestResponseWithASpoiltHeadIsAnsweredAsBadGateway(t *testing.T) {
-	for _, template := range []string{
-		signedHead + "Content-Length : LENGTH\r\n\r\nPART",
-		signedHead + "Content Length: LENGTH\r\n\r\nPART",
-		signedHead + "X-A: b\r\n Content-Length: LENGTH\r\n\r\nPART",
-		signedHead + "Content-Length LENGTH\r\n\r\nPART",
-		signedHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
-		signedHead + "Transfer Encoding: chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
-		signedHead + "X-A: b\r\n\tTransfer-Encoding: chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
-		signedHead + "A name: b\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
-		signedHead + "A\x01name: b\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
-		signedHead + "X-A: \x00\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
-		signedHead + "X-A: b\r\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
-		signedHead + "no field\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
-		signedHead + ": b\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
-		"HTTP/1.1 200 OK\r\n folded\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
-		"HTTP/1.1 000 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
-		"HTTP/1.1 +200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
-		"HTTP/1.1 0200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
-		"HTTP/1.12 200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
-		"HTTP/1.1 200 O\x01K\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
-		"HTTP/1.1 503 Busy\r\n" + refusalFields + "A name: b\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 421 Misdirected\r\n" + refusalFields + "Content-Length : 0\r\n\r\n",
-	} {
-		for name, kind := range responseKinds {
-			t.Run(fmt.Sprintf("%s %.120q", name, template), func(t *testing.T) {
-				t.Parallel()
-				resp, body, err := kind.sendTo(t, template)
-				if err != nil || resp.StatusCode != http.StatusBadGateway || resp.Header.Get(platform.HeaderNotRun) != "" {
-					t.Errorf("got response %v, body %q, error %v", resp, body, err)
-				}
-			})
-		}
+	for name, kind := range responseKinds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var cases sync.WaitGroup
+			for _, template := range spoiltHeads {
+				cases.Go(func() {
+					resp, body, err := kind.sendTo(t, template)
+					if err != nil || resp.StatusCode != http.StatusBadGateway || resp.Header.Get(platform.HeaderNotRun) != "" {
+						t.Errorf("%.120q: response %v, body %q, error %v", template, resp, body, err)
+					}
+				})
+			}
+			cases.Wait()
+		})
 	}
 }
