backend: a body that continues after its stated length is not complete

Callers got an empty success, or the first ten bytes of a body, where an engine stated Content-Length: 0 or 10 and sent the whole body behind it.

Cause: the client read what the head states. Bytes after the body only kept the connection from being reused.

Change: bytes that were read ahead when a body of known length ends must begin another response ("HTTP/1."), which some servers send after the first one. Otherwise the length was wrong: the read fails and the last part of the body is withheld, so that a response that is being relayed is cut visibly. A refusal that states in a sound head that the request was not run keeps its meaning.

Not covered: bytes that arrive later than the body's end. Looking for them would cost each response another system call, or a wait.

Second responses stay allowed (TestBodyThatIsFollowedByAnotherResponseIsComplete).

--- a/connection/backend/body.go
+++ b/connection/backend/body.go
@@ -9,7 +9,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// lengthReader reads a body whose length is known.
+// lengthReader reads a body whose length is known. If it is followed by bytes that can't be
+// another response, the length was wrong, and the last part of the body is not returned.
 type lengthReader struct {
 	r         *bufio.Reader
 	remaining int64
@@ -17,7 +18,7 @@
 
 func (l *lengthReader) Read(p []byte) (int, error) {
 	if l.remaining <= 0 {
-		return 0, io.EOF
+		return 0, l.endError()
 	}
 	if int64(len(p)) > l.remaining {
 		p = p[:l.remaining]
@@ -25,13 +26,28 @@
 	n, err := l.r.Read(p)
 	l.remaining -= int64(n)
 	switch {
-	case l.remaining == 0:
-		return n, io.EOF
-	case errors.Is(err, io.EOF):
+	case l.remaining > 0 && errors.Is(err, io.EOF):
 		return n, io.ErrUnexpectedEOF
-	default:
+	case l.remaining > 0:
 		return n, err
 	}
+	if err := l.endError(); err != io.EOF { //nolint:errorlint // endError returns io.EOF itself
+		return 0, err
+	}
+	return n, io.EOF
+}
+
+var errLongerBody = errors.New("the body continues after its stated length")
+
+// endError returns io.EOF, or errLongerBody if the bytes that were read ahead begin no response.
+// A server may send a second response after the first one.
+func (l *lengthReader) endError() error {
+	const start = "HTTP/1."
+	ahead, _ := l.r.Peek(min(l.r.Buffered(), len(start)))
+	if !strings.HasPrefix(start, string(ahead)) {
+		return errLongerBody
+	}
+	return io.EOF
 }
 
 // chunkedReader decodes a chunked body and discards its trailers.
--- a/connection/backend/head_test.go
+++ b/connection/backend/head_test.go
@@ -90,3 +90,21 @@
 		requireNoResponse(t, headOfResponse+lines+"\r\n5\r\nwhole\r\n0\r\n\r\n")
 	}
 }
+
+// A length that is too short leaves bytes after the body.
+func TestBodyThatContinuesAfterItsLengthIsNotComplete(t *testing.T) {
+	for _, lines := range []string{"Content-Length: 0\r\n", "Content-Length: 2\r\n", "Content-Length: 4\r\n"} {
+		requireNoResponse(t, headOfResponse+lines+"\r\nwhole")
+	}
+}
+
+// A second response does not belong to the first one.
+func TestBodyThatIsFollowedByAnotherResponseIsComplete(t *testing.T) {
+	for _, after := range []string{"", "H", "HTTP/1.", "HTTP/1.1 200 OK\r\n", response("1", "again"), response("2", "other")} {
+		for _, body := range []string{"", "whole"} {
+			if got, err := get(t, newClient(), respondRaw(t, response("1", body)+after), "1"); err != nil || got != body {
+				t.Errorf("%q after %q: got %q, %v", after, body, got, err)
+			}
+		}
+	}
+}
--- a/request/forward/brokenresponse_test.go
+++ b/request/forward/brokenresponse_test.go
@@ -143,8 +143,9 @@
 	t.Helper()
 	s := newRawServer(t, "s1", func(c *net.TCPConn, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		_, _ = strings.NewReplacer("ID", r.Header.Get(platform.HeaderRequestID), "TYPE", k.contentType, "LENGTH", fmt.Sprint(len(k.body)),
-			"PART", k.body[:len(k.body)/2], "WHOLE", k.body).WriteString(c, template)
+		text := strings.NewReplacer("ID", r.Header.Get(platform.HeaderRequestID), "TYPE", k.contentType, "LENGTH", fmt.Sprint(len(k.body)),
+			"PART", k.body[:len(k.body)/2], "WHOLE", k.body).Replace(template)
+		_, _ = io.WriteString(c, text) // in one packet
 	})
 	e := newTestEntry(t, testConfig(k.kind, testTimeout), s)
 	defer e.Close()
@@ -173,6 +174,8 @@
 	signedHead + "Content-Length LENGTH\r\n\r\nPART",
 	signedHead + "Content-Length: -0\r\n\r\nWHOLE",
 	signedHead + "Content-Length: +LENGTH\r\n\r\nWHOLE",
+	signedHead + "Content-Length: 0\r\n\r\nWHOLE",
+	signedHead + "Content-Length: 10\r\n\r\nWHOLE",
 	signedHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
 	signedHead + "Transfer Encoding: chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
 	signedHead + "X-A: b\r\n\tTransfer-Encoding: chunked\r\n\r\n4\r\nPART\r\n0\r\n\r\n",
