backend: spoilt lines between chunks and in trailers are an error

A response with a line between its chunks, or a trailer, that is none was complete for callers: a blank before a size, lines that end with CR CR LF, control characters in an extension, trailers that are no fields. The bodies seen were right, but such lines may as well be a part of one.

Cause: line ends were cut off with TrimRight, sizes trimmed on both sides, and trailers skipped up to an empty line, whatever they held.

Change: one line end is cut off, blanks are accepted after a size only (some servers pad them), extensions are text, and trailers are fields as in heads.

--- a/connection/backend/body.go
+++ b/connection/backend/body.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/connection/httphead"
 )
 
 // lengthReader reads a body whose length is known. If it is followed by bytes that can't be
@@ -110,8 +112,11 @@
 	if err != nil {
 		return err
 	}
-	digits, _, _ := strings.Cut(line, ";")
-	digits = strings.TrimSpace(digits)
+	digits, extensions, _ := strings.Cut(line, ";")
+	if !httphead.IsText(extensions) {
+		return errMalformedChunk
+	}
+	digits = strings.TrimRight(digits, " \t")
 	size, err := strconv.ParseUint(digits, 16, 63)
 	if err != nil || len(digits) > maxChunkDigits {
 		return errMalformedChunk
@@ -129,6 +134,9 @@
 			c.done = true
 			return nil
 		}
+		if _, _, err := httphead.ParseField(line); err != nil {
+			return errMalformedChunk
+		}
 	}
 	return errMalformedChunk
 }
@@ -141,5 +149,5 @@
 	if len(line) > maxChunkLine {
 		return "", errMalformedChunk
 	}
-	return strings.TrimRight(string(line), "\r\n"), nil
+	return httphead.TrimLineEnd(string(line)), nil
 }
--- a/connection/backend/head_test.go
+++ b/connection/backend/head_test.go
@@ -108,3 +108,22 @@
 		}
 	}
 }
+
+// Lines between chunks that are almost right may be a part of the body.
+func TestBodyWithASpoiltLineBetweenChunksIsNotComplete(t *testing.T) {
+	for _, body := range []string{
+		" 5\r\nwhole\r\n0\r\n\r\n", "+5\r\nwhole\r\n0\r\n\r\n", "0x5\r\nwhole\r\n0\r\n\r\n", "\r\nwhole\r\n0\r\n\r\n", "5\r\r\nwhole\r\n0\r\n\r\n",
+		"5\r\nwhole\r\r\n0\r\n\r\n", "5\r\nwhole\r\n0\r\r\n\r\n", "5;a\x00\r\nwhole\r\n0\r\n\r\n", "5\r\nwhole\r\n0\r\nno field\r\n\r\n",
+		"5\r\nwhole\r\n0\r\nA name: b\r\n\r\n", "5\r\nwhole\r\n0\r\nX-A: b\r\n folded\r\n\r\n", "5\r\nwhole\r\n0\r\nX-A: \x00\r\n\r\n", "5\r\nwhole\r\n0\r\n\r\r\n",
+	} {
+		requireNoResponse(t, headOfResponse+"Transfer-Encoding: chunked\r\n\r\n"+body)
+	}
+}
+
+func TestUnusualChunksAreRead(t *testing.T) {
+	for _, body := range []string{"05 \t\r\nwhole\r\n00\r\n\r\n", "5;a=\"b\tc\"\nwhole\n0;d\nX-A: b\nX-B:\n\n", "2\r\nwh\r\n3\r\nole\r\n0\r\nX-A: b\r\n\r\n"} {
+		if got, err := get(t, newClient(), respondRaw(t, headOfResponse+"Transfer-Encoding: chunked\r\n\r\n"+body), "1"); err != nil || got != "whole" {
+			t.Errorf("%q: got %q, %v", body, got, err)
+		}
+	}
+}
--- a/connection/httphead/httphead.go
+++ b/connection/httphead/httphead.go
@@ -20,7 +20,7 @@
 func ParseStatusLine(line string) (proto string, status int, err error) {
 	proto, rest, _ := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(rest, " ")
-	if proto != "HTTP/1.1" && proto != "HTTP/1.0" || len(code) != statusDigits || !isText(reason) {
+	if proto != "HTTP/1.1" && proto != "HTTP/1.0" || len(code) != statusDigits || !IsText(reason) {
 		return "", 0, errors.Newf("invalid status line %.60q", line)
 	}
 	n, err := strconv.ParseUint(code, 10, 16)
@@ -36,7 +36,7 @@
 // line is no field.
 func ParseField(line string) (name, value string, err error) {
 	name, value, ok := strings.Cut(line, ":")
-	if !ok || !isToken(name) || !isText(value) {
+	if !ok || !isToken(name) || !IsText(value) {
 		return "", "", errors.Newf("invalid field line %.60q", line)
 	}
 	return name, strings.Trim(value, " \t"), nil
@@ -71,8 +71,8 @@
 	return chars
 }()
 
-// isText reports whether s contains no control character except tabs.
-func isText(s string) bool {
+// IsText reports whether s contains no control character except tabs.
+func IsText(s string) bool {
 	for i := range len(s) {
 		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
 			return false
