--- a/connection/backend/body.go
+++ b/connection/backend/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"strconv"
 	"strings"
@@ -103,7 +104,7 @@
 // of the next one. After the last chunk it reads the trailers.
 func (c *chunkedReader) nextChunk() error {
 	if c.inChunk {
-		if line, err := c.readLine(); err != nil || line != "" {
+		if line, err := c.readLine(); err != nil || len(line) > 0 {
 			return errors.CombineErrors(err, errMalformedChunk)
 		}
 		c.inChunk = false
@@ -112,13 +113,10 @@
 	if err != nil {
 		return err
 	}
-	digits, extensions, _ := strings.Cut(line, ";")
-	if !httphead.IsText(extensions) {
-		return errMalformedChunk
-	}
-	digits = strings.TrimRight(digits, " \t")
-	size, err := strconv.ParseUint(digits, 16, 63)
-	if err != nil || len(digits) > maxChunkDigits {
+	digits, extensions, _ := bytes.Cut(line, []byte{';'})
+	digits = bytes.TrimRight(digits, " \t")
+	size, err := strconv.ParseUint(string(digits), 16, 63)
+	if err != nil || len(digits) > maxChunkDigits || !httphead.IsText(extensions) {
 		return errMalformedChunk
 	}
 	c.remaining, c.inChunk = int64(size), true
@@ -130,7 +128,7 @@
 		if err != nil {
 			return err
 		}
-		if line == "" {
+		if len(line) == 0 {
 			c.done = true
 			return nil
 		}
@@ -141,13 +139,14 @@
 	return errMalformedChunk
 }
 
-func (c *chunkedReader) readLine() (string, error) {
+// readLine reads a line without its end. The bytes are valid until the next read.
+func (c *chunkedReader) readLine() ([]byte, error) {
 	line, err := c.r.ReadSlice('\n')
 	if err != nil {
-		return "", err
+		return nil, err
 	}
 	if len(line) > maxChunkLine {
-		return "", errMalformedChunk
+		return nil, errMalformedChunk
 	}
-	return httphead.TrimLineEnd(string(line)), nil
+	return httphead.TrimLineEnd(line), nil
 }
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -277,7 +277,7 @@
 // setFraming determines from the head how the end of the body is marked.
 func (ex *Exchange) setFraming(method, proto string) error {
 	ex.Length, ex.complete = -1, false
-	ex.keepAlive = proto == "HTTP/1.1" && !hasToken(ex.Header["Connection"], "close")
+	ex.keepAlive = proto == httphead.HTTP11 && !hasToken(ex.Header["Connection"], "close")
 	encodings := ex.Header["Transfer-Encoding"]
 	lengths := ex.Header["Content-Length"]
 	if len(lengths) > 0 {
@@ -292,7 +292,7 @@
 		ex.Length, ex.body, ex.complete = 0, http.NoBody, true
 	case len(encodings) > 0:
 		// HTTP/1.0 has no chunks: an intermediary may have added the header or decoded the body.
-		if len(encodings) > 1 || !strings.EqualFold(encodings[0], "chunked") || len(lengths) > 0 || proto == "HTTP/1.0" {
+		if len(encodings) > 1 || !strings.EqualFold(encodings[0], "chunked") || len(lengths) > 0 || proto == httphead.HTTP10 {
 			return errors.Newf("unsupported transfer encoding %q with content length %q in %s", encodings, lengths, proto)
 		}
 		ex.body = &chunkedReader{r: ex.conn.r}
--- a/connection/backend/head.go
+++ b/connection/backend/head.go
@@ -24,36 +24,37 @@
 		if err != nil {
 			return nil, toUnexpectedEOF(err)
 		}
-		if line == "" {
+		if len(line) == 0 {
 			return header, nil
 		}
 		name, value, err := httphead.ParseField(line)
 		if err != nil {
 			return nil, err
 		}
-		name = textproto.CanonicalMIMEHeaderKey(name)
-		if header[name] != nil {
-			header[name] = append(header[name], value)
+		key := textproto.CanonicalMIMEHeaderKey(string(name))
+		if header[key] != nil {
+			header[key] = append(header[key], string(value))
 			continue
 		}
 		// The slices of single values share an array.
-		values = append(values, value)
-		header[name] = values[len(values)-1 : len(values) : len(values)]
+		values = append(values, string(value))
+		header[key] = values[len(values)-1 : len(values) : len(values)]
 	}
 }
 
-// readLine reads a line of any length and returns it without its end.
-func readLine(r *bufio.Reader) (string, error) {
+// readLine reads a line of any length and returns it without its end. The bytes are valid until
+// the next read.
+func readLine(r *bufio.Reader) ([]byte, error) {
 	var long []byte
 	for {
 		part, err := r.ReadSlice('\n')
 		switch {
 		case err == nil && long == nil:
-			return httphead.TrimLineEnd(string(part)), nil
+			return httphead.TrimLineEnd(part), nil
 		case err == nil:
-			return httphead.TrimLineEnd(string(append(long, part...))), nil
+			return httphead.TrimLineEnd(append(long, part...)), nil
 		case !errors.Is(err, bufio.ErrBufferFull):
-			return "", err
+			return nil, err
 		}
 		long = append(long, part...)
 	}
--- a/connection/httphead/httphead.go
+++ b/connection/httphead/httphead.go
@@ -4,6 +4,7 @@
 package httphead
 
 import (
+	"bytes"
 	"strconv"
 	"strings"
 
@@ -11,35 +12,44 @@
 )
 
 // TrimLineEnd removes the LF that ends a line and a CR before it.
-func TrimLineEnd(line string) string {
-	return strings.TrimSuffix(strings.TrimSuffix(line, "\n"), "\r")
+func TrimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
 }
 
 // ParseStatusLine returns the version and the status of a status line without its line end.
 // The reason may be missing, with the blank before it.
-func ParseStatusLine(line string) (proto string, status int, err error) {
-	proto, rest, _ := strings.Cut(line, " ")
-	code, reason, _ := strings.Cut(rest, " ")
-	if proto != "HTTP/1.1" && proto != "HTTP/1.0" || len(code) != statusDigits || !IsText(reason) {
-		return "", 0, errors.Newf("invalid status line %.60q", line)
+func ParseStatusLine(line []byte) (proto string, status int, err error) {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	code, reason, _ := bytes.Cut(rest, []byte{' '})
+	switch string(version) {
+	case HTTP10:
+		proto = HTTP10
+	case HTTP11:
+		proto = HTTP11
 	}
-	n, err := strconv.ParseUint(code, 10, 16)
-	if err != nil || n < 100 || n > 599 {
-		return "", 0, errors.Newf("invalid status in line %.60q", line)
+	n, err := strconv.ParseUint(string(code), 10, 16)
+	if proto == "" || err != nil || len(code) != statusDigits || n < 100 || n > 599 || !IsText(reason) {
+		return "", 0, errors.Newf("invalid status line %.60q", line)
 	}
 	return proto, int(n), nil
 }
 
+// Versions of HTTP.
+const (
+	HTTP10 = "HTTP/1.0"
+	HTTP11 = "HTTP/1.1"
+)
+
 const statusDigits = 3
 
 // ParseField returns the name and the value of a field line without its line end. A folded
 // line is no field.
-func ParseField(line string) (name, value string, err error) {
-	name, value, ok := strings.Cut(line, ":")
+func ParseField(line []byte) (name, value []byte, err error) {
+	name, value, ok := bytes.Cut(line, []byte{':'})
 	if !ok || !isToken(name) || !IsText(value) {
-		return "", "", errors.Newf("invalid field line %.60q", line)
+		return nil, nil, errors.Newf("invalid field line %.60q", line)
 	}
-	return name, strings.Trim(value, " \t"), nil
+	return name, bytes.Trim(value, " \t"), nil
 }
 
 // ParseLength returns the length that the values of Content-Length state. Several values are an
@@ -54,13 +64,13 @@
 }
 
 // isToken reports whether s is a token of RFC 9110, section 5.6.2.
-func isToken(s string) bool {
-	for i := range len(s) {
-		if !tokenChars[s[i]] {
+func isToken(s []byte) bool {
+	for _, c := range s {
+		if !tokenChars[c] {
 			return false
 		}
 	}
-	return s != ""
+	return len(s) > 0
 }
 
 var tokenChars = func() (chars [256]bool) {
@@ -72,9 +82,9 @@
 }()
 
 // IsText reports whether s contains no control character except tabs.
-func IsText(s string) bool {
-	for i := range len(s) {
-		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
+func IsText(s []byte) bool {
+	for _, c := range s {
+		if c < ' ' && c != '\t' || c == 0x7f {
 			return false
 		}
 	}
--- a/connection/httphead/httphead_test.go
+++ b/connection/httphead/httphead_test.go
@@ -6,7 +6,7 @@
 	for line, want := range map[string]int{
 		"HTTP/1.1 200 OK": 200, "HTTP/1.0 404 Not Found": 404, "HTTP/1.1 100 ": 100, "HTTP/1.1 599": 599, "HTTP/1.1 503 caf\xe9\tbusy": 503,
 	} {
-		if proto, status, err := ParseStatusLine(line); err != nil || status != want || proto != line[:8] {
+		if proto, status, err := ParseStatusLine([]byte(line)); err != nil || status != want || proto != line[:8] {
 			t.Errorf("%q: got %q, %d, %v", line, proto, status, err)
 		}
 	}
@@ -17,7 +17,7 @@
 		"HTTP/1.x 200 OK", "HTTP/1.12 200 OK", "HTTP/1. 200 OK", "HTTP/2.0 200 OK", "HTTP/01.1 200 OK", "http/1.1 200 OK", "ICY 200 OK",
 		"HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 OK\r", "HTTP/1.1 200 O\x7fK",
 	} {
-		if proto, status, err := ParseStatusLine(line); err == nil {
+		if proto, status, err := ParseStatusLine([]byte(line)); err == nil {
 			t.Errorf("%q: got %q, %d", line, proto, status)
 		}
 	}
@@ -32,7 +32,7 @@
 		"n!#$%&'*+-.^_`|~9: a:b\"(),/;<=>?@[]{}": {"n!#$%&'*+-.^_`|~9", "a:b\"(),/;<=>?@[]{}"},
 		"Name: caf\xe9 \xc3\xa9":                 {"Name", "caf\xe9 \xc3\xa9"},
 	} {
-		if name, value, err := ParseField(line); err != nil || name != want[0] || value != want[1] {
+		if name, value, err := ParseField([]byte(line)); err != nil || string(name) != want[0] || string(value) != want[1] {
 			t.Errorf("%q: got %q, %q, %v", line, name, value, err)
 		}
 	}
@@ -40,7 +40,7 @@
 		"", "Name", ": value", "Name : value", "Na me: value", " Name: value", "\tName: value", "Na\x01me: value", "Na\tme: value",
 		"Na\xe9me: value", "Name\x7f: value", "Name: a\x00b", "Name: a\rb", "Name: a\r", "Name: a\x7f", "Name: a\nb", "(Name): value",
 	} {
-		if name, value, err := ParseField(line); err == nil {
+		if name, value, err := ParseField([]byte(line)); err == nil {
 			t.Errorf("%q: got %q, %q", line, name, value)
 		}
 	}
@@ -61,7 +61,7 @@
 
 func TestTrimLineEnd(t *testing.T) {
 	for line, want := range map[string]string{"a\r\n": "a", "a\n": "a", "a": "a", "a\r\r\n": "a\r", "\r\n": "", "\n": "", "a\n\n": "a\n"} {
-		if got := TrimLineEnd(line); got != want {
+		if got := string(TrimLineEnd([]byte(line))); got != want {
 			t.Errorf("%q: got %q, want %q", line, got, want)
 		}
 	}
