intake: transports of the product fail for lines of heads that are no fields

The same fault as in connection/backend, in the readers that use net/http: the product's own interface, agents' calls to engines, transfers, manifests and links read a part of a body as complete if the head was spoilt where it tells the length, and took status 000 for one. Interfaces that require a length or chunks refused such parts already; the others did not.

Cause: net/http parses heads with the same textproto reader.

Change: the connections that bound the lines of heads (LimitHeads, now CheckHeads) check them with connection/httphead, in interim responses too, in whatever parts they arrive. The transport gets a byte before the error, so that it does not send the request again on its own.

--- a/process/intake/heads.go
+++ b/process/intake/heads.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingpost/waxwingpost/connection/httphead"
 )
 
 const (
@@ -21,9 +23,10 @@
 
 var errHeadTooLong = errors.New("response head too long")
 
-// LimitHeads makes a transport fail for responses whose heads are too long, without holding
-// them. The transport must not be used otherwise any more.
-func LimitHeads(t *http.Transport) *HeadTransport {
+// CheckHeads makes a transport fail for responses whose heads are too long, or contain lines that
+// net/http accepts although they are no fields. The transport must not be used otherwise any
+// more.
+func CheckHeads(t *http.Transport) *HeadTransport {
 	t.MaxResponseHeaderBytes = maxHeadBytes
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -36,7 +39,7 @@
 	return &HeadTransport{t}
 }
 
-// HeadTransport is a transport with limited heads.
+// HeadTransport is a transport that checks heads.
 type HeadTransport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper. A caller with a trace of its own must call BeginHead
@@ -49,80 +52,92 @@
 	return t.Transport.RoundTrip(r)
 }
 
-// BeginHead tells a connection of a transport with limited heads that a request is sent on it.
+// BeginHead tells a connection of a transport that checks heads that a request is sent on it.
 func BeginHead(c net.Conn) {
 	if own, ok := c.(*headConn); ok {
 		own.begin()
 	}
 }
 
-// headConn counts the lines of response heads.
+// headConn checks response heads.
 type headConn struct {
 	net.Conn
-	// tooLong is set once a head was too long.
-	tooLong atomic.Bool
+	// failed is set once a head was too long or spoilt.
+	failed atomic.Pointer[headError]
 
 	// mu guards the fields below; it is a leaf lock.
 	mu sync.Mutex
 	// active is set until the end of a head.
 	active bool
-	scan   scanner
-	// lines counts those of the interim responses, and status holds the beginning of the
-	// status line.
-	lines  int
-	status []byte
+	// line is the beginning of the current line, and lines counts the lines of the head and of
+	// the interim responses before it.
+	line  []byte
+	lines int
+	// status is that of the current head, 0 before its status line.
+	status int
 }
 
+type headError struct{ error }
+
 func (c *headConn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active = true
-	c.restart(0)
+	c.active, c.line, c.lines, c.status = true, nil, 0, 0
 }
 
-// restart begins another section. It is called with mu held.
-func (c *headConn) restart(lines int) { c.scan, c.lines, c.status = scanner{}, lines, c.status[:0] }
-
 // Read implements net.Conn.
 func (c *headConn) Read(p []byte) (int, error) {
-	if c.tooLong.Load() {
-		return 0, errHeadTooLong
+	if failed := c.failed.Load(); failed != nil {
+		return 0, failed.error
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.count(p[:n]) {
-		c.tooLong.Store(true)
+	if failed := c.check(p[:n]); failed != nil {
+		c.failed.Store(&headError{failed})
 		// The transport repeats some requests if no byte of a response has come.
-		return bytes.IndexByte(p[:n], '\n') + 1, errHeadTooLong
+		return bytes.IndexByte(p[:n], '\n') + 1, failed
 	}
 	return n, err
 }
 
-// statusPrefix is the length of a status line up to the status.
-const statusPrefix = len("HTTP/1.1 200")
-
-// count follows the head in the bytes that were read. It returns false if that is too long.
-func (c *headConn) count(p []byte) bool {
+// check follows the head in the bytes that were read. It returns an error if that is too long or
+// spoilt.
+func (c *headConn) check(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.active && len(p) > 0 {
-		if missing := statusPrefix - len(c.status); missing > 0 {
-			c.status = append(c.status, p[:min(missing, len(p))]...)
+		line, rest, ended := bytes.Cut(p, []byte{'\n'})
+		if !ended || len(c.line) > 0 {
+			c.line = append(c.line, line...)
+			line = c.line
 		}
-		p = p[c.scan.scan(p):]
-		if c.lines+c.scan.lines > maxHeadLines {
-			return false
+		switch {
+		case len(line) > maxHeadBytes:
+			return errHeadTooLong
+		case !ended:
+			return nil
 		}
-		if !c.scan.done {
-			return true
-		}
-		if c.active = c.interim(); c.active {
-			c.restart(c.lines + c.scan.lines)
+		if err := c.checkLine(httphead.TrimLineEnd(line)); err != nil {
+			return err
 		}
+		c.line, p = nil, rest
 	}
-	return true
+	return nil
 }
 
-// interim reports whether another head follows.
-func (c *headConn) interim() bool {
-	return len(c.status) == statusPrefix && c.status[9] == '1' && !bytes.HasSuffix(c.status, []byte("101"))
+// checkLine checks a line of a head. It is called with mu held.
+func (c *headConn) checkLine(line []byte) (err error) {
+	if c.lines++; c.lines > maxHeadLines {
+		return errHeadTooLong
+	}
+	switch {
+	case c.status == 0:
+		_, c.status, err = httphead.ParseStatusLine(line)
+	case len(line) > 0:
+		_, _, err = httphead.ParseField(line)
+	default:
+		// Another head follows an interim response.
+		c.active = c.status < http.StatusOK && c.status != http.StatusSwitchingProtocols
+		c.status = 0
+	}
+	return err
 }
--- a/process/intake/heads_test.go
+++ b/process/intake/heads_test.go
@@ -13,7 +13,8 @@
 	"time"
 )
 
-// serveResponses answers the requests on each connection with the responses in turn.
+// serveResponses answers the requests on each connection with the responses in turn. It closes
+// the connection before an empty one.
 func serveResponses(t *testing.T, responses ...string) (client *http.Client, url string, requests *atomic.Int32) {
 	t.Helper()
 	requests = &atomic.Int32{}
@@ -38,14 +39,14 @@
 					}
 					requests.Add(1)
 					_, _ = io.Copy(io.Discard, req.Body)
-					if _, err := io.WriteString(c, responses[n%len(responses)]); err != nil {
+					if _, err := io.WriteString(c, responses[n%len(responses)]); err != nil || responses[(n+1)%len(responses)] == "" {
 						return
 					}
 				}
 			}()
 		}
 	}()
-	client = &http.Client{Timeout: 5 * time.Second, Transport: LimitHeads(&http.Transport{MaxConnsPerHost: 1, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+	client = &http.Client{Timeout: 5 * time.Second, Transport: CheckHeads(&http.Transport{MaxConnsPerHost: 1, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	}})}
 	return client, "http://" + l.Addr().String(), requests
@@ -91,6 +92,54 @@
 	}
 }
 
+// Guards against bodies without framing: net/http accepts blanks in names and folded lines.
+func TestResponseHeadWithALineThatIsNoFieldFails(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length : 9\r\n", "HTTP/1.1 200 OK\r\nContent Length: 9\r\n", "HTTP/1.1 200 OK\r\nX-A: b\r\n Content-Length: 9\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n", okHead + "A name: b\r\n", okHead + "X-A: b\r\r\n", okHead + "X-A: \x01\r\n",
+		okHead + "no field\r\n", "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n", "HTTP/1.12 200 OK\r\nContent-Length: 4\r\n",
+	} {
+		for name, responses := range map[string][]string{
+			"first":     {head + "\r\nbody"},
+			"second":    {okHead + "\r\nbody", head + "\r\nbody"},
+			"after 1xx": {"HTTP/1.1 103 Early Hints\r\n\r\n" + head + "\r\nbody"},
+		} {
+			client, url, requests := serveResponses(t, append(responses, "")...)
+			for n := range responses {
+				body, err := fetch(client, url)
+				if last := n == len(responses)-1; last && err == nil || !last && body != "body" {
+					t.Errorf("%s, %q: got %q, error %v", name, head, body, err)
+				}
+			}
+			if got := int(requests.Load()); got != len(responses) {
+				t.Errorf("%s, %q: %d requests were sent, want %d", name, head, got, len(responses))
+			}
+		}
+	}
+}
+
+// partConn returns few bytes at a time.
+type partConn struct {
+	net.Conn
+	r    io.Reader
+	size int
+}
+
+func (c *partConn) Read(p []byte) (int, error) { return c.r.Read(p[:min(len(p), c.size)]) }
+
+// Guards against lines that are checked only if they arrive whole.
+func TestHeadIsCheckedInWhateverPartsItArrives(t *testing.T) {
+	sound := "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + okHead + "X-A: b\r\n\r\nno field\r\n"
+	for size := range len(sound) {
+		for text, wantErr := range map[string]bool{sound: false, strings.Replace(sound, "X-A:", "X A:", 1): true} {
+			c := &headConn{Conn: &partConn{r: strings.NewReader(text), size: size + 1}, active: true}
+			if _, err := io.ReadAll(c); (err != nil) != wantErr {
+				t.Errorf("%d bytes at a time: error %v", size+1, err)
+			}
+		}
+	}
+}
+
 // Guards against lines of bodies that are taken for lines of heads.
 func TestLinesOfBodiesAreNotCounted(t *testing.T) {
 	lines := strings.Repeat("\n", 8*maxHeadLines)
--- a/process/runtime/linkclient.go
+++ b/process/runtime/linkclient.go
@@ -24,7 +24,7 @@
 // deployment.
 func LinkClient() *http.Client {
 	d := &linkDialer{dial: (&net.Dialer{}).DialContext, failures: map[string]int{}}
-	return &http.Client{Transport: intake.LimitHeads(&http.Transport{DialContext: d.dialContext, DisableCompression: true})}
+	return &http.Client{Transport: intake.CheckHeads(&http.Transport{DialContext: d.dialContext, DisableCompression: true})}
 }
 
 // linkDialer dials with a timeout that grows with consecutive failures.
--- a/process/runtime/runtime.go
+++ b/process/runtime/runtime.go
@@ -140,10 +140,10 @@
 }
 
 // NewTransport returns a transport that keeps enough idle connections for the
-// requests in flight to one VM, does not use compression and bounds the heads of responses.
+// requests in flight to one VM, does not use compression and checks the heads of responses.
 func NewTransport() *intake.HeadTransport {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return intake.LimitHeads(&http.Transport{
+	return intake.CheckHeads(&http.Transport{
 		DialContext:         d.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerVM,
 		IdleConnTimeout:     idleConnTimeout,
--- a/request/stream/transport.go
+++ b/request/stream/transport.go
@@ -24,8 +24,8 @@
 )
 
 // NewTransport returns a transport with a large pool of idle connections that
-// does not compress or decompress bodies, and bounds the heads of responses.
-func NewTransport() *intake.HeadTransport { return intake.LimitHeads(newTransport()) }
+// does not compress or decompress bodies, and checks the heads of responses.
+func NewTransport() *intake.HeadTransport { return intake.CheckHeads(newTransport()) }
 
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: dialKeepAlive}
@@ -46,7 +46,7 @@
 func NewNoReuseTransport() *intake.HeadTransport {
 	t := newTransport()
 	t.DisableKeepAlives = true
-	return intake.LimitHeads(t)
+	return intake.CheckHeads(t)
 }
 
 // Client is the HTTP client for go-kit's transport. It does not follow
