engine: the outcome of an order whose response is broken is unknown

Found by reading the other readers of responses: an agent took a 2xx for an accepted order, a 409 for an old fence and another 4xx for a refusal, although the response was cut off or had neither a length nor chunks.

Cause: orderError looked at the status only and ignored errors of the body.

Change: the response must be delimited and its body, up to the 512 bytes that are kept, must be read. Otherwise the outcome is unknown (EngineUnreadable), and the report shows what became of the order, as after a broken connection. IsDelimited moves to httphead, which package connection/engine can import. Reports need no framing: a part of a JSON object does not decode (TestPartOfAReportIsUnreadable, which passed before).

Evidence: TestOrderWithABrokenResponseIsUnknown failed in 9 of 15 cases before; the other six are spoilt heads, which the transport refuses.

--- a/connection/engine/http.go
+++ b/connection/engine/http.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/waxwingpost/waxwingpost/connection/httphead"
 	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
@@ -79,7 +80,8 @@
 	}
 	defer closeBody(resp)
 	if resp.StatusCode != http.StatusOK {
-		return report, result.New(result.EngineUnreadable, "report: status %d: %s", resp.StatusCode, errorText(resp))
+		text, _ := errorText(resp)
+		return report, result.New(result.EngineUnreadable, "report: status %d: %s", resp.StatusCode, text)
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report); err != nil {
 		return Report{}, result.New(result.EngineUnreadable, "report: %v", err)
@@ -142,22 +144,29 @@
 	return orderError(path, resp)
 }
 
+// orderError returns the error of an order by its response, which must be whole.
 func orderError(path string, resp *http.Response) error {
+	text, err := errorText(resp)
 	switch {
+	case !httphead.IsDelimited(resp):
+		return result.New(result.EngineUnreadable, "%s: the response with status %d is not delimited", path, resp.StatusCode)
+	case err != nil:
+		return result.New(result.EngineUnreadable, "%s: status %d: %v", path, resp.StatusCode, err)
 	case resp.StatusCode >= 200 && resp.StatusCode < 300:
 		return nil
 	case resp.StatusCode == http.StatusConflict:
-		return result.New(result.StaleFence, "%s: %s", path, errorText(resp))
+		return result.New(result.StaleFence, "%s: %s", path, text)
 	case resp.StatusCode >= 500:
-		return result.New(result.EngineUnreadable, "%s: status %d: %s", path, resp.StatusCode, errorText(resp))
+		return result.New(result.EngineUnreadable, "%s: status %d: %s", path, resp.StatusCode, text)
 	default:
-		return result.New(result.EngineRefused, "%s: status %d: %s", path, resp.StatusCode, errorText(resp))
+		return result.New(result.EngineRefused, "%s: status %d: %s", path, resp.StatusCode, text)
 	}
 }
 
-func errorText(resp *http.Response) string {
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	return strings.TrimSpace(string(text))
+// errorText returns the beginning of a body.
+func errorText(resp *http.Response) (string, error) {
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	return strings.TrimSpace(string(text)), err
 }
 
 // closeBody drains the rest of a small response so that the connection can be
--- a/connection/engine/http_test.go
+++ b/connection/engine/http_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,6 +11,7 @@
 	"time"
 
 	"github.com/waxwingpost/waxwingpost/process/control"
+	"github.com/waxwingpost/waxwingpost/process/intake"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
 
@@ -50,6 +53,47 @@
 	}
 }
 
+// newRawDriver returns a driver for a server that writes the same bytes to every request and
+// closes the connection.
+func newRawDriver(t *testing.T, text string) *HTTPDriver {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	return NewHTTP(strings.TrimPrefix(server.URL, "http://"), intake.CheckHeads(&http.Transport{DialContext: (&net.Dialer{}).DialContext}), 5*time.Second)
+}
+
+// An order that is taken for refused, or for accepted, is not sent again or not checked.
+func TestOrderWithABrokenResponseIsUnknown(t *testing.T) {
+	for _, status := range []string{"200 OK", "409 Conflict", "422 Unprocessable"} {
+		for _, rest := range []string{
+			"\r\n\r\ndet", "\r\nContent-Length: 6\r\n\r\ndet", "\r\nContent-Length : 6\r\n\r\ndet", "\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ndet\r\n",
+			"\r\nA name: b\r\nContent-Length: 6\r\n\r\ndetail",
+		} {
+			if err := newRawDriver(t, "HTTP/1.1 "+status+rest).Load(t.Context(), LoadOrder{}); result.CodeOf(err) != result.EngineUnreadable {
+				t.Errorf("%s%q: %v", status, rest, err)
+			}
+		}
+	}
+}
+
+// A report without framing is whole if its JSON is.
+func TestPartOfAReportIsUnreadable(t *testing.T) {
+	const valid = `{"version":"v1","state":"ready","slots":4}`
+	for length := range valid {
+		if r, err := newRawDriver(t, "HTTP/1.1 200 OK\r\n\r\n"+valid[:length]).Report(t.Context()); result.CodeOf(err) != result.EngineUnreadable {
+			t.Errorf("%q: %+v, %v", valid[:length], r, err)
+		}
+	}
+}
+
 func TestInvalidReportIsUnreadable(t *testing.T) {
 	valid := `{"version":"v1","state":"ready","slots":4}`
 	if r, err := newFixedDriver(t, http.StatusOK, valid).Report(context.Background()); err != nil || r.Version != "v1" || r.Slots != 4 {
--- a/connection/httphead/httphead.go
+++ b/connection/httphead/httphead.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -63,6 +64,12 @@
 	return 0, errors.Newf("invalid content length %.60q", values)
 }
 
+// IsDelimited reports whether the end of a response body can be distinguished from a broken
+// connection.
+func IsDelimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || resp.ProtoMajor >= 2 || len(resp.TransferEncoding) > 0
+}
+
 // isToken reports whether s is a token of RFC 9110, section 5.6.2.
 func isToken(s []byte) bool {
 	for _, c := range s {
--- a/request/api/dispatch.go
+++ b/request/api/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	kithttp "github.com/go-kit/kit/transport/http"
 
+	"github.com/waxwingpost/waxwingpost/connection/httphead"
 	"github.com/waxwingpost/waxwingpost/connection/session"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -199,7 +200,7 @@
 	if got := resp.Header.Get(wire.HeaderVersion); got != "" && d.version != "" && got != d.version {
 		return "the response comes from version " + got
 	}
-	if !stream.IsDelimited(resp) {
+	if !httphead.IsDelimited(resp) {
 		return "the response is not delimited"
 	}
 	return ""
--- a/request/runner/dispatch.go
+++ b/request/runner/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 
+	"github.com/waxwingpost/waxwingpost/connection/httphead"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/request/atmostonce"
@@ -98,7 +99,7 @@
 // checkResponse rejects a response whose truncation would go unnoticed, and one
 // that was served by another version than the one admitted.
 func checkResponse(br *backendResponse) error {
-	if !stream.IsDelimited(br.resp) {
+	if !httphead.IsDelimited(br.resp) {
 		return ranUnknownError(result.BackendFailed, "the backend server did not delimit its response")
 	}
 	got := br.resp.Header.Get(wire.HeaderVersion)
--- a/request/stream/headers.go
+++ b/request/stream/headers.go
@@ -55,12 +55,3 @@
 func IsEventStream(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
-
-// IsDelimited reports whether the end of a response body can be distinguished
-// from a broken connection.
-func IsDelimited(resp *http.Response) bool {
-	if resp.ContentLength >= 0 || resp.ProtoMajor >= 2 {
-		return true
-	}
-	return len(resp.TransferEncoding) > 0
-}
