cli: a part of an answer is a failure

state, explain and explain-placement printed a part of an answer and ended with status 0 if the answer had no framing, or lost it by a spoilt head.

Cause: they read with net/http's default transport until the end of the connection. Explanations and dumps carry no digest.

Change: they use the transport that checks heads, and an answer without a length or chunks is an error, as one that is cut off was before.

Evidence: TestPartOfAnAnswerIsAFailure failed in 9 of 12 cases before.

--- a/process/cli/cli.go
+++ b/process/cli/cli.go
@@ -12,9 +12,11 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingpost/waxwingpost/connection/httphead"
 	"github.com/waxwingpost/waxwingpost/connection/link"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
+	"github.com/waxwingpost/waxwingpost/process/runtime"
 	"github.com/waxwingpost/waxwingpost/process/telemetry"
 )
 
@@ -68,8 +70,7 @@
 		return err
 	}
 	link.Authenticator{Key: t.JoinKey}.SetJoinKey(req)
-	client := &http.Client{Timeout: queryTimeout}
-	resp, err := client.Do(req)
+	resp, err := newClient().Do(req)
 	if err != nil {
 		return errors.Wrap(err, "query the process")
 	}
@@ -77,9 +78,16 @@
 	return copyResponse(out, resp)
 }
 
+func newClient() *http.Client {
+	return &http.Client{Timeout: queryTimeout, Transport: runtime.NewTransport()}
+}
+
 // copyResponse writes the response body to out, or returns an error with the
-// result code that matches the HTTP status.
+// result code that matches the HTTP status. It fails if it is unknown whether the body is whole.
 func copyResponse(out io.Writer, resp *http.Response) error {
+	if !httphead.IsDelimited(resp) {
+		return result.New(result.BadMessage, "the response with status %d is not delimited", resp.StatusCode)
+	}
 	if resp.StatusCode == http.StatusOK {
 		_, err := io.Copy(out, resp.Body)
 		return err
--- a/process/cli/placement.go
+++ b/process/cli/placement.go
@@ -44,8 +44,7 @@
 	if p.Key != "" {
 		req.Header.Set(platform.HeaderAuthorization, "Bearer "+p.Key)
 	}
-	client := &http.Client{Timeout: queryTimeout}
-	resp, err := client.Do(req)
+	resp, err := newClient().Do(req)
 	if err != nil {
 		return errors.Wrap(err, "query the entry")
 	}
