sidecar: a refusal or a read-back that may be cut off does not count as read

Found by reading the other readers of responses: an agent took a 4xx or 503 with neither a length nor chunks for an order that its engine refused, a 404 of that kind for a piece that is not staged, and a part of a staged piece for a corrupt one, which counts as trouble of the engine.

Cause: the end of the connection was taken for the end of the response, as in the interface of callers.

Change: such a refusal is unknown (EngineUnreadable), and the engine's count of orders shows what became of an order, as after a broken connection. A read-back without framing counts if it has one of the piece's known digests. An order that was accepted is confirmed by reports and read-backs anyway, and reports are whole if their JSON is: both need no framing.

--- a/process/sidecar/enginecall.go
+++ b/process/sidecar/enginecall.go
@@ -40,7 +40,11 @@
 	if err := statusError(ex, http.MethodGet, platform.StageGetPath(key.Model, piece), nil); err != nil {
 		return digest{}, err
 	}
-	return digest(hash.Sum(nil)), nil
+	staged := digest(hash.Sum(nil))
+	if !ex.Framed() && !u.sidecar.store.HasDigest(key, piece, staged) {
+		return digest{}, result.New(result.EngineUnreadable, "staged piece %d has none of the known digests, and may be cut off", piece)
+	}
+	return staged, nil
 }
 
 // stagedPiece returns a staged piece.
@@ -74,9 +78,12 @@
 	return ex, nil
 }
 
-// statusError returns the error of a call whose response, with the body data, was read.
+// statusError returns the error of a call whose response, with the body data, was read. A refusal
+// that may have been cut off is none.
 func statusError(ex *backend.Exchange, method, target string, data []byte) error {
 	switch {
+	case ex.Status >= 300 && !ex.Framed():
+		return result.New(result.EngineUnreadable, "%s %s: the response with status %d may be cut off", method, target, ex.Status)
 	case ex.Status == http.StatusNotFound:
 		return errors.Mark(result.New(result.EngineRefused, "%s %s: status %d", method, target, ex.Status), errNotFound)
 	case ex.Status >= 300:
