--- a/version/pieces/refetch_test.go
+++ b/version/pieces/refetch_test.go
@@ -2,12 +2,39 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/waxwingpost/waxwingpost/platform"
 )
 
+// A manifest carries no digest, and may come without framing from an origin.
+func TestPartOfAManifestDoesNotDecode(t *testing.T) {
+	digest := sha256.Sum256([]byte("piece"))
+	fromPeer, err := cbor.Marshal(platform.Manifest{Model: "m", Version: 2, PieceBytes: 1, Digests: [][32]byte{digest, digest}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for length := range fromPeer {
+		if m, err := decodeManifest(fromPeer[:length]); err == nil {
+			t.Errorf("%x: decoded as %+v", fromPeer[:length], m)
+		}
+	}
+	fromOrigin := fmt.Sprintf(`{"model":"m","version":2,"chunkBytes":1,"digests":["%x","%x"]}`, digest, digest)
+	for length := range fromOrigin {
+		if m, err := platform.DecodeManifest(strings.NewReader(fromOrigin[:length])); err == nil {
+			t.Errorf("%q: decoded as %+v", fromOrigin[:length], m)
+		}
+	}
+	if _, err := platform.DecodeManifest(strings.NewReader(fromOrigin)); err != nil {
+		t.Error(err)
+	}
+}
+
 // The origin is dark; one agent passes on a corrupt manifest, another one a sound one.
 func TestManifestIsNotConfirmedByItsOwnSource(t *testing.T) {
 	for _, corrupt := range []int{0, 2} {
--- a/version/source/source_test.go
+++ b/version/source/source_test.go
@@ -88,3 +88,22 @@
 		t.Errorf("valid manifest: %v", err)
 	}
 }
+
+// A manifest carries no digest, and a source may send it without framing.
+func TestPartOfAManifestIsInvalid(t *testing.T) {
+	whole, err := json.Marshal(manifest.Build("v", []byte("weights"), 4))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for length := range len(whole) {
+		src := startSource(t, func(w http.ResponseWriter, _ *http.Request) {
+			if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+string(whole[:length]))
+				_ = conn.Close()
+			}
+		})
+		if _, err := ReadManifest(t.Context(), http.DefaultClient, src, "a"); result.CodeOf(err) != result.ManifestInvalid {
+			t.Errorf("%q: %v", whole[:length], err)
+		}
+	}
+}
