tests: broken responses that callers never got as complete

Parts with a length or chunks that are reset during an upload, parts that are reset after a short request, statuses out of range, 101 and a success with an empty signature.

--- a/connection/backend/resetupload_test.go
+++ b/connection/backend/resetupload_test.go
@@ -13,20 +13,20 @@
 // uploadBytes is more than the socket buffers hold.
 const uploadBytes = 32 << 20
 
-// answerEarly sends a request with a long body to a server that reads only its head, writes an
-// unframed response and ends the connection. It returns the body of the response.
-func answerEarly(t *testing.T, body string, end func(*net.TCPConn)) (string, error) {
+// answerEarly sends a request with a body of a length to a server that reads only its head, writes
+// a response with the given fields and ends the connection. It returns the body of the response.
+func answerEarly(t *testing.T, length int, fields, body string, end func(*net.TCPConn)) (string, error) {
 	t.Helper()
 	address, _ := serveConns(t, func(c net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n%s", req.Header.Get("Request-Id"), body)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\n%s", req.Header.Get("Request-Id"), fields, body)
 		end(c.(*net.TCPConn))
 	})
 	req := newRequest("1")
-	req.Body, req.HeadDeadline = make([]byte, uploadBytes), time.Now().Add(testHangLimit)
+	req.Body, req.HeadDeadline = make([]byte, length), time.Now().Add(testHangLimit)
 	ex, err := newClient().Do(t.Context(), address, req)
 	if err != nil {
 		return "", err
@@ -50,7 +50,7 @@
 		t.Run(delay.String(), func(t *testing.T) {
 			t.Parallel()
 			for i := range 10 {
-				if got, err := answerEarly(t, "part", resetAfter(delay)); err == nil {
+				if got, err := answerEarly(t, uploadBytes, "", "part", resetAfter(delay)); err == nil {
 					t.Errorf("try %d: %q was read as a complete body", i, got)
 				}
 			}
@@ -70,7 +70,7 @@
 			t.Parallel()
 			for i := range 10 {
 				started := time.Now()
-				got, err := answerEarly(t, "whole", func(c *net.TCPConn) {
+				got, err := answerEarly(t, uploadBytes, "", "whole", func(c *net.TCPConn) {
 					_ = c.CloseWrite()
 					afterClose(c)
 				})
@@ -84,3 +84,25 @@
 		})
 	}
 }
+
+func TestResponseThatIsResetIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		length       int
+		fields, body string
+	}{
+		"unframed, short request": {0, "", "part"},
+		"length, short request":   {0, "Content-Length: 5\r\n", "part"},
+		"chunks, short request":   {0, "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n"},
+		"length, upload":          {uploadBytes, "Content-Length: 5\r\n", "part"},
+		"chunks, upload":          {uploadBytes, "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for i := range 10 {
+				if got, err := answerEarly(t, c.length, c.fields, c.body, resetAfter(time.Millisecond)); err == nil {
+					t.Errorf("try %d: %q was read as a complete body", i, got)
+				}
+			}
+		})
+	}
+}
--- a/request/forward/brokenresponse_test.go
+++ b/request/forward/brokenresponse_test.go
@@ -166,7 +166,7 @@
 	refusalFields = "Request-Id: ID\r\nNot-Executed: 1\r\n"
 )
 
-// spoiltHeads are responses whose heads contain a line that is none.
+// spoiltHeads are responses whose heads contain a line that is none, or that are no answers.
 var spoiltHeads = []string{
 	signedHead + "Content-Length : LENGTH\r\n\r\nPART",
 	signedHead + "Content Length: LENGTH\r\n\r\nPART",
@@ -187,6 +187,11 @@
 	signedHead + ": b\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
 	"HTTP/1.1 200 OK\r\n folded\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
 	"HTTP/1.1 000 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.1 99 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.1 600 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.1 2000 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.1 101 Switching Protocols\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
+	"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSignature:\r\nContent-Type: TYPE\r\nContent-Length: LENGTH\r\n\r\nWHOLE",
 	"HTTP/1.1 +200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
 	"HTTP/1.1 0200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
 	"HTTP/1.12 200 OK\r\n" + signedFields + "Content-Length: LENGTH\r\n\r\nWHOLE",
