--- a/connection/backend/body.go
+++ b/connection/backend/body.go
@@ -18,34 +18,27 @@
 	remaining int64
 }
 
-func (l *lengthReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, l.endError()
+func (l *lengthReader) Read(p []byte) (n int, err error) {
+	if l.remaining > 0 {
+		n, err = l.r.Read(p[:min(int64(len(p)), l.remaining)])
+		l.remaining -= int64(n)
 	}
-	if int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
+	if l.remaining > 0 {
+		return n, toUnexpectedEOF(err)
 	}
-	n, err := l.r.Read(p)
-	l.remaining -= int64(n)
-	switch {
-	case l.remaining > 0 && errors.Is(err, io.EOF):
-		return n, io.ErrUnexpectedEOF
-	case l.remaining > 0:
-		return n, err
-	}
-	if err := l.endError(); err != io.EOF { //nolint:errorlint // endError returns io.EOF itself
+	if err := l.checkEnd(); err != nil {
 		return 0, err
 	}
 	return n, io.EOF
 }
 
-// endError returns io.EOF, or an error if the bytes that were read ahead begin no response.
-func (l *lengthReader) endError() error {
+// checkEnd returns an error if the bytes that were read ahead begin no response.
+func (l *lengthReader) checkEnd() error {
 	ahead, _ := l.r.Peek(l.r.Buffered())
 	if !httphead.BeginsResponse(ahead) {
 		return httphead.ErrLongerBody
 	}
-	return io.EOF
+	return nil
 }
 
 // chunkedReader decodes a chunked body and discards its trailers.
--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -298,7 +298,7 @@
 		ex.body = &chunkedReader{r: ex.conn.r}
 	case len(lengths) > 0:
 		body := &lengthReader{r: ex.conn.r, remaining: ex.Length}
-		ex.body, ex.complete = body, ex.Length == 0 && body.endError() == io.EOF
+		ex.body, ex.complete = body, ex.Length == 0 && body.checkEnd() == nil
 	default:
 		ex.keepAlive = false
 		ex.body = &closeReader{r: ex.conn.r, upload: ex.upload}
--- a/connection/httphead/httphead.go
+++ b/connection/httphead/httphead.go
@@ -12,6 +12,14 @@
 	"github.com/cockroachdb/errors"
 )
 
+// Versions of HTTP.
+const (
+	HTTP10 = "HTTP/1.0"
+	HTTP11 = "HTTP/1.1"
+)
+
+const statusDigits = 3
+
 // TrimLineEnd removes the LF that ends a line and a CR before it.
 func TrimLineEnd(line []byte) []byte {
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
@@ -35,14 +43,6 @@
 	return proto, int(n), nil
 }
 
-// Versions of HTTP.
-const (
-	HTTP10 = "HTTP/1.0"
-	HTTP11 = "HTTP/1.1"
-)
-
-const statusDigits = 3
-
 // ParseField returns the name and the value of a field line without its line end. A folded
 // line is no field.
 func ParseField(line []byte) (name, value []byte, err error) {
