request/forward: a request that was not sent is no case of a spoilt head

Cause: the test sends some thirty requests at once, and on a starved machine a request waits longer than its entry holds it for a slot. The promise is true: the server got nothing.

The test sends such a request again, up to ten times, and requires that one reaches the server. The requirement on its answer is the same.

--- a/request/forward/brokenresponse_test.go
+++ b/request/forward/brokenresponse_test.go
@@ -149,17 +149,27 @@
 	})
 	e := newTestEntry(t, testConfig(k.kind, testTimeout), s)
 	defer e.Close()
-	resp, body, err := e.send(t, func(r *http.Request) {
-		if k.long {
-			withLongBody(r)
+	for range maxUnreached {
+		resp, body, err := e.send(t, func(r *http.Request) {
+			if k.long {
+				withLongBody(r)
+			}
+		})
+		switch runs := s.runCount(); {
+		case runs > 1:
+			t.Errorf("the server got %d requests", runs)
+		case runs == 0 && err == nil && resp.StatusCode == http.StatusServiceUnavailable:
+			continue // the entry had no slot in time, and did not send the request
 		}
-	})
-	if s.runCount() != 1 {
-		t.Errorf("the server got %d requests", s.runCount())
+		return resp, body, err
 	}
-	return resp, body, err
+	t.Errorf("%d requests did not reach the server", maxUnreached)
+	return nil, "", io.ErrNoProgress
 }
 
+// maxUnreached bounds the requests that do not reach the server.
+const maxUnreached = 10
+
 const (
 	signedFields  = "Request-Id: ID\r\nSignature: s\r\nContent-Type: TYPE\r\n"
 	signedHead    = "HTTP/1.1 200 OK\r\n" + signedFields
