request/quarantine: find a part that crashes servers in a prompt of any length

Cause: request/forward dropped all parts after the sixteenth, so that the quarantine never saw what the ends had in common. Reading all of them is not enough: a report has room for some 230 parts and left out the rest by position, and a header of 16 KiB holds 1,200.

All shared parts are read; the limit on headers bounds them. If a report has no room for all, those stay that most other servers ended with since the parts were last proven sound, then those that were never proven. Parts that sound requests share are proven, so the crashing one stays. Where nothing distinguishes parts, the choice varies from server to server, so that a flood can't leave out the same one each time.

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -281,8 +281,6 @@
 	// refusedBodyTimeout bounds the wait for the body of a request that is refused
 	// before it is read: net/http reads up to 256 KiB of it before the response.
 	refusedBodyTimeout = 2 * time.Second
-	// maxParts bounds the parts of a prompt that are considered.
-	maxParts = 16
 	// drainingRetryAfter is the retry delay sent to callers during a shutdown: other
 	// entries serve them at once.
 	drainingRetryAfter = 100 * time.Millisecond
@@ -337,7 +335,7 @@
 	}
 	if cr.route.Generation {
 		cr.tokens = platform.DecodeTokens(r.Header.Get)
-		cr.parts = platform.SharedParts(r.Header.Get(platform.HeaderPrefix), maxParts)
+		cr.parts = platform.SharedParts(r.Header.Get(platform.HeaderPrefix))
 	}
 	cr.setCandidates()
 	return h.suspects.refused(cr)
--- a/request/forward/suspects_test.go
+++ b/request/forward/suspects_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +93,30 @@
 		}
 	}
 }
+
+func TestSuspectedPartIsFoundBehindManySharedParts(t *testing.T) {
+	config := testConfig(deployment.Repeatable, testTimeout)
+	config.Routes[0].Generation = true
+	s := newFakeServer(t, "s1", echo)
+	e := newTestEntry(t, config, s)
+	suspects := e.handler.suspects
+	suspects.mu.Lock()
+	suspects.table.ApplyHold(quarantine.Hold{Part: quarantine.Part{Model: "m", ID: "bad"}, Count: 1}, e.handler.ageClock.Now())
+	suspects.mu.Unlock()
+	for _, before := range []int{0, 17, 1000} {
+		var prefix strings.Builder
+		for i := range before {
+			fmt.Fprintf(&prefix, "%x:10,", i)
+		}
+		resp, _, err := e.send(t, func(r *http.Request) {
+			r.Header.Set("Model", "m")
+			r.Header.Set("Prompt-Prefix", prefix.String()+"bad:10,own:10")
+		})
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("behind %d other parts: response %+v, error %v", before, resp, err)
+		}
+	}
+	if n := s.runCount(); n != 0 {
+		t.Errorf("%d requests with a suspected part were run", n)
+	}
+}
--- a/request/quarantine/candidates.go
+++ b/request/quarantine/candidates.go
@@ -1,8 +1,11 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/waxwingpost/waxwingpost/process/boottime"
 )
 
@@ -16,40 +19,80 @@
 
 func (c *Candidate) size() int { return len(c.Part.Model) + len(c.Part.ID) + candidateOverhead }
 
-// union returns the candidates of two lists. If there are too many parts or requests, those
-// that are in other ends stay: callers may send any number of them once.
-func (t *Table) union(a, b []Candidate) []Candidate {
+// union returns the candidates of two lists for the end of a server. If there are too many parts or
+// requests, those stay that most servers ended with since they were last proven sound, and of
+// the others those that never were.
+func (t *Table) union(server string, a, b []Candidate) []Candidate {
 	all := slices.Clone(a)
+	known := make(map[Part]bool, len(a))
+	for _, c := range a {
+		known[c.Part] = true
+	}
 	for _, c := range b {
-		if !slices.ContainsFunc(all, func(o Candidate) bool { return o.Part == c.Part }) {
-			all = t.add(all, c)
+		if !known[c.Part] {
+			known[c.Part] = true
+			all = append(all, c)
 		}
 	}
-	return all
+	if fitting := withinReport(all); len(fitting) == len(all) {
+		return all
+	}
+	return withinReport(t.mostDoubtful(server, all))
 }
 
-// add adds a candidate if there is room, or if it is in another end and one of its kind that
-// is in none can make room.
-func (t *Table) add(all []Candidate, c Candidate) []Candidate {
-	count, bytes, replaceable := 0, c.size(), -1
+// withinReport returns the candidates for which one report has room, the first ones of a list.
+func withinReport(all []Candidate) []Candidate {
+	var kept []Candidate
+	var counts, bytes [2]int
 	for i := range all {
-		if all[i].Part.Request != c.Part.Request {
-			continue
+		kind := all[i].Part.width()
+		if counts[kind] < maxParts && bytes[kind]+all[i].size() <= maxCandidateBytes {
+			counts[kind]++
+			bytes[kind] += all[i].size()
+			kept = append(kept, all[i])
 		}
-		count++
-		bytes += all[i].size()
-		if _, isWatched := t.watched[all[i].Part]; !isWatched && replaceable < 0 && all[i].size() >= c.size() {
-			replaceable = i
+	}
+	return kept
+}
+
+// mostDoubtful returns the candidates for the end of a server with the most doubtful ones first. The
+// order of those between which nothing distinguishes varies from server to server, so that a flood
+// of parts that come once does not leave out the same one each time.
+func (t *Table) mostDoubtful(server string, all []Candidate) []Candidate {
+	type doubt struct {
+		Candidate
+		otherEnds, proofs int
+		order             uint64
+	}
+	doubts := make([]doubt, len(all))
+	for i, c := range all {
+		doubts[i] = doubt{Candidate: c, otherEnds: t.otherEnds(server, c.Part), order: xxhash.Sum64String(server + c.Part.ID)}
+		if !t.provenAt(c.Part).IsZero() {
+			doubts[i].proofs = 1
 		}
 	}
-	_, isWatched := t.watched[c.Part]
+	slices.SortFunc(doubts, func(a, b doubt) int {
+		return cmp.Or(b.otherEnds-a.otherEnds, a.proofs-b.proofs, cmp.Compare(a.order, b.order))
+	})
+	sorted := make([]Candidate, len(doubts))
+	for i := range doubts {
+		sorted[i] = doubts[i].Candidate
+	}
+	return sorted
+}
+
+// otherEnds returns how many servers but this one have ended with a part since it was last
+// proven sound.
+func (t *Table) otherEnds(server string, p Part) int {
+	w, isWatched := t.watched[p]
 	switch {
-	case count < maxParts && bytes <= maxCandidateBytes:
-		return append(all, c)
-	case isWatched && replaceable >= 0:
-		all[replaceable] = c
+	case !isWatched || t.provenAt(p).After(w.lastEnd):
+		return 0
+	case w.server == server:
+		return w.ends - 1
+	default:
+		return w.ends
 	}
-	return all
 }
 
 // proofs holds when parts were last proven sound. The earlier ones of two generations are
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -104,6 +104,10 @@
 	// lastEnd is when a server last broke off a request with the part, proven when one has
 	// last proven it sound, and told when a proof was last told to the other entries.
 	lastEnd, proven, told boottime.Instant
+	// server is the one that ended last, and ends the number of servers that ended since the
+	// candidate was last proven sound.
+	server string
+	ends   int
 }
 
 // NewTable returns an empty table. stagger, from 0 to 1, spreads what all entries would
@@ -147,14 +151,15 @@
 	if len(candidates) > 0 {
 		t.cuts.of(serviceOf(candidates)).recordCut(now)
 	}
-	r := report{Report: Report{Candidates: candidates, Runs: 1}, at: now}
+	r := report{Report: Report{Runs: 1}, at: now}
+	var earlier []Candidate
 	if known, ok := t.ownReport(origin, server, now); ok {
-		r.Refused = known.Refused
-		r.Candidates = t.union(known.Candidates, candidates)
+		earlier, r.Refused = known.Candidates, known.Refused
 		if now.Sub(known.at) < sameMoment {
 			r.Runs += known.Runs
 		}
 	}
+	r.Candidates = t.union(server, earlier, candidates)
 	t.ApplyReport(origin, server, r.Report, r.at, now)
 	return r.Report, r.at
 }
@@ -214,15 +219,23 @@
 			room -= len(known.Candidates)
 		}
 	}
-	r.Candidates = r.Candidates[:min(len(r.Candidates), 2*maxParts, max(room, 0))]
+	if room = min(2*maxParts, max(room, 0)); len(r.Candidates) > room {
+		r.Candidates = t.mostDoubtful(server, r.Candidates)[:room]
+	}
 	e.reports[origin] = report{Report: r, at: at}
 	var known []Part
 	for _, c := range r.Candidates {
 		w := t.watched[c.Part]
+		w.proven = t.provenAt(c.Part)
+		if w.proven.After(w.lastEnd) {
+			w.ends = 0
+		}
+		if w.server != server || w.ends == 0 {
+			w.server, w.ends = server, w.ends+1
+		}
 		if at.After(w.lastEnd) {
 			w.lastEnd = at
 		}
-		w.proven = t.provenAt(c.Part)
 		if w.proven.After(at) && !w.told.After(at) {
 			w.told = w.proven
 			known = append(known, c.Part)
