request/forward: the end of a stream counts after the stream was moved

Cause: a stream is moved to another server if it would not end in time or if its server was silent for 1.5 s. The entry can't know that the last event was the last one. The move gave up the response, read its end and discarded it; the other server had nothing to add, which does not complete a stream.

An attempt from which a stream is moved now goes on until the other server sends an event. If it ends as complete without a further event, the stream is complete. If it sends more, or fails, the other server goes on alone, as before. If that one can't and no third may be asked, the first response is waited for until the deadline. Nothing is taken for complete that no server has completed.

--- a/request/forward/hedge.go
+++ b/request/forward/hedge.go
@@ -181,15 +181,20 @@
 	return c
 }()
 
-// finishCopy finishes a copy that is not the answer. A panic of its goroutine is only counted and
-// logged: the other copy goes on, and its slot must be released as well.
-func (w *watch) finishCopy(a *attempt) {
+// finishUnused finishes an attempt that is not the answer. A panic of its goroutine is only counted
+// and logged: another attempt goes on, and its slot must be released as well.
+func (h *Handler) finishUnused(cr *callerRequest, a *attempt) {
 	if a.panicked != nil {
-		w.h.metrics.panics.Inc(1)
-		w.h.log.Error("copy of a request panicked", "id", w.cr.id, "code", int(result.Internal), "server", a.lease.Server.ID, "error", a.panicked)
+		h.metrics.panics.Inc(1)
+		h.log.Error("copy of a request panicked", "id", cr.id, "code", int(result.Internal), "server", a.lease.Server.ID, "error", a.panicked)
 		a.panicked = nil
 	}
-	w.h.finishAttempt(w.cr, a)
+	h.finishAttempt(cr, a)
+}
+
+// finishCopy finishes a copy that is not the answer.
+func (w *watch) finishCopy(a *attempt) {
+	w.h.finishUnused(w.cr, a)
 	if a.result != resultNotRun {
 		*w.runs++
 	}
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -51,6 +51,8 @@
 	possibleRuns int
 	// moved is set once the stream was moved from a slow server.
 	moved bool
+	// superseded is the attempt from which the stream was moved last; nil if it was not moved.
+	superseded *superseded
 }
 
 // serveStream serves a request whose response is an event stream.
@@ -62,6 +64,7 @@
 	}
 	r := &relay{h: h, w: w, cr: cr}
 	defer r.watchCaller()()
+	defer func() { h.finishSuperseded(cr, r.superseded) }()
 	r.setPosition(cr.request.Header.Get(platform.HeaderLastEvent))
 	var previous *attempt
 	var next *placement.Lease
@@ -69,7 +72,7 @@
 		if next == nil {
 			l, err := h.acquireNext(cr, previous, r.waitDeadline())
 			if err != nil {
-				r.writeFailure(previous, err)
+				r.end(previous, err)
 				return
 			}
 			next = l
@@ -78,15 +81,15 @@
 		position.resumed = r.headerSent
 		a := h.start(cr, next, &position)
 		a, next = r.relayEvents(a)
+		if r.superseded.is(a) {
+			cr.recordEvents(a)
+			r.possibleRuns++
+			continue
+		}
 		h.finishAttempt(cr, a)
 		switch {
-		case a.result == resultAnswered && a.streaming():
-			if !r.flushBacklog() {
-				r.writeFailure(a, nil)
-				return
-			}
-			cr.outcome = outcomeServed
-			h.logRequest(cr, http.StatusOK, nil)
+		case a.result == resultAnswered && a.streaming(), r.superseded.complete():
+			r.complete(a)
 			return
 		case a.result == resultAnswered && !r.headerSent:
 			h.writeResponse(w, cr, a, r.possibleRuns)
@@ -99,13 +102,33 @@
 		}
 		if cr.request.Context().Err() != nil || next == nil && !h.mayRetry(cr, a, r.possibleRuns) {
 			h.releaseUnused(cr, next)
-			r.writeFailure(a, nil)
+			r.end(a, nil)
 			return
 		}
 		previous = a
 	}
 }
 
+// complete ends a stream of which the caller was sent all events.
+func (r *relay) complete(last *attempt) {
+	if !r.flushBacklog() {
+		r.writeFailure(last, nil)
+		return
+	}
+	r.cr.outcome = outcomeServed
+	r.h.logRequest(r.cr, http.StatusOK, nil)
+}
+
+// end ends a stream for which no other server is asked. The attempt from which it was moved may
+// still complete it.
+func (r *relay) end(last *attempt, acquireErr error) {
+	if r.awaitSuperseded() {
+		r.complete(last)
+		return
+	}
+	r.writeFailure(last, acquireErr)
+}
+
 // setPosition sets the position of a caller that resumes a stream after the event with an ID. Any
 // other text stands for the start of the stream.
 func (r *relay) setPosition(lastEvent string) {
@@ -147,11 +170,12 @@
 }
 
 // relayEvents forwards events until the attempt ends, and returns it or, if that was answered
-// first, the second copy of the request. If the attempt was given up for a slot on another
-// server, that is returned as well.
+// first, the second copy of the request. If the attempt was left for a slot on another
+// server, that is returned as well; the attempt is superseded then if it has not ended.
 func (r *relay) relayEvents(a *attempt) (*attempt, *placement.Lease) {
 	w := r.h.watch(r.cr, a, stallTimeout, func() bool { return r.h.maySend(r.cr, r.possibleRuns+1) })
 	defer w.stop()
+	w.previous = r.superseded
 	if !r.headerSent {
 		w.answerBy = r.cr.sendUntil()
 		w.allowHedge(&r.possibleRuns, &r.position)
@@ -172,7 +196,9 @@
 			r.h.scheduler.recordFirstEvent(r.cr.service, a.lease)
 			r.h.scheduler.recordDelay(r.cr, a.lease)
 		}
-		received += p.count
+		if received += p.count; received > 0 {
+			r.h.finishSuperseded(r.cr, r.superseded)
+		}
 		interval := r.h.measureEvents(r.cr, a, &meter, p.count)
 		r.h.suspects.recordEvents(r.cr, a, received)
 		if err := r.writeEvents(a, p); err != nil {
@@ -185,6 +211,10 @@
 			break
 		}
 	}
+	if w.superseded != nil {
+		r.superseded = w.superseded
+		return a, w.next
+	}
 	if a.result == resultAnswered && a.streaming() && !r.headerSent {
 		// A stream without events is complete as well.
 		r.writeHeader(a)
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -181,15 +181,15 @@
 		h.releaseUnused(cr, l)
 		return nil, result.Refuse(result.NoBackend, refusedRetryAfter, "the retry budget is spent: %v", lastError(previous))
 	}
-	h.recordRetry(cr, previous)
+	h.recordRetry(cr, previous.lease, previous.result, previous.err)
 	return l, nil
 }
 
 // recordRetry counts and logs that the request is sent to another server.
-func (h *Handler) recordRetry(cr *callerRequest, previous *attempt) {
+func (h *Handler) recordRetry(cr *callerRequest, previous *placement.Lease, verdict attemptResult, err error) {
 	h.metrics.retried.Inc(1)
-	h.log.Info("retrying request on another server", "id", cr.id, "service", cr.service, "after", previous.lease.Server.ID,
-		"verdict", previous.result.String(), "error", previous.err, "tries", len(cr.triedServers))
+	h.log.Info("retrying request on another server", "id", cr.id, "service", cr.service, "after", previous.Server.ID,
+		"verdict", verdict.String(), "error", err, "tries", len(cr.triedServers))
 }
 
 // maxAttempts bounds the servers to which one request is sent, including those
--- a/request/forward/speed.go
+++ b/request/forward/speed.go
@@ -131,7 +131,7 @@
 	return st.pool.TryMove(now, l, req, interval)
 }
 
-// moveFromSlow gives up the attempt for a slot on a faster server. It returns false if the retry
+// moveFromSlow leaves the attempt for a slot on a faster server. It returns false if the retry
 // budget is spent.
 func (w *watch) moveFromSlow(l *placement.Lease) bool {
 	if !w.maySwitch() || !w.h.scheduler.tryRetry(w.cr.service) {
@@ -139,9 +139,7 @@
 		return false
 	}
 	w.stopSearch()
-	w.a.giveUp(errTooSlow, placement.Canceled)
 	w.h.metrics.movedFromSlow.Inc(1)
-	w.h.recordRetry(w.cr, w.a)
-	w.next = l
+	w.leave(l, errTooSlow, placement.Canceled)
 	return true
 }
--- a/request/forward/speed_test.go
+++ b/request/forward/speed_test.go
@@ -32,6 +32,13 @@
 // speedEntry returns an entry with a slow server and a fast one, of which the agent of the slow
 // one reports a pace.
 func speedEntry(t *testing.T, resumable bool, pace float64, events int) (*testEntry, []*fakeServer) {
+	t.Helper()
+	fast := streamSlowly(events, 5*time.Millisecond)
+	return speedEntryOf(t, resumable, pace, events, streamSlowly(events, 120*time.Millisecond), fast, fast)
+}
+
+// speedEntryOf is a speedEntry with servers that respond as given.
+func speedEntryOf(t *testing.T, resumable bool, pace float64, events int, responses ...respondFunc) (*testEntry, []*fakeServer) {
 	t.Helper()
 	config := testConfig(deployment.Stream, 3*time.Second)
 	config.Routes[0].Generation, config.Routes[0].Resumable = true, resumable
@@ -39,7 +46,7 @@
 		Slots: 8, Step: 5 * time.Millisecond, ReadPerSecond: 20000, Stride: 4, UsualAnswer: 4 * events,
 	}
 	var fakes []*fakeServer
-	for i, respond := range []respondFunc{streamSlowly(events, 120*time.Millisecond), streamSlowly(events, 5*time.Millisecond), streamSlowly(events, 5*time.Millisecond)} {
+	for i, respond := range responses {
 		fakes = append(fakes, newFakeServer(t, fmt.Sprint("s", i), respond))
 	}
 	e := newTestEntry(t, config, fakes...)
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -72,9 +72,11 @@
 	overdue bool
 	// search waits for a slot on another server; nil if none is searched for.
 	search *slotWait
-	// next is the slot that the request moves to, nil unless the attempt was given
-	// up for it.
+	// next is the slot that the request moves to, nil unless the attempt was left for it.
 	next *placement.Lease
+	// superseded is the attempt that was left, if its response goes on, and previous one that
+	// was left before.
+	superseded, previous *superseded
 	// second is the second copy of the request. runs counts the servers that may have run
 	// the request, and position is that of its caller; both are set if a second copy may be
 	// sent.
@@ -106,7 +108,7 @@
 // itself, by moving to the slot next, or because it was withdrawn.
 func (w *watch) part() (part, bool) {
 	w.silentSince = w.h.clock.Now()
-	for {
+	for ended := false; !ended; {
 		select {
 		case p, ok := <-w.a.parts:
 			if w.receiveFirst(p, ok) {
@@ -119,19 +121,15 @@
 				return w.receive(p, ok)
 			}
 		case l := <-w.searchResult():
-			if p, ok, ready := w.readyPart(); ready {
-				w.h.releaseUnused(w.cr, l)
-				return w.receive(p, ok)
-			}
-			if w.moveTo(l) {
-				return part{}, false
+			if p, ok, done := w.onSlot(l); done {
+				return p, ok
 			}
+		case <-w.previous.ended():
+			ended = w.completedByPrevious()
 		case <-w.ending():
 			return w.end()
 		case <-w.suspected:
-			if w.withdrawSuspected() {
-				return part{}, false
-			}
+			ended = w.withdrawSuspected()
 		case <-w.changed:
 			w.updateExpiry()
 			w.withdrawSecond()
@@ -142,6 +140,7 @@
 			}
 		}
 	}
+	return part{}, false
 }
 
 // searchResult returns the channel of the slot on another server; nil if none is searched for.
@@ -161,6 +160,16 @@
 	return part{}, false
 }
 
+// onSlot handles a slot on another server. done is set if there is a part or the attempt was left.
+func (w *watch) onSlot(l *placement.Lease) (p part, ok, done bool) {
+	if p, ok, ready := w.readyPart(); ready {
+		w.h.releaseUnused(w.cr, l)
+		p, ok = w.receive(p, ok)
+		return p, ok, true
+	}
+	return part{}, false, w.moveTo(l)
+}
+
 // onTimer handles the timer. done is set if there is a part or the attempt has ended.
 func (w *watch) onTimer() (p part, ok, done bool) {
 	if p, ok, ready := w.readyPart(); ready {
@@ -291,7 +300,7 @@
 	w.timer.Reset(w.untilWake(w.h.clock.Now()))
 }
 
-// moveTo gives up the attempt for a slot on another server. It returns false if that
+// moveTo leaves the attempt for a slot on another server. It returns false if that
 // came too late or the retry budget is spent.
 func (w *watch) moveTo(l *placement.Lease) bool {
 	w.search = nil
@@ -299,10 +308,8 @@
 		w.h.releaseUnused(w.cr, l)
 		return false
 	}
-	w.a.giveUp(errSilent, placement.Stalled)
-	w.h.logSilence(w.cr, w.a.lease, w.silentSince, w.a.err)
-	w.h.recordRetry(w.cr, w.a)
-	w.next = l
+	w.h.logSilence(w.cr, w.a.lease, w.silentSince, errSilent)
+	w.leave(l, errSilent, placement.Stalled)
 	return true
 }
 
--- a/request/forward/weights.go
+++ b/request/forward/weights.go
@@ -51,9 +51,9 @@
 	return attrs
 }
 
-// recordWeights adds what the response of an attempt that has ended says of its weights, and
-// counts a request that may have run on another version than the server was listed with.
-func (h *Handler) recordWeights(cr *callerRequest, a *attempt) {
+// recordEvents records how many of the events that the caller was sent are those of an attempt: all
+// that are not another one's.
+func (cr *callerRequest) recordEvents(a *attempt) {
 	t := &cr.tried[a.number]
 	t.Events = cr.eventsSent
 	for i := range cr.tried {
@@ -61,6 +61,13 @@
 			t.Events -= cr.tried[i].Events
 		}
 	}
+}
+
+// recordWeights adds what the response of an attempt that has ended says of its weights, and
+// counts a request that may have run on another version than the server was listed with.
+func (h *Handler) recordWeights(cr *callerRequest, a *attempt) {
+	cr.recordEvents(a)
+	t := &cr.tried[a.number]
 	if a.weights.text == "" {
 		return
 	}
