control/node: acknowledge a change only when it survives the disk losses to be borne

No control process answers a read again.

Cause: seven replicas vote, and the two that are gone count as voters until they were silent for 2 s. In these seconds a change was acknowledged as soon as four disks had it. With two more disks lost three voters are left, and no rule may let three of seven lead (docs/decisions/09-lost-voters.md).

The leader now holds an acknowledgement until the voters that hold the change or have replied since would still be a quorum after the losses that the fault tolerance allows. Where there are more replicas than 2f+1, silent voters may have been replaced and are none of these losses: of seven voters one may be silent. With two, the acknowledgement waits until one replies or is removed, 2 to 3 s. Elections, commits and quorums are as before. After it has committed a membership the leader appends an entry, and acknowledges nothing before that is committed: only a replica that knows of the commit can do without a quorum of the membership before.

What is left is red, in KNOWN-RED: the two disks are lost before the next change is acknowledged (TestTwoDisksAreLostAtOnceAfterTwoRemovalsWithoutNotice).

Proposals move from replica.go to proposals.go.

--- a/process/control/node/config.go
+++ b/process/control/node/config.go
@@ -46,8 +46,9 @@
 
 	// FaultTolerance, if above 0, is the number of VMs that may lose their disks at
 	// the same time. A change is then acknowledged once it is on FaultTolerance+1
-	// disks, every replica with a disk becomes a voter, and an unresponsive
-	// voter is removed while at least 2*FaultTolerance+1 other voters remain.
+	// disks and survives such a loss, every replica with a disk becomes a voter, and
+	// an unresponsive voter is removed while at least 2*FaultTolerance+1 other voters
+	// remain.
 	FaultTolerance int
 	// VoterRemovalTimeout is how long a voter may be unresponsive before that
 	// removal.
--- a/process/control/node/linearizability_test.go
+++ b/process/control/node/linearizability_test.go
@@ -245,20 +245,26 @@
 // one-way partitions, kills and lost disks. Throughout, messages are lost,
 // delayed, duplicated and reordered.
 func TestHistoryIsLinearizableUnderFaults(t *testing.T) {
-	checkHistories(t, func(seed uint64) (voters, spare int) { return 3 + 2*int(seed%2), int(seed%3) / 2 })
+	checkHistories(t, 0, func(seed uint64) (voters, spare int) { return 3 + 2*int(seed%2), int(seed%3) / 2 })
 }
 
 // With an even number of voters half of them is a quorum once one is known to be lost.
 func TestHistoryOfAnEvenNumberOfVotersIsLinearizableUnderFaults(t *testing.T) {
-	checkHistories(t, func(seed uint64) (voters, spare int) { return 4 + 2*int(seed%2), 0 })
+	checkHistories(t, 0, func(seed uint64) (voters, spare int) { return 4 + 2*int(seed%2), 0 })
 }
 
-func checkHistories(t *testing.T, size func(seed uint64) (voters, spare int)) {
+// With more voters than the fault tolerance needs, changes are held while two of them are silent.
+func TestHistoryOfHeldChangesIsLinearizableUnderFaults(t *testing.T) {
+	checkHistories(t, 2, func(uint64) (voters, spare int) { return 7, 0 })
+}
+
+func checkHistories(t *testing.T, faultTolerance int, size func(seed uint64) (voters, spare int)) {
 	t.Helper()
 	acknowledged := 0
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		voters, spare := size(seed)
 		w := newSimWorld(t, seed, voters, spare)
+		w.setFaultTolerance(faultTolerance)
 		for range 900 {
 			w.step()
 			if w.rnd.IntN(25) == 0 {
--- a/process/control/node/members.go
+++ b/process/control/node/members.go
@@ -50,9 +50,7 @@
 // false if no change is needed. At most one voter changes, and a majority of
 // the new voters must be responsive.
 func (p *membershipPolicy) nextChange() (raft.Members, bool) {
-	if len(p.desiredVoters) == 0 {
-		p.desiredVoters = p.currentAndPendingVoters()
-	}
+	p.defaultDesiredVoters()
 	for _, rule := range []func() (raft.Members, bool){p.removeReplacedVoter, p.promote, p.removeSilentVoter, p.demote, p.removeSilentLearner} {
 		if next, ok := rule(); ok {
 			return next, true
@@ -61,6 +59,25 @@
 	return nil, false
 }
 
+// defaultDesiredVoters sets the desired voters if none are listed.
+func (p *membershipPolicy) defaultDesiredVoters() {
+	if len(p.desiredVoters) == 0 {
+		p.desiredVoters = p.currentAndPendingVoters()
+	}
+}
+
+// standbys returns the number of learners that are ready to become voters.
+func (p *membershipPolicy) standbys() int {
+	p.defaultDesiredVoters()
+	n := 0
+	for _, m := range p.members {
+		if p.promotable(m) {
+			n++
+		}
+	}
+	return n
+}
+
 // removeReplacedVoter removes a voter whose VM has a replica under a new
 // identity, once that replica is ready to vote. The promotion of the new replica
 // is a separate change, because majorities of voter sets that differ by two
@@ -248,9 +265,7 @@
 		return nil, false
 	}
 	if m.Voter && len(p.members.Voters())-1 < p.requiredVoters() {
-		if len(p.desiredVoters) == 0 {
-			p.desiredVoters = p.currentAndPendingVoters()
-		}
+		p.defaultDesiredVoters()
 		return p.promote()
 	}
 	m.Voter, m.Released = false, true
--- a/process/control/node/replica.go
+++ b/process/control/node/replica.go
@@ -37,13 +37,6 @@
 func (discardStorage) Bytes() int64                                { return 0 }
 func (discardStorage) Close() error                                { return nil }
 
-// proposal is a command to be appended to the leader's log. done is called
-// once, with the result after the command was applied or with an error.
-type proposal struct {
-	cmd  control.Command
-	done func(control.Result, error)
-}
-
 // readCallback receives the index that a linearizable read has to wait for.
 type readCallback func(index uint64, err error)
 
@@ -69,7 +62,10 @@
 	newProposals []proposal
 	// appendedProposals holds, by command ID, the proposals that this leader
 	// appended to its log in the current term.
-	appendedProposals map[string][]proposal
+	appendedProposals map[string]*appended
+	// appliedProposals holds those that were applied while too few voters were known to run for
+	// them to survive the losses of disks that the cluster must bear.
+	appliedProposals []*applied
 	// newReads holds reads that were not passed to the core yet, readsByToken
 	// those that wait for the core's answer.
 	newReads     []readCallback
@@ -104,7 +100,7 @@
 	return &replica{
 		cfg: cfg, id: id, storage: store, sm: sm, log: log, scope: scope,
 		core:              raft.New(cfg.raftConfig(id.Replica), rnd, stored),
-		appendedProposals: map[string][]proposal{},
+		appendedProposals: map[string]*appended{},
 		readsByToken:      map[uint64][]readCallback{},
 		snapshotInterval:  jitteredSnapshotInterval(cfg.SnapshotEntries, id.Replica),
 		snapshotIndex:     stored.Snapshot.Index,
@@ -143,6 +139,7 @@
 		}
 		r.core.Advance(rd)
 	}
+	r.acknowledgeApplied()
 	r.notifyAppliedWaiters()
 	r.handleRoleChange()
 	if err := r.maybeSnapshot(); err != nil {
@@ -151,49 +148,6 @@
 	return r.attachSnapshots(out)
 }
 
-// submitProposals appends the queued commands to the log. A retry of a command
-// that is in the log but not applied yet only waits for its result.
-func (r *replica) submitProposals() {
-	if len(r.newProposals) == 0 {
-		return
-	}
-	queued := r.newProposals
-	r.newProposals = nil
-	var accepted []proposal
-	var data [][]byte
-	for _, p := range queued {
-		if waiters, ok := r.appendedProposals[p.cmd.ID]; ok {
-			r.appendedProposals[p.cmd.ID] = append(waiters, p)
-			continue
-		}
-		body, err := cbor.Marshal(p.cmd)
-		if err != nil {
-			p.done(control.Result{}, result.New(result.BadCommand, "encode command: %v", err))
-			continue
-		}
-		r.appendedProposals[p.cmd.ID] = []proposal{p}
-		accepted = append(accepted, p)
-		data = append(data, body)
-	}
-	if len(accepted) == 0 {
-		return
-	}
-	if _, err := r.core.Propose(data...); err != nil {
-		r.rejectProposals(accepted, err)
-	}
-}
-
-// rejectProposals fails proposals, and retries of them, that the core did not
-// append.
-func (r *replica) rejectProposals(proposals []proposal, err error) {
-	for _, p := range proposals {
-		for _, waiter := range r.appendedProposals[p.cmd.ID] {
-			waiter.done(control.Result{}, codedError(err))
-		}
-		delete(r.appendedProposals, p.cmd.ID)
-	}
-}
-
 // codedError converts an error of the core to one with a result code.
 func codedError(err error) error {
 	code := result.NoQuorum
@@ -268,10 +222,10 @@
 		}
 		res := r.sm.Apply(e.Index, e.Term, cmd)
 		r.scope.Counter("commands_applied").Inc(1)
-		for _, p := range r.appendedProposals[cmd.ID] {
-			p.done(res, nil)
+		if a := r.appendedProposals[cmd.ID]; a != nil {
+			r.appliedProposals = append(r.appliedProposals, &applied{appended: *a, id: cmd.ID, index: e.Index, res: res})
+			delete(r.appendedProposals, cmd.ID)
 		}
-		delete(r.appendedProposals, cmd.ID)
 	}
 }
 
@@ -308,12 +262,14 @@
 
 // failPending fails all pending proposals and reads with err.
 func (r *replica) failPending(err error) {
-	for id, proposals := range r.appendedProposals {
-		for _, p := range proposals {
-			p.done(control.Result{}, err)
-		}
+	for id, a := range r.appendedProposals {
+		a.fail(err)
 		delete(r.appendedProposals, id)
 	}
+	for _, a := range r.appliedProposals {
+		a.fail(err)
+	}
+	r.appliedProposals = nil
 	for token, reads := range r.readsByToken {
 		for _, done := range reads {
 			done(0, err)
--- a/process/control/node/sim_test.go
+++ b/process/control/node/sim_test.go
@@ -137,6 +137,17 @@
 	}
 }
 
+// setFaultTolerance restarts all replicas with a fault tolerance.
+func (w *simWorld) setFaultTolerance(faultTolerance int) {
+	if w.cfg.FaultTolerance = faultTolerance; faultTolerance == 0 {
+		return
+	}
+	for _, h := range w.hosts {
+		w.kill(h)
+		w.boot(h)
+	}
+}
+
 func (w *simWorld) newDisk(h *simHost) {
 	h.disk = faultdisk.New(w.rnd)
 	w.check(wal.Create(h.disk, simDir))
--- a/process/control/node/stop_test.go
+++ b/process/control/node/stop_test.go
@@ -255,6 +255,49 @@
 	}
 }
 
+// As above, but nothing is acknowledged between the removals and the losses.
+func TestTwoDisksAreLostAtOnceAfterTwoRemovalsWithoutNotice(t *testing.T) {
+	c := newReplacementCluster(t)
+	c.join(testContext(t), 7, "e6", "e7")
+	ctx, cancel := context.WithTimeout(t.Context(), 12*time.Second)
+	defer cancel()
+	if _, err := c.nodes["e3"].node.Propose(ctx, editCommand("c1", "x")); err != nil {
+		t.Fatal(err)
+	}
+	c.nodes["e4"].kill()
+	c.nodes["e5"].kill()
+	c.loseDisks("e1", "e2")
+	if err := c.nodes["e3"].node.Barrier(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Three of five VMs are replaced, and the old ones are removed at once, without notice. The quorum
+// of seven voters remains for as long as no disk is lost.
+func TestTwoDisksAreLostAfterThreeRemovalsWithoutNotice(t *testing.T) {
+	for _, removed := range [][]string{{"e3", "e4", "e5"}, {"e1", "e2", "e3"}} {
+		t.Run(fmt.Sprint(removed), func(t *testing.T) {
+			t.Parallel()
+			c := newReplacementCluster(t)
+			ctx := testContext(t)
+			c.join(ctx, maxVoters, "e6", "e7", "e8")
+			for _, name := range removed {
+				c.nodes[name].kill()
+			}
+			if _, err := c.nodes["e6"].node.Propose(ctx, editCommand("c1", "x")); err != nil {
+				t.Fatal(err)
+			}
+			c.loseDisks("e7", "e8")
+			if err := c.nodes["e6"].node.Barrier(ctx); err != nil {
+				t.Fatal(err)
+			}
+			if got := c.nodes["e6"].sm.appliedCount(); got != 1 {
+				t.Errorf("e6 applied %d commands, want 1", got)
+			}
+		})
+	}
+}
+
 // Only the reply of a VM that runs another replica of this cluster with a disk shows that a
 // voter is lost.
 func TestOnlyAnotherReplicaOnTheVMShowsThatAVoterIsLost(t *testing.T) {
--- a/process/control/raft/election.go
+++ b/process/control/raft/election.go
@@ -84,6 +84,7 @@
 	r.leader = r.cfg.ID
 	r.votes = nil
 	r.elapsedTicks = 0
+	r.settledFrom = 0
 	r.reads.clear()
 	r.progress = map[string]*progress{}
 	r.updateProgress()
--- a/process/control/raft/leader.go
+++ b/process/control/raft/leader.go
@@ -258,9 +258,14 @@
 		if index <= r.log.committed || !r.log.matchTerm(index, r.term) {
 			return advanced
 		}
+		membersCommitted := r.members.latest().index > r.log.committed && r.members.latest().index <= index
 		r.commitTo(index)
 		r.updateProgress()
 		r.startDeferredReads()
+		if membersCommitted {
+			r.appendAndBroadcast(Entry{Kind: EntryEmpty})
+			r.settledFrom = r.log.lastIndex()
+		}
 		advanced = true
 	}
 }
--- a/process/control/raft/raft.go
+++ b/process/control/raft/raft.go
@@ -77,6 +77,9 @@
 	// progress is the leader's record of every member, including itself.
 	progress map[string]*progress
 	reads    readQueue
+	// settledFrom is the index of the entry that the leader appended after it committed the last
+	// membership: whoever holds it knows of that.
+	settledFrom uint64
 
 	// The fields below collect the next Ready.
 	messages       []Message
--- a/process/control/raft/ready.go
+++ b/process/control/raft/ready.go
@@ -107,6 +107,9 @@
 	SilentTicks uint64 `json:"silent_ticks"`
 }
 
+// Ticks returns the number of ticks since the start.
+func (r *Raft) Ticks() uint64 { return r.tickCount }
+
 // Role returns the replica's current role.
 func (r *Raft) Role() Role { return r.role }
 
