raft: one function gives the size of a quorum

The rule for an even number of voters with a lost one stood in quorumOf and, again, in the check whether a change survives further losses. Both call quorumSize now, and so does Members.Quorum. Behaviour and tests are the same.

--- a/process/control/raft/durable.go
+++ b/process/control/raft/durable.go
@@ -40,6 +40,5 @@
 	}
 	gone := max(0, voters-present-lost-replaced)
 	losses := max(0, faultTolerance-lost-gone)
-	left := present - losses
-	return left > voters/2 || losses+lost > 0 && 2*left == voters
+	return present-losses >= quorumSize(voters, losses+lost > 0)
 }
--- a/process/control/raft/members.go
+++ b/process/control/raft/members.go
@@ -57,7 +57,7 @@
 
 // Quorum returns how many voters make a majority.
 func (ms Members) Quorum() int {
-	return len(ms.Voters())/2 + 1
+	return quorumSize(len(ms.Voters()), false)
 }
 
 // With returns the membership with m added, or replaced if it has m's ID.
--- a/process/control/raft/quorum.go
+++ b/process/control/raft/quorum.go
@@ -51,18 +51,19 @@
 }
 
 // quorumOf returns how many voters are a quorum of a membership in the current campaign or term.
-// That is a majority. Half of an even number is enough if a voter is lost: two halves without
-// that voter have a voter in common, and each half has one in common with each majority.
 func (r *Raft) quorumOf(members Members) int {
 	voters := members.Voters()
-	if len(voters)%2 == 0 {
-		for _, id := range voters {
-			if r.lost[id] {
-				return len(voters) / 2
-			}
-		}
+	return quorumSize(len(voters), slices.ContainsFunc(voters, func(id string) bool { return r.lost[id] }))
+}
+
+// quorumSize returns how many of some voters are a quorum. That is a majority. Half of an even
+// number is enough if a voter is known to be lost: two halves without that voter have a voter in
+// common, and each half has one in common with each majority.
+func quorumSize(voters int, lost bool) int {
+	if lost && voters%2 == 0 {
+		return voters / 2
 	}
-	return members.Quorum()
+	return voters/2 + 1
 }
 
 // hasQuorum reports whether the voters for which counts returns true are a quorum of each membership
