tests: one handler of raw responses in place of five

request/api had rawResponse, and four tests of other packages wrote the same handler again: read the request, write fixed bytes, close the connection. It is httpheadtest.RawResponse now. The assertions are the same; two of the handlers read the body of the request now, which they did not.

--- a/connection/engine/http_test.go
+++ b/connection/engine/http_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/waxwingpost/waxwingpost/connection/httphead/httpheadtest"
 	"github.com/waxwingpost/waxwingpost/process/control"
 	"github.com/waxwingpost/waxwingpost/process/intake"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -57,15 +57,7 @@
 // closes the connection.
 func newRawDriver(t *testing.T, text string) *HTTPDriver {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(conn, text)
-		_ = conn.Close()
-	}))
+	server := httptest.NewServer(httpheadtest.RawResponse(text))
 	t.Cleanup(server.Close)
 	return NewHTTP(strings.TrimPrefix(server.URL, "http://"), intake.CheckHeads(&http.Transport{DialContext: (&net.Dialer{}).DialContext}), 5*time.Second)
 }
--- a/process/cli/cli_test.go
+++ b/process/cli/cli_test.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"io"
-	"net/http"
 	"net/http/httptest"
 	"testing"
+
+	"github.com/waxwingpost/waxwingpost/connection/httphead/httpheadtest"
 )
 
 // A part of an explanation must not look like all of it.
@@ -16,12 +17,7 @@
 		"spoilt length":   "HTTP/1.1 200 OK\r\nContent-Length : 12\r\n\r\n[1,2]\n",
 		"spoilt head":     "HTTP/1.1 200 OK\r\nA name: b\r\nContent-Length: 6\r\n\r\n[1,2]\n",
 	} {
-		process := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-				_, _ = io.WriteString(conn, text)
-				_ = conn.Close()
-			}
-		}))
+		process := httptest.NewServer(httpheadtest.RawResponse(text))
 		defer process.Close()
 		address := process.Listener.Addr().String()
 		for _, command := range []interface{ Run(out io.Writer) error }{
--- a/process/sidecar/enginecall_test.go
+++ b/process/sidecar/enginecall_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"testing"
 
+	"github.com/waxwingpost/waxwingpost/connection/httphead/httpheadtest"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/version/pieces"
 )
@@ -14,13 +14,7 @@
 // the same bytes to every request and closes the connection.
 func newRawEngineTest(t *testing.T, text string) *updater {
 	t.Helper()
-	u := newTestUpdater(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			_, _ = io.WriteString(conn, text)
-			_ = conn.Close()
-		}
-	}))
+	u := newTestUpdater(t, httpheadtest.RawResponse(text))
 	addVersion(t, u, 2)
 	return u
 }
--- a/request/api/retry_test.go
+++ b/request/api/retry_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/waxwingpost/waxwingpost/connection/httphead/httpheadtest"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/config"
 	"github.com/waxwingpost/waxwingpost/process/result"
@@ -67,7 +68,7 @@
 // run.
 func TestMixedFailuresAreNotReportedAsNotRun(t *testing.T) {
 	f := newFleet(t, 1)
-	breaking := rawResponse("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
+	breaking := httpheadtest.RawResponse("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
 	f.addAgent("a1", "desk", "", 4, breaking)
 	refusing := f.addAgent("far-a2", "desk", "", 4, breaking)
 	refusing.runner.StartDrain()
--- a/request/api/stream_test.go
+++ b/request/api/stream_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/waxwingpost/waxwingpost/connection/httphead/httpheadtest"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
 )
@@ -281,19 +282,6 @@
 	}
 }
 
-// rawResponse is a plain service that writes one fixed raw HTTP response.
-type rawResponse string
-
-func (a rawResponse) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	_, _ = io.WriteString(conn, string(a))
-	_ = conn.Close()
-}
-
 func TestTruncatedOrUndelimitedResponsesAreNotForwardedAsComplete(t *testing.T) {
 	long := strings.Repeat("x", 100<<10)
 	for name, raw := range map[string]string{
@@ -311,7 +299,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 1)
-			f.addAgent("a1", "desk", "", 4, rawResponse(raw))
+			f.addAgent("a1", "desk", "", 4, httpheadtest.RawResponse(raw))
 			got := f.entries[0].send(context.Background(), "GET", "/status", "")
 			if got.err == nil && (got.status < 300 || got.notRun()) {
 				t.Errorf("%+v", got)
@@ -322,7 +310,7 @@
 
 func TestTruncatedResponseIsRetriedOnAnotherServer(t *testing.T) {
 	f := newFleet(t, 1)
-	f.addAgent("a1", "desk", "", 4, rawResponse("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"))
+	f.addAgent("a1", "desk", "", 4, httpheadtest.RawResponse("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"))
 	f.addAgent("a2", "desk", "", 4, newCountingService())
 	for range 6 {
 		if got := f.entries[0].send(context.Background(), "GET", "/status?q", ""); got.status != 200 || !strings.HasPrefix(got.body, "receipt") {
--- a/version/source/source_test.go
+++ b/version/source/source_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/waxwingpost/waxwingpost/connection/httphead/httpheadtest"
 	"github.com/waxwingpost/waxwingpost/connection/wire"
 	"github.com/waxwingpost/waxwingpost/process/result"
 	"github.com/waxwingpost/waxwingpost/version/manifest"
@@ -96,12 +97,7 @@
 		t.Fatal(err)
 	}
 	for length := range len(whole) {
-		src := startSource(t, func(w http.ResponseWriter, _ *http.Request) {
-			if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+string(whole[:length]))
-				_ = conn.Close()
-			}
-		})
+		src := startSource(t, httpheadtest.RawResponse("HTTP/1.1 200 OK\r\n\r\n"+string(whole[:length])).ServeHTTP)
 		if _, err := ReadManifest(t.Context(), http.DefaultClient, src, "a"); result.CodeOf(err) != result.ManifestInvalid {
 			t.Errorf("%q: %v", whole[:length], err)
 		}
