--- a/process/intake/heads.go
+++ b/process/intake/heads.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -62,11 +61,11 @@
 // headConn checks response heads.
 type headConn struct {
 	net.Conn
-	// failed is set once a head was too long or spoilt.
-	failed atomic.Pointer[headError]
 
 	// mu guards the fields below; it is a leaf lock.
 	mu sync.Mutex
+	// failed is the error of a response that was spoilt; nothing is read after it.
+	failed error
 	// active is set until the end of a head.
 	active bool
 	// line is the beginning of the current line, and lines counts the lines of the head and of
@@ -81,8 +80,6 @@
 	left int64
 }
 
-type headError struct{ error }
-
 func (c *headConn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,22 +88,32 @@
 
 // Read implements net.Conn.
 func (c *headConn) Read(p []byte) (int, error) {
-	if failed := c.failed.Load(); failed != nil {
-		return 0, failed.error
+	if err := c.failure(); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Read(p)
 	if keep, failed := c.check(p[:n]); failed != nil {
-		c.failed.Store(&headError{failed})
 		return keep, failed
 	}
 	return n, err
 }
 
+func (c *headConn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
+
 // check follows the response in the bytes that were read. If that is spoilt, it returns an error
 // and how many bytes the transport may have, with which the response is not complete.
 func (c *headConn) check(p []byte) (keep int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer func() {
+		if err != nil {
+			c.failed = err
+		}
+	}()
 	body, err := c.checkHead(p)
 	if err != nil {
 		// The transport repeats some requests if no byte of a response has come.
