--- a/request/quarantine/candidates.go
+++ b/request/quarantine/candidates.go
@@ -23,19 +23,16 @@
 // requests, those stay that most servers ended with since they were last proven sound, and of
 // the others those that never were.
 func (t *Table) union(server string, a, b []Candidate) []Candidate {
-	all := slices.Clone(a)
-	known := make(map[Part]bool, len(a))
-	for _, c := range a {
-		known[c.Part] = true
-	}
-	for _, c := range b {
+	var all []Candidate
+	known := make(map[Part]bool, len(a)+len(b))
+	for _, c := range slices.Concat(a, b) {
 		if !known[c.Part] {
 			known[c.Part] = true
 			all = append(all, c)
 		}
 	}
 	if fitting := withinReport(all); len(fitting) == len(all) {
-		return all
+		return fitting
 	}
 	return withinReport(t.mostDoubtful(server, all))
 }
