--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -18,6 +18,7 @@
 	staffService           = "kafi81c"
 	draftHost, draftPath   = "hulo84.example", "/xapu221/"
 	draftService           = "wuno96b"
+	draftKey               = "jnbanfqasnmgkcuyj8pj"
 )
 
 // config returns a configuration with two services.
@@ -32,13 +33,14 @@
 		return map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 49, "protocol": "h1", "tls": false}
 	}
 	draft := route("r-draft", draftHost, draftPath, "stream", draftService)
+	draft["sticky"], draft["public"] = true, false
 	draft["timeoutMs"], draft["latencyTargetMs"], draft["itlTargetMs"], draft["maxAttempts"], draft["resumable"] = 6000, 500, 400, 2, true
 	return map[string]any{
 		"version":  version,
 		"routes":   []any{route("r-submit", submitHost, submitPath, "unsafe", boothService), route("r-staff", staffHost, staffPath, "unsafe", staffService), draft},
 		"services": []any{service(boothService), service(staffService), service(draftService)},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []any{},
+		"tenants":  []any{map[string]any{"name": "bozi300", "apiKeys": []string{draftKey}, "priority": 1}},
 	}
 }
 
@@ -83,14 +85,41 @@
 
 // send sends one request to an entry.
 func send(rec *record, entry *machine, host, path string) answer {
-	a := answer{id: fmt.Sprintf("%016x", 0x1c41d07be2a00000+nextID.Add(1)), sent: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+	id := newID()
+	return sendAs(rec, entry, host, path+id, id, bodyOf(id))
+}
+
+// sendBody sends one request with a path, a query and a body.
+func sendBody(rec *record, entry *machine, host, target, body string) answer {
+	return sendAs(rec, entry, host, target, newID(), body)
+}
+
+func newID() string { return fmt.Sprintf("%016x", 0x1c41d07be2a00000+nextID.Add(1)) }
+
+// sendPrompt asks for a stream with a prompt.
+func sendPrompt(rec *record, entry *machine, prefix string) answer {
+	id := newID()
+	return sendAs(rec, entry, draftHost, draftPath+id, id, bodyOf(id), "Authorization", "Bearer "+draftKey,
+		"Model", "daka510000", "Token-Count", "850,50", "Prompt-Prefix", prefix+","+id[8:]+":10")
+}
+
+// sendAs sends one request, with more headers as names and values.
+func sendAs(rec *record, entry *machine, host, target, id, body string, headers ...string) answer {
+	a := answer{id: id, sent: time.Now()}
+	deadline := 2500 * time.Millisecond
+	if host == draftHost {
+		deadline = 6 * time.Second
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.address(frontPort)+path+a.id, strings.NewReader(bodyOf(a.id)))
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.address(frontPort)+target, strings.NewReader(body))
 	req.Host = host
 	req.Header.Set("Request-Id", a.id)
-	req.Header.Set("Deadline-Ms", "2500")
-	rec.add("client sends %s to %s: POST %s%s", a.id, entry.name, host, path)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	rec.add("client sends %s to %s: POST %s%s %q", a.id, entry.name, host, target, headers)
 	resp, err := client.Do(req)
 	if err != nil {
 		a.err = err
@@ -98,8 +127,8 @@
 		return a
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	a.status, a.body, a.signature, a.err = resp.StatusCode, string(body), resp.Header.Get("Signature"), err
+	got, err := io.ReadAll(resp.Body)
+	a.status, a.body, a.signature, a.err = resp.StatusCode, string(got), resp.Header.Get("Signature"), err
 	rec.add("client gets %d to %s, signature %q, body %q", a.status, a.id, a.signature, a.body)
 	return a
 }
--- a/review/standins-3/engine.go
+++ b/review/standins-3/engine.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -27,6 +28,12 @@
 	// step is the difference of the ids of two events of a stream, 0 for a service without
 	// streams, and events the number of events.
 	step, events int
+	// deadly is the path of the request that crashes the engine when it begins to run it, and
+	// onCrash is called then.
+	deadly  string
+	onCrash func()
+	// deadlyPart is the part of a prompt on which the engine crashes when it begins to write.
+	deadlyPart string
 
 	mu       sync.Mutex
 	seq      int
@@ -104,10 +111,29 @@
 		w.WriteHeader(refuse)
 		return
 	}
+	if e.deadly != "" && r.URL.Path == e.deadly {
+		e.ran = append(e.ran, run{id: id, method: r.Method, path: r.RequestURI, body: string(received), engine: e.id, service: e.service, at: time.Now()})
+		e.mu.Unlock()
+		e.rec.add("engine %s begins to run %s %s %s and crashes", e.id, id, r.Method, r.RequestURI)
+		e.stopOnce.Do(func() { close(e.stop) })
+		go func() { _ = e.server.Close() }()
+		e.onCrash()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	e.running++
 	e.ran = append(e.ran, run{id: id, method: r.Method, path: r.RequestURI, body: string(received), engine: e.id, service: e.service, at: time.Now()})
 	e.mu.Unlock()
 	e.rec.add("engine %s of %s runs %s %s %s with body %q", e.id, e.service, id, r.Method, r.RequestURI, received)
+	if e.deadlyPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), e.deadlyPart+":") {
+		time.Sleep(e.work)
+		e.rec.add("engine %s begins to write on %s and crashes", e.id, e.deadlyPart)
+		e.stopOnce.Do(func() { close(e.stop) })
+		go func() { _ = e.server.Close() }()
+		e.onCrash()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if e.step > 0 {
 		e.stream(w, r, id)
 		e.mu.Lock()
@@ -118,6 +144,8 @@
 	select {
 	case <-time.After(e.work):
 	case <-r.Context().Done():
+		e.rec.add("engine %s: %s was broken off", e.id, id)
+		panic(http.ErrAbortHandler)
 	}
 	e.mu.Lock()
 	e.running--
--- a/review/standins-3/ids.go
+++ b/review/standins-3/ids.go
@@ -44,7 +44,7 @@
 	cut, complete := 0, 0
 	for range 12 {
 		wg.Go(func() {
-			a := send(rec, stopped, draftHost, draftPath)
+			a := sendPrompt(rec, stopped, "5c1e07a2:800")
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -29,6 +29,8 @@
 	"drain":       foreignDrain,
 	"ids":         streamIDs,
 	"line-end":    lineEnd,
+	"deadly":      deadly,
+	"part":        deadlyPart,
 }
 
 func main() {
