--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -16,12 +17,16 @@
 	staffHost, staffPath   = "voka93.example", "/filo73/"
 	boothService           = "huvo11a"
 	staffService           = "kafi81c"
+	lookupHost, lookupPath = "jepu9.example", "/moza41/"
 	draftHost, draftPath   = "hulo84.example", "/xapu221/"
 	draftService           = "wuno96b"
 	draftKey               = "jnbanfqasnmgkcuyj8pj"
 )
 
-// config returns a configuration with two services.
+// moreRoutes is the number of further routes of each configuration.
+var moreRoutes int
+
+// config returns a configuration with three services.
 func config(version int) map[string]any {
 	route := func(name, host, prefix, kind, service string) map[string]any {
 		return map[string]any{
@@ -32,12 +37,18 @@
 	service := func(name string) map[string]any {
 		return map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 49, "protocol": "h1", "tls": false}
 	}
+	lookup := route("r-lookup", lookupHost, lookupPath, "safe", boothService)
+	lookup["maxAttempts"] = 2
 	draft := route("r-draft", draftHost, draftPath, "stream", draftService)
 	draft["sticky"], draft["public"] = true, false
 	draft["timeoutMs"], draft["latencyTargetMs"], draft["itlTargetMs"], draft["maxAttempts"], draft["resumable"] = 6000, 500, 400, 2, true
+	routes := []any{lookup, route("r-submit", submitHost, submitPath, "unsafe", boothService), route("r-staff", staffHost, staffPath, "unsafe", staffService), draft}
+	for range moreRoutes {
+		routes = append(routes, route(fmt.Sprintf("r-%08x", rand.Uint32()), fmt.Sprintf("h%08x.example", rand.Uint32()), fmt.Sprintf("/p%08x/", rand.Uint32()), "unsafe", boothService))
+	}
 	return map[string]any{
 		"version":  version,
-		"routes":   []any{route("r-submit", submitHost, submitPath, "unsafe", boothService), route("r-staff", staffHost, staffPath, "unsafe", staffService), draft},
+		"routes":   routes,
 		"services": []any{service(boothService), service(staffService), service(draftService)},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": "bozi300", "apiKeys": []string{draftKey}, "priority": 1}},
