backend, directory: a value that can't be written into a head is refused

Cause: Server.Validate asked for length and UTF-8 only, so the entries took the ID for a later server at the address of the sound one. connection/backend wrote it into Expect-Instance as it was, and its line end closed the head. net/http reads such a request with an empty body (FuzzRequestHead, third seed). Names, zones and hosts were open in the same way. Ruled out: the order of headers is not the cause, it only decides which half has its Request-Id in front.

An ID is now visible ASCII without a slash, other names are values of headers, a host is an IP address or a host name. The check stands where heartbeats, deregistrations, updates of other processes and announcements all pass. The writer refuses what can't be read back as it is before it takes a connection: the request has not run, and its server is not blamed.

--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -96,6 +96,9 @@
 // ErrWithheld is the error of a request that MaySend has stopped.
 var ErrWithheld = errors.New("the request was withheld")
 
+// ErrUnwritable is the error of a request with a value that can't be written into its head.
+var ErrUnwritable = errors.New("the request can't be written")
+
 var errSendDeadline = errors.New("send deadline passed before the request was sent")
 
 var errOtherResponse = errors.New("response belongs to another request")
@@ -119,6 +122,9 @@
 // ctx ends the connection is reset, which makes the server cancel the request.
 // Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Exchange, error) {
+	if err := req.checkHead(); err != nil {
+		return nil, &Error{Sent: NotSent, Err: err}
+	}
 	k := c.takeIdle(address, req.ID, time.Now())
 	if k == nil {
 		fresh, err := c.connectBefore(ctx, address, req)
@@ -224,7 +230,23 @@
 	}
 }
 
-// appendHead appends the request line and headers to b.
+// checkHead returns an error if a server would not read the request line and headers as they are:
+// a line end in one of them ends the head, or begins another field.
+func (r *Request) checkHead() error {
+	if !httphead.IsToken(r.Method) || !httphead.IsUnbroken(r.Target) || !httphead.IsFieldValue(r.Host) {
+		return errors.Wrapf(ErrUnwritable, "request line %q %q for host %q", r.Method, r.Target, r.Host)
+	}
+	for name, values := range r.Header {
+		for _, v := range values {
+			if !httphead.IsToken(name) || !httphead.IsFieldValue(v) {
+				return errors.Wrapf(ErrUnwritable, "header %q: %q", name, v)
+			}
+		}
+	}
+	return nil
+}
+
+// appendHead appends the request line and headers to b, which checkHead must have accepted.
 func appendHead(b []byte, req *Request) []byte {
 	b = append(b, req.Method...)
 	b = append(b, ' ')
--- a/connection/backend/head_test.go
+++ b/connection/backend/head_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
+	"net/http"
+	"slices"
 	"strings"
 	"testing"
+
+	"github.com/cockroachdb/errors"
 )
 
 // respondRaw returns the address of a server that writes the same bytes to every request and
@@ -127,3 +132,71 @@
 		}
 	}
 }
+
+// A line end in a header made servers read a request without its body.
+func TestRequestWithAValueThatEndsItsHeadIsNotSent(t *testing.T) {
+	address, conns := serveConns(t, func(c net.Conn, r *bufio.Reader) {
+		id, body, err := readRequest(r)
+		t.Errorf("the server read request %q with body %q: %v", id, body, err)
+		_ = c.Close()
+	})
+	for name, spoil := range map[string]func(*Request){
+		"line end in a value":       func(r *Request) { r.Header["Expect"] = []string{"i-1\r\n"} },
+		"LF in a value":             func(r *Request) { r.Header["Expect"] = []string{"i-1\nA: b"} },
+		"NUL in a value":            func(r *Request) { r.Header["Expect"] = []string{"i-1\x00"} },
+		"blank at the end":          func(r *Request) { r.Header["Expect"] = []string{"i-1 "} },
+		"line end in a second":      func(r *Request) { r.Header["Expect"] = []string{"i-1", "\r\n\r\n"} },
+		"line end in a header name": func(r *Request) { r.Header["A: b\r\nC"] = []string{"d"} },
+		"empty header name":         func(r *Request) { r.Header[""] = []string{"d"} },
+		"line end in the target":    func(r *Request) { r.Target = "/ HTTP/1.1\r\nA: b\r\n\r\nGET /" },
+		"blank in the target":       func(r *Request) { r.Target = "/a b" },
+		"no target":                 func(r *Request) { r.Target = "" },
+		"line end in the host":      func(r *Request) { r.Host = "h\r\nA: b" },
+		"blank in the method":       func(r *Request) { r.Method = "GET /x" },
+	} {
+		req := newRequest("r-1")
+		spoil(req)
+		ex, err := newClient().Do(t.Context(), address, req)
+		var failure *Error
+		if !errors.As(err, &failure) || failure.Sent != NotSent || !errors.Is(err, ErrUnwritable) {
+			t.Errorf("%s: got %+v, %v", name, ex, err)
+		}
+	}
+	if n := conns.Load(); n != 0 {
+		t.Errorf("%d connections were opened", n)
+	}
+}
+
+// FuzzRequestHead passes values to the writer of request heads. What it accepts, net/http must read
+// as the same request.
+func FuzzRequestHead(f *testing.F) {
+	f.Add("POST", "/a?b=c", "h.example", "Expect-Instance", "i-1", "body")
+	f.Add("GET", "/\xff", "[::1]:80", "A", "caf\xe9\tb", "")
+	f.Add("POST", "/", "h", "Expect-Instance", "i-1\r\n", "body")
+	f.Add("PUT", "/ HTTP/1.1\r\n", "h\r\n", "A: b\r\nC", " ", "body")
+	f.Fuzz(func(t *testing.T, method, target, host, name, value, body string) {
+		req := &Request{Method: method, Target: target, Host: host, Header: http.Header{name: {value}}, Body: []byte(body)}
+		if req.checkHead() != nil || framesBody(name) {
+			return
+		}
+		sent := append(appendHead(nil, req), body...)
+		line, rest, _ := bytes.Cut(sent, []byte("\r\n"))
+		if string(line) != method+" "+target+" HTTP/1.1" || strings.ContainsAny(string(line), "\r\n") {
+			t.Fatalf("the request line is %q", line)
+		}
+		// net/http refuses targets and hosts that are no URLs; their bytes are checked above and below.
+		got, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(append([]byte("POST / HTTP/1.1\r\n"), rest...))))
+		if err != nil {
+			t.Fatalf("%q can't be read: %v", sent, err)
+		}
+		data, err := io.ReadAll(got.Body)
+		if got.Host != host || !slices.Equal(got.Header[http.CanonicalHeaderKey(name)], []string{value}) || string(data) != body || err != nil {
+			t.Errorf("host %q, header %q: %q and body %q are read as %q, %q and %q: %v", host, name, value, body, got.Host, got.Header, data, err)
+		}
+	})
+}
+
+// framesBody reports whether a header is written by appendHead or changes where a body ends.
+func framesBody(name string) bool {
+	return slices.Contains([]string{"Host", "Content-Length", "Transfer-Encoding", "Trailer", "Connection"}, http.CanonicalHeaderKey(name))
+}
--- a/connection/httphead/httphead.go
+++ b/connection/httphead/httphead.go
@@ -1,5 +1,5 @@
-// Package httphead parses the lines of HTTP/1 response heads as strictly as RFC 9112 defines
-// them. A line that is almost a field may be the one that frames the body: a parser that
+// Package httphead parses the lines of HTTP/1 response heads, and checks what is written into
+// request heads, as strictly as RFC 9112 defines them. A line that is almost a field may be the one that frames the body: a parser that
 // ignores it, or takes it for another field, takes a part of the body for the whole.
 package httphead
 
@@ -47,7 +47,7 @@
 // line is no field.
 func ParseField(line []byte) (name, value []byte, err error) {
 	name, value, ok := bytes.Cut(line, []byte{':'})
-	if !ok || !isToken(name) || !IsText(value) {
+	if !ok || !IsToken(name) || !IsText(value) {
 		return nil, nil, errors.Newf("invalid field line %.60q", line)
 	}
 	return name, bytes.Trim(value, " \t"), nil
@@ -80,10 +80,10 @@
 	return resp.ContentLength >= 0 || resp.ProtoMajor >= 2 || len(resp.TransferEncoding) > 0
 }
 
-// isToken reports whether s is a token of RFC 9110, section 5.6.2.
-func isToken(s []byte) bool {
-	for _, c := range s {
-		if !tokenChars[c] {
+// IsToken reports whether s is a token of RFC 9110, section 5.6.2.
+func IsToken[T ~string | ~[]byte](s T) bool {
+	for i := range len(s) {
+		if !tokenChars[s[i]] {
 			return false
 		}
 	}
@@ -99,11 +99,30 @@
 }()
 
 // IsText reports whether s contains no control character except tabs.
-func IsText(s []byte) bool {
-	for _, c := range s {
-		if c < ' ' && c != '\t' || c == 0x7f {
+func IsText[T ~string | ~[]byte](s T) bool {
+	for i := range len(s) {
+		if isControl(s[i]) && s[i] != '\t' {
 			return false
 		}
 	}
 	return true
 }
+
+// IsFieldValue reports whether s is a field value of RFC 9110, section 5.5, which a recipient
+// reads back unchanged: recipients remove blanks at either end.
+func IsFieldValue(s string) bool {
+	return IsText(s) && strings.Trim(s, " \t") == s
+}
+
+// IsUnbroken reports whether s is not empty and contains no blank or control character, so that
+// it is one part of a request line.
+func IsUnbroken(s string) bool {
+	for i := range len(s) {
+		if isControl(s[i]) || s[i] == ' ' {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func isControl(c byte) bool { return c < ' ' || c == 0x7f }
--- a/process/controller/entries_test.go
+++ b/process/controller/entries_test.go
@@ -23,6 +23,8 @@
 		{strings.Repeat("i", 100<<10), valid, http.StatusRequestHeaderFieldsTooLarge}, // above the limit of a header section
 		{"i-2", strings.Replace(valid, "10.0.0.1:1", "10.0.0.1:70000", 1), http.StatusBadRequest},
 		{"i-3", strings.Replace(valid, `"slots":4`, `"slots":1e300`, 1), http.StatusBadRequest},
+		{"i-1%0d%0a", valid, http.StatusBadRequest},
+		{"i-1%20", valid, http.StatusBadRequest},
 		{"i-4", strings.Replace(valid, `"slots":4`, `"x":`+strings.Repeat(`{"x":`, 20000)+"1"+strings.Repeat("}", 20000), 1), http.StatusBadRequest},
 	} {
 		if status, _ := call(t, 0, http.MethodPost, platform.PathHeartbeat+odd.id, odd.body); status != odd.want {
--- a/process/directory/table_test.go
+++ b/process/directory/table_test.go
@@ -144,3 +144,20 @@
 		}
 	}
 }
+
+// A server whose ID ends with a line end took the address of a sound one from it.
+func TestServerWithAnIDThatCanNotBeWrittenDoesNotTakeAnAddress(t *testing.T) {
+	table := NewTable()
+	table.Update(report("a", 5, 1, Ready), 0)
+	for _, id := range []string{"a\r\n", "a\n", "a\x00", "a ", "a\u00a0", "a/"} {
+		if got := table.Update(report(id, 9, 8, Ready), 0); got != Invalid || table.Get(id) != nil {
+			t.Errorf("the report of %q: outcome %d", id, got)
+		}
+		if table.Deregister(id, 9, 0) || table.Get(id) != nil {
+			t.Errorf("the deregistration of %q was applied", id)
+		}
+	}
+	if table.Superseded(table.Get("a")) {
+		t.Error("the sound server has lost its address")
+	}
+}
--- a/process/sidecar/announce.go
+++ b/process/sidecar/announce.go
@@ -42,8 +42,9 @@
 	if err != nil {
 		return directory.Server{}, err
 	}
-	return directory.Server{
+	server := directory.Server{
 		ID: header.Get(platform.HeaderServer), Service: service.Name, Address: u.sidecar.settings.BackendAddress, Zone: u.sidecar.settings.Zone,
 		State: directory.Ready, Born: r.Born, Engine: true, Held: r.Held,
-	}, nil
+	}
+	return server, server.Validate()
 }
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -44,7 +44,7 @@
 	if errors.As(a.err, &failure) && failure.Sent == backend.NotSent {
 		a.result, a.notSent = resultNotRun, true
 		switch {
-		case errors.Is(a.err, backend.ErrWithheld):
+		case errors.Is(a.err, backend.ErrWithheld), errors.Is(a.err, backend.ErrUnwritable):
 			a.outcome = placement.Unused
 		case ctx.Err() == nil:
 			a.outcome = placement.Failed
