quarantine: parts that explain the same ends are suspected together

Cause: with five moments a tie was decided by the place in the prompt, the last part. Whatever was proven before (0, 1, 24 or 2,000 times) made no difference, and refusing all requests with the part took away what would have shown the mistake. Ruled out as the cause: the proofs before the first end, which are not counted. Ranking by them passes the case, but not a tie in which nothing or everything was proven, nor an entry that has just started.

Tied parts are suspected together now, and only requests with all of them are refused. Requests with some of them tell them apart: those whose parts were proven before are sent, others one at a time. A proof takes a part out of the hold, and so does a clear lead of another part.

--- a/process/frontend/crash_test.go
+++ b/process/frontend/crash_test.go
@@ -137,3 +137,51 @@
 		t.Errorf("%d requests with the part reached servers after restarts", n)
 	}
 }
+
+// Of parts in the same ends of servers, one that all sound prompts have was suspected.
+func TestSoundPromptsAreServedBesideCrashingOnesWithTheSameOtherParts(t *testing.T) {
+	f := newFleet(t, 120, 2, 8, engineBehavior{crashPart: "crashing", downFor: 400 * time.Millisecond})
+	sendAll := func(n int, pause time.Duration, parts ...string) (served int) {
+		for i := range n {
+			if f.entries[i%len(f.entries)].send(parts...) == http.StatusOK {
+				served++
+			}
+			time.Sleep(pause)
+		}
+		return served
+	}
+	before := sendAll(24, 50*time.Millisecond, "system", "topic", "manual")
+	for range 20 {
+		if len(f.crashTimes("crashing")) < 5 {
+			sendAll(1, 50*time.Millisecond, "system", "crashing", "manual")
+		}
+	}
+	crashes := f.crashTimes("crashing")
+	if len(crashes) < 5 {
+		t.Fatalf("%d servers crashed, want 5", len(crashes))
+	}
+	fifth := crashes[4]
+	crashing := make(chan struct{})
+	var senders sync.WaitGroup
+	senders.Go(func() {
+		for {
+			select {
+			case <-crashing:
+				return
+			default:
+				sendAll(len(f.entries), 200*time.Millisecond, "system", "crashing", "manual")
+			}
+		}
+	})
+	time.Sleep(time.Until(fifth.Add(2 * contactTime)))
+	after := sendAll(24, 50*time.Millisecond, "system", "topic", "manual")
+	close(crashing)
+	senders.Wait()
+	t.Logf("%d crashes; %d of 24 sound requests served before, %d of 24 afterwards", len(f.crashTimes("crashing")), before, after)
+	if 2*after < before {
+		t.Errorf("%d of 24 sound requests were served after the fifth crash, %d before", after, before)
+	}
+	if n := countAfter(f.arrivalTimes("crashing"), fifth.Add(contactTime)); n > 3 {
+		t.Errorf("%d requests with the part reached servers later than %v after the fifth crash, want at most 3", n, contactTime)
+	}
+}
--- a/request/forward/suspects.go
+++ b/request/forward/suspects.go
@@ -25,8 +25,9 @@
 	endTTL = 5 * time.Minute
 	// ownOrigin identifies this entry in its own table.
 	ownOrigin = ""
-	// maxLoggedServers bounds the servers in a log line.
+	// maxLoggedServers and maxLoggedParts bound the servers and the parts in a log line.
 	maxLoggedServers = 8
+	maxLoggedParts   = 8
 )
 
 // suspects applies the decisions of package quarantine to the requests of this entry and
@@ -257,14 +258,26 @@
 	if d.Hold.Part.Request {
 		suspected, cleared = s.metrics.requestsSuspected, s.metrics.requestsCleared
 	}
-	if d.Action == quarantine.Suspected {
+	switch d.Action {
+	case quarantine.Suspected:
 		suspected.Inc(1)
 		s.wakeRequests()
-	} else {
+	case quarantine.Narrowed:
+		s.wakeRequests()
+	default:
 		cleared.Inc(1)
 	}
 	s.log.Warn("quarantine of a "+subject(d.Hold.Part)+" changed", "part", d.Hold.Part.ID, "model", d.Hold.Part.Model, "action", d.Action.String(),
-		"count", d.Hold.Count, "moments", d.Moments, "required", d.Required, "runner_up", d.RunnerUp, "servers", d.Servers[:min(len(d.Servers), maxLoggedServers)])
+		"with", loggedParts(d.Hold.With), "count", d.Hold.Count, "moments", d.Moments, "required", d.Required, "runner_up", d.RunnerUp, "servers", d.Servers[:min(len(d.Servers), maxLoggedServers)])
+}
+
+// loggedParts returns the IDs of parts for a log line, which are not all logged.
+func loggedParts(parts []quarantine.Part) []string {
+	var ids []string
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
 }
 
 // subject names what is suspected in log lines.
@@ -306,7 +319,7 @@
 			return err
 		}
 		if s.table.ApplyHold(hold, r.At) {
-			s.log.Warn("quarantine of a "+subject(hold.Part)+" learned", "part", hold.Part.ID, "model", hold.Part.Model, "count", hold.Count, "age", now.Sub(r.At), "origin", r.Origin)
+			s.log.Warn("quarantine of a "+subject(hold.Part)+" learned", "part", hold.Part.ID, "model", hold.Part.Model, "with", loggedParts(hold.With), "count", hold.Count, "age", now.Sub(r.At), "origin", r.Origin)
 			s.wakeRequests()
 		}
 	}
--- a/request/quarantine/decide.go
+++ b/request/quarantine/decide.go
@@ -134,6 +134,7 @@
 	ends := t.validEnds(now.Add(-settleTime))
 	decisions := t.clearProven(now)
 	decisions = append(decisions, t.repeatHolds(now, ends)...)
+	decisions = append(decisions, t.narrowTied(now, ends)...)
 	for len(ends) >= minMoments && len(t.holds) < maxHolds {
 		d, found := t.suspect(now, ends)
 		if !found {
@@ -187,24 +188,31 @@
 	var decisions []Decision
 	for _, p := range t.heldParts() {
 		h := t.holds[p]
-		suspectedFor := h.since
-		if last := t.watched[p].lastEnd; !last.IsZero() && last.Before(h.since) {
-			suspectedFor = last
-		}
-		if t.provenAt(p).After(suspectedFor) {
-			t.clear(p, now)
-			decisions = append(decisions, Decision{Action: Cleared, Hold: Hold{Part: p}, At: now})
+		if h == nil {
+			continue // cleared with a narrower one
 		}
+		left := slices.DeleteFunc(h.parts(), func(p Part) bool { return t.provenSince(h, p) })
+		decisions = append(decisions, t.narrow(h, left, now)...)
 	}
 	return decisions
 }
 
+// provenSince reports whether a part of a hold was proven sound since the last end that it is
+// suspected for.
+func (t *Table) provenSince(h *hold, p Part) bool {
+	suspectedFor := h.since
+	if last := t.watched[p].lastEnd; !last.IsZero() && last.Before(h.since) {
+		suspectedFor = last
+	}
+	return t.provenAt(p).After(suspectedFor)
+}
+
 // repeatHolds suspects parts again that were being tried when another server ended.
 func (t *Table) repeatHolds(now boottime.Instant, ends []end) []Decision {
 	var decisions []Decision
 	for _, p := range t.heldParts() {
 		h := t.holds[p]
-		i := slices.IndexFunc(ends, func(e end) bool { return !e.at.Before(h.until(0)) && has(e, p) })
+		i := slices.IndexFunc(ends, func(e end) bool { return !e.at.Before(h.until(0)) && h.in(e) })
 		if i < 0 {
 			continue
 		}
@@ -226,8 +234,8 @@
 	var rest []end
 	for _, e := range ends {
 		explained := false
-		for p := range t.holds {
-			explained = explained || has(e, p)
+		for _, h := range t.holds {
+			explained = explained || h.in(e)
 		}
 		if !explained {
 			rest = append(rest, e)
@@ -238,7 +246,9 @@
 
 // support is the evidence against one part.
 type support struct {
-	part    Part
+	part Part
+	// proven is set if a server has proven the part sound before.
+	proven  bool
 	depth   int
 	servers []string
 	ends    []end
@@ -249,9 +259,8 @@
 }
 
 // suspect suspects the part that explains the most ends, unless another one explains as
-// many. Of a request and a part of its prompt the request is taken. Of two parts that can't
-// be told apart for long, the one later in the prompt is taken: requests share their first
-// parts most widely.
+// many. Of a request and a part of its prompt the request is taken. Parts that can't be told
+// apart for long are suspected together; of two requests the first is taken.
 func (t *Table) suspect(now boottime.Instant, ends []end) (Decision, bool) {
 	ranked := t.rank(ends)
 	if len(ranked) == 0 {
@@ -264,11 +273,18 @@
 	}
 	if len(ranked) > 1 {
 		runnerUp = ranked[1].moments
-		if best.moments < maxMoments && best.ties(&ranked[1]) {
-			return Decision{}, false
-		}
 	}
-	h := Hold{Part: best.part, Count: 1}
+	rivals := tied(ranked)
+	if len(rivals) > 1 && best.moments < maxMoments {
+		return Decision{}, false
+	}
+	if best.part.Request {
+		rivals = ranked[:1]
+	}
+	h, found := t.newHold(inSameEnds(rivals))
+	if !found {
+		return Decision{}, false
+	}
 	t.setHold(h, now)
 	return Decision{Action: Suspected, Hold: h, At: now, Servers: best.servers, Moments: best.moments, Required: required, RunnerUp: runnerUp}, true
 }
@@ -290,7 +306,7 @@
 			}
 			s := byPart[p]
 			if s == nil {
-				s = &support{part: p}
+				s = &support{part: p, proven: !t.provenAt(p).IsZero()}
 				byPart[p] = s
 			}
 			s.depth = max(s.depth, depth)
@@ -301,12 +317,6 @@
 	return byPart
 }
 
-// ties reports whether the evidence does not distinguish between two parts, or between two
-// requests.
-func (s *support) ties(o *support) bool {
-	return s.independent == o.independent && s.moments == o.moments && s.total == o.total && s.part.Request == o.part.Request
-}
-
 // required returns the number of moments from which a part is suspected.
 func (t *Table) required(p Part, now boottime.Instant) int {
 	if p.Request {
@@ -345,11 +355,15 @@
 	if len(t.holds) < 2 {
 		return nil
 	}
+	endsOf := make(map[Part]uint64, len(t.holds))
+	for p, h := range t.holds {
+		endsOf[p] = endsWith(ends, h)
+	}
 	var decisions []Decision
 	for _, p := range t.heldParts() {
-		with := endsWith(ends, p)
+		with := endsOf[p]
 		for other := range t.holds {
-			if other == p || len(with) == 0 || len(endsWith(with, other)) < len(with) || len(endsWith(ends, other)) == len(with) {
+			if with == 0 || with&endsOf[other] != with || with == endsOf[other] {
 				continue
 			}
 			t.clear(p, now)
@@ -360,7 +374,12 @@
 	return decisions
 }
 
-// endsWith returns the ends of servers that had a request with a part.
-func endsWith(ends []end, p Part) []end {
-	return slices.DeleteFunc(slices.Clone(ends), func(e end) bool { return !has(e, p) })
+// endsWith returns the bits of the ends of servers that had requests with the parts of a hold.
+func endsWith(ends []end, h *hold) (bits uint64) {
+	for i := range ends {
+		if h.in(ends[i]) {
+			bits |= ends[i].bit
+		}
+	}
+	return bits
 }
--- a/request/quarantine/holds.go
+++ b/request/quarantine/holds.go
@@ -21,8 +21,11 @@
 		t.clear(h.Part, at)
 	case !at.After(t.cleared[h.Part]) || known != nil && !at.After(known.since):
 		return false
+	case t.hasNarrower(&h, at):
+		return false
 	default:
 		t.setHold(h, at)
+		t.decideUntil(at.Add(settleTime))
 	}
 	return true
 }
@@ -31,14 +34,22 @@
 func (t *Table) Ends() int { return len(t.ends) }
 
 func (t *Table) setHold(h Hold, at boottime.Instant) {
+	t.clearWider(&h, at)
+	var members map[Part]bool
+	if h.together() {
+		members = map[Part]bool{}
+		for _, p := range h.parts() {
+			members[p] = true
+		}
+	}
 	if known := t.holds[h.Part]; known != nil {
-		known.Hold, known.since = h, at
+		known.Hold, known.members, known.since = h, members, at
 		return
 	}
 	if len(t.holds) >= maxHolds {
 		t.removeOldestHold()
 	}
-	t.holds[h.Part] = &hold{Hold: h, since: at}
+	t.holds[h.Part] = &hold{Hold: h, members: members, since: at}
 }
 
 func (t *Table) removeOldestHold() {
@@ -71,23 +82,38 @@
 		return 0, Part{}, false
 	}
 	for _, c := range candidates {
-		h := t.holds[c.Part]
-		switch {
-		case h == nil:
-		case now.Before(h.until(t.stagger)):
-			return h.until(t.stagger).Sub(now), c.Part, true
-		case h.trials > 0 || !t.lastEnd(c.Part).Before(h.until(0)):
-			return trialRetryAfter, c.Part, true
+		if h := t.holds[c.Part]; h != nil && !h.together() {
+			if wait, refused := t.refusedFor(h, now); refused {
+				return wait, c.Part, true
+			}
+		}
+	}
+	for _, h := range t.holdsOfSeveral() {
+		if wait, refused := t.refusedTogether(h, candidates, now); refused {
+			return wait, h.Part, true
 		}
 	}
 	return 0, Part{}, false
 }
 
+// refusedFor returns for how long a request with all parts of a hold must not be sent.
+func (t *Table) refusedFor(h *hold, now boottime.Instant) (time.Duration, bool) {
+	switch {
+	case now.Before(h.until(t.stagger)):
+		return h.until(t.stagger).Sub(now), true
+	case h.trials > 0 || !t.lastEnd(h).Before(h.until(0)):
+		return trialRetryAfter, true
+	default:
+		return 0, false
+	}
+}
+
 // Dump returns the suspected parts and the number of ends that are compared, for the
 // state dump.
 func (t *Table) Dump(now boottime.Instant) any {
 	type suspected struct {
 		Part     Part
+		With     []Part
 		Count    int
 		HeldFor  time.Duration
 		HoldLeft time.Duration
@@ -102,7 +128,7 @@
 	for _, p := range t.heldParts() {
 		h := t.holds[p]
 		dump.Suspected = append(dump.Suspected, suspected{
-			Part: p, Count: h.Count, HeldFor: now.Sub(h.since), HoldLeft: max(h.until(t.stagger).Sub(now), 0), Trials: h.trials,
+			Part: p, With: h.With, Count: h.Count, HeldFor: now.Sub(h.since), HoldLeft: max(h.until(t.stagger).Sub(now), 0), Trials: h.trials,
 		})
 	}
 	return dump
@@ -116,11 +142,17 @@
 	}
 	var trials []Part
 	for _, c := range candidates {
-		if h := t.holds[c.Part]; h != nil {
+		if h := t.holds[c.Part]; h != nil && !h.together() {
 			h.trials++
 			trials = append(trials, c.Part)
 		}
 	}
+	for _, h := range t.holdsOfSeveral() {
+		if parts := h.present(candidates); len(parts) == len(h.members) || len(parts) > 0 && !t.seemsSound(h, parts) {
+			h.trials++
+			trials = append(trials, h.Part)
+		}
+	}
 	return trials
 }
 
@@ -136,8 +168,9 @@
 // Doubtful reports whether a request that a server broke off must not be sent to
 // another one: a part of its prompt may be the cause.
 func (t *Table) Doubtful(candidates []Candidate) bool {
+	several := t.holdsOfSeveral()
 	for _, c := range candidates {
-		if t.holds[c.Part] != nil {
+		if t.isSuspected(c.Part, several) {
 			return true
 		}
 		ends, anyConfirmed := t.endsSinceProof(c.Part)
--- a/request/quarantine/table.go
+++ b/request/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -67,10 +68,12 @@
 	return at
 }
 
-// hold is the quarantine of a part.
+// hold is the quarantine of a part, or of several together.
 type hold struct {
 	Hold
 	since boottime.Instant
+	// members holds the parts that are suspected together; nil if there is one.
+	members map[Part]bool
 	// trials is the number of requests with the part that are being tried.
 	trials int
 }
@@ -339,9 +342,10 @@
 func (t *Table) RecordProven(candidates []Candidate, now boottime.Instant) []Part {
 	t.cuts.of(serviceOf(candidates)).recordProven(now)
 	var news []Part
+	several := t.holdsOfSeveral()
 	for _, c := range candidates {
 		t.ApplyProven(c.Part, now)
-		held := t.holds[c.Part] != nil
+		held := t.isSuspected(c.Part, several)
 		if w, isWatched := t.watched[c.Part]; isWatched && !w.told.After(w.lastEnd) || held {
 			w.told = now
 			t.watched[c.Part] = w
@@ -359,7 +363,7 @@
 	if !at.After(t.provenAt(p)) {
 		return
 	}
-	if t.holds[p] != nil {
+	if t.isSuspected(p, t.holdsOfSeveral()) {
 		t.decideUntil(at)
 	}
 	if w, isWatched := t.watched[p]; isWatched {
@@ -387,12 +391,12 @@
 	return at
 }
 
-// lastEnd returns when a server last ended that had a request with a part.
-func (t *Table) lastEnd(p Part) boottime.Instant {
+// lastEnd returns when a server last ended that had requests with all parts of a hold.
+func (t *Table) lastEnd(h *hold) boottime.Instant {
 	var last boottime.Instant
 	for _, e := range t.ends {
 		reports, at := e.valid()
-		if at.After(last) && contains(reports, p) {
+		if at.After(last) && !slices.ContainsFunc(h.parts(), func(p Part) bool { return !contains(reports, p) }) {
 			last = at
 		}
 	}
--- a/request/quarantine/types.go
+++ b/request/quarantine/types.go
@@ -9,6 +9,10 @@
 // explains these ends better. Parts that requests only share with a suspected one are
 // not suspected: another part explains the same ends and more.
 //
+// Parts that explain the same ends are suspected together, and only requests with all of them
+// are refused. Those with some of them tell the parts apart: a part that a server proves
+// sound is no longer suspected, and neither is one that explains fewer ends than another.
+//
 // A request as a whole is a candidate like a part of its prompt, identified by a digest
 // that its repetitions share. Where it explains the same ends as a part, the request is
 // suspected and not the part: that concerns no other request. A part that explains further
@@ -48,8 +52,8 @@
 	sameMoment = 20 * time.Millisecond
 	// minMoments and maxMoments bound the number of moments at which servers must have
 	// ended for a part to be suspected. The probability that this happens to a sound part
-	// by chance must be below maxChance. With maxMoments a part is suspected even if
-	// another one was in all the same requests.
+	// by chance must be below maxChance. With maxMoments parts are suspected together if
+	// nothing distinguishes them.
 	minMoments = 3
 	maxMoments = 5
 	maxChance  = 1e-6
@@ -59,6 +63,13 @@
 	cutMemory = 20 * time.Second
 	// priorProven is the number of proven requests that the fraction starts with.
 	priorProven = 10
+	// provenLead is the number of further moments by which a part that was proven sound before
+	// must explain more ends than one that never was, which may be the cause in its place.
+	provenLead = 2
+	// tiedLead is the number of further moments from which one of several parts that are suspected
+	// together is suspected alone: one may be the end of a server by another cause. After as many
+	// ends with some of the parts, one further moment is enough.
+	tiedLead = 2
 	// doubtfulMoments is the number from which a broken-off request is not sent again.
 	doubtfulMoments = 2
 	// ProvenEvents is the number of events after which a server has proven the parts of a
@@ -74,7 +85,8 @@
 	// trialSpread is the time over which the entries begin to try a part again, so that
 	// one server ends at most before all know of it.
 	trialSpread = time.Minute
-	// trialRetryAfter is the retry delay while another request is tried.
+	// trialRetryAfter is the retry delay while another request is tried, and the time for which no
+	// other one is tried after a trial has ended a server.
 	trialRetryAfter = 2 * time.Second
 	// maxEnds bounds the servers whose ends are compared, maxParts the parts and the requests
 	// that one entry records for a server, maxEndParts those that all entries do, maxHolds
@@ -135,8 +147,14 @@
 	Part Part `cbor:"1,keyasint"`
 	// Count is how many times in a row the part was suspected; 0 means that it is cleared.
 	Count int `cbor:"2,keyasint"`
+	// With lists the parts that are suspected together with Part: only requests with all of them
+	// are refused.
+	With []Part `cbor:"3,keyasint,omitempty"`
 }
 
+// parts returns all parts that are suspected.
+func (h *Hold) parts() []Part { return append([]Part{h.Part}, h.With...) }
+
 // duration returns how long a part is refused.
 func (h Hold) duration() time.Duration {
 	first := firstHold
@@ -163,11 +181,13 @@
 	Cleared
 	// Explained means that the part was only in requests that had another suspected one.
 	Explained
+	// Narrowed means that fewer parts are suspected together.
+	Narrowed
 )
 
 // String returns the action's name for logs.
 func (a Action) String() string {
-	return [...]string{"none", "suspected", "cleared", "explained"}[a]
+	return [...]string{"none", "suspected", "cleared", "explained", "narrowed"}[a]
 }
 
 // Decision is a change of a part's quarantine.
