--- a/request/quarantine/tied_test.go
+++ b/request/quarantine/tied_test.go
@@ -2,17 +2,24 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 	"time"
 )
 
+// deadlyPartsVariable is set to 2 to play two parts that crash servers, in turn in one place of a
+// prompt.
+const deadlyPartsVariable = "WAXWINGPOST_QUARANTINE_DEADLY"
+
 // tiedLoad is a load in which a part that crashes servers is among parts that all its prompts have.
 type tiedLoad struct {
 	s *sim
 	// parts is the prompt that crashes servers, by the part at index bad.
 	parts []string
 	bad   int
+	// second, if not empty, crashes servers too and takes the place of the part in half of the prompts.
+	second string
 	// otherCompany is the fraction of prompts that have only some of the other parts.
 	otherCompany float64
 	badInterval  time.Duration
@@ -34,6 +41,10 @@
 	}
 	l.bad = s.rng.IntN(len(l.parts))
 	s.bad[l.parts[l.bad]] = true
+	if os.Getenv(deadlyPartsVariable) == "2" {
+		l.second = "second"
+		s.bad[l.second] = true
+	}
 	if s.rng.IntN(2) == 0 {
 		l.otherCompany = s.rng.Float64() / 2
 	}
@@ -54,7 +65,14 @@
 func (l *tiedLoad) sendBad() {
 	s := l.s
 	var parts []string
+	bad := l.parts[l.bad]
+	if l.second != "" && s.rng.IntN(2) == 0 {
+		bad = l.second
+	}
 	for i, p := range l.parts {
+		if i == l.bad {
+			p = bad
+		}
 		if i == l.bad || s.rng.Float64() >= l.otherCompany {
 			parts = append(parts, p)
 		}
