quarantine: the simulation checks holds that were narrowed as well

A hold of several parts that has the crashing one among them is still no error: only requests with all are refused.

The code of the product is unchanged.

--- a/request/quarantine/sim_test.go
+++ b/request/quarantine/sim_test.go
@@ -176,7 +176,7 @@
 func (s *sim) decide(entry int) {
 	for _, d := range s.tables[entry].Decide(s.age.Now()) {
 		s.trace("%v entry %d: %+v", s.now, entry, d)
-		if d.Action == Suspected && !slices.ContainsFunc(d.Hold.parts(), func(p Part) bool { return s.bad[p.ID] }) {
+		if (d.Action == Suspected || d.Action == Narrowed) && !slices.ContainsFunc(d.Hold.parts(), func(p Part) bool { return s.bad[p.ID] }) {
 			s.suspected = append(s.suspected, fmt.Sprintf("%s at %v: %d moments, runner-up %d", d.Hold.Part.ID, s.now, d.Moments, d.RunnerUp))
 		}
 		s.tell(entry, func(t *Table) { t.ApplyHold(d.Hold, d.At) })
